--- /dev/null
+++ b/crates/fulmarpond-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! fulmarpond-settings.
--- /dev/null
+++ b/crates/fulmarpond/src/main.rs
@@ -0,0 +1,3 @@
+//! fulmarpond.
+
+fn main() {}
--- /dev/null
+++ b/crates/fulmarpondd/src/main.rs
@@ -0,0 +1,3 @@
+//! fulmarpondd.
+
+fn main() {}
