--- a/crates/fulmarpond-core/src/lib.rs
+++ b/crates/fulmarpond-core/src/lib.rs
@@ -1,1 +1,16 @@
-//! fulmarpond-core.
+//! Decisions of the fulmarpond dispatcher, without I/O, clocks or threads.
+//!
+//! Each role of the daemon is a state machine that implements [`Role`]: it takes the time, an input
+//! and a random number generator, and returns typed actions. A driver carries the actions out.
+
+pub mod contract;
+pub mod link;
+pub mod machine;
+pub mod policy;
+pub mod zone;
+
+mod role;
+mod time;
+
+pub use role::Role;
+pub use time::Time;
--- /dev/null
+++ b/crates/fulmarpond-core/src/link/error.rs
@@ -0,0 +1,20 @@
+//! Failures of a call over a link.
+
+use fulmarpond_derive::message;
+use thiserror::Error;
+
+/// Why a call has no response.
+#[message]
+#[derive(Copy, Eq, Error)]
+#[serde(rename_all = "snake_case")]
+pub enum LinkError {
+    /// No connection carried the request, so the other side never received it.
+    #[error("the request was not sent: no connection")]
+    NotSent,
+    /// The request was sent, and no response came. The other side may have acted on it.
+    #[error("the link was lost before a response came")]
+    Lost,
+    /// The other side answered, but not with a valid response. It did not act on the request.
+    #[error("the other side rejected the request")]
+    Rejected,
+}
--- /dev/null
+++ b/crates/fulmarpond-core/src/link/mod.rs
@@ -0,0 +1,14 @@
+//! The messages between own processes.
+
+mod call_id;
+mod error;
+mod message;
+
+pub use call_id::CallId;
+pub use error::LinkError;
+pub use message::{
+    Announce, AnnounceReply, Ask, Batch, BatchId, BatchReport, Cancel, Envelope, Events,
+    EventsReply, Fetch, FetchReply, Grant, Handover, Keepsake, Leave, Outcome, Peer, Request,
+    Reserve, Response, Seal, SealReply, StatusRequest, Submit, SubmitReply, TaskReport, Tombstone,
+    Usage, VersionedConfig, Withdraw, Withdrawn,
+};
--- /dev/null
+++ b/crates/fulmarpond-core/src/machine/load.rs
@@ -0,0 +1,15 @@
+//! The load of an agent.
+
+use fulmarpond_derive::message;
+
+/// The load that an agent reports with each reply.
+#[message]
+#[derive(Copy, Eq, Default)]
+pub struct Load {
+    /// The slots of the endpoint, 0 while no endpoint is registered.
+    pub slots: u32,
+    /// The slots that are neither busy nor held by a grant.
+    pub free: u32,
+    /// The tasks that wait for a slot.
+    pub queued: u32,
+}
