--- /dev/null
+++ b/crates/fulmarpond-core/src/agent/agent.rs
@@ -0,0 +1,615 @@
+//! The state machine of one agent.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use rand::Rng;
+
+use super::{AgentAction, AgentInput, Context, Count};
+use crate::contract::{Reason, Refusal};
+use crate::home::{Home, HomeOptions};
+use crate::link::{
+    Announce, AnnounceReply, CallId, Envelope, Handover, Leave, LinkError, Request, Response,
+};
+use crate::machine::{AgentId, Load};
+use crate::policy::{Policy, Version};
+use crate::runner::{Runner, RunnerOptions};
+use crate::zone::{Roster, Zone};
+use crate::{Role, Time};
+
+/// Numbers from here on belong to requests of the agent to itself.
+const LOCAL_CALLS: u64 = 1 << 63;
+/// The ids in one message to an heir, so that the message stays below a megabyte.
+const HANDOVER_IDS: usize = 4_000;
+/// How long an entry or heir may take to reply, in milliseconds.
+const REPLY_MS: u64 = 2_000;
+/// How often a handover is tried with different heirs.
+const HANDOVER_TRIES: u32 = 3;
+/// How often the departure is announced before the agent stops all the same.
+const LEAVE_TRIES: u32 = 5;
+
+/// The identity and intervals of an agent.
+#[derive(Debug, Clone)]
+pub struct AgentOptions {
+    /// This incarnation.
+    pub id: AgentId,
+    /// The address at which other processes reach its link listener.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: Zone,
+    /// The link listeners of the entries.
+    pub entries: Vec<SocketAddr>,
+    /// Milliseconds between announcements until an entry names another interval.
+    pub announce_ms: u64,
+    /// The roster window in milliseconds.
+    pub window_ms: u64,
+    /// The intervals of its home.
+    pub home: HomeOptions,
+    /// The intervals of its runner.
+    pub runner: RunnerOptions,
+}
+
+/// How far a graceful stop has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Stop {
+    /// Not stopping.
+    No,
+    /// Work in flight is finished.
+    Draining,
+    /// The memory is handed to an heir.
+    HandingOver {
+        heir: AgentId,
+        open: usize,
+        failed: bool,
+        tries: u32,
+    },
+    /// The departure is announced.
+    Leaving { heir: Option<AgentId>, tries: u32 },
+    /// Everything is done.
+    Stopped,
+}
+
+/// What an outgoing call of the agent itself is about.
+#[derive(Debug)]
+enum Pending {
+    Announce(usize),
+    Handover,
+    Leave,
+}
+
+/// The state machine of one agent.
+#[derive(Debug)]
+pub struct Agent {
+    options: AgentOptions,
+    home: Home,
+    runner: Runner,
+    roster: Roster,
+    /// The latest time at which the roster was known to be the one in the platform's service.
+    confirmed: Option<Time>,
+    policy: Policy,
+    config: Version,
+    calls: u64,
+    pending: HashMap<CallId, Pending>,
+    /// Calls of the agent to itself, by the number of the request.
+    local: HashMap<CallId, CallId>,
+    next_local: u64,
+    /// When the next announcement to each entry is due.
+    announces: Vec<Time>,
+    announced: Load,
+    stop: Stop,
+}
+
+impl Agent {
+    /// Creates an agent that knows no other process but its entries.
+    pub fn new(options: AgentOptions) -> Self {
+        Self {
+            home: Home::new(options.home),
+            runner: Runner::new(options.runner),
+            roster: Roster::default(),
+            confirmed: None,
+            policy: Policy::default(),
+            config: Version::default(),
+            calls: 0,
+            pending: HashMap::new(),
+            local: HashMap::new(),
+            next_local: LOCAL_CALLS,
+            announces: vec![Time::default(); options.entries.len()],
+            announced: Load::default(),
+            stop: Stop::No,
+            options,
+        }
+    }
+
+    /// Returns this incarnation.
+    pub fn id(&self) -> &AgentId {
+        &self.options.id
+    }
+
+    /// Returns the home part.
+    pub fn home(&self) -> &Home {
+        &self.home
+    }
+
+    /// Returns the runner part.
+    pub fn runner(&self) -> &Runner {
+        &self.runner
+    }
+
+    /// Returns the roster as the agent knows it.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Returns the configuration version in force.
+    pub fn config(&self) -> Version {
+        self.config
+    }
+
+    /// Returns whether the agent is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.stop != Stop::No
+    }
+
+    /// Returns whether the agent takes new jobs and tasks: its roster is confirmed and its
+    /// endpoint is open.
+    pub fn is_ready(&self, now: Time) -> bool {
+        self.stop == Stop::No
+            && !self.is_stale(now)
+            && self.roster.contains(&self.options.id)
+            && self.runner.is_open(now)
+    }
+
+    fn is_stale(&self, now: Time) -> bool {
+        self.confirmed
+            .is_none_or(|confirmed| now.millis_since(confirmed) >= self.options.window_ms)
+    }
+
+    /// Runs `f` on the home and the runner with the context of this step.
+    fn with<R: Rng, T>(
+        &mut self,
+        now: Time,
+        rng: &mut R,
+        actions: &mut Vec<AgentAction>,
+        f: impl FnOnce(&mut Home, &mut Runner, &mut Context<'_, R>) -> T,
+    ) -> T {
+        let mut ctx = Context {
+            now,
+            me: &self.options.id,
+            roster: &self.roster,
+            policy: &self.policy,
+            draining: self.stop != Stop::No,
+            rng,
+            calls: &mut self.calls,
+            actions,
+        };
+        f(&mut self.home, &mut self.runner, &mut ctx)
+    }
+
+    fn handle<R: Rng>(
+        &mut self,
+        now: Time,
+        input: AgentInput,
+        rng: &mut R,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        match input {
+            AgentInput::Request { call, envelope } => {
+                self.request(now, call, envelope, rng, actions);
+            }
+            AgentInput::Response { call, result } => {
+                if let Some(pending) = self.pending.remove(&call) {
+                    self.own_response(now, &pending, result, rng, actions);
+                } else {
+                    self.with(now, rng, actions, |home, _, ctx| {
+                        home.response(ctx, call, result);
+                    });
+                }
+            }
+            AgentInput::Endpoint(registration) => {
+                self.with(now, rng, actions, |_, runner, ctx| {
+                    runner.register(ctx, registration);
+                });
+            }
+            AgentInput::EndpointLeaves => {
+                self.with(now, rng, actions, |_, runner, ctx| {
+                    runner.endpoint_leaves(ctx);
+                });
+                self.announces.fill(now);
+            }
+            AgentInput::Ended { run, outcome } => {
+                self.with(now, rng, actions, |_, runner, ctx| {
+                    runner.ended(ctx, run, outcome);
+                });
+            }
+            AgentInput::Drain => self.drain(now, rng, actions),
+            AgentInput::Tick => self.tick(now, rng, actions),
+        }
+    }
+
+    fn request<R: Rng>(
+        &mut self,
+        now: Time,
+        call: CallId,
+        envelope: Envelope,
+        rng: &mut R,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if envelope
+            .to
+            .as_ref()
+            .is_some_and(|to| *to != self.options.id)
+        {
+            let response = Response::Refused(Refusal::new(Reason::WrongAgent, 0));
+            actions.push(AgentAction::Reply { call, response });
+            return;
+        }
+        if let Some(refusal) = self.closed(now, &envelope.request) {
+            actions.push(AgentAction::Count(Count::NotRun(refusal.reason)));
+            let response = Response::Refused(refusal);
+            actions.push(AgentAction::Reply { call, response });
+            return;
+        }
+        self.with(now, rng, actions, |home, runner, ctx| {
+            match envelope.request {
+                Request::Submit(submit) => home.submit(ctx, call, *submit),
+                Request::Fetch(fetch) => home.fetch(ctx, call, &fetch),
+                Request::Status(request) => home.status(ctx, call, &request),
+                Request::Events(request) => home.events(ctx, call, &request),
+                Request::Cancel(cancel) => home.cancel(ctx, call, &cancel),
+                Request::Seal(seal) => home.seal(ctx, call, &seal),
+                Request::Run(batch) => runner.run(ctx, call, batch),
+                Request::Reserve(reserve) => runner.reserve(ctx, call, reserve),
+                Request::Withdraw(withdraw) => runner.withdraw(ctx, call, withdraw),
+                Request::Ask(ask) => runner.ask(ctx, call, ask),
+                Request::Handover(handover) => {
+                    home.inherit(ctx, handover);
+                    ctx.reply(call, Response::Done);
+                }
+                Request::Announce(_) | Request::Leave(_) => {
+                    let refusal = Refusal::new(Reason::Invalid, 0).detail("not an entry");
+                    ctx.reply(call, Response::Refused(refusal));
+                }
+            }
+        });
+    }
+
+    /// Returns why a request that would add to the memory is refused in the present state.
+    fn closed(&self, now: Time, request: &Request) -> Option<Refusal> {
+        let adds = matches!(
+            request,
+            Request::Submit(_) | Request::Seal(_) | Request::Handover(_)
+        );
+        if !adds {
+            return None;
+        }
+        // Memory that is added after the handover began would be lost.
+        if !matches!(self.stop, Stop::No | Stop::Draining) {
+            return Some(Refusal::new(Reason::Draining, 0));
+        }
+        if self.stop == Stop::Draining && matches!(request, Request::Handover(_)) {
+            return Some(Refusal::new(Reason::Draining, 0));
+        }
+        let stale = matches!(request, Request::Submit(_)) && self.is_stale(now);
+        stale.then(|| Refusal::new(Reason::StaleRoster, self.options.announce_ms))
+    }
+
+    fn own_response<R: Rng>(
+        &mut self,
+        now: Time,
+        pending: &Pending,
+        result: Result<Response, LinkError>,
+        rng: &mut R,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        match (pending, result) {
+            (Pending::Announce(entry), Ok(Response::Announce(reply))) => {
+                self.announces[*entry] = now.after_millis(reply.next_ms);
+                self.learn(now, *reply, rng, actions);
+            }
+            (Pending::Announce(_), _) => {}
+            (Pending::Handover, result) => {
+                self.handed_over(now, matches!(result, Ok(Response::Done)), actions);
+            }
+            (Pending::Leave, Ok(Response::Done)) => {
+                if self.stop != Stop::Stopped {
+                    self.stop = Stop::Stopped;
+                    actions.push(AgentAction::Stopped);
+                }
+            }
+            (Pending::Leave, _) => self.leave_again(now, actions),
+        }
+    }
+
+    /// Takes over the roster, the configuration and the loads that an entry sent.
+    fn learn<R: Rng>(
+        &mut self,
+        now: Time,
+        reply: AnnounceReply,
+        rng: &mut R,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        // An entry with an older roster confirms nothing about the newer one.
+        if reply.roster.version >= self.roster.version() {
+            let age_us = reply.age_ms.saturating_mul(1_000);
+            let confirmed = Time::from_micros(now.as_micros().saturating_sub(age_us));
+            if reply.age_ms < self.options.window_ms {
+                self.confirmed = self.confirmed.max(Some(confirmed));
+            }
+        }
+        self.roster.apply(reply.roster);
+        if let Some(config) = reply.config
+            && config.version > self.config
+            && let Ok(policy) = Policy::try_from(&config.values)
+        {
+            self.policy = policy;
+            self.config = config.version;
+        }
+        let mut peers = reply.peers;
+        peers.retain(|peer| peer.agent != self.options.id);
+        peers.push(self.own_peer(now));
+        self.with(now, rng, actions, |home, _, ctx| home.peers(ctx, &peers));
+    }
+
+    fn own_peer(&self, now: Time) -> crate::link::Peer {
+        crate::link::Peer {
+            agent: self.options.id.clone(),
+            addr: self.options.addr,
+            zone: self.options.zone.clone(),
+            load: self.runner.load(now),
+            limits: self.runner.limits(),
+            leaving: self.is_draining() || !self.runner.is_open(now),
+            age_ms: 0,
+        }
+    }
+
+    fn announce(&mut self, now: Time, entry: usize, actions: &mut Vec<AgentAction>) {
+        let me = self.own_peer(now);
+        let request = Request::Announce(Box::new(Announce {
+            agent: me.agent,
+            addr: me.addr,
+            zone: me.zone,
+            load: me.load,
+            leaving: me.leaving,
+            limits: me.limits,
+            roster: self.roster.version(),
+            config: self.config,
+            usage: self.home.usage(),
+        }));
+        self.announced = me.load;
+        self.announces[entry] = now.after_millis(self.options.announce_ms);
+        self.call_entry(now, entry, request, Pending::Announce(entry), actions);
+    }
+
+    fn call_entry(
+        &mut self,
+        now: Time,
+        entry: usize,
+        request: Request,
+        pending: Pending,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.calls += 1;
+        let call = CallId(self.calls);
+        self.pending.insert(call, pending);
+        actions.push(AgentAction::Call {
+            call,
+            addr: self.options.entries[entry],
+            envelope: Envelope { to: None, request },
+            deadline: now.after_millis(REPLY_MS),
+        });
+    }
+
+    fn tick<R: Rng>(&mut self, now: Time, rng: &mut R, actions: &mut Vec<AgentAction>) {
+        self.with(now, rng, actions, |home, runner, ctx| {
+            runner.tick(ctx);
+            home.tick(ctx);
+        });
+        if !matches!(self.stop, Stop::Leaving { .. } | Stop::Stopped) {
+            for entry in 0..self.announces.len() {
+                if now >= self.announces[entry] {
+                    self.announce(now, entry, actions);
+                }
+            }
+        }
+    }
+
+    fn drain<R: Rng>(&mut self, now: Time, rng: &mut R, actions: &mut Vec<AgentAction>) {
+        if self.stop != Stop::No {
+            return;
+        }
+        self.stop = Stop::Draining;
+        self.with(now, rng, actions, |_, runner, ctx| {
+            runner.refuse_queue(ctx, Reason::Draining);
+            runner.release_reservations(ctx);
+        });
+        for entry in 0..self.announces.len() {
+            self.announce(now, entry, actions);
+        }
+    }
+
+    /// Goes on with the stop once nothing is in flight.
+    fn advance_stop(&mut self, now: Time, actions: &mut Vec<AgentAction>) {
+        let idle = self.home.is_idle() && self.runner.is_idle();
+        if self.stop == Stop::Draining && idle {
+            self.hand_over(now, 1, actions);
+        }
+    }
+
+    fn hand_over(&mut self, now: Time, tries: u32, actions: &mut Vec<AgentAction>) {
+        let heir = self.roster.heir_of(&self.options.id).cloned();
+        let known = self.roster.contains(&self.options.id);
+        let Some(heir) = heir.filter(|_| known && tries <= HANDOVER_TRIES) else {
+            self.leave(now, None, 1, actions);
+            return;
+        };
+        let Handover {
+            from,
+            memory,
+            answers,
+        } = self.home.handover(&self.options.id, now);
+        let mut messages: Vec<Handover> = memory
+            .chunks(HANDOVER_IDS)
+            .map(|ids| Handover {
+                from: from.clone(),
+                memory: ids.to_vec(),
+                answers: Vec::new(),
+            })
+            .collect();
+        messages.extend(answers.chunks(16).map(|answers| Handover {
+            from: from.clone(),
+            memory: Vec::new(),
+            answers: answers.to_vec(),
+        }));
+        if messages.is_empty() {
+            messages.push(Handover {
+                from,
+                memory: Vec::new(),
+                answers: Vec::new(),
+            });
+        }
+        self.stop = Stop::HandingOver {
+            heir: heir.agent.clone(),
+            open: messages.len(),
+            failed: false,
+            tries,
+        };
+        for message in messages {
+            self.calls += 1;
+            let call = CallId(self.calls);
+            self.pending.insert(call, Pending::Handover);
+            let request = Request::Handover(message);
+            let deadline = now.after_millis(REPLY_MS);
+            actions.push(AgentAction::call(
+                call,
+                heir.addr,
+                &heir.agent,
+                request,
+                deadline,
+            ));
+        }
+    }
+
+    fn handed_over(&mut self, now: Time, ok: bool, actions: &mut Vec<AgentAction>) {
+        let Stop::HandingOver {
+            heir,
+            open,
+            failed,
+            tries,
+        } = &mut self.stop
+        else {
+            return;
+        };
+        *open = open.saturating_sub(1);
+        *failed |= !ok;
+        if *open > 0 {
+            return;
+        }
+        let (heir, failed, tries) = (heir.clone(), *failed, *tries);
+        if failed {
+            self.hand_over(now, tries + 1, actions);
+        } else {
+            self.leave(now, Some(heir), 1, actions);
+        }
+    }
+
+    fn leave(
+        &mut self,
+        now: Time,
+        heir: Option<AgentId>,
+        tries: u32,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if self.options.entries.is_empty() || tries > LEAVE_TRIES {
+            self.stop = Stop::Stopped;
+            actions.push(AgentAction::Stopped);
+            return;
+        }
+        let entry = tries as usize % self.options.entries.len();
+        let request = Request::Leave(Leave {
+            agent: self.options.id.clone(),
+            heir: heir.clone(),
+        });
+        self.stop = Stop::Leaving { heir, tries };
+        self.call_entry(now, entry, request, Pending::Leave, actions);
+    }
+
+    fn leave_again(&mut self, now: Time, actions: &mut Vec<AgentAction>) {
+        if let Stop::Leaving { heir, tries } = &self.stop {
+            let (heir, tries) = (heir.clone(), *tries);
+            self.leave(now, heir, tries + 1, actions);
+        }
+    }
+
+    /// Turns calls of the agent to itself into inputs. They cost no message.
+    fn take_local(&mut self, actions: &mut Vec<AgentAction>, start: usize) -> Vec<AgentInput> {
+        let mut inputs = Vec::new();
+        let mut index = start;
+        while index < actions.len() {
+            let local = match &actions[index] {
+                AgentAction::Call { envelope, .. } => {
+                    envelope.to.as_ref() == Some(&self.options.id)
+                }
+                AgentAction::Reply { call, .. } => self.local.contains_key(call),
+                _ => false,
+            };
+            if !local {
+                index += 1;
+                continue;
+            }
+            match actions.remove(index) {
+                AgentAction::Call { call, envelope, .. } => {
+                    self.next_local += 1;
+                    let number = CallId(self.next_local);
+                    self.local.insert(number, call);
+                    inputs.push(AgentInput::Request {
+                        call: number,
+                        envelope,
+                    });
+                }
+                AgentAction::Reply { call, response } => {
+                    if let Some(call) = self.local.remove(&call) {
+                        inputs.push(AgentInput::Response {
+                            call,
+                            result: Ok(response),
+                        });
+                    }
+                }
+                _ => {}
+            }
+        }
+        inputs
+    }
+}
+
+impl Role for Agent {
+    type Input = AgentInput;
+    type Action = AgentAction;
+
+    fn step<R: Rng>(
+        &mut self,
+        now: Time,
+        input: AgentInput,
+        rng: &mut R,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            let start = actions.len();
+            self.handle(now, input, rng, actions);
+            self.advance_stop(now, actions);
+            inputs.extend(self.take_local(actions, start));
+        }
+    }
+
+    fn wake(&self) -> Option<Time> {
+        if self.stop == Stop::Stopped {
+            return None;
+        }
+        let announces = !matches!(self.stop, Stop::Leaving { .. });
+        let announce = self.announces.iter().copied().min().filter(|_| announces);
+        [self.home.wake(), self.runner.wake(), announce]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-core/src/agent/context.rs
@@ -0,0 +1,64 @@
+//! What the parts of an agent share during one step.
+
+use rand::Rng;
+
+use super::AgentAction;
+use super::action::Count;
+use crate::Time;
+use crate::contract::{Reason, Verdict};
+use crate::link::{CallId, Response};
+use crate::machine::AgentId;
+use crate::policy::Policy;
+use crate::zone::Roster;
+
+/// What the parts of an agent share during one step.
+pub(crate) struct Context<'a, R: Rng> {
+    /// The present time.
+    pub(crate) now: Time,
+    /// This agent.
+    pub(crate) me: &'a AgentId,
+    /// The roster as this agent knows it.
+    pub(crate) roster: &'a Roster,
+    /// The policy in force.
+    pub(crate) policy: &'a Policy,
+    /// Whether the process is stopping.
+    pub(crate) draining: bool,
+    /// The source of random numbers.
+    pub(crate) rng: &'a mut R,
+    /// The last number that was given to an outgoing call.
+    pub(crate) calls: &'a mut u64,
+    /// The actions of this step.
+    pub(crate) actions: &'a mut Vec<AgentAction>,
+}
+
+impl<R: Rng> Context<'_, R> {
+    /// Returns the number of a new outgoing call.
+    pub(crate) fn next_call(&mut self) -> CallId {
+        *self.calls += 1;
+        CallId(*self.calls)
+    }
+
+    /// Replies to a request.
+    pub(crate) fn reply(&mut self, call: CallId, response: Response) {
+        self.actions.push(AgentAction::Reply { call, response });
+    }
+
+    /// Counts something.
+    pub(crate) fn count(&mut self, count: Count) {
+        self.actions.push(AgentAction::Count(count));
+    }
+
+    /// Counts a refusal without a run.
+    pub(crate) fn count_refusal(&mut self, reason: Reason) {
+        self.count(Count::NotRun(reason));
+    }
+
+    /// Counts the final verdict on a job.
+    pub(crate) fn count_verdict(&mut self, verdict: &Verdict) {
+        self.count(match verdict {
+            Verdict::Answered { .. } => Count::Answered,
+            Verdict::NotRun(refusal) => Count::NotRun(refusal.reason),
+            Verdict::MayHaveRun(refusal) => Count::MayHaveRun(refusal.reason),
+        });
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-core/src/home/home.rs
@@ -0,0 +1,657 @@
+//! The jobs of one home.
+
+use std::collections::{BTreeMap, HashMap};
+
+use rand::Rng;
+
+use super::fleet::Fleet;
+use super::job::{Job, Phase, Waiter, Wants};
+use super::memory::Memory;
+use crate::Time;
+use crate::agent::{AgentAction, Context, Count};
+use crate::contract::{Answer, Attempt, EventKind, JobId, Reason, Refusal, Submission, Verdict};
+use crate::link::{
+    BatchId, CallId, Cancel, Events, Fetch, FetchReply, Handover, LinkError, Peer, Response,
+    StatusRequest, Submit, SubmitReply, Tombstone, Usage,
+};
+use crate::machine::{AgentId, Observed};
+use crate::retry::Budget;
+
+/// Milliseconds after which a request that was refused for load is worth another attempt.
+const RETRY_LOAD_MS: u64 = 200;
+/// Milliseconds after which a request that was refused for a stop is worth another attempt.
+const RETRY_STOP_MS: u64 = 50;
+/// Milliseconds after which a lost agent is expected to be replaced.
+const RETRY_LOST_MS: u64 = 1_000;
+
+/// The intervals of a home.
+#[derive(Debug, Clone, Copy)]
+pub struct HomeOptions {
+    /// How long accepted and sealed ids are remembered, in milliseconds.
+    pub memory_ms: u64,
+    /// How long an answer is kept after the deadline of its job, in milliseconds.
+    pub margin_ms: u64,
+}
+
+/// What an outgoing call of a home is about.
+#[derive(Debug, Clone)]
+pub(super) enum Pending {
+    /// A batch was sent, or asked about.
+    Batch {
+        /// The batch.
+        batch: BatchId,
+        /// Whether it was asked about, and how often.
+        asks: u32,
+    },
+    /// Slots were asked for.
+    Reserve(AgentId),
+    /// A seal was asked for.
+    Seal(JobId),
+    /// Tasks were withdrawn.
+    Withdraw,
+}
+
+/// A batch whose end was not reported.
+#[derive(Debug)]
+pub(super) struct SentBatch {
+    pub(super) job: JobId,
+    pub(super) agent: AgentId,
+    pub(super) addr: std::net::SocketAddr,
+    /// The tasks without a reported outcome.
+    pub(super) tasks: Vec<u32>,
+    pub(super) deadline: Time,
+    /// When the batch is asked about again after a lost link.
+    pub(super) ask: Option<Time>,
+    pub(super) asks: u32,
+}
+
+/// The jobs of one home with what is needed to place and answer them.
+#[derive(Debug)]
+pub struct Home {
+    pub(super) options: HomeOptions,
+    pub(super) jobs: HashMap<JobId, Job>,
+    /// The ids of running jobs with waiting tasks, oldest first.
+    pub(super) line: Vec<JobId>,
+    pub(super) memory: Memory,
+    pub(super) fleet: Fleet,
+    pub(super) observed: Observed,
+    pub(super) budget: Budget,
+    pub(super) batches: HashMap<BatchId, SentBatch>,
+    pub(super) last_batch: u64,
+    pub(super) pending: HashMap<CallId, Pending>,
+    /// Batches to withdraw, by agent.
+    pub(super) withdrawals: BTreeMap<AgentId, Vec<BatchId>>,
+    /// When the withdrawals are sent.
+    pub(super) flush: Option<Time>,
+    /// When waiting tasks are placed again without news.
+    pub(super) next_place: Time,
+    pub(super) next_sweep: Time,
+}
+
+impl Home {
+    /// Creates a home without jobs.
+    pub fn new(options: HomeOptions) -> Self {
+        Self {
+            options,
+            jobs: HashMap::new(),
+            line: Vec::new(),
+            memory: Memory::default(),
+            fleet: Fleet::default(),
+            observed: Observed::default(),
+            budget: Budget::new(),
+            batches: HashMap::new(),
+            last_batch: 0,
+            pending: HashMap::new(),
+            withdrawals: BTreeMap::new(),
+            flush: None,
+            next_place: Time::MAX,
+            next_sweep: Time::default(),
+        }
+    }
+
+    /// Returns whether no job waits for its answer.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.values().all(|job| job.answer().is_some())
+    }
+
+    /// Returns the number of jobs without an answer.
+    pub fn running(&self) -> usize {
+        self.jobs
+            .values()
+            .filter(|job| job.answer().is_none())
+            .count()
+    }
+
+    /// Returns the number of remembered ids.
+    pub fn remembered(&self) -> usize {
+        self.memory.len()
+    }
+
+    /// Returns the tasks that wait for a slot.
+    pub fn waiting(&self) -> u64 {
+        self.line
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .map(|job| job.pending.len() as u64)
+            .sum()
+    }
+
+    /// Returns the tasks in flight by team and entry.
+    pub fn usage(&self) -> Usage {
+        let mut usage = Usage::default();
+        for job in self.jobs.values().filter(|job| job.answer().is_none()) {
+            let team = usage.teams.entry(job.id.team().to_owned()).or_default();
+            *team.entry(job.entry.clone()).or_default() += job.in_flight();
+        }
+        usage
+    }
+
+    /// Takes over what an entry last heard of other agents.
+    pub(crate) fn peers<R: Rng>(&mut self, ctx: &mut Context<'_, R>, peers: &[Peer]) {
+        self.fleet.update(peers, ctx.now);
+        self.place(ctx);
+    }
+
+    /// Handles [`Request::Submit`](crate::link::Request::Submit).
+    pub(crate) fn submit<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        submit: Submit,
+    ) {
+        let submission = &submit.submission;
+        if let Some(job) = self.jobs.get_mut(&submission.job) {
+            attach(ctx, job, call, &submit);
+            return;
+        }
+        if let Some(reply) = self.recall(ctx, submission) {
+            ctx.reply(call, Response::Submit(reply));
+            return;
+        }
+        if let Some(refusal) = self.refusal(ctx, submission) {
+            ctx.count_refusal(refusal.reason);
+            ctx.reply(call, Response::Submit(SubmitReply::Refused(refusal)));
+            return;
+        }
+        self.open(ctx, call, submit);
+    }
+
+    /// Returns the reply that follows from the memory of the id, if it is remembered.
+    fn recall<R: Rng>(
+        &self,
+        ctx: &mut Context<'_, R>,
+        submission: &Submission,
+    ) -> Option<SubmitReply> {
+        let lost = |reason| {
+            let verdict = Verdict::may_have(reason, 0);
+            Some(SubmitReply::Answer(Answer::new(&submission.job, verdict)))
+        };
+        let reply = match self.memory.get(&submission.job) {
+            Some(Tombstone::Accepted) => lost(Reason::HomeLost),
+            Some(Tombstone::Sealed { holder }) if holder != ctx.me => {
+                match ctx.roster.keeper(holder) {
+                    Some(keeper) => Some(SubmitReply::Redirect {
+                        agent: keeper.agent.clone(),
+                    }),
+                    None => lost(Reason::SealUnreachable),
+                }
+            }
+            _ => match submission.attempt {
+                Attempt::Unresolved { age_ms: Some(age) } if age > self.options.memory_ms => {
+                    lost(Reason::TooOld)
+                }
+                _ => None,
+            },
+        };
+        if let Some(SubmitReply::Answer(answer)) = &reply {
+            ctx.count_verdict(&answer.verdict);
+        }
+        reply
+    }
+
+    /// Returns why a job that is not known can't be accepted.
+    fn refusal<R: Rng>(&self, ctx: &Context<'_, R>, submission: &Submission) -> Option<Refusal> {
+        if ctx.draining {
+            return Some(Refusal::new(Reason::Draining, RETRY_STOP_MS));
+        }
+        if !ctx.roster.contains(ctx.me) {
+            return Some(Refusal::new(Reason::WrongHome, RETRY_STOP_MS));
+        }
+        let holds_seal = matches!(
+            self.memory.get(&submission.job),
+            Some(Tombstone::Sealed { holder }) if holder == ctx.me
+        );
+        let is_candidate = ctx
+            .roster
+            .candidates(&submission.job)
+            .iter()
+            .any(|member| member.agent == *ctx.me);
+        if !holds_seal && !is_candidate {
+            return Some(Refusal::new(Reason::WrongHome, RETRY_STOP_MS));
+        }
+        if let Some(task) = submission
+            .tasks
+            .iter()
+            .find(|task| !self.fleet.is_closed() && !self.fleet.could_hold(&task.needs))
+        {
+            let detail = format!("no live endpoint has room for a task of kind {}", task.kind);
+            return Some(Refusal::new(Reason::NeverFits, 0).detail(detail));
+        }
+        if self.fleet.is_closed() {
+            return Some(Refusal::new(Reason::NoEndpoint, RETRY_LOST_MS));
+        }
+        let waiting = self.waiting() + submission.tasks.len() as u64;
+        if self.waiting() > 0 && waiting > ctx.policy.waiting_max {
+            return Some(Refusal::new(Reason::QueueFull, RETRY_LOAD_MS));
+        }
+        self.late(submission, ctx.roster.live().count() as u64)
+    }
+
+    /// Returns a refusal if the job can't be answered in time by observed run times.
+    fn late(&self, submission: &Submission, homes: u64) -> Option<Refusal> {
+        let team = submission.job.team();
+        let longest = submission
+            .tasks
+            .iter()
+            .filter_map(|task| self.observed.at_least(team, &task.kind))
+            .max()?;
+        let share = (self.fleet.slots() / homes.max(1)).max(1);
+        let wait_us = self.waiting() * self.observed.mean().unwrap_or(0) / share;
+        let needed_ms = (longest + wait_us) / 1_000;
+        if needed_ms <= submission.remaining_ms {
+            return None;
+        }
+        let detail = format!(
+            "needs about {needed_ms} ms by observed run times, has {} ms",
+            submission.remaining_ms
+        );
+        let retry_ms = (wait_us / 1_000).max(RETRY_LOAD_MS);
+        Some(Refusal::new(Reason::DeadlineUnreachable, retry_ms).detail(detail))
+    }
+
+    /// Creates the record of a job and seals or accepts it.
+    fn open<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, submit: Submit) {
+        let Submit {
+            submission,
+            entry,
+            skipped,
+            wait,
+            ..
+        } = submit;
+        let deadline = ctx.now.after_millis(submission.remaining_ms);
+        let first = submission.attempt == Attempt::First;
+        let id = submission.job;
+        let is_home = ctx
+            .roster
+            .candidates(&id)
+            .first()
+            .is_some_and(|member| member.agent == *ctx.me);
+        let sealed = self.memory.get(&id).is_some();
+        let mut job = Job::new(id.clone(), entry, submission.tasks, ctx.now, deadline);
+        job.forget = deadline.after_millis(self.options.margin_ms);
+        job.waiters.push(Waiter {
+            call,
+            wants: if wait {
+                Wants::Answer
+            } else {
+                Wants::Acceptance
+            },
+            deadline: Time::MAX,
+        });
+        self.budget
+            .earn(u64::from(job.task_count()), ctx.policy.retry_percent);
+        if first && is_home && !skipped && !sealed {
+            self.jobs.insert(id.clone(), job);
+            self.accept(ctx, &id);
+            return;
+        }
+        job.phase = Phase::Sealing {
+            list: ctx
+                .roster
+                .seal_list(&id)
+                .into_iter()
+                .map(|member| member.agent.clone())
+                .collect(),
+            next: 0,
+            tolerant: first,
+        };
+        self.jobs.insert(id.clone(), job);
+        self.seal_next(ctx, &id);
+    }
+
+    /// Accepts a job: from here on its tasks may start.
+    pub(super) fn accept<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.phase = Phase::Running;
+        job.note(
+            ctx.now,
+            EventKind::Queued,
+            None,
+            Some(ctx.me),
+            "accepted by the home",
+        );
+        let forget = ctx.now.after_millis(self.options.memory_ms).max(job.forget);
+        self.memory.accept(id, forget);
+        let (accepted, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut job.waiters)
+            .into_iter()
+            .partition(|waiter| waiter.wants == Wants::Acceptance);
+        job.waiters = waiting;
+        for waiter in accepted {
+            ctx.reply(waiter.call, Response::Submit(SubmitReply::Accepted));
+        }
+        self.line.push(id.clone());
+        ctx.count(Count::Accepted);
+        self.place(ctx);
+    }
+
+    /// Gives a job its final answer and tells everybody who waits for it.
+    pub(super) fn finish<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        id: &JobId,
+        verdict: Verdict,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.answer().is_some() {
+            return;
+        }
+        ctx.count_verdict(&verdict);
+        let detail = match verdict.refusal() {
+            None => "answered".to_owned(),
+            Some(refusal) => format!("{} {}", refusal.reason, refusal.detail),
+        };
+        job.note(ctx.now, EventKind::Ended, None, None, detail.trim());
+        let answer = Answer::new(id, verdict);
+        job.phase = Phase::Ended(answer.clone());
+        for waiter in std::mem::take(&mut job.waiters) {
+            let response = match waiter.wants {
+                Wants::Answer | Wants::Acceptance => {
+                    Response::Submit(SubmitReply::Answer(answer.clone()))
+                }
+                Wants::Fetched => Response::Fetch(FetchReply::Answer(answer.clone())),
+                Wants::Events(from) => Response::Events(Some(job.events_from(from))),
+            };
+            ctx.actions.push(AgentAction::Reply {
+                call: waiter.call,
+                response,
+            });
+        }
+        job.pending.clear();
+        job.tasks = Vec::new();
+        job.states.fill(super::job::TaskState::Waiting);
+        self.line.retain(|waiting| waiting != id);
+        self.withdraw(ctx, id);
+    }
+
+    /// Fails a job. It counts as not run only if no task can have started, in this attempt or in an
+    /// earlier one that the seals do not yet rule out.
+    pub(super) fn fail<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId, refusal: Refusal) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let resolved = !matches!(
+            job.phase,
+            Phase::Sealing {
+                tolerant: false,
+                ..
+            }
+        );
+        let verdict = if resolved && job.exposed == 0 && job.done == 0 {
+            Verdict::NotRun(refusal)
+        } else {
+            Verdict::MayHaveRun(refusal)
+        };
+        self.finish(ctx, id, verdict);
+    }
+
+    /// Handles [`Request::Fetch`](crate::link::Request::Fetch).
+    pub(crate) fn fetch<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, fetch: &Fetch) {
+        let reply = match self.jobs.get_mut(&fetch.job) {
+            Some(job) => match job.answer() {
+                Some(answer) => FetchReply::Answer(answer.clone()),
+                None if fetch.wait_ms == 0 => FetchReply::Pending,
+                None => {
+                    let deadline = ctx.now.after_millis(fetch.wait_ms);
+                    job.waiters.push(Waiter {
+                        call,
+                        wants: Wants::Fetched,
+                        deadline,
+                    });
+                    return;
+                }
+            },
+            None => self.remembered_reply(ctx, &fetch.job),
+        };
+        ctx.reply(call, Response::Fetch(reply));
+    }
+
+    fn remembered_reply<R: Rng>(&self, ctx: &Context<'_, R>, job: &JobId) -> FetchReply {
+        match self.memory.get(job) {
+            Some(Tombstone::Accepted) => FetchReply::Forgotten,
+            Some(Tombstone::Sealed { holder }) if holder != ctx.me => FetchReply::Redirect {
+                agent: holder.clone(),
+            },
+            _ => FetchReply::Unknown,
+        }
+    }
+
+    /// Handles [`Request::Status`](crate::link::Request::Status).
+    pub(crate) fn status<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        request: &StatusRequest,
+    ) {
+        let status = self.jobs.get(&request.job).map(|job| job.status(ctx.me));
+        ctx.reply(call, Response::Status(status));
+    }
+
+    /// Handles [`Request::Events`](crate::link::Request::Events).
+    pub(crate) fn events<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        request: &Events,
+    ) {
+        let reply = match self.jobs.get_mut(&request.job) {
+            None => None,
+            Some(job) if request.wait_ms > 0 && !job.has_events(request.from) => {
+                let deadline = ctx.now.after_millis(request.wait_ms);
+                let wants = Wants::Events(request.from);
+                job.waiters.push(Waiter {
+                    call,
+                    wants,
+                    deadline,
+                });
+                return;
+            }
+            Some(job) => Some(job.events_from(request.from)),
+        };
+        ctx.reply(call, Response::Events(reply));
+    }
+
+    /// Handles [`Request::Cancel`](crate::link::Request::Cancel).
+    pub(crate) fn cancel<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        cancel: &Cancel,
+    ) {
+        if self.jobs.contains_key(&cancel.job) {
+            self.fail(ctx, &cancel.job, Refusal::new(Reason::Cancelled, 0));
+        }
+        let fetch = Fetch {
+            job: cancel.job.clone(),
+            wait_ms: 0,
+        };
+        self.fetch(ctx, call, &fetch);
+    }
+
+    /// Returns the memory for an heir.
+    pub(crate) fn handover(&self, me: &AgentId, now: Time) -> Handover {
+        Handover {
+            from: me.clone(),
+            memory: self.memory.keepsakes(now),
+            answers: self
+                .jobs
+                .values()
+                .filter_map(|job| job.answer().cloned())
+                .collect(),
+        }
+    }
+
+    /// Takes over the memory of a stopping agent.
+    pub(crate) fn inherit<R: Rng>(&mut self, ctx: &mut Context<'_, R>, handover: Handover) {
+        for keepsake in handover.memory {
+            self.memory.inherit(keepsake, ctx.now);
+        }
+        for answer in handover.answers {
+            let id = answer.job.clone();
+            if self.jobs.contains_key(&id) {
+                continue;
+            }
+            let mut job = Job::new(id.clone(), String::new(), Vec::new(), ctx.now, ctx.now);
+            job.forget = ctx.now.after_millis(self.options.margin_ms);
+            job.phase = Phase::Ended(answer);
+            self.jobs.insert(id, job);
+        }
+    }
+
+    /// Handles the outcome of an outgoing call.
+    pub(crate) fn response<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        result: Result<Response, LinkError>,
+    ) {
+        match self.pending.remove(&call) {
+            Some(Pending::Batch { batch, asks }) => self.batch_response(ctx, batch, asks, result),
+            Some(Pending::Reserve(agent)) => self.granted(ctx, &agent, result),
+            Some(Pending::Seal(id)) => self.seal_response(ctx, &id, result),
+            Some(Pending::Withdraw) | None => {}
+        }
+    }
+
+    /// Handles what is due.
+    pub(crate) fn tick<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        let now = ctx.now;
+        let late: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|job| job.answer().is_none() && now >= job.deadline)
+            .map(|job| job.id.clone())
+            .collect();
+        for id in late {
+            self.fail(ctx, &id, Refusal::new(Reason::DeadlinePassed, 0));
+        }
+        self.expire_waiters(ctx);
+        self.ask_due(ctx);
+        self.flush_due(ctx);
+        self.place(ctx);
+        if now >= self.next_sweep {
+            self.next_sweep = now.after_millis(1_000);
+            self.jobs
+                .retain(|_, job| job.answer().is_none() || now < job.forget);
+            self.memory.expire(now);
+            self.fleet.expire();
+        }
+    }
+
+    fn expire_waiters<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        for job in self.jobs.values_mut() {
+            if job.waiters.iter().all(|waiter| ctx.now < waiter.deadline) {
+                continue;
+            }
+            let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut job.waiters)
+                .into_iter()
+                .partition(|waiter| ctx.now >= waiter.deadline);
+            job.waiters = waiting;
+            for waiter in due {
+                let response = match waiter.wants {
+                    Wants::Events(from) => Response::Events(Some(job.events_from(from))),
+                    _ => Response::Fetch(FetchReply::Pending),
+                };
+                ctx.actions.push(AgentAction::Reply {
+                    call: waiter.call,
+                    response,
+                });
+            }
+        }
+    }
+
+    /// Replies to callers who watch a job that has new events.
+    pub(super) fn notify<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let mut index = 0;
+        while index < job.waiters.len() {
+            match job.waiters[index].wants {
+                Wants::Events(from) if job.has_events(from) => {
+                    let call = job.waiters.swap_remove(index).call;
+                    let response = Response::Events(Some(job.events_from(from)));
+                    ctx.reply(call, response);
+                }
+                _ => index += 1,
+            }
+        }
+    }
+
+    /// Returns when something is due.
+    pub(crate) fn wake(&self) -> Option<Time> {
+        let deadlines = self
+            .jobs
+            .values()
+            .filter(|job| job.answer().is_none())
+            .map(|job| job.deadline);
+        let waiters = self
+            .jobs
+            .values()
+            .flat_map(|job| job.waiters.iter().map(|waiter| waiter.deadline))
+            .filter(|deadline| *deadline != Time::MAX);
+        let asks = self.batches.values().filter_map(|batch| batch.ask);
+        let placing = (!self.line.is_empty()).then_some(self.next_place);
+        let sweep = (!self.jobs.is_empty() || self.memory.len() > 0).then_some(self.next_sweep);
+        deadlines
+            .chain(waiters)
+            .chain(asks)
+            .chain(placing)
+            .chain(self.flush)
+            .chain(sweep)
+            .min()
+    }
+}
+
+/// Attaches a call to a known job, or answers it at once.
+fn attach<R: Rng>(ctx: &mut Context<'_, R>, job: &mut Job, call: CallId, submit: &Submit) {
+    let changed = !job.tasks.is_empty() && job.tasks != submit.submission.tasks;
+    if changed {
+        let detail = "field `id` was used before with other tasks";
+        let refusal = Refusal::new(Reason::Invalid, 0).detail(detail);
+        ctx.count_refusal(Reason::Invalid);
+        ctx.reply(call, Response::Submit(SubmitReply::Refused(refusal)));
+        return;
+    }
+    ctx.count(Count::Attached);
+    if let Some(answer) = job.answer() {
+        let reply = SubmitReply::Answer(answer.clone());
+        ctx.reply(call, Response::Submit(reply));
+    } else if !submit.wait && job.is_running() {
+        ctx.reply(call, Response::Submit(SubmitReply::Accepted));
+    } else {
+        let wants = if submit.wait {
+            Wants::Answer
+        } else {
+            Wants::Acceptance
+        };
+        job.waiters.push(Waiter {
+            call,
+            wants,
+            deadline: Time::MAX,
+        });
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-core/src/home/job.rs
@@ -0,0 +1,201 @@
+//! The record of a job at its home.
+
+use std::collections::VecDeque;
+
+use serde_json::Value;
+
+use crate::Time;
+use crate::contract::{Answer, Event, EventKind, JobId, JobState, Status, Task};
+use crate::link::{CallId, EventsReply};
+use crate::machine::AgentId;
+
+/// A call that waits for something about a job.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    /// The call.
+    pub(super) call: CallId,
+    /// What it waits for.
+    pub(super) wants: Wants,
+    /// When it gets an interim reply.
+    pub(super) deadline: Time,
+}
+
+/// What a call waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Wants {
+    /// The answer, as the reply to a submit.
+    Answer,
+    /// The acceptance, as the reply to a submit.
+    Acceptance,
+    /// The answer, as the reply to a fetch.
+    Fetched,
+    /// Events from a number on.
+    Events(u64),
+}
+
+/// The phase of a job with what belongs to it.
+#[derive(Debug)]
+pub(super) enum Phase {
+    /// Seals are obtained, in the order of the list.
+    Sealing {
+        /// The agents whose seals are wanted.
+        list: Vec<AgentId>,
+        /// The position of the next one.
+        next: usize,
+        /// Whether an unreachable agent is skipped.
+        tolerant: bool,
+    },
+    /// Tasks wait or run.
+    Running,
+    /// The job has its final answer.
+    Ended(Answer),
+}
+
+/// The state of one task.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum TaskState {
+    /// It waits for a slot.
+    Waiting,
+    /// It was sent to an agent.
+    Sent,
+    /// It has a result.
+    Done(Value),
+}
+
+/// The record of a job at its home.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) id: JobId,
+    pub(super) entry: String,
+    pub(super) phase: Phase,
+    pub(super) accepted: Time,
+    pub(super) deadline: Time,
+    /// Until when the record is kept.
+    pub(super) forget: Time,
+    /// Before this time no task of the job is sent again.
+    pub(super) resume: Time,
+    pub(super) retries: u32,
+    pub(super) tasks: Vec<Task>,
+    pub(super) states: Vec<TaskState>,
+    pub(super) pending: VecDeque<u32>,
+    pub(super) done: u32,
+    /// The tasks that may have started and have no result.
+    pub(super) exposed: u32,
+    pub(super) waiters: Vec<Waiter>,
+    events: Vec<Event>,
+}
+
+impl Job {
+    /// Creates the record of a job whose tasks all wait.
+    pub(super) fn new(
+        id: JobId,
+        entry: String,
+        tasks: Vec<Task>,
+        now: Time,
+        deadline: Time,
+    ) -> Self {
+        let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+        Self {
+            id,
+            entry,
+            phase: Phase::Running,
+            accepted: now,
+            deadline,
+            forget: deadline,
+            resume: now,
+            retries: 0,
+            states: vec![TaskState::Waiting; tasks.len()],
+            pending: (0..count).collect(),
+            tasks,
+            done: 0,
+            exposed: 0,
+            waiters: Vec::new(),
+            events: Vec::new(),
+        }
+    }
+
+    /// Returns the number of tasks.
+    pub(super) fn task_count(&self) -> u32 {
+        u32::try_from(self.states.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the final answer, if there is one.
+    pub(super) fn answer(&self) -> Option<&Answer> {
+        match &self.phase {
+            Phase::Ended(answer) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// Returns whether tasks wait or run.
+    pub(super) fn is_running(&self) -> bool {
+        matches!(self.phase, Phase::Running)
+    }
+
+    /// Returns the tasks in flight for the team's quota.
+    pub(super) fn in_flight(&self) -> u64 {
+        match self.phase {
+            Phase::Ended(_) => 0,
+            _ => u64::from(self.task_count() - self.done),
+        }
+    }
+
+    /// Appends an event.
+    pub(super) fn note(
+        &mut self,
+        now: Time,
+        kind: EventKind,
+        task: Option<u32>,
+        agent: Option<&AgentId>,
+        detail: impl Into<String>,
+    ) {
+        // A job that is refused again and again must not grow without bound.
+        let limit = 64 + 8 * self.states.len();
+        if self.events.len() >= limit && kind != EventKind::Ended {
+            return;
+        }
+        self.events.push(Event {
+            number: self.events.len() as u64,
+            at_ms: now.millis_since(self.accepted),
+            kind,
+            task,
+            agent: agent.cloned(),
+            detail: detail.into(),
+        });
+    }
+
+    /// Returns the events from number `from` on.
+    pub(super) fn events_from(&self, from: u64) -> EventsReply {
+        let start = usize::try_from(from)
+            .unwrap_or(usize::MAX)
+            .min(self.events.len());
+        EventsReply {
+            events: self.events[start..].to_vec(),
+            next: self.events.len() as u64,
+            ended: self.answer().is_some(),
+        }
+    }
+
+    /// Returns whether there are events from number `from` on, or none will follow.
+    pub(super) fn has_events(&self, from: u64) -> bool {
+        (self.events.len() as u64) > from || self.answer().is_some()
+    }
+
+    /// Returns the state for a caller.
+    pub(super) fn status(&self, home: &AgentId) -> Status {
+        let waiting = u32::try_from(self.pending.len()).unwrap_or(u32::MAX);
+        Status {
+            job: self.id.clone(),
+            state: match self.phase {
+                Phase::Sealing { .. } => JobState::Sealing,
+                Phase::Running => JobState::Running,
+                Phase::Ended(_) => JobState::Ended,
+            },
+            tasks: self.task_count(),
+            waiting,
+            sent: self.exposed,
+            done: self.done,
+            home: home.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-core/src/home/mod.rs
@@ -0,0 +1,12 @@
+//! The home of jobs: deduplication, seals, placement and answers.
+
+mod fleet;
+#[allow(clippy::module_inception)]
+mod home;
+mod job;
+mod memory;
+mod placing;
+mod reports;
+mod sealing;
+
+pub use home::{Home, HomeOptions};
--- a/crates/fulmarpond-core/src/link/message.rs
+++ b/crates/fulmarpond-core/src/link/message.rs
@@ -211,6 +211,8 @@
     pub roster: u64,
     /// Whether the entry could not reach a better candidate.
     pub skipped: bool,
+    /// Whether the caller waits for the answer. Otherwise the reply comes with the acceptance.
+    pub wait: bool,
 }
 
 /// The outcome of a submit.
@@ -219,6 +221,8 @@
 pub enum SubmitReply {
     /// The final answer.
     Answer(Answer),
+    /// The job was accepted, and the caller did not want to wait.
+    Accepted,
     /// Another agent holds the job or its seal.
     Redirect {
         /// The agent.
--- a/crates/fulmarpond-core/src/machine/load.rs
+++ b/crates/fulmarpond-core/src/machine/load.rs
@@ -12,4 +12,7 @@
     pub free: u32,
     /// The tasks that wait for a slot.
     pub queued: u32,
+    /// Whether the last tasks all failed, so that the agent should get no work for now.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub failing: bool,
 }
--- a/crates/fulmarpond-core/src/machine/mod.rs
+++ b/crates/fulmarpond-core/src/machine/mod.rs
@@ -1,7 +1,16 @@
 //! Agents and the endpoints beside them.
 
 mod agent_id;
+mod health;
 mod load;
+#[allow(clippy::module_inception)]
+mod machine;
+mod observed;
+mod registration;
 
 pub use agent_id::AgentId;
+pub use health::Health;
 pub use load::Load;
+pub use machine::Machine;
+pub use observed::Observed;
+pub use registration::Registration;
--- /dev/null
+++ b/crates/fulmarpond-core/src/placement/mod.rs
@@ -0,0 +1,19 @@
+//! The choice of an agent for waiting tasks.
+
+mod carried_load;
+mod choice;
+mod two_choices;
+mod uniform;
+
+pub use carried_load::CarriedLoad;
+pub use choice::Choice;
+pub use two_choices::TwoChoices;
+pub use uniform::Uniform;
+
+use rand::Rng;
+
+/// A way to choose an agent for one waiting task.
+pub trait Placement {
+    /// Returns the index of the chosen agent, or `None` if the task should wait.
+    fn choose<R: Rng>(&self, choices: &[Choice], rng: &mut R) -> Option<usize>;
+}
--- /dev/null
+++ b/crates/fulmarpond-core/src/runner/runner.rs
@@ -0,0 +1,516 @@
+//! The slots, the queue and the batch memory of an agent.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use rand::Rng;
+
+use super::batch::{BatchKey, RunningBatch};
+use crate::Time;
+use crate::agent::{AgentAction, Context, Count, RunId, RunOutcome};
+use crate::contract::{Needs, Reason, Refusal, Task};
+use crate::link::{Ask, Batch, CallId, Grant, Outcome, Reserve, Response, Withdraw, Withdrawn};
+use crate::machine::{AgentId, Health, Load, Registration};
+use crate::policy::Weigh;
+
+/// How long granted slots are held for a home, in milliseconds.
+///
+/// It covers a round trip between zones with some delay at the home.
+const HOLD_MS: u64 = 15;
+
+/// The intervals of a runner.
+#[derive(Debug, Clone, Copy)]
+pub struct RunnerOptions {
+    /// The lease of an endpoint's registration in milliseconds.
+    pub lease_ms: u64,
+    /// How long a batch is remembered after its deadline, in milliseconds.
+    pub margin_ms: u64,
+}
+
+/// The slots, the queue and the batch memory of an agent.
+#[derive(Debug)]
+pub struct Runner {
+    options: RunnerOptions,
+    endpoint: Option<Endpoint>,
+    batches: HashMap<BatchKey, RunningBatch>,
+    /// Batches that were withdrawn or asked about before they arrived.
+    barred: HashMap<BatchKey, Time>,
+    queue: VecDeque<(BatchKey, u32)>,
+    active: HashMap<RunId, Active>,
+    reservations: VecDeque<Reservation>,
+    held: Vec<Held>,
+    health: Health,
+    last_run: u64,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    registration: Registration,
+    lease: Time,
+    leaving: bool,
+}
+
+#[derive(Debug)]
+struct Active {
+    key: BatchKey,
+    task: u32,
+    started: Time,
+}
+
+#[derive(Debug)]
+struct Reservation {
+    call: CallId,
+    home: AgentId,
+    want: u32,
+    deadline: Time,
+}
+
+#[derive(Debug)]
+struct Held {
+    home: AgentId,
+    slots: u32,
+    deadline: Time,
+}
+
+impl Runner {
+    /// Creates a runner without an endpoint.
+    pub fn new(options: RunnerOptions) -> Self {
+        Self {
+            options,
+            endpoint: None,
+            batches: HashMap::new(),
+            barred: HashMap::new(),
+            queue: VecDeque::new(),
+            active: HashMap::new(),
+            reservations: VecDeque::new(),
+            held: Vec::new(),
+            health: Health::default(),
+            last_run: 0,
+        }
+    }
+
+    /// Returns the load. It has no slots while no endpoint takes new work.
+    pub fn load(&self, now: Time) -> Load {
+        Load {
+            slots: self.capacity(now),
+            free: self.free(now),
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            failing: self.health.is_ejected(now),
+        }
+    }
+
+    /// Returns what the endpoint offers to one task.
+    pub fn limits(&self) -> Needs {
+        self.endpoint
+            .as_ref()
+            .map_or_else(Needs::default, |endpoint| endpoint.registration.limits)
+    }
+
+    /// Returns whether an endpoint is registered and takes new work.
+    pub fn is_open(&self, now: Time) -> bool {
+        self.endpoint
+            .as_ref()
+            .is_some_and(|endpoint| !endpoint.leaving && now < endpoint.lease)
+    }
+
+    /// Returns whether no task waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.active.is_empty() && self.queue.is_empty()
+    }
+
+    /// Returns the number of tasks that are running.
+    pub fn running(&self) -> usize {
+        self.active.len()
+    }
+
+    fn capacity(&self, now: Time) -> u32 {
+        if !self.is_open(now) {
+            return 0;
+        }
+        self.endpoint
+            .as_ref()
+            .map_or(0, |endpoint| endpoint.registration.capacity())
+    }
+
+    fn free(&self, now: Time) -> u32 {
+        let capacity = self.capacity(now);
+        let limit = if self.health.is_probing(now) {
+            capacity.min(1)
+        } else {
+            capacity
+        };
+        let active = u32::try_from(self.active.len()).unwrap_or(u32::MAX);
+        let held: u32 = self.held.iter().map(|held| held.slots).sum();
+        limit.saturating_sub(active.saturating_add(held))
+    }
+
+    /// Registers the endpoint or renews its registration.
+    pub(crate) fn register<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        registration: Registration,
+    ) {
+        let lease = ctx.now.after_millis(self.options.lease_ms);
+        self.endpoint = Some(Endpoint {
+            registration,
+            lease,
+            leaving: false,
+        });
+        self.pump(ctx);
+    }
+
+    /// Notes that the endpoint takes no new work. Waiting tasks go back to their homes.
+    pub(crate) fn endpoint_leaves<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.leaving = true;
+        }
+        self.refuse_queue(ctx, Reason::Draining);
+        self.release_reservations(ctx);
+    }
+
+    /// Handles [`Request::Run`](crate::link::Request::Run).
+    pub(crate) fn run<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, batch: Batch) {
+        let key = (batch.home, batch.batch);
+        if self.barred.contains_key(&key) {
+            ctx.reply(call, Response::Refused(Refusal::new(Reason::Cancelled, 0)));
+            return;
+        }
+        if self.batches.contains_key(&key) {
+            self.attach(ctx, call, &key);
+            return;
+        }
+        let deadline = ctx.now.after_millis(batch.remaining_ms);
+        let forget = deadline.after_millis(self.options.margin_ms);
+        let mut memory = RunningBatch::new(batch.job, deadline, forget);
+        memory.waiter = Some(call);
+        self.batches.insert(key.clone(), memory);
+        self.take_held(&key.0, batch.tasks.len());
+        for (index, task) in batch.tasks {
+            self.admit(ctx, &key, index, task);
+        }
+        self.report(ctx, &key);
+        self.pump(ctx);
+    }
+
+    fn admit<R: Rng>(&mut self, ctx: &mut Context<'_, R>, key: &BatchKey, index: u32, task: Task) {
+        let refusal = self.refusal(ctx, &task);
+        let Some(memory) = self.batches.get_mut(key) else {
+            return;
+        };
+        if let Some(refusal) = refusal {
+            ctx.count(Count::TaskRefused(refusal.reason));
+            memory.refuse(index, Outcome::NotStarted(refusal));
+            return;
+        }
+        memory.queue(index, task);
+        self.queue.push_back((key.clone(), index));
+        self.start_queued(ctx);
+    }
+
+    fn refusal<R: Rng>(&self, ctx: &Context<'_, R>, task: &Task) -> Option<Refusal> {
+        if ctx.draining
+            || self
+                .endpoint
+                .as_ref()
+                .is_some_and(|endpoint| endpoint.leaving)
+        {
+            return Some(Refusal::new(Reason::Draining, 0));
+        }
+        if !self.is_open(ctx.now) {
+            return Some(Refusal::new(Reason::NoEndpoint, 0));
+        }
+        if !task.needs.fit(&self.limits()) {
+            return Some(Refusal::new(Reason::NeverFits, 0));
+        }
+        let queue_max = match ctx.policy.weigh {
+            Weigh::Response => 0,
+            Weigh::Messages => ctx.policy.queue_max as usize,
+        };
+        let queue_max = match ctx.policy.placement {
+            crate::policy::PlacementKind::CarriedLoad => queue_max,
+            _ => ctx.policy.queue_max as usize,
+        };
+        let full = self.free(ctx.now) == 0 && self.queue.len() >= queue_max;
+        full.then(|| Refusal::new(Reason::QueueFull, 0))
+    }
+
+    fn take_held(&mut self, home: &AgentId, tasks: usize) {
+        let mut wanted = u32::try_from(tasks).unwrap_or(u32::MAX);
+        for held in self.held.iter_mut().filter(|held| held.home == *home) {
+            let taken = held.slots.min(wanted);
+            held.slots -= taken;
+            wanted -= taken;
+        }
+        self.held.retain(|held| held.slots > 0);
+    }
+
+    /// Starts waiting tasks while slots are free.
+    fn start_queued<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        while self.free(ctx.now) > 0 {
+            let Some((key, index)) = self.queue.pop_front() else {
+                return;
+            };
+            self.start(ctx, key, index);
+        }
+    }
+
+    fn start<R: Rng>(&mut self, ctx: &mut Context<'_, R>, key: BatchKey, index: u32) {
+        let Some(endpoint) = &self.endpoint else {
+            return;
+        };
+        let Some(memory) = self.batches.get_mut(&key) else {
+            return;
+        };
+        let Some(task) = memory.start(index) else {
+            return;
+        };
+        if ctx.now >= memory.deadline {
+            let refusal = Refusal::new(Reason::DeadlinePassed, 0);
+            memory.end(index, Outcome::NotStarted(refusal));
+            self.report(ctx, &key);
+            return;
+        }
+        self.last_run += 1;
+        let run = RunId(self.last_run);
+        ctx.count(Count::Started);
+        ctx.actions.push(AgentAction::Start {
+            run,
+            endpoint: endpoint.registration.addr,
+            job: memory.job.clone(),
+            task: index,
+            kind: task.kind,
+            payload: task.payload,
+            deadline: memory.deadline,
+        });
+        let started = ctx.now;
+        self.active.insert(
+            run,
+            Active {
+                key,
+                task: index,
+                started,
+            },
+        );
+    }
+
+    /// Handles the end of a run.
+    pub(crate) fn ended<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        run: RunId,
+        outcome: RunOutcome,
+    ) {
+        let Some(active) = self.active.remove(&run) else {
+            return;
+        };
+        let run_us = ctx.now.micros_since(active.started);
+        let outcome = match outcome {
+            RunOutcome::Done(result) => {
+                self.health
+                    .record(ctx.now, true, ctx.policy.eject_after, ctx.rng);
+                Outcome::Done { result, run_us }
+            }
+            RunOutcome::NotStarted(refusal) => Outcome::NotStarted(refusal),
+            RunOutcome::Failed(refusal) => {
+                if self
+                    .health
+                    .record(ctx.now, false, ctx.policy.eject_after, ctx.rng)
+                {
+                    ctx.count(Count::Ejected);
+                }
+                Outcome::Failed(refusal)
+            }
+        };
+        if let Some(memory) = self.batches.get_mut(&active.key) {
+            memory.end(active.task, outcome);
+        }
+        self.report(ctx, &active.key);
+        self.pump(ctx);
+    }
+
+    /// Reports a batch to the waiting call if it has ended or a task of it did not start.
+    fn report<R: Rng>(&mut self, ctx: &mut Context<'_, R>, key: &BatchKey) {
+        let load = self.load(ctx.now);
+        let Some(memory) = self.batches.get_mut(key) else {
+            return;
+        };
+        if memory.is_running() && !memory.has_news() {
+            return;
+        }
+        if let Some(call) = memory.waiter.take() {
+            let report = memory.report(key.1, load);
+            ctx.reply(call, Response::Run(report));
+        }
+    }
+
+    /// Uses free slots for waiting tasks first, then for reservations.
+    fn pump<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        self.start_queued(ctx);
+        if ctx.draining {
+            return;
+        }
+        while self.free(ctx.now) > 0 {
+            let Some(reservation) = self.reservations.pop_front() else {
+                return;
+            };
+            self.grant(ctx, &reservation);
+        }
+    }
+
+    fn grant<R: Rng>(&mut self, ctx: &mut Context<'_, R>, reservation: &Reservation) {
+        let slots = reservation.want.min(self.free(ctx.now));
+        self.held.push(Held {
+            home: reservation.home.clone(),
+            slots,
+            deadline: ctx.now.after_millis(HOLD_MS),
+        });
+        let load = self.load(ctx.now);
+        ctx.reply(reservation.call, Response::Grant(Grant { slots, load }));
+    }
+
+    /// Handles [`Request::Reserve`](crate::link::Request::Reserve).
+    pub(crate) fn reserve<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        reserve: Reserve,
+    ) {
+        if ctx.draining || !self.is_open(ctx.now) {
+            ctx.reply(call, Response::Refused(Refusal::new(Reason::Draining, 0)));
+            return;
+        }
+        self.reservations.push_back(Reservation {
+            call,
+            home: reserve.home,
+            want: reserve.want.max(1),
+            deadline: ctx.now.after_millis(reserve.wait_ms),
+        });
+        self.pump(ctx);
+    }
+
+    /// Handles [`Request::Withdraw`](crate::link::Request::Withdraw).
+    pub(crate) fn withdraw<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        withdraw: Withdraw,
+    ) {
+        let mut dropped = Vec::new();
+        for batch in withdraw.batches {
+            let key = (withdraw.home.clone(), batch);
+            let Some(memory) = self.batches.get_mut(&key) else {
+                self.bar(ctx.now, key);
+                continue;
+            };
+            let tasks = memory.drop_queued();
+            for task in &tasks {
+                let refusal = Refusal::new(Reason::Cancelled, 0);
+                memory.refuse(*task, Outcome::NotStarted(refusal));
+            }
+            self.queue.retain(|(queued, _)| *queued != key);
+            self.report(ctx, &key);
+            dropped.push((batch, tasks));
+        }
+        ctx.reply(call, Response::Withdrawn(Withdrawn { dropped }));
+        self.pump(ctx);
+    }
+
+    /// Handles [`Request::Ask`](crate::link::Request::Ask).
+    ///
+    /// A batch that is not known never arrived. It is barred, so that a delayed arrival starts
+    /// nothing and the home may send the tasks elsewhere.
+    pub(crate) fn ask<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, ask: Ask) {
+        let key = (ask.home, ask.batch);
+        if self.batches.contains_key(&key) {
+            self.attach(ctx, call, &key);
+            return;
+        }
+        self.bar(ctx.now, key);
+        ctx.reply(call, Response::Refused(Refusal::new(Reason::Cancelled, 0)));
+    }
+
+    /// Makes `call` wait for the report of a known batch in place of an earlier call.
+    fn attach<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, key: &BatchKey) {
+        let load = self.load(ctx.now);
+        let Some(memory) = self.batches.get_mut(key) else {
+            return;
+        };
+        if let Some(earlier) = memory.waiter.replace(call) {
+            let report = memory.report(key.1, load);
+            ctx.reply(earlier, Response::Run(report));
+        }
+        memory.repeat();
+        self.report(ctx, key);
+    }
+
+    fn bar(&mut self, now: Time, key: BatchKey) {
+        // A delayed batch can't arrive later than its job's deadline allows a link to live.
+        let forget = now.after_millis(self.options.margin_ms.max(600_000));
+        self.barred.insert(key, forget);
+    }
+
+    /// Gives all waiting tasks back to their homes.
+    pub(crate) fn refuse_queue<R: Rng>(&mut self, ctx: &mut Context<'_, R>, reason: Reason) {
+        let keys: HashSet<BatchKey> = self.queue.drain(..).map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(memory) = self.batches.get_mut(&key) {
+                for task in memory.drop_queued() {
+                    ctx.count(Count::TaskRefused(reason));
+                    let refusal = Refusal::new(reason, 0);
+                    memory.refuse(task, Outcome::NotStarted(refusal));
+                }
+            }
+            self.report(ctx, &key);
+        }
+    }
+
+    /// Answers all reservations without a grant.
+    pub(crate) fn release_reservations<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        let load = self.load(ctx.now);
+        for reservation in self.reservations.drain(..) {
+            let grant = Grant { slots: 0, load };
+            ctx.actions.push(AgentAction::Reply {
+                call: reservation.call,
+                response: Response::Grant(grant),
+            });
+        }
+    }
+
+    /// Handles what is due.
+    pub(crate) fn tick<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        let now = ctx.now;
+        self.held.retain(|held| now < held.deadline);
+        if self
+            .endpoint
+            .as_ref()
+            .is_some_and(|endpoint| now >= endpoint.lease)
+        {
+            self.endpoint = None;
+            self.refuse_queue(ctx, Reason::NoEndpoint);
+            self.release_reservations(ctx);
+        }
+        let load = self.load(now);
+        let (due, waiting) = std::mem::take(&mut self.reservations)
+            .into_iter()
+            .partition::<VecDeque<_>, _>(|reservation| now >= reservation.deadline);
+        self.reservations = waiting;
+        for reservation in due {
+            let grant = Grant { slots: 0, load };
+            ctx.reply(reservation.call, Response::Grant(grant));
+        }
+        self.pump(ctx);
+        self.batches
+            .retain(|_, memory| memory.is_running() || now < memory.forget);
+        self.barred.retain(|_, forget| now < *forget);
+    }
+
+    /// Returns when something is due.
+    pub(crate) fn wake(&self) -> Option<Time> {
+        let held = self.held.iter().map(|held| held.deadline);
+        let reservations = self
+            .reservations
+            .iter()
+            .map(|reservation| reservation.deadline);
+        let lease = self.endpoint.iter().map(|endpoint| endpoint.lease);
+        held.chain(reservations).chain(lease).min()
+    }
+}
--- a/crates/fulmarpond-core/src/zone/member.rs
+++ b/crates/fulmarpond-core/src/zone/member.rs
@@ -18,6 +18,8 @@
     pub zone: Zone,
     /// The roster version that added it.
     pub joined: u64,
+    /// The roster version that changed it last.
+    pub changed: u64,
     /// The roster version that removed it, if it was removed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub left: Option<u64>,
@@ -36,9 +38,4 @@
     pub fn is_live(&self) -> bool {
         self.left.is_none()
     }
-
-    /// Returns the version of the member's latest change.
-    pub fn changed(&self) -> u64 {
-        self.left.unwrap_or(self.joined)
-    }
 }
--- a/crates/fulmarpond-core/src/zone/roster.rs
+++ b/crates/fulmarpond-core/src/zone/roster.rs
@@ -153,6 +153,7 @@
         for member in &mut self.members {
             if member.addr == addr && member.is_live() {
                 member.left = Some(self.version);
+                member.changed = self.version;
             }
         }
         self.members.push(Member {
@@ -160,6 +161,7 @@
             addr,
             zone: zone.clone(),
             joined: self.version,
+            changed: self.version,
             left: None,
             heir: None,
         });
@@ -177,11 +179,36 @@
             return false;
         };
         member.left = Some(version);
+        member.changed = version;
         member.heir = heir.cloned();
         self.version = version;
         true
     }
 
+    /// Makes a removed incarnation a member again, unless it handed its memory over or another
+    /// incarnation took its address. Returns whether anything changed.
+    ///
+    /// An agent that was cut off and removed for its silence still has its memory.
+    pub fn revive(&mut self, agent: &AgentId) -> bool {
+        let version = self.version + 1;
+        let Some(index) = self
+            .members
+            .iter()
+            .position(|member| member.agent == *agent)
+        else {
+            return false;
+        };
+        let addr = self.members[index].addr;
+        if self.live().any(|member| member.addr == addr) || self.members[index].heir.is_some() {
+            return false;
+        }
+        let member = &mut self.members[index];
+        member.left = None;
+        member.changed = version;
+        self.version = version;
+        true
+    }
+
     /// Raises the floor and drops the members that were removed at or before it.
     ///
     /// Only versions that were replaced longer ago than the roster window may become the floor.
@@ -205,7 +232,7 @@
             changed: self
                 .members
                 .iter()
-                .filter(|member| member.changed() > version)
+                .filter(|member| member.changed > version)
                 .cloned()
                 .collect(),
         }
