--- /dev/null
+++ b/crates/fulmarpond-settings/src/document/settings_errors.rs
@@ -0,0 +1,64 @@
+//! All problems of a file.
+
+use std::fmt;
+
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode};
+
+use super::SettingsError;
+
+/// All problems of a file, ordered by line.
+///
+/// As a [`miette::Diagnostic`] it carries the text of the file and one label per problem, so a
+/// report shows each offending line. The plain [`Display`](fmt::Display) output lists no problem,
+/// because a report prints it above the labels; use [`errors`](SettingsErrors::errors) for logs.
+#[derive(Debug, Clone)]
+pub struct SettingsErrors {
+    source: NamedSource<String>,
+    errors: Vec<SettingsError>,
+}
+
+impl SettingsErrors {
+    pub(crate) fn new(name: &str, text: &str, mut errors: Vec<SettingsError>) -> Self {
+        errors.sort_by_key(|error| error.line);
+        Self {
+            source: NamedSource::new(name, text.to_owned()),
+            errors,
+        }
+    }
+
+    /// Returns the problems, ordered by line.
+    pub fn errors(&self) -> &[SettingsError] {
+        &self.errors
+    }
+
+    /// Returns the name of the file.
+    pub fn name(&self) -> &str {
+        self.source.name()
+    }
+}
+
+impl fmt::Display for SettingsErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let count = self.errors.len();
+        let noun = if count == 1 { "problem" } else { "problems" };
+        write!(f, "{}: {count} {noun}", self.name())
+    }
+}
+
+impl std::error::Error for SettingsErrors {}
+
+impl Diagnostic for SettingsErrors {
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(self.errors.iter().map(|error| {
+            let text = match &error.key {
+                Some(key) => format!("{key}: {}", error.message),
+                None => error.message.clone(),
+            };
+            LabeledSpan::new_with_span(Some(text), error.span.clone())
+        })))
+    }
+}
--- a/crates/fulmarpond-settings/src/lib.rs
+++ b/crates/fulmarpond-settings/src/lib.rs
@@ -1,1 +1,19 @@
-//! fulmarpond-settings.
+//! Checked INI settings of the fulmarpond programs.
+//!
+//! Raw text becomes a [`Document`], which keeps the line of each key, and a document becomes typed
+//! settings: [`DaemonSettings`] for the daemon. All problems of a file are reported
+//! together as [`SettingsErrors`], which shows each offending line.
+
+mod daemon;
+mod document;
+mod reader;
+mod units;
+
+pub use daemon::{
+    AgentSettings, DaemonSettings, EntrySettings, InvalidSetting, LimitSettings, LogFormat,
+    LogLevel, LogSettings, Role, TimingSettings,
+};
+pub use document::{Document, Entry, Section, SettingsError, SettingsErrors};
+
+/// Result of reading a file.
+pub type Result<T, E = SettingsErrors> = std::result::Result<T, E>;
