--- a/crates/fulmarpond-link/src/lib.rs
+++ b/crates/fulmarpond-link/src/lib.rs
@@ -1,5 +1,7 @@
 //! Links between the processes of fulmarpond, and the client of the platform's key-value service.
 
+pub mod platform;
+
 mod rpc;
 
 pub use rpc::{
