--- a/crates/fulmarpond-settings/src/daemon/combinations.rs
+++ b/crates/fulmarpond-settings/src/daemon/combinations.rs
@@ -1,6 +1,9 @@
 //! Rules that concern several settings at once.
 
-use super::DaemonSettings;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{DaemonSettings, InvalidSetting, LimitSettings, Role, TimingSettings};
 use crate::units::show;
 
 /// A broken rule.
@@ -11,9 +14,8 @@
     pub(super) message: String,
 }
 
-/// Returns the broken rules.
-pub(super) fn conflicts(settings: &DaemonSettings) -> Vec<Conflict> {
-    let timing = &settings.timing;
+/// Returns the broken rules of intervals and windows.
+pub(super) fn timing_conflicts(limits: &LimitSettings, timing: &TimingSettings) -> Vec<Conflict> {
     let mut conflicts = Vec::new();
     let mut rule = |holds: bool, keys, message: String| {
         if !holds {
@@ -48,11 +50,7 @@
         ),
     );
     rule(
-        timing.memory_window
-            >= settings
-                .limits
-                .deadline
-                .saturating_add(timing.answer_margin),
+        timing.memory_window >= limits.deadline.saturating_add(timing.answer_margin),
         &[
             ("timing", "memory_window"),
             ("timing", "answer_margin"),
@@ -61,22 +59,71 @@
         format!(
             "memory_window ({}) must not be below deadline ({}) + answer_margin ({})",
             show(timing.memory_window),
-            show(settings.limits.deadline),
+            show(limits.deadline),
             show(timing.answer_margin)
         ),
     );
-    rule(
-        settings.http != settings.link || settings.http.port() == 0,
-        &[("listen", "link"), ("listen", "http")],
-        format!("http and link must differ, both are {}", settings.link),
-    );
-    rule(
-        !settings.advertise.ip().is_unspecified(),
-        &[("listen", "advertise"), ("listen", "link")],
-        format!(
-            "other processes can't connect to {}; set advertise to an address of this host",
-            settings.advertise
-        ),
-    );
     conflicts
 }
+
+/// Returns the broken rules of addresses.
+pub(super) fn address_conflicts(
+    http: SocketAddr,
+    link: SocketAddr,
+    advertise: SocketAddr,
+) -> Vec<Conflict> {
+    let mut conflicts = Vec::new();
+    if http == link && http.port() != 0 {
+        conflicts.push(Conflict {
+            keys: &[("listen", "link"), ("listen", "http")],
+            message: format!("http and link must differ, both are {link}"),
+        });
+    }
+    if advertise.ip().is_unspecified() {
+        conflicts.push(Conflict {
+            keys: &[("listen", "advertise"), ("listen", "link")],
+            message: format!(
+                "other processes can't connect to {advertise}; set advertise to an address of this host"
+            ),
+        });
+    }
+    conflicts
+}
+
+/// Returns a setting that is 0; in a file, the check of the value refuses it.
+pub(super) fn zero(settings: &DaemonSettings) -> Option<InvalidSetting> {
+    let (limits, timing) = (&settings.limits, &settings.timing);
+    let timeout = match &settings.role {
+        Role::Entry(entry) => Some(("platform", "timeout", entry.timeout)),
+        Role::Agent(_) => None,
+    };
+    let durations = [
+        ("limits", "deadline", limits.deadline),
+        ("timing", "announce", timing.announce),
+        ("timing", "silence", timing.silence),
+        ("timing", "roster_window", timing.roster_window),
+        ("timing", "memory_window", timing.memory_window),
+        ("timing", "answer_margin", timing.answer_margin),
+        ("timing", "lease", timing.lease),
+        ("timing", "keepalive", timing.keepalive),
+        ("timing", "link_timeout", timing.link_timeout),
+        ("timing", "drain", timing.drain),
+    ];
+    let counts = [
+        ("limits", "body", limits.body == 0),
+        ("limits", "tasks", limits.tasks == 0),
+        ("limits", "callers", limits.callers == 0),
+        ("limits", "headers", limits.headers == 0),
+    ];
+    durations
+        .into_iter()
+        .chain(timeout)
+        .map(|(section, key, duration)| (section, key, duration == Duration::ZERO))
+        .chain(counts)
+        .find(|(.., is_zero)| *is_zero)
+        .map(|(section, key, _)| InvalidSetting {
+            section,
+            key,
+            message: "must be above 0".to_owned(),
+        })
+}
--- a/crates/fulmarpond-settings/src/daemon/daemon_settings.rs
+++ b/crates/fulmarpond-settings/src/daemon/daemon_settings.rs
@@ -6,7 +6,7 @@
 
 use fulmarpond_core::zone::Zone;
 
-use super::combinations::conflicts;
+use super::combinations::{Conflict, address_conflicts, timing_conflicts, zero};
 use super::{
     AgentSettings, EntrySettings, InvalidSetting, LimitSettings, LogSettings, Role, TimingSettings,
     schema,
@@ -183,7 +183,14 @@
             let message = "expected at least one IP:port".to_owned();
             return Err(invalid("cluster", "entries", message));
         }
-        if let Some(conflict) = conflicts(&self).into_iter().next() {
+        if let Some(error) = zero(&self) {
+            return Err(error);
+        }
+        let conflict = timing_conflicts(&self.limits, &self.timing)
+            .into_iter()
+            .chain(address_conflicts(self.http, self.link, self.advertise))
+            .next();
+        if let Some(conflict) = conflict {
             let (section, key) = conflict.keys[0];
             return Err(invalid(section, key, conflict.message));
         }
@@ -203,53 +210,71 @@
         let mut reader = Reader::new(document);
         let role = reader.required("daemon", "role", role);
         schema::check(document, role, &mut reader);
-        let settings = read(role, &mut reader);
-        if let Some(settings) = &settings {
-            for conflict in conflicts(settings) {
-                if conflict.keys.iter().any(|(s, k)| reader.is_faulty(s, k)) {
-                    continue;
-                }
-                let entry = conflict.keys.iter().find_map(|(s, k)| document.get(s, k));
-                if let Some(entry) = entry {
-                    reader.at(entry, conflict.message);
-                }
+        let name = reader.required("daemon", "name", name);
+        let zone = reader.required("daemon", "zone", zone);
+        let http = reader.required("listen", "http", address);
+        let link = reader.required("listen", "link", address);
+        let advertise = reader.optional("listen", "advertise", remote).or(link);
+        let secret_file = reader.optional("cluster", "secret_file", path);
+        let log = log(&mut reader);
+        let limits = limits(&mut reader);
+        let timing = timing(&mut reader);
+        let role = match role {
+            Some("entry") => entry(&mut reader).map(Role::Entry),
+            Some(_) => agent(&mut reader).map(Role::Agent),
+            None => {
+                check_roles(&mut reader);
+                None
             }
+        };
+        report(timing_conflicts(&limits, &timing), document, &mut reader);
+        if let (Some(http), Some(link), Some(advertise)) = (http, link, advertise) {
+            let conflicts = address_conflicts(http, link, advertise);
+            report(conflicts, document, &mut reader);
         }
+        let settings = (|| {
+            Some(Self {
+                role: role?,
+                name: name?,
+                zone: zone?,
+                http: http?,
+                link: link?,
+                advertise: advertise?,
+                secret_file,
+                log,
+                limits,
+                timing,
+            })
+        })();
         reader.finish(settings)
     }
 }
 
-/// Reads all settings. Faulty ones get their default; `None` if one without default is faulty.
-fn read(role: Option<&str>, reader: &mut Reader<'_>) -> Option<DaemonSettings> {
-    let name = reader.required("daemon", "name", name);
-    let zone = reader.required("daemon", "zone", zone);
-    let http = reader.required("listen", "http", address);
-    let link = reader.required("listen", "link", address);
-    let advertise = reader.optional("listen", "advertise", remote);
-    let secret_file = reader.optional("cluster", "secret_file", path);
-    let log = log(reader);
-    let limits = limits(reader);
-    let timing = timing(reader);
-    let role = match role {
-        Some("entry") => entry(reader).map(Role::Entry),
-        Some(_) => reader
-            .required("cluster", "entries", addresses)
-            .map(|entries| Role::Agent(AgentSettings { entries })),
-        None => None,
-    };
-    let link = link?;
-    Some(DaemonSettings {
-        role: role?,
-        name: name?,
-        zone: zone?,
-        http: http?,
-        link,
-        advertise: advertise.unwrap_or(link),
-        secret_file,
-        log,
-        limits,
-        timing,
-    })
+/// Reports conflicts at the first of their keys that the file sets.
+///
+/// A conflict with a faulty key is left out, because it compares the key's default.
+fn report(conflicts: Vec<Conflict>, document: &Document, reader: &mut Reader<'_>) {
+    for conflict in conflicts {
+        if conflict.keys.iter().any(|(s, k)| reader.is_faulty(s, k)) {
+            continue;
+        }
+        let entry = conflict.keys.iter().find_map(|(s, k)| document.get(s, k));
+        if let Some(entry) = entry {
+            reader.at(entry, conflict.message);
+        }
+    }
+}
+
+/// Checks the values that only one role has, for a file that states no valid role.
+fn check_roles(reader: &mut Reader<'_>) {
+    reader.optional("cluster", "entries", addresses);
+    reader.optional("platform", "kv", remote);
+    reader.optional("platform", "timeout", duration);
+}
+
+fn agent(reader: &mut Reader<'_>) -> Option<AgentSettings> {
+    let entries = reader.required("cluster", "entries", addresses)?;
+    Some(AgentSettings { entries })
 }
 
 fn entry(reader: &mut Reader<'_>) -> Option<EntrySettings> {
--- a/crates/fulmarpond-settings/src/document/ini_document.rs
+++ b/crates/fulmarpond-settings/src/document/ini_document.rs
@@ -149,33 +149,48 @@
         ..ParseOption::default()
     };
     let ini = Ini::load_from_str_opt(line, option).map_err(|_| explain(line))?;
-    let mut sections = ini.iter();
-    let (name, properties) = match (sections.next(), sections.next()) {
-        (Some((None, properties)), None) if properties.is_empty() => return Ok(Line::Blank),
-        (Some((None, general)), Some(section)) if general.is_empty() => section,
-        (Some(section), _) => section,
-        (None, _) => return Ok(Line::Blank),
-    };
-    match (name, properties.iter().next()) {
-        (None, Some((key, value))) => {
-            let quoted = line.contains(['"', '\'']);
-            if !quoted && (value.contains(" #") || value.contains(" ;")) {
+    let mut lines = Vec::new();
+    for (section, properties) in &ini {
+        lines.extend(section.map(|name| Line::Header(name.to_owned())));
+        let pairs = properties.iter();
+        lines.extend(pairs.map(|(key, value)| Line::Pair(key.to_owned(), value.to_owned())));
+    }
+    match (lines.pop(), lines.is_empty()) {
+        (None, _) => Ok(Line::Blank),
+        (Some(Line::Header(name)), true) if !name.is_empty() && line.ends_with(']') => {
+            Ok(Line::Header(name))
+        }
+        (Some(Line::Pair(key, value)), true) => {
+            if has_comment(line, &value) {
                 return Err(
                     "a comment needs a line of its own; quote the value if `#` or `;` belongs to it"
                         .to_owned(),
                 );
             }
-            Ok(Line::Pair(key.to_owned(), value.to_owned()))
-        }
-        (Some(name), None) if !name.is_empty() && line.ends_with(']') => {
-            Ok(Line::Header(name.to_owned()))
+            Ok(Line::Pair(key, value))
         }
         _ => Err(explain(line)),
     }
 }
 
+/// Returns whether an unquoted part of the value looks like a comment.
+fn has_comment(line: &str, value: &str) -> bool {
+    let raw = line
+        .split_once(['=', ':'])
+        .map_or("", |(_, raw)| raw.trim());
+    let quoted = ['"', '\''].into_iter().any(|quote| {
+        let inner = raw
+            .strip_prefix(quote)
+            .and_then(|rest| rest.strip_suffix(quote));
+        inner == Some(value)
+    });
+    !quoted && (value.contains(" #") || value.contains(" ;"))
+}
+
 fn explain(line: &str) -> String {
-    let message = if line.starts_with('[') {
+    let message = if line.contains('\r') {
+        "a carriage return stands inside the line"
+    } else if line.starts_with('[') {
         "expected a section header `[name]` alone on its line"
     } else if line.starts_with(['=', ':']) {
         "the key before `=` is missing"
--- a/crates/fulmarpond-settings/src/document/mod.rs
+++ b/crates/fulmarpond-settings/src/document/mod.rs
@@ -8,6 +8,7 @@
 
 pub use entry::Entry;
 pub use ini_document::Document;
+pub(crate) use ini_document::spans;
 pub use section::Section;
 pub use settings_error::SettingsError;
 pub use settings_errors::SettingsErrors;
--- a/crates/fulmarpond-settings/src/document/settings_errors.rs
+++ b/crates/fulmarpond-settings/src/document/settings_errors.rs
@@ -61,4 +61,13 @@
             LabeledSpan::new_with_span(Some(text), error.span.clone())
         })))
     }
+
+    /// Lists the problems of a file without text, because a report has no line to label there.
+    fn help(&self) -> Option<Box<dyn fmt::Display + '_>> {
+        if !self.source.inner().trim().is_empty() {
+            return None;
+        }
+        let lines: Vec<String> = self.errors.iter().map(ToString::to_string).collect();
+        Some(Box::new(lines.join("\n")))
+    }
 }
--- a/crates/fulmarpond-settings/src/reader.rs
+++ b/crates/fulmarpond-settings/src/reader.rs
@@ -68,6 +68,18 @@
         });
     }
 
+    /// Reports a problem of a section as a whole.
+    pub(crate) fn at_section(&mut self, section: &str, message: String) {
+        let (line, span) = self.document.place(section);
+        self.errors.push(SettingsError {
+            section: section.to_owned(),
+            key: None,
+            line,
+            span,
+            message,
+        });
+    }
+
     fn missing(&mut self, section: &str, key: &str) {
         let (line, span) = self.document.place(section);
         self.errors.push(SettingsError {
@@ -100,6 +112,11 @@
             .any(|error| error.section == section && error.key.as_deref() == Some(key))
     }
 
+    /// Returns whether no problem was reported.
+    pub(crate) fn is_clean(&self) -> bool {
+        self.errors.is_empty()
+    }
+
     /// Returns `value` if no problem was reported, else all problems.
     pub(crate) fn finish<T>(self, value: Option<T>) -> crate::Result<T> {
         match value {
@@ -130,11 +147,16 @@
 
 /// Checks a name of 1 to 64 characters of `A-Z a-z 0-9 . _ -`.
 pub(crate) fn name(text: &str) -> crate::Result<String, String> {
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-');
-    if text.is_empty() || text.len() > 64 || !text.bytes().all(allowed) {
+    if text.len() > 64 || !has_name_chars(text) {
         return Err(format!(
             "expected 1 to 64 characters of A-Z a-z 0-9 . _ -, got `{text}`"
         ));
     }
     Ok(text.to_owned())
 }
+
+/// Returns whether `text` consists of characters of `A-Z a-z 0-9 . _ -` and is not empty.
+pub(crate) fn has_name_chars(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-');
+    !text.is_empty() && text.bytes().all(allowed)
+}
--- a/crates/fulmarpond-settings/src/units.rs
+++ b/crates/fulmarpond-settings/src/units.rs
@@ -25,7 +25,7 @@
         .find(|c: char| !c.is_ascii_digit())
         .unwrap_or(text.len());
     let (digits, unit) = (&text[..end], text[end..].trim_start());
-    if digits.is_empty() {
+    if digits.is_empty() || unit.starts_with(['.', ',']) {
         return Err(format!(
             "expected {noun}, a whole number with the unit {names}, got `{text}`"
         ));
