--- /dev/null
+++ b/crates/fulmarpond-settings/tests/examples.rs
@@ -0,0 +1,100 @@
+//! The example files are valid.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use fulmarpond_core::contract::{RawSubmission, Submission};
+use fulmarpond_core::policy::{Patch, Policy, Values, Weigh};
+use fulmarpond_settings::{DaemonSettings, Document, PatchFile, Role};
+use serde_json::Value;
+
+struct Deployment {
+    folder: &'static str,
+    weigh: Weigh,
+    jobs: &'static str,
+    kind: &'static str,
+    zones: [&'static str; 4],
+}
+
+const DEPLOYMENTS: [Deployment; 2] = [
+    Deployment {
+        folder: "hunt-desk",
+        weigh: Weigh::Response,
+        jobs: "answer-checks.json",
+        kind: "answer-check",
+        zones: ["Fukuoka", "Kitakyushu", "Saga", "Kurume"],
+    },
+    Deployment {
+        folder: "food-ledger",
+        weigh: Weigh::Messages,
+        jobs: "plate-costs.json",
+        kind: "plate-cost",
+        zones: ["Boa Viagem", "Casa Forte", "Olinda", "Jaboatão"],
+    },
+];
+
+fn examples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples")
+}
+
+fn document(folder: &str, file: &str) -> Document {
+    let text = fs::read_to_string(examples().join(folder).join(file)).unwrap();
+    Document::parse(file, &text).unwrap_or_else(|errors| panic!("{:?}", errors.errors()))
+}
+
+fn settings(folder: &str, file: &str) -> DaemonSettings {
+    DaemonSettings::try_from(&document(folder, file))
+        .unwrap_or_else(|errors| panic!("{folder}/{file}: {:?}", errors.errors()))
+}
+
+/// Guards against examples that a daemon refuses, and against an agent that no entry listens to.
+#[test]
+fn daemon_examples_fit_together() {
+    for deployment in DEPLOYMENTS {
+        let entry = settings(deployment.folder, "entry.ini");
+        let agent = settings(deployment.folder, "agent.ini");
+        assert!(matches!(entry.role, Role::Entry(_)));
+        let Role::Agent(role) = &agent.role else {
+            panic!("{}/agent.ini is of an entry", deployment.folder);
+        };
+        assert_eq!(role.entries, [entry.advertise]);
+        for zone in [&entry.zone, &agent.zone] {
+            assert!(deployment.zones.contains(&zone.as_str()), "{zone}");
+        }
+        assert_eq!(entry.timing, agent.timing);
+    }
+}
+
+/// Guards against example patches that the built-in configuration refuses.
+#[test]
+fn patch_examples_apply() {
+    for deployment in DEPLOYMENTS {
+        let document = document(deployment.folder, "kv-patch-quotas.ini");
+        let patch = PatchFile::try_from(&document)
+            .unwrap_or_else(|errors| panic!("{}: {:?}", deployment.folder, errors.errors()));
+        let patch = Patch::from(patch);
+        let values = patch.apply(patch.base, &Values::new()).unwrap();
+        let policy = Policy::try_from(&values).unwrap();
+        assert_eq!(policy.weigh, deployment.weigh);
+    }
+}
+
+/// Guards against job files that an entry refuses once the tool has added `id` and `attempt`.
+#[test]
+fn job_examples_are_submissions() {
+    for deployment in DEPLOYMENTS {
+        let path = examples().join(deployment.folder).join(deployment.jobs);
+        let mut job: Value = serde_json::from_str(&fs::read_to_string(path).unwrap()).unwrap();
+        assert!(job.get("id").is_none() && job.get("attempt").is_none());
+        job["id"] = "example-1".into();
+        job["attempt"] = 1.into();
+        let raw: RawSubmission = serde_json::from_value(job).unwrap();
+        let submission = Submission::try_from(raw).unwrap();
+        assert_eq!(submission.tasks.len(), 40);
+        for task in &submission.tasks {
+            assert_eq!(task.kind, deployment.kind);
+            let run_ms = task.payload["run_ms"].as_u64().unwrap();
+            assert!((50..=400).contains(&run_ms), "run_ms is {run_ms}");
+        }
+    }
+}
