--- /dev/null
+++ b/crates/fulmarpondd/src/clock.rs
@@ -0,0 +1,30 @@
+//! The clock of a process.
+
+use std::time::{Duration, Instant};
+
+use fulmarpond_core::Time;
+
+/// A monotonic clock whose origin is the start of the process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Creates a clock. The origin lies a second back, so that no present time is 0.
+    pub(crate) fn new() -> Self {
+        let now = Instant::now();
+        let origin = now.checked_sub(Duration::from_secs(1)).unwrap_or(now);
+        Self { origin }
+    }
+
+    /// Returns the present time.
+    pub(crate) fn now(&self) -> Time {
+        Time::default() + self.origin.elapsed()
+    }
+
+    /// Returns the duration from now until `time`, or zero once it has passed.
+    pub(crate) fn until(&self, time: Time) -> Duration {
+        Duration::from_micros(time.micros_since(self.now()))
+    }
+}
--- /dev/null
+++ b/crates/fulmarpondd/src/driver/agent_driver.rs
@@ -0,0 +1,113 @@
+//! Carries out the actions of an agent.
+
+use std::sync::mpsc::SyncSender;
+use std::sync::{Arc, RwLock};
+use std::time::Instant;
+
+use fulmarpond_core::Time;
+use fulmarpond_core::agent::{Agent, AgentAction, AgentInput, RunOutcome};
+use fulmarpond_core::contract::{Reason, Refusal};
+use fulmarpond_core::link::{CallId, LinkError, Response};
+use tracing::info;
+
+use super::{Driver, Flow, Links};
+use crate::metrics::set;
+use crate::slots::{Run, Slots};
+
+/// The state of an agent that other threads may see.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct AgentView {
+    /// Whether it takes new work.
+    pub(crate) ready: bool,
+    /// Whether it is stopping.
+    pub(crate) draining: bool,
+}
+
+/// Carries out the actions of an agent.
+pub(crate) struct AgentDriver {
+    pub(crate) links: Links<AgentInput>,
+    pub(crate) slots: Slots,
+    pub(crate) core: SyncSender<AgentInput>,
+    pub(crate) view: Arc<RwLock<AgentView>>,
+}
+
+fn response(call: CallId, result: Result<Response, LinkError>) -> AgentInput {
+    AgentInput::Response { call, result }
+}
+
+impl AgentDriver {
+    fn start(&mut self, run: Run) {
+        if let Err(run) = self.slots.start(run) {
+            let refusal = Refusal::new(Reason::Overloaded, 0);
+            let outcome = RunOutcome::NotStarted(refusal);
+            // This thread empties the ring, so it must not wait for room in it.
+            let _ = self.core.try_send(AgentInput::Ended { run, outcome });
+        }
+    }
+}
+
+impl Driver for AgentDriver {
+    type Role = Agent;
+
+    fn tick() -> AgentInput {
+        AgentInput::Tick
+    }
+
+    fn perform(&mut self, action: AgentAction) -> Flow {
+        match action {
+            AgentAction::Reply { call, response } => self.links.reply(call, response),
+            AgentAction::Call {
+                call,
+                addr,
+                envelope,
+                deadline,
+            } => {
+                self.links.call(call, addr, envelope, deadline, response);
+            }
+            AgentAction::Start {
+                run,
+                endpoint,
+                job,
+                task,
+                kind,
+                payload,
+                deadline,
+            } => {
+                let deadline = Instant::now() + self.links.clock.until(deadline);
+                self.start(Run {
+                    run,
+                    endpoint,
+                    job,
+                    task,
+                    kind,
+                    payload,
+                    deadline,
+                });
+            }
+            AgentAction::Count(count) => self.links.metrics.count(count),
+            AgentAction::Stopped => {
+                info!("all work is finished and handed over");
+                return Flow::Stop;
+            }
+        }
+        Flow::Continue
+    }
+
+    fn publish(&self, role: &Agent, now: Time) {
+        let metrics = &self.links.metrics;
+        let load = role.runner().load(now);
+        set(&metrics.slots, u64::from(load.slots));
+        set(&metrics.free, u64::from(load.free));
+        set(&metrics.queued, u64::from(load.queued));
+        set(&metrics.waiting, role.home().waiting());
+        set(&metrics.open, role.home().running() as u64);
+        set(&metrics.remembered, role.home().remembered() as u64);
+        set(&metrics.config_version, role.config().0);
+        set(&metrics.roster_version, role.roster().version());
+        set(&metrics.roster_members, role.roster().live().count() as u64);
+        if let Ok(mut view) = self.view.write() {
+            view.ready = role.is_ready(now);
+            view.draining = role.is_draining();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarpondd/src/driver/entry_driver.rs
@@ -0,0 +1,93 @@
+//! Carries out the actions of an entry.
+
+use std::sync::mpsc::SyncSender;
+use std::sync::{Arc, RwLock};
+
+use fulmarpond_core::Time;
+use fulmarpond_core::entry::{CallerReply, Entry, EntryAction, EntryInput, StoreError, StoreOp};
+use fulmarpond_core::link::{CallId, LinkError, Response};
+use tracing::info;
+
+use super::{Driver, Flow, Links};
+use crate::metrics::set;
+use crate::ring::Waiting;
+
+/// The state of an entry that other threads may see.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct EntryView {
+    /// Whether it can route jobs.
+    pub(crate) ready: bool,
+    /// Whether it is stopping.
+    pub(crate) draining: bool,
+    /// Milliseconds since the roster was confirmed, if it ever was.
+    pub(crate) confirmed_ms: Option<u64>,
+}
+
+/// Carries out the actions of an entry.
+pub(crate) struct EntryDriver {
+    pub(crate) links: Links<EntryInput>,
+    pub(crate) callers: Waiting<SyncSender<CallerReply>>,
+    pub(crate) store: SyncSender<(CallId, StoreOp)>,
+    pub(crate) core: SyncSender<EntryInput>,
+    pub(crate) view: Arc<RwLock<EntryView>>,
+}
+
+fn response(call: CallId, result: Result<Response, LinkError>) -> EntryInput {
+    EntryInput::Response { call, result }
+}
+
+impl Driver for EntryDriver {
+    type Role = Entry;
+
+    fn tick() -> EntryInput {
+        EntryInput::Tick
+    }
+
+    fn perform(&mut self, action: EntryAction) -> Flow {
+        match action {
+            EntryAction::Answer { call, reply } => {
+                if let Some(caller) = self.callers.take(call) {
+                    // A caller that has gone needs no answer; its job keeps the result.
+                    let _ = caller.try_send(reply);
+                }
+            }
+            EntryAction::Reply { call, response } => self.links.reply(call, response),
+            EntryAction::Call {
+                call,
+                addr,
+                envelope,
+                deadline,
+            } => {
+                self.links.call(call, addr, envelope, deadline, response);
+            }
+            EntryAction::Store { call, op } => {
+                if self.store.try_send((call, op)).is_err() {
+                    let result = Err(StoreError::Unavailable);
+                    // This thread empties the ring, so it must not wait for room in it.
+                    let _ = self.core.try_send(EntryInput::Stored { call, result });
+                }
+            }
+            EntryAction::Count(count) => self.links.metrics.count(count),
+            EntryAction::Stopped => {
+                info!("all requests are answered");
+                return Flow::Stop;
+            }
+        }
+        Flow::Continue
+    }
+
+    fn publish(&self, role: &Entry, now: Time) {
+        let metrics = &self.links.metrics;
+        set(&metrics.open, role.open() as u64);
+        set(&metrics.config_version, role.config().0);
+        set(&metrics.roster_version, role.roster().version());
+        set(&metrics.roster_members, role.roster().live().count() as u64);
+        if let Ok(mut view) = self.view.write() {
+            view.ready = role.is_ready();
+            view.draining = role.is_draining();
+            view.confirmed_ms = role
+                .confirmed()
+                .map(|confirmed| now.millis_since(confirmed));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarpondd/src/http/agent_api.rs
@@ -0,0 +1,93 @@
+//! The HTTP interface of an agent: its endpoint, metrics and health.
+
+use std::sync::mpsc::SyncSender;
+use std::sync::{Arc, RwLock};
+
+use fulmarpond_core::agent::AgentInput;
+use fulmarpond_core::machine::Registration;
+use rouille::{Request, Response};
+use serde_json::json;
+use tracing::{info, warn};
+
+use super::{body, render};
+use crate::driver::AgentView;
+use crate::metrics::Metrics;
+
+/// The largest announcement of an endpoint in bytes.
+const ANNOUNCE_MAX: u64 = 64 << 10;
+
+/// The HTTP interface of an agent.
+pub(crate) struct AgentApi {
+    pub(crate) core: SyncSender<AgentInput>,
+    pub(crate) view: Arc<RwLock<AgentView>>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) zone: String,
+    /// The lease of a registration in milliseconds.
+    pub(crate) lease_ms: u64,
+}
+
+impl AgentApi {
+    /// Handles a request.
+    pub(crate) fn handle(&self, request: &Request) -> Response {
+        let url = request.url();
+        match (request.method(), url.as_str()) {
+            ("POST", "/v1/endpoint") => self.register(request),
+            ("DELETE", "/v1/endpoint") => self.deliver(AgentInput::EndpointLeaves, &json!({})),
+            ("GET", "/metrics") => metrics(&self.metrics),
+            ("GET", "/healthz") => Response::text("ok"),
+            ("GET", "/readyz") => self.ready(),
+            _ => Response::empty_404(),
+        }
+    }
+
+    fn register(&self, request: &Request) -> Response {
+        let registration: Registration = match body::read(request, ANNOUNCE_MAX) {
+            Ok(registration) => registration,
+            Err(response) => return response,
+        };
+        if registration.zone != self.zone {
+            let detail = format!(
+                "field `zone` is `{}`, but this agent is in `{}`",
+                registration.zone, self.zone
+            );
+            warn!(%detail, "refused an endpoint");
+            return render::invalid(400, &detail);
+        }
+        if registration.capacity() == 0 {
+            return render::invalid(400, "fields `slots` and `connections` must be above 0");
+        }
+        let lease = json!({"lease_ms": self.lease_ms});
+        self.deliver(AgentInput::Endpoint(registration), &lease)
+    }
+
+    fn deliver(&self, input: AgentInput, body: &serde_json::Value) -> Response {
+        if matches!(input, AgentInput::EndpointLeaves) {
+            info!("the endpoint is leaving");
+        }
+        match self.core.try_send(input) {
+            Ok(()) => render::json_response(200, body),
+            Err(_) => render::invalid(503, "the agent is overloaded or stopping"),
+        }
+    }
+
+    fn ready(&self) -> Response {
+        let view = self
+            .view
+            .read()
+            .map(|view| view.clone())
+            .unwrap_or_default();
+        match (view.ready, view.draining) {
+            (true, _) => Response::text("ready"),
+            (false, true) => Response::text("draining").with_status_code(503),
+            (false, false) => {
+                Response::text("no endpoint or no confirmed roster").with_status_code(503)
+            }
+        }
+    }
+}
+
+/// Makes the response to a scrape.
+pub(super) fn metrics(metrics: &Metrics) -> Response {
+    let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    Response::from_data(kind, metrics.encode())
+}
--- /dev/null
+++ b/crates/fulmarpondd/src/http/render.rs
@@ -0,0 +1,147 @@
+//! Responses to callers and operators.
+
+use fulmarpond_core::contract::{Answer, Event, JobId, Reason, Refusal, Status, Verdict};
+use fulmarpond_core::entry::CallerReply;
+use rouille::Response;
+use serde_json::{Value, json};
+
+/// Renders the reply of the core.
+pub(super) fn reply(reply: CallerReply) -> Response {
+    match reply {
+        CallerReply::Answer(answer) => render_answer(&answer),
+        CallerReply::Accepted(job) => state(202, &job, "accepted"),
+        CallerReply::Pending(job) => state(202, &job, "running"),
+        CallerReply::Unknown(job) => state(404, &job, "unknown"),
+        CallerReply::Status(status) => json_response(200, &render_status(&status)),
+        CallerReply::Events(events) => {
+            let list: Vec<Value> = events.events.iter().map(render_event).collect();
+            json_response(
+                200,
+                &json!({"events": list, "next": events.next, "ended": events.ended}),
+            )
+        }
+        CallerReply::Endpoints(peers) => {
+            let list: Vec<Value> = peers
+                .iter()
+                .map(|peer| {
+                    let state = match (peer.leaving, peer.load.failing) {
+                        (true, _) => "leaving",
+                        (false, true) => "ejected",
+                        (false, false) => "open",
+                    };
+                    json!({
+                        "agent": peer.agent, "addr": peer.addr, "zone": peer.zone,
+                        "slots": peer.load.slots, "free": peer.load.free,
+                        "queued": peer.load.queued, "state": state,
+                    })
+                })
+                .collect();
+            json_response(200, &json!(list))
+        }
+        CallerReply::Roster(roster) => json_response(
+            200,
+            &json!({"version": roster.version(), "members": roster.members()}),
+        ),
+        CallerReply::Teams(teams) => json_response(200, &json!(teams)),
+        CallerReply::Config(config) => json_response(
+            200,
+            &json!({
+                "version": config.version, "patch": config.patch.id,
+                "author": config.patch.author, "values": config.values,
+            }),
+        ),
+        CallerReply::Applied(version) => json_response(201, &json!({"version": version})),
+        CallerReply::Conflict { current } => {
+            let detail = format!("version {current} is in force");
+            json_response(
+                409,
+                &json!({"version": current, "reason": "conflict", "detail": detail}),
+            )
+        }
+        CallerReply::BadPatch(detail) => invalid(400, &detail),
+        CallerReply::Refused(refusal) => refused(&refusal),
+    }
+}
+
+/// Renders the final answer of a job.
+fn render_answer(answer: &Answer) -> Response {
+    let mut body = json!({"id": answer.job.name(), "team": answer.job.team()});
+    if let (Some(body), Ok(Value::Object(verdict))) =
+        (body.as_object_mut(), serde_json::to_value(&answer.verdict))
+    {
+        body.extend(verdict);
+    }
+    match &answer.verdict {
+        Verdict::Answered { .. } => json_response(200, &body),
+        Verdict::NotRun(refusal) => with_retry(json_response(status_of(refusal), &body), refusal),
+        Verdict::MayHaveRun(refusal) => with_retry(json_response(504, &body), refusal),
+    }
+}
+
+/// Renders a refusal that is not the answer of a job.
+pub(super) fn refused(refusal: &Refusal) -> Response {
+    let body = json!({
+        "verdict": "not_run", "reason": refusal.reason,
+        "retry_after_ms": refusal.retry_ms, "detail": refusal.detail,
+    });
+    with_retry(json_response(status_of(refusal), &body), refusal)
+}
+
+/// Renders a refusal of a malformed request.
+pub(super) fn invalid(status: u16, detail: &str) -> Response {
+    let reason = Reason::Invalid;
+    let body = json!({
+        "verdict": "not_run", "reason": reason, "retry_after_ms": 0, "detail": detail,
+    });
+    json_response(status, &body)
+}
+
+/// Renders the refusal of a body above `limit` bytes.
+pub(super) fn too_large(limit: u64) -> Response {
+    let detail = format!("the body is larger than {limit} bytes");
+    refused(&Refusal::new(Reason::TooLarge, 0).detail(detail))
+}
+
+fn status_of(refusal: &Refusal) -> u16 {
+    match refusal.reason {
+        Reason::Invalid => 400,
+        Reason::TooLarge => 413,
+        Reason::OverQuota => 429,
+        _ => 503,
+    }
+}
+
+fn with_retry(response: Response, refusal: &Refusal) -> Response {
+    if refusal.retry_ms == 0 {
+        return response;
+    }
+    let seconds = refusal.retry_ms.div_ceil(1_000);
+    response.with_additional_header("Retry-After", seconds.to_string())
+}
+
+fn state(status: u16, job: &JobId, state: &str) -> Response {
+    json_response(
+        status,
+        &json!({"id": job.name(), "team": job.team(), "state": state}),
+    )
+}
+
+fn render_status(status: &Status) -> Value {
+    json!({
+        "id": status.job.name(), "team": status.job.team(), "state": status.state,
+        "tasks": status.tasks, "waiting": status.waiting, "sent": status.sent,
+        "done": status.done, "home": status.home,
+    })
+}
+
+fn render_event(event: &Event) -> Value {
+    json!({
+        "number": event.number, "at_ms": event.at_ms, "kind": event.kind, "task": event.task,
+        "agent": event.agent, "detail": event.detail,
+    })
+}
+
+/// Makes a JSON response.
+pub(super) fn json_response(status: u16, body: &Value) -> Response {
+    Response::json(body).with_status_code(status)
+}
--- a/crates/fulmarpondd/src/main.rs
+++ b/crates/fulmarpondd/src/main.rs
@@ -1,3 +1,50 @@
-//! fulmarpondd.
+//! The fulmarpond daemon: one role of the dispatcher, from its settings file.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use fulmarpond_settings::{DaemonSettings, Document};
+use fulmarpondd::{Daemon, init_logs};
+use miette::{IntoDiagnostic, Result, WrapErr};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tracing::{info, warn};
+
+/// Runs one role of the fulmarpond dispatcher.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+struct Options {
+    /// The settings file.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Check the settings file and exit.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> Result<ExitCode> {
+    let options = Options::parse();
+    let name = options.settings.display().to_string();
+    let text = std::fs::read_to_string(&options.settings)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot read {name}"))?;
+    let document = Document::parse(&name, &text)?;
+    let settings = DaemonSettings::try_from(&document)?;
+    if options.check {
+        println!("{name}: ok, role {}", settings.role.as_str());
+        return Ok(ExitCode::SUCCESS);
+    }
+    init_logs(&settings.log);
+    let mut signals = Signals::new([SIGTERM, SIGINT]).into_diagnostic()?;
+    let daemon = Daemon::start(&settings).into_diagnostic()?;
+    println!("http {} link {}", daemon.http_addr(), daemon.link_addr());
+    if let Some(signal) = signals.forever().next() {
+        info!(signal, "stopping gracefully");
+    }
+    if daemon.stop(settings.timing.drain) {
+        return Ok(ExitCode::SUCCESS);
+    }
+    warn!(limit = ?settings.timing.drain, "stopped with work in flight");
+    Ok(ExitCode::FAILURE)
+}
