--- a/crates/fulmarpond-standins/src/endpoint/mod.rs
+++ b/crates/fulmarpond-standins/src/endpoint/mod.rs
@@ -5,7 +5,7 @@
 mod ledger;
 mod options;
 
-use std::io::{self, Read};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::service::{Outcome, Service};
+use crate::service::{Outcome, Service, json_body, status};
 use announcer::Announcer;
 use ledger::Ledger;
 
@@ -188,12 +188,12 @@
         match (request.method(), request.url().as_str()) {
             ("POST", "/run") => self.run(request),
             ("GET", "/control/ledger") => Response::json(&self.lock().ledger.rows()),
-            ("POST", "/control") => match rouille::input::json_input(request) {
+            ("POST", "/control") => match json_body(request) {
                 Ok(control) => {
                     self.control(control);
                     Response::json(&json!({}))
                 }
-                Err(error) => status(400, &error.to_string()),
+                Err(response) => response,
             },
             _ => status(404, "no such resource"),
         }
@@ -201,15 +201,9 @@
     }
 
     fn run(&self, request: &Request) -> Response {
-        let mut bytes = Vec::new();
-        if let Some(mut data) = request.data()
-            && let Err(error) = data.read_to_end(&mut bytes)
-        {
-            return status(400, &error.to_string());
-        }
-        let run: Run = match serde_json::from_slice(&bytes) {
+        let run: Run = match json_body(request) {
             Ok(run) => run,
-            Err(error) => return status(400, &error.to_string()),
+            Err(response) => return response,
         };
         let mut state = self.lock_awake();
         if state.stopping || state.refuse {
@@ -232,7 +226,3 @@
         Response::json(&json!({ "echo": run.payload }))
     }
 }
-
-fn status(code: u16, text: &str) -> Response {
-    Response::text(text).with_status_code(code)
-}
--- a/crates/fulmarpond-standins/src/key_value/mod.rs
+++ b/crates/fulmarpond-standins/src/key_value/mod.rs
@@ -12,7 +12,7 @@
 use rouille::{Request, Response};
 use serde_json::json;
 
-use crate::service::{Outcome, Service};
+use crate::service::{Outcome, Service, json_body, status};
 use calls::Call;
 use store::{Refusal, Store};
 
@@ -139,12 +139,12 @@
         match (request.method(), path.as_str()) {
             ("GET", "/control/calls") => return Response::json(&self.lock().calls).into(),
             ("POST", "/control") => {
-                return match rouille::input::json_input(request) {
+                return match json_body(request) {
                     Ok(control) => {
                         self.control(control);
                         Response::json(&json!({})).into()
                     }
-                    Err(error) => invalid(&error.to_string()).into(),
+                    Err(response) => response.into(),
                 };
             }
             _ => {}
@@ -279,10 +279,6 @@
     }
 }
 
-fn status(code: u16, text: &str) -> Response {
-    Response::text(text).with_status_code(code)
-}
-
 fn invalid(text: &str) -> Response {
     status(400, text)
 }
--- a/crates/fulmarpond-standins/src/relay.rs
+++ b/crates/fulmarpond-standins/src/relay.rs
@@ -134,10 +134,14 @@
     /// answered what it had received and closed its connections, for at most `limit`.
     pub(crate) fn drain(&self, limit: Duration) {
         self.refuse();
-        for link in self.shared.lock().links.values() {
+        let mut state = self.shared.lock();
+        // Connections that were accepted but not yet connected to the target are closed.
+        state.stopped = true;
+        for link in state.links.values() {
             // The forwarding thread still forwards what was received before.
             let _ = link.caller.shutdown(Shutdown::Read);
         }
+        drop(state);
         drop(self.shared.wait_ended(Instant::now().checked_add(limit)));
     }
 
--- a/crates/fulmarpond-standins/src/service.rs
+++ b/crates/fulmarpond-standins/src/service.rs
@@ -1,6 +1,6 @@
 //! The HTTP server of a stand-in.
 
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use rouille::{Request, Response, Server};
+use serde::de::DeserializeOwned;
 
 use crate::Relay;
 use crate::relay::Cutter;
@@ -92,3 +93,17 @@
         }
     }
 }
+
+/// Reads the body of `request` as JSON, whatever content type it names.
+pub(crate) fn json_body<T: DeserializeOwned>(request: &Request) -> Result<T, Response> {
+    let mut bytes = Vec::new();
+    if let Some(mut data) = request.data() {
+        (data.read_to_end(&mut bytes)).map_err(|error| status(400, &error.to_string()))?;
+    }
+    serde_json::from_slice(&bytes).map_err(|error| status(400, &error.to_string()))
+}
+
+/// Returns a reply that consists of a status and a text.
+pub(crate) fn status(code: u16, text: &str) -> Response {
+    Response::text(text).with_status_code(code)
+}
