--- a/crates/fulmarpond-link/src/rpc/client.rs
+++ b/crates/fulmarpond-link/src/rpc/client.rs
@@ -118,9 +118,12 @@
             .flatten()
             .ok_or(LinkError::NotSent)?;
         completion.mark_sent();
-        timeout_at(deadline, connection.call(envelope.request.method(), params))
-            .await
-            .unwrap_or(Err(LinkError::Lost))
+        timeout_at(
+            deadline,
+            connection.call(envelope.request.method(), &params),
+        )
+        .await
+        .unwrap_or(Err(LinkError::Lost))
     }
 
     /// Returns an open connection to `addr`. Concurrent calls wait for the same attempt.
--- a/crates/fulmarpond-link/src/rpc/codec.rs
+++ b/crates/fulmarpond-link/src/rpc/codec.rs
@@ -5,12 +5,11 @@
 //! it; a tag inside the params would have to be found first.
 
 use fulmarpond_core::link::{Envelope, LinkError, Request, Response};
-use jsonrpsee::core::client::Error as CallError;
-use jsonrpsee::core::traits::ToRpcParams;
+use jsonrpsee::core::client::{Error as CallError, MiddlewareMethodResponse};
 use jsonrpsee::types::error::{
     INVALID_PARAMS_CODE, INVALID_REQUEST_CODE, METHOD_NOT_FOUND_CODE, PARSE_ERROR_CODE,
 };
-use jsonrpsee::types::{ErrorCode, ErrorObjectOwned, Params};
+use jsonrpsee::types::{ErrorCode, ErrorObjectOwned, Params, ResponsePayload};
 use serde_json::value::{RawValue, to_raw_value};
 
 /// The error code of a request whose responder was dropped. Its fate is not known.
@@ -29,11 +28,10 @@
     pub(super) fn len(&self) -> usize {
         self.0.get().len()
     }
-}
 
-impl ToRpcParams for Encoded {
-    fn to_rpc_params(self) -> serde_json::Result<Option<Box<RawValue>>> {
-        Ok(Some(self.0))
+    /// Returns the JSON text.
+    pub(super) fn as_raw(&self) -> &RawValue {
+        &self.0
     }
 }
 
@@ -95,17 +93,20 @@
 /// Only the errors that a server returns before its handler sees the request count as rejected.
 /// A response that cannot be decoded comes after the handler, so the fate is unknown.
 pub(super) fn outcome(
-    result: std::result::Result<Response, CallError>,
+    result: std::result::Result<MiddlewareMethodResponse, CallError>,
 ) -> std::result::Result<Response, LinkError> {
-    result.map_err(|error| match error {
-        CallError::Call(error) => match error.code() {
+    let response = result.map_err(|_| LinkError::Lost)?;
+    match response.into_response().into_inner().payload {
+        ResponsePayload::Success(result) => {
+            serde_json::from_str(result.get()).map_err(|_| LinkError::Lost)
+        }
+        ResponsePayload::Error(error) => Err(match error.code() {
             PARSE_ERROR_CODE
             | INVALID_REQUEST_CODE
             | METHOD_NOT_FOUND_CODE
             | INVALID_PARAMS_CODE
             | STOPPING_CODE => LinkError::Rejected,
             _ => LinkError::Lost,
-        },
-        _ => LinkError::Lost,
-    })
+        }),
+    }
 }
--- a/crates/fulmarpond-link/src/rpc/connection.rs
+++ b/crates/fulmarpond-link/src/rpc/connection.rs
@@ -1,14 +1,15 @@
 //! One open connection of a client.
 
+use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use fulmarpond_core::link::{LinkError, Response};
 use jsonrpsee::client_transport::ws::{HeaderMap, Url, WsTransportClientBuilder};
-use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::client::async_client::{Client, ClientBuilder, PingConfig, RpcService};
-use jsonrpsee::core::middleware::RpcServiceBuilder;
+use jsonrpsee::core::middleware::{RpcServiceBuilder, RpcServiceT};
+use jsonrpsee::types::{Id, Request};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -19,13 +20,15 @@
 
 /// The calls that may wait to be written before further ones wait outside.
 const REQUEST_BUFFER: usize = 16_384;
-/// Effectively none: the timeout of a call is applied outside.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(365 * 24 * 3600);
 
 /// An open connection.
-#[derive(Debug)]
+///
+/// Requests go straight to the service inside the client, since `ClientT::request` sets up a timer
+/// in a separate thread for each call. Timeouts are applied outside.
 pub(super) struct Connection {
-    rpc: Client<RpcService>,
+    client: Client<RpcService>,
+    service: RpcService,
+    next_id: AtomicU64,
 }
 
 impl Connection {
@@ -37,9 +40,9 @@
     ) -> Option<(Self, WireWatch)> {
         let opened = timeout(options.connect_timeout, connect(addr, options, stats)).await;
         match opened {
-            Ok(Ok((rpc, watch))) => {
+            Ok(Ok(opened)) => {
                 count(&stats.opened);
-                Some((Self { rpc }, watch))
+                Some(opened)
             }
             Ok(Err(error)) => {
                 tracing::debug!(%addr, %error, "cannot open a connection");
@@ -54,21 +57,31 @@
 
     /// Returns whether the connection accepts calls.
     pub(super) fn is_open(&self) -> bool {
-        self.rpc.is_connected()
+        self.client.is_connected()
     }
 
     /// Waits until the connection is closed.
     pub(super) async fn closed(&self) {
-        self.rpc.on_disconnect().await;
+        self.client.on_disconnect().await;
     }
 
     /// Sends a request and waits for its response.
     pub(super) async fn call(
         &self,
         method: &'static str,
-        params: Encoded,
+        params: &Encoded,
     ) -> Result<Response, LinkError> {
-        codec::outcome(self.rpc.request(method, params).await)
+        let id = Id::Number(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let request = Request::borrowed(method, Some(params.as_raw()), id);
+        codec::outcome(self.service.call(request).await)
+    }
+}
+
+impl fmt::Debug for Connection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connection")
+            .field("open", &self.is_open())
+            .finish_non_exhaustive()
     }
 }
 
@@ -78,7 +91,7 @@
     addr: SocketAddr,
     options: &ClientOptions,
     stats: &Arc<LinkStats>,
-) -> Result<(Client<RpcService>, WireWatch), BoxError> {
+) -> Result<(Connection, WireWatch), BoxError> {
     let stream = TcpStream::connect(addr).await?;
     let (wire, watch, _) = Wire::new(stream, Arc::clone(stats))?;
     let mut headers = HeaderMap::new();
@@ -93,9 +106,13 @@
         .connection_timeout(options.connect_timeout)
         .build_with_stream(Url::parse(&format!("ws://{addr}"))?, wire)
         .await?;
-    let rpc = ClientBuilder::new()
-        .set_rpc_middleware(RpcServiceBuilder::new())
-        .request_timeout(REQUEST_TIMEOUT)
+    let service = Arc::new(OnceLock::new());
+    let keep = Arc::clone(&service);
+    let client = ClientBuilder::new()
+        .set_rpc_middleware(
+            RpcServiceBuilder::new()
+                .layer_fn(move |service: RpcService| keep.get_or_init(|| service).clone()),
+        )
         .max_concurrent_requests(REQUEST_BUFFER)
         .enable_ws_ping(
             PingConfig::new()
@@ -103,5 +120,11 @@
                 .inactive_limit(options.inactive_limit),
         )
         .build_with_tokio(sender, receiver);
-    Ok((rpc, watch))
+    let service = service.get().cloned().ok_or("the client has no service")?;
+    let connection = Connection {
+        client,
+        service,
+        next_id: AtomicU64::new(0),
+    };
+    Ok((connection, watch))
 }
--- a/crates/fulmarpond-link/tests/calls.rs
+++ b/crates/fulmarpond-link/tests/calls.rs
@@ -2,9 +2,12 @@
 
 mod common;
 
-use common::{any_port, call, client, echo, report, run, runtime, start};
-use fulmarpond_core::link::LinkError;
-use fulmarpond_link::ServeOptions;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use common::{Relay, any_port, call, client, echo, report, run, runtime, start};
+use fulmarpond_core::link::{Envelope, LinkError, Request, Response};
+use fulmarpond_link::{ClientOptions, ServeOptions};
 use serde_json::json;
 
 /// Guards against content that changes on its way through the encoding of both directions.
@@ -61,3 +64,192 @@
     }
     assert_eq!(runtime.stats().opened(), 1);
 }
+
+/// Guards against limits of the transport below `max_body`, in either direction.
+#[test]
+fn large_body_arrives() {
+    let runtime = runtime();
+    let server = echo(&runtime, ServeOptions::default());
+    let client = client(&runtime);
+    let request = run(1, json!("x".repeat(8 << 20)));
+
+    let outcome = call(&client, server.addr(), request.clone());
+
+    assert!(outcome == Ok(report(request)));
+}
+
+/// Guards against an oversized request that ends the connection and with it the other calls.
+#[test]
+fn oversized_request_is_rejected_alone() {
+    let runtime = runtime();
+    let server = echo(&runtime, ServeOptions::default());
+    let client = runtime.client(ClientOptions {
+        max_body: 1024,
+        ..ClientOptions::default()
+    });
+    let small = run(1, json!(1));
+
+    assert_eq!(
+        call(&client, server.addr(), small.clone()),
+        Ok(report(small.clone()))
+    );
+    let oversized = run(2, json!("x".repeat(2048)));
+    assert_eq!(
+        call(&client, server.addr(), oversized),
+        Err(LinkError::Rejected)
+    );
+    assert_eq!(
+        call(&client, server.addr(), small.clone()),
+        Ok(report(small))
+    );
+    assert_eq!(runtime.stats().opened(), 1);
+}
+
+/// Guards against a response whose loss is reported as a refusal: the request had its effect.
+#[test]
+fn oversized_response_is_lost() {
+    let runtime = runtime();
+    let server = runtime
+        .serve(any_port(), ServeOptions::default(), |_, responder| {
+            responder.send(report(run(1, json!("x".repeat(20 << 20)))));
+        })
+        .expect("the server listens");
+    let client = client(&runtime);
+
+    let outcome = call(&client, server.addr(), run(1, json!(null)));
+
+    assert!(outcome == Err(LinkError::Lost));
+}
+
+/// Guards against a method that is missing or decoded as another request.
+#[test]
+fn every_request_arrives_unchanged() {
+    let runtime = runtime();
+    let (sender, seen) = channel();
+    let server = runtime
+        .serve(
+            any_port(),
+            ServeOptions::default(),
+            move |envelope, responder| {
+                sender.send(envelope).expect("the test waits");
+                responder.send(Response::Done);
+            },
+        )
+        .expect("the server listens");
+    let client = client(&runtime);
+    let job = json!({"team": "hunt-desk", "name": "round-1"});
+    let load = json!({"slots": 8, "free": 3, "queued": 0});
+    let limits = json!({"memory_mb": 1024, "processors": 8, "accelerators": 1});
+    let cases = [
+        (
+            "announce",
+            json!({
+                "agent": "saga-1~7", "addr": "127.0.0.1:9", "zone": "saga", "load": load,
+                "leaving": false, "limits": limits, "roster": 4, "config": 2,
+                "usage": {"teams": {"hunt-desk": {"entry-1": 5}}},
+            }),
+        ),
+        ("leave", json!({"agent": "saga-1~7", "heir": null})),
+        (
+            "submit",
+            json!({
+                "submission": {
+                    "job": job, "attempt": "first", "remaining_ms": 10,
+                    "tasks": [{"kind": "hint-draw", "payload": [1, 2]}],
+                },
+                "entry": "entry-1", "roster": 4, "skipped": true,
+            }),
+        ),
+        ("fetch", json!({"job": job, "wait_ms": 10})),
+        ("status", json!({"job": job})),
+        ("events", json!({"job": job, "from": 3, "wait_ms": 10})),
+        ("cancel", json!({"job": job})),
+        (
+            "run",
+            json!({
+                "home": "saga-1~7", "batch": 9, "job": job, "remaining_ms": 10,
+                "tasks": [[0, {"kind": "unlock-ping", "payload": null}]],
+            }),
+        ),
+        (
+            "reserve",
+            json!({"home": "saga-1~7", "want": 2, "wait_ms": 10}),
+        ),
+        ("withdraw", json!({"home": "saga-1~7", "batches": [9, 10]})),
+        ("ask", json!({"home": "saga-1~7", "batch": 9})),
+        (
+            "seal",
+            json!({"job": job, "holder": "saga-1~7", "keep_ms": 10}),
+        ),
+        (
+            "handover",
+            json!({
+                "from": "saga-1~7",
+                "memory": [{"digest": "0f", "memory": "accepted", "keep_ms": 10}],
+                "answers": [],
+            }),
+        ),
+    ];
+    assert_eq!(cases.each_ref().map(|case| case.0), Request::METHODS);
+
+    for (method, params) in cases {
+        for to in [None, Some("kurume-2~1")] {
+            let envelope: Envelope =
+                serde_json::from_value(json!({"to": to, "method": method, "params": params}))
+                    .unwrap_or_else(|error| panic!("{method}: {error}"));
+            let outcome = call(&client, server.addr(), envelope.clone());
+            assert_eq!(outcome, Ok(Response::Done), "{method}");
+            assert_eq!(seen.recv(), Ok(envelope), "{method}");
+        }
+    }
+}
+
+/// Guards against connections that stay open for ever to addresses that are no longer called, and
+/// against a call that fails because its connection was closed for want of calls.
+#[test]
+fn unused_connection_is_closed_and_reopened() {
+    let runtime = runtime();
+    let server = echo(&runtime, ServeOptions::default());
+    let relay = Relay::start(server.addr());
+    let client = runtime.client(ClientOptions {
+        idle_limit: Duration::from_millis(20),
+        ..ClientOptions::default()
+    });
+
+    for opened in 1..=3 {
+        let request = run(opened, json!(opened));
+        let outcome = call(&client, relay.addr(), request.clone());
+        assert_eq!(outcome, Ok(report(request)));
+        relay.wait_closed();
+        assert_eq!(runtime.stats().opened(), opened);
+    }
+}
+
+/// Guards against a connection that is closed for want of calls while a long call waits on it.
+#[test]
+fn long_call_keeps_its_connection() {
+    let runtime = runtime();
+    let (sender, held) = channel();
+    let server = runtime
+        .serve(
+            any_port(),
+            ServeOptions::default(),
+            move |envelope, responder| {
+                sender.send((envelope, responder)).expect("the test waits");
+            },
+        )
+        .expect("the server listens");
+    let client = runtime.client(ClientOptions {
+        idle_limit: Duration::from_millis(20),
+        ..ClientOptions::default()
+    });
+
+    let request = run(1, json!(1));
+    let outcome = start(&client, server.addr(), request.clone());
+    let (envelope, responder) = held.recv().expect("the request arrives");
+    // Several times the idle limit.
+    std::thread::sleep(Duration::from_millis(200));
+    responder.send(report(envelope));
+
+    assert_eq!(outcome.recv(), Ok(Ok(report(request))));
+}
--- a/crates/fulmarpond-link/tests/common/mod.rs
+++ b/crates/fulmarpond-link/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Servers, clients and requests shared by the tests.
-#![allow(dead_code, reason = "each test binary uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test binary uses a part")]
+
+mod relay;
 
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, channel};
@@ -13,6 +15,7 @@
 use fulmarpond_link::{
     ClientOptions, LinkClient, LinkRuntime, LinkServer, Responder, ServeOptions,
 };
+pub(crate) use relay::Relay;
 use serde_json::Value;
 
 /// Long enough that no test reaches it unless a call hangs.
@@ -94,9 +97,8 @@
 ) -> Receiver<CallResult> {
     let (sender, receiver) = channel();
     client.call(addr, envelope, timeout, move |outcome| {
-        sender
-            .send(outcome)
-            .expect("the test waits for the outcome");
+        // The receiver is gone if the test does not wait for the outcome.
+        let _ = sender.send(outcome);
     });
     receiver
 }
