fix(core): report a refused part of a batch once

Cause: a follow-up question about a batch repeated its earlier refusals, which counted as news again, so home and agent asked and answered in a loop. Reports are now repeated only after a lost link.

--- a/crates/fulmarpond-core/src/home/reports.rs
+++ b/crates/fulmarpond-core/src/home/reports.rs
@@ -43,7 +43,7 @@
             (Err(LinkError::NotSent | LinkError::Rejected), 0) => {
                 self.not_sent(ctx, batch);
             }
-            (Err(LinkError::Lost), 0) => self.ask(ctx, batch, 1),
+            (Err(LinkError::Lost), 0) => self.ask(ctx, batch, 1, true),
             (Ok(_) | Err(_), _) => self.ask_later(ctx, batch, asks),
         }
     }
@@ -82,7 +82,7 @@
             return;
         }
         if report.running {
-            self.ask(ctx, batch, 1);
+            self.ask(ctx, batch, 1, false);
         } else {
             self.batches.remove(&batch);
         }
@@ -202,8 +202,8 @@
         self.not_started(ctx, batch, &Refusal::new(Reason::Unreachable, 0));
     }
 
-    /// Asks the agent what became of a batch, over a new link if the old one was lost.
-    fn ask<R: Rng>(&mut self, ctx: &mut Context<'_, R>, batch: BatchId, asks: u32) {
+    /// Asks the agent what became of a batch. `repeat` says that an earlier report may be lost.
+    fn ask<R: Rng>(&mut self, ctx: &mut Context<'_, R>, batch: BatchId, asks: u32, repeat: bool) {
         let Some(sent) = self.batches.get_mut(&batch) else {
             return;
         };
@@ -212,10 +212,13 @@
         let request = Request::Ask(Ask {
             home: ctx.me.clone(),
             batch,
+            repeat,
         });
         let call = ctx.next_call();
         self.pending.insert(call, Pending::Batch { batch, asks });
-        ctx.count(Count::Retry(RetryCause::Asked));
+        if repeat {
+            ctx.count(Count::Retry(RetryCause::Asked));
+        }
         ctx.actions.push(AgentAction::call(
             call,
             sent.addr,
@@ -247,7 +250,7 @@
             .collect();
         due.sort_unstable();
         for (batch, asks) in due {
-            self.ask(ctx, batch, asks + 1);
+            self.ask(ctx, batch, asks + 1, true);
         }
     }
 
--- a/crates/fulmarpond-core/src/link/message.rs
+++ b/crates/fulmarpond-core/src/link/message.rs
@@ -399,6 +399,8 @@
     pub home: AgentId,
     /// The batch.
     pub batch: BatchId,
+    /// Whether an earlier report may be lost, so that all outcomes are wanted again.
+    pub repeat: bool,
 }
 
 /// Asks for the seal of a job.
--- a/crates/fulmarpond-core/src/machine/machine.rs
+++ b/crates/fulmarpond-core/src/machine/machine.rs
@@ -8,6 +8,9 @@
 use crate::link::Peer;
 use crate::zone::Zone;
 
+/// The time that a batch may need to reach its agent and show in its load, in milliseconds.
+const SETTLE_MS: u64 = 10;
+
 /// A home's view of one agent: its last known load, corrected by what was sent since.
 #[derive(Debug, Clone)]
 pub struct Machine {
@@ -61,7 +64,8 @@
             now.as_micros()
                 .saturating_sub(peer.age_ms.saturating_mul(1_000)),
         );
-        if heard > self.updated {
+        // What was heard just after a send can stem from before its arrival.
+        if heard > self.updated.after_millis(SETTLE_MS) {
             self.load = peer.load;
             self.updated = heard;
         }
--- a/crates/fulmarpond-core/src/runner/batch.rs
+++ b/crates/fulmarpond-core/src/runner/batch.rs
@@ -27,6 +27,8 @@
     reports: Vec<TaskReport>,
     /// The number of reports that an earlier response carried.
     reported: usize,
+    /// Whether the next report carries all outcomes again.
+    repeat: bool,
 }
 
 impl RunningBatch {
@@ -41,6 +43,7 @@
             active: 0,
             reports: Vec::new(),
             reported: 0,
+            repeat: false,
         }
     }
 
@@ -87,10 +90,13 @@
             .any(|report| matches!(report.outcome, Outcome::NotStarted(_)))
     }
 
-    /// Creates a report of the outcomes that no earlier response carried.
+    /// Creates a report of the outcomes that no earlier response carried, or of all of them if an
+    /// earlier response may be lost.
     pub(super) fn report(&mut self, batch: BatchId, load: Load) -> BatchReport {
-        let tasks = self.reports[self.reported..].to_vec();
+        let start = if self.repeat { 0 } else { self.reported };
+        let tasks = self.reports[start..].to_vec();
         self.reported = self.reports.len();
+        self.repeat = false;
         BatchReport {
             batch,
             running: self.is_running(),
@@ -99,8 +105,8 @@
         }
     }
 
-    /// Makes the next report carry all outcomes again, since an earlier response may be lost.
+    /// Makes the next report carry all outcomes again.
     pub(super) fn repeat(&mut self) {
-        self.reported = 0;
+        self.repeat = true;
     }
 }
--- a/crates/fulmarpond-core/src/runner/runner.rs
+++ b/crates/fulmarpond-core/src/runner/runner.rs
@@ -175,7 +175,7 @@
             return;
         }
         if self.batches.contains_key(&key) {
-            self.attach(ctx, call, &key);
+            self.attach(ctx, call, &key, true);
             return;
         }
         let deadline = ctx.now.after_millis(batch.remaining_ms);
@@ -421,7 +421,7 @@
     pub(crate) fn ask<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, ask: Ask) {
         let key = (ask.home, ask.batch);
         if self.batches.contains_key(&key) {
-            self.attach(ctx, call, &key);
+            self.attach(ctx, call, &key, ask.repeat);
             return;
         }
         self.bar(ctx.now, key);
@@ -429,7 +429,13 @@
     }
 
     /// Makes `call` wait for the report of a known batch in place of an earlier call.
-    fn attach<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, key: &BatchKey) {
+    fn attach<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        key: &BatchKey,
+        repeat: bool,
+    ) {
         let load = self.load(ctx.now);
         let Some(memory) = self.batches.get_mut(key) else {
             return;
@@ -438,7 +444,9 @@
             let report = memory.report(key.1, load);
             ctx.reply(earlier, Response::Run(report));
         }
-        memory.repeat();
+        if repeat {
+            memory.repeat();
+        }
         self.report(ctx, key);
     }
 
