--- /dev/null
+++ b/crates/fulmarpond/src/client.rs
@@ -0,0 +1,313 @@
+//! HTTP client for the interface of an entry.
+
+use std::fs;
+use std::io;
+use std::time::Duration;
+
+use serde_json::Value;
+use ureq::http::Request;
+use ureq::{Agent, Timeout};
+
+use crate::cli::Options;
+use crate::{Failure, Result};
+
+/// How long a connection may take to be established. A round trip takes a few milliseconds, so
+/// this only bounds the wait for hosts that are down.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a reply may take beyond the wait that a request asks for.
+pub(crate) const REPLY_MARGIN: Duration = Duration::from_secs(10);
+
+/// The largest reply read. A job of 670 tasks with large results stays well below it.
+const MAX_REPLY: u64 = 256 * 1024 * 1024;
+
+/// A request method.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Method {
+    Get,
+    Post,
+    Delete,
+}
+
+impl Method {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "GET",
+            Self::Post => "POST",
+            Self::Delete => "DELETE",
+        }
+    }
+}
+
+/// A reply with any status.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) text: String,
+}
+
+impl Reply {
+    /// Returns the body as JSON, or null if it is something else.
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or(Value::Null)
+    }
+
+    /// Returns the JSON body of a reply with status 200 to 299.
+    ///
+    /// # Errors
+    ///
+    /// A refusal (4xx, or 503 with verdict `not_run`) did not run; anything else may have run.
+    pub(crate) fn success(&self, what: &str) -> Result<Value> {
+        if (200..300).contains(&self.status) {
+            return serde_json::from_str(&self.text).map_err(|error| {
+                Failure::may_have_run(format!("{what}: the reply is not JSON: {error}"))
+            });
+        }
+        let message = format!("{what}: {}", self.explain());
+        Err(match self.status {
+            // An id that no candidate knows may belong to a job whose home was lost.
+            404 => Failure::may_have_run(message),
+            400..=499 => Failure::refused(message),
+            503 if self.json()["verdict"] == "not_run" => Failure::refused(message),
+            _ => Failure::may_have_run(message),
+        })
+    }
+
+    /// Returns the status with the reason and detail of the body, for people.
+    pub(crate) fn explain(&self) -> String {
+        let body = self.json();
+        let parts: Vec<&str> = [&body["reason"], &body["detail"]]
+            .into_iter()
+            .filter_map(Value::as_str)
+            .filter(|part| !part.is_empty())
+            .collect();
+        let text = if parts.is_empty() {
+            self.text.trim().chars().take(200).collect()
+        } else {
+            parts.join(": ")
+        };
+        if text.is_empty() {
+            format!("status {}", self.status)
+        } else {
+            format!("status {}, {text}", self.status)
+        }
+    }
+}
+
+/// Why a request got no reply.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// No connection was established; nothing was transmitted.
+    NotSent(String),
+    /// The request may have been transmitted.
+    Lost(String),
+}
+
+impl CallError {
+    /// Returns the error, for people.
+    pub(crate) fn message(&self) -> &str {
+        match self {
+            Self::NotSent(message) | Self::Lost(message) => message,
+        }
+    }
+}
+
+/// A client of the entries named on the command line.
+#[derive(Debug)]
+pub(crate) struct Client {
+    agent: Agent,
+    entries: Vec<String>,
+    token: Option<String>,
+}
+
+impl Client {
+    /// Creates a client that keeps at most `connections` idle connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns a usage failure if the token file can't be read.
+    pub(crate) fn new(options: &Options, connections: usize) -> Result<Self> {
+        let token = match &options.token_file {
+            Some(path) => {
+                let text = fs::read_to_string(path).map_err(|error| {
+                    Failure::usage(format!(
+                        "token file {} can't be read: {error}",
+                        path.display()
+                    ))
+                })?;
+                Some(text.trim().to_owned())
+            }
+            None => None,
+        };
+        let entries: Vec<String> = options
+            .entries
+            .iter()
+            .map(|entry| entry.trim().to_owned())
+            .filter(|entry| !entry.is_empty())
+            .collect();
+        if entries.is_empty() {
+            return Err(Failure::usage("no entry is named"));
+        }
+        Ok(Self {
+            agent: http_agent(connections),
+            entries,
+            token,
+        })
+    }
+
+    /// Returns the addresses of the entries.
+    pub(crate) fn entries(&self) -> &[String] {
+        &self.entries
+    }
+
+    /// Sends one request to one entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no reply. A reply with any status is not an error.
+    pub(crate) fn call(
+        &self,
+        entry: &str,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let mut request = Request::builder()
+            .method(method.as_str())
+            .uri(format!("{}{path}", base(entry)));
+        if let Some(token) = &self.token {
+            request = request.header("authorization", format!("Bearer {token}"));
+        }
+        let sent = match body {
+            Some(body) => request
+                .header("content-type", "application/json")
+                .body(body.to_string())
+                .map_err(ureq::Error::from)
+                .and_then(|request| self.send(request, timeout)),
+            None => request
+                .body(())
+                .map_err(ureq::Error::from)
+                .and_then(|request| self.send(request, timeout)),
+        };
+        sent.map_err(|error| classify(entry, &error))
+    }
+
+    /// Sends a request that changes nothing, or that may be repeated without harm, to each entry in
+    /// turn until one replies. An entry that replies 503 is passed over if another one replies.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if no entry replied.
+    pub(crate) fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+        timeout: Duration,
+    ) -> Result<Reply> {
+        let mut unavailable = None;
+        let mut errors = Vec::new();
+        for entry in &self.entries {
+            match self.call(entry, method, path, body, timeout) {
+                Ok(reply) if reply.status == 503 => unavailable = Some(reply),
+                Ok(reply) => return Ok(reply),
+                Err(error) => errors.push(error),
+            }
+        }
+        match unavailable {
+            Some(reply) => Ok(reply),
+            None => Err(no_reply(&errors, matches!(method, Method::Get))),
+        }
+    }
+
+    /// Reads a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if no entry replied or if the reply is not a success.
+    pub(crate) fn read(&self, what: &str, path: &str) -> Result<Value> {
+        self.ask(Method::Get, path, None, REPLY_MARGIN)?
+            .success(what)
+    }
+
+    fn send<S: ureq::AsSendBody>(
+        &self,
+        request: Request<S>,
+        timeout: Duration,
+    ) -> Result<Reply, ureq::Error> {
+        let request = self
+            .agent
+            .configure_request(request)
+            .timeout_global(Some(timeout))
+            .build();
+        let mut response = self.agent.run(request)?;
+        let status = response.status().as_u16();
+        let text = response
+            .body_mut()
+            .with_config()
+            .limit(MAX_REPLY)
+            .read_to_string()?;
+        Ok(Reply { status, text })
+    }
+}
+
+/// Returns the failure of a request to which no entry replied.
+///
+/// A lost request that `reads` only has no effect, so the entries count as unreachable.
+pub(crate) fn no_reply(errors: &[CallError], reads: bool) -> Failure {
+    let message = errors
+        .iter()
+        .map(CallError::message)
+        .collect::<Vec<_>>()
+        .join("; ");
+    let lost = errors
+        .iter()
+        .any(|error| matches!(error, CallError::Lost(_)));
+    if lost && !reads {
+        Failure::may_have_run(format!("no reply: {message}"))
+    } else {
+        Failure::Unreachable { message }
+    }
+}
+
+/// Creates an HTTP agent that reports every status as a reply and uses no proxy.
+pub(crate) fn http_agent(connections: usize) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .max_redirects(0)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .max_idle_connections(connections)
+        .max_idle_connections_per_host(connections)
+        .build()
+        .into()
+}
+
+/// Returns the base URL of an address, which may be `HOST:PORT` or a URL.
+pub(crate) fn base(addr: &str) -> String {
+    if addr.contains("://") {
+        addr.trim_end_matches('/').to_owned()
+    } else {
+        format!("http://{addr}")
+    }
+}
+
+fn classify(entry: &str, error: &ureq::Error) -> CallError {
+    let message = format!("{entry}: {error}");
+    let not_sent = match error {
+        // A refused connection is the only I/O error that can't occur after the request was sent.
+        ureq::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve)
+        | ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::Http(_) => true,
+        _ => false,
+    };
+    if not_sent {
+        CallError::NotSent(message)
+    } else {
+        CallError::Lost(message)
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond/src/lib.rs
@@ -0,0 +1,42 @@
+//! The fulmarpond command-line tool: submits and watches jobs, changes the configuration and
+//! generates load.
+//!
+//! Every verb talks to one of the entries given by `--entry` over the HTTP interface of an entry.
+//! The exit code tells what became of the request, see [`Failure::code`].
+
+mod answer;
+mod cli;
+mod client;
+mod failure;
+mod output;
+mod table;
+mod verbs;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+pub use cli::Cli;
+pub use failure::{Failure, Result};
+
+/// Parses the arguments of the process, runs the verb and reports a failure on standard error.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match run(&cli) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            let code = failure.code();
+            eprintln!("{:?}", miette::Report::new(failure));
+            ExitCode::from(code)
+        }
+    }
+}
+
+/// Runs one command. Output goes to standard output.
+///
+/// # Errors
+///
+/// Returns the failure that decides the exit code of the process.
+pub fn run(cli: &Cli) -> Result<()> {
+    verbs::run(cli)
+}
--- a/crates/fulmarpond/src/main.rs
+++ b/crates/fulmarpond/src/main.rs
@@ -1,3 +1,7 @@
-//! fulmarpond.
+//! The fulmarpond command-line tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    fulmarpond::main()
+}
--- /dev/null
+++ b/crates/fulmarpond/src/verbs/answer.rs
@@ -0,0 +1,62 @@
+//! `answer`: the answer to a job that was submitted before.
+
+use std::time::Duration;
+
+use clap::Args;
+
+use super::job_id;
+use crate::answer::{self, Verdict};
+use crate::cli::Options;
+use crate::client::{Client, Method, REPLY_MARGIN};
+use crate::output;
+use crate::{Failure, Result};
+
+/// Arguments of `answer`.
+#[derive(Debug, Args)]
+#[command(
+    after_help = "A job that has not ended, or that no agent knows, may have run: exit code 4."
+)]
+pub(crate) struct Answer {
+    /// Id of the job
+    #[arg(value_parser = job_id)]
+    id: String,
+    /// Milliseconds to wait for the job to end
+    #[arg(long, value_name = "N", default_value_t = 0)]
+    wait_ms: u64,
+}
+
+impl Answer {
+    pub(super) fn run(&self, options: &Options) -> Result<()> {
+        let client = Client::new(options, 1)?;
+        let path = format!("/v1/jobs/{}/answer?wait_ms={}", self.id, self.wait_ms);
+        let timeout = Duration::from_millis(self.wait_ms).saturating_add(REPLY_MARGIN);
+        let reply = client.ask(Method::Get, &path, None, timeout)?;
+        if let Some(answer) = answer::Answer::read(&reply) {
+            answer.print(&reply, options.json)?;
+            return match &answer.verdict {
+                Verdict::NotRun(refusal) if refusal.may_concern_question() => {
+                    Err(Failure::may_have_run(format!(
+                        "job {} did not run, or the entry refused the question: {}",
+                        self.id,
+                        refusal.text()
+                    )))
+                }
+                _ => answer.outcome(),
+            };
+        }
+        if reply.status == 202 {
+            if options.json {
+                output::print_json(&reply.json())?;
+            }
+            return Err(
+                Failure::may_have_run(format!("job {} has not ended yet", self.id))
+                    .with_help("wait longer with `--wait-ms`, or see `status`"),
+            );
+        }
+        let what = format!("job {}", self.id);
+        reply.success(&what)?;
+        Err(Failure::may_have_run(format!(
+            "{what}: the reply is not an answer"
+        )))
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond/src/verbs/cancel.rs
@@ -0,0 +1,58 @@
+//! `cancel`: ends a job early.
+
+use clap::Args;
+
+use super::job_id;
+use crate::answer::{Answer, Verdict};
+use crate::cli::Options;
+use crate::client::{Client, Method, REPLY_MARGIN};
+use crate::output;
+use crate::{Failure, Result};
+
+/// Arguments of `cancel`.
+#[derive(Debug, Args)]
+#[command(
+    after_help = "A job that was cancelled or had been answered before is fine: exit code 0."
+)]
+pub(crate) struct Cancel {
+    /// Id of the job
+    #[arg(value_parser = job_id)]
+    id: String,
+}
+
+impl Cancel {
+    pub(super) fn run(&self, options: &Options) -> Result<()> {
+        let client = Client::new(options, 1)?;
+        let path = format!("/v1/jobs/{}", self.id);
+        // A repeated cancellation has no further effect, so the next entry can be asked.
+        let reply = client.ask(Method::Delete, &path, None, REPLY_MARGIN)?;
+        let Some(answer) = Answer::read(&reply) else {
+            let what = format!("job {}", self.id);
+            reply.success(&what)?;
+            return Err(Failure::may_have_run(format!(
+                "{what}: the reply is not an answer"
+            )));
+        };
+        answer.print(&reply, options.json)?;
+        match &answer.verdict {
+            Verdict::NotRun(refusal) if refusal.reason == "cancelled" => {
+                note(options, &format!("job {} cancelled, did not run", self.id))
+            }
+            Verdict::MayHaveRun(refusal) if refusal.reason == "cancelled" => {
+                note(options, &format!("job {} cancelled, may have run", self.id))
+            }
+            Verdict::NotRun(refusal) if refusal.may_concern_question() => Err(Failure::refused(
+                format!("job {} was not cancelled: {}", self.id, refusal.text()),
+            )),
+            _ => answer.outcome(),
+        }
+    }
+}
+
+fn note(options: &Options, text: &str) -> Result<()> {
+    if options.json {
+        Ok(())
+    } else {
+        output::print(text)
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond/src/verbs/mod.rs
@@ -0,0 +1,46 @@
+//! The verbs of the tool, one module each.
+
+mod answer;
+mod cancel;
+mod status;
+mod submit;
+
+use clap::Subcommand;
+
+use crate::{Cli, Result};
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Verb {
+    /// Submit a job and print its answer
+    Submit(submit::Submit),
+    /// Show the state of a job
+    Status(status::Status),
+    /// Print the answer to a job
+    Answer(answer::Answer),
+    /// Cancel a job and print its final answer
+    Cancel(cancel::Cancel),
+}
+
+/// Runs the verb of a command.
+///
+/// # Errors
+///
+/// Returns the failure of the verb.
+pub(crate) fn run(cli: &Cli) -> Result<()> {
+    match &cli.verb {
+        Verb::Submit(verb) => verb.run(&cli.options),
+        Verb::Status(verb) => verb.run(&cli.options),
+        Verb::Answer(verb) => verb.run(&cli.options),
+        Verb::Cancel(verb) => verb.run(&cli.options),
+    }
+}
+
+/// Checks a job id before it becomes a part of a path.
+fn job_id(text: &str) -> std::result::Result<String, String> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-');
+    if text.is_empty() || text.len() > 64 || !text.bytes().all(allowed) {
+        return Err("a job id has 1 to 64 characters of A-Z a-z 0-9 . _ -".to_owned());
+    }
+    Ok(text.to_owned())
+}
--- /dev/null
+++ b/crates/fulmarpond/src/verbs/submit.rs
@@ -0,0 +1,211 @@
+//! `submit`: sends a job and prints its answer.
+
+use std::fs;
+use std::io::{self, IsTerminal, Read};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use clap::Args;
+use serde_json::{Map, Value};
+
+use super::job_id;
+use crate::answer::{Answer, Verdict};
+use crate::cli::Options;
+use crate::client::{self, CallError, Client, Method, REPLY_MARGIN, Reply};
+use crate::output;
+use crate::{Failure, Result};
+
+/// Fields that options decide, so that a job file can be submitted more than once.
+const RESERVED: [&str; 4] = ["id", "attempt", "age_ms", "wait"];
+
+/// Arguments of `submit`.
+#[derive(Debug, Args)]
+pub(crate) struct Submit {
+    /// JSON file with a job without id, `-` for standard input
+    file: PathBuf,
+    /// Id of the job instead of a random one
+    #[arg(long, value_parser = job_id)]
+    id: Option<String>,
+    /// State that no other attempt of the id was ever sent
+    #[arg(long, requires = "id", conflicts_with = "attempt")]
+    first: bool,
+    /// Number of this attempt, counted from 1
+    #[arg(long, value_name = "N", requires = "id", value_parser = clap::value_parser!(u32).range(1..))]
+    attempt: Option<u32>,
+    /// Milliseconds since the first attempt
+    #[arg(long, value_name = "N", requires = "id", conflicts_with = "first")]
+    age_ms: Option<u64>,
+    /// Milliseconds until the deadline
+    #[arg(long, value_name = "N", value_parser = clap::value_parser!(u64).range(1..))]
+    deadline_ms: Option<u64>,
+    /// Team of the job
+    #[arg(long)]
+    team: Option<String>,
+    /// Return as soon as the job is accepted
+    #[arg(long)]
+    no_wait: bool,
+}
+
+impl Submit {
+    pub(super) fn run(&self, options: &Options) -> Result<()> {
+        let client = Client::new(options, 1)?;
+        let job = Job::read(self)?;
+        if io::stderr().is_terminal() {
+            eprintln!("job {}", job.id);
+        }
+        let (reply, lost) = job.send(&client)?;
+        job.report(&reply, lost, options.json)
+    }
+}
+
+/// A job on its way to an entry.
+struct Job {
+    id: String,
+    body: Map<String, Value>,
+    attempt: Option<u32>,
+    age_ms: Option<u64>,
+    deadline_ms: u64,
+}
+
+impl Job {
+    fn read(args: &Submit) -> Result<Self> {
+        let mut body = read_object(&args.file)?;
+        if let Some(field) = RESERVED.iter().find(|field| body.contains_key(**field)) {
+            return Err(Failure::usage(format!(
+                "the job file has a field `{field}`, which is given as an option"
+            ))
+            .with_help("remove the field; see `--id`, `--attempt`, `--age-ms` and `--no-wait`"));
+        }
+        if let Some(team) = &args.team {
+            body.insert("team".to_owned(), team.as_str().into());
+        }
+        let deadline_ms = args
+            .deadline_ms
+            .or_else(|| body.get("deadline_ms").and_then(Value::as_u64))
+            .ok_or_else(|| {
+                Failure::usage("the job has no deadline")
+                    .with_help("set `deadline_ms` in the job file or give `--deadline-ms`")
+            })?;
+        body.insert("wait".to_owned(), (!args.no_wait).into());
+        let first = args.id.is_none() || args.first;
+        Ok(Self {
+            id: args.id.clone().unwrap_or_else(random_id),
+            body,
+            attempt: if first { Some(1) } else { args.attempt },
+            age_ms: if first || args.attempt == Some(1) {
+                Some(args.age_ms.unwrap_or(0))
+            } else {
+                args.age_ms
+            },
+            deadline_ms,
+        })
+    }
+
+    /// Sends the job to each entry in turn until one replies. Every entry after the first gets it
+    /// as a resubmission. Returns whether an earlier request may have been transmitted.
+    fn send(&self, client: &Client) -> Result<(Reply, bool)> {
+        let start = Instant::now();
+        let mut errors: Vec<CallError> = Vec::new();
+        for (number, entry) in client.entries().iter().enumerate() {
+            let passed = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let remaining = self.deadline_ms.saturating_sub(passed);
+            if remaining == 0 && number > 0 {
+                break;
+            }
+            let body = self.body(u32::try_from(number).unwrap_or(u32::MAX), passed, remaining);
+            let timeout = Duration::from_millis(remaining).saturating_add(REPLY_MARGIN);
+            match client.call(entry, Method::Post, "/v1/jobs", Some(&body), timeout) {
+                Ok(reply) => {
+                    let lost = errors
+                        .iter()
+                        .any(|error| matches!(error, CallError::Lost(_)));
+                    return Ok((reply, lost));
+                }
+                Err(error) => errors.push(error),
+            }
+        }
+        let failure = client::no_reply(&errors, false);
+        Err(failure.with_help(self.resume(errors.len())))
+    }
+
+    fn body(&self, resubmissions: u32, passed: u64, remaining: u64) -> Value {
+        let mut body = self.body.clone();
+        body.insert("id".to_owned(), self.id.as_str().into());
+        body.insert("deadline_ms".to_owned(), remaining.into());
+        let attempt = if resubmissions == 0 {
+            self.attempt
+        } else {
+            Some(self.attempt.unwrap_or(1).saturating_add(resubmissions))
+        };
+        if let Some(attempt) = attempt {
+            body.insert("attempt".to_owned(), attempt.into());
+        }
+        if let Some(age) = self.age_ms {
+            body.insert("age_ms".to_owned(), age.saturating_add(passed).into());
+        }
+        body.into()
+    }
+
+    fn report(&self, reply: &Reply, lost: bool, json: bool) -> Result<()> {
+        if let Some(answer) = Answer::read(reply) {
+            answer.print(reply, json)?;
+            // An entry can refuse the resubmission by itself while the earlier attempt runs.
+            return match &answer.verdict {
+                Verdict::NotRun(refusal) if lost => Err(Failure::may_have_run(format!(
+                    "job {}: no reply to an earlier attempt, which may have run, and the \
+                     resubmission was refused: {}",
+                    self.id,
+                    refusal.text()
+                ))
+                .with_help(format!("see `fulmarpond answer {}`", self.id))),
+                _ => answer.outcome(),
+            };
+        }
+        let accepted = reply.success(&format!("job {}", self.id))?;
+        if json {
+            output::print_json(&accepted)
+        } else {
+            output::print(&format!(
+                "job {} {}",
+                self.id,
+                output::cell(&accepted["state"])
+            ))
+        }
+    }
+
+    /// Returns how to go on when no entry replied to `sent` attempts.
+    fn resume(&self, sent: usize) -> String {
+        let id = &self.id;
+        let next = u64::from(self.attempt.unwrap_or(1)) + sent as u64;
+        format!(
+            "see `fulmarpond answer {id}`, or submit again with `--id {id} --attempt {next}` and \
+             the milliseconds since the first attempt as `--age-ms`"
+        )
+    }
+}
+
+fn read_object(path: &Path) -> Result<Map<String, Value>> {
+    let text = if path == Path::new("-") {
+        let mut text = String::new();
+        io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        fs::read_to_string(path)
+    }
+    .map_err(|error| {
+        Failure::usage(format!(
+            "job file {} can't be read: {error}",
+            path.display()
+        ))
+    })?;
+    serde_json::from_str(&text).map_err(|error| {
+        Failure::usage(format!(
+            "job file {} is not a JSON object: {error}",
+            path.display()
+        ))
+    })
+}
+
+/// Draws an id that no other caller draws.
+fn random_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
--- /dev/null
+++ b/crates/fulmarpond/tests/common/mod.rs
@@ -0,0 +1,164 @@
+//! An entry made of canned replies, and the tool run against it.
+
+// Not every test file uses every helper.
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Stdio};
+use std::sync::{Arc, Mutex};
+
+use rouille::{Request, Response, Server};
+
+/// One canned reply: method and path with query, status, body.
+pub(crate) type Canned<'a> = (&'a str, u16, &'a str);
+
+/// A small HTTP server that plays an entry and records what it is asked.
+pub(crate) struct Entry {
+    addr: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl Entry {
+    /// Starts an entry that answers requests with `handler`.
+    pub(crate) fn serve<F>(handler: F) -> Self
+    where
+        F: Fn(&Request) -> Response + Send + Sync + 'static,
+    {
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let record = Arc::clone(&requests);
+        let server = Server::new("127.0.0.1:0", move |request| {
+            let mut body = String::new();
+            if let Some(mut data) = request.data() {
+                data.read_to_string(&mut body).expect("body is text");
+            }
+            let line = format!("{} {} {body}", request.method(), request.raw_url());
+            record
+                .lock()
+                .expect("no panic while recording")
+                .push(line.trim_end().to_owned());
+            handler(request)
+        })
+        .expect("a free port");
+        let addr = server.server_addr();
+        // Runs until the test process ends: stopping a server waits for its idle connections.
+        std::thread::spawn(move || server.run());
+        Self { addr, requests }
+    }
+
+    /// Starts an entry with canned replies. A path may have several, which are used in order; the
+    /// last one is repeated. Anything else gets 404.
+    pub(crate) fn canned(replies: &[Canned<'_>]) -> Self {
+        let replies: Vec<(String, u16, String)> = replies
+            .iter()
+            .map(|(target, status, body)| ((*target).to_owned(), *status, (*body).to_owned()))
+            .collect();
+        let used = Mutex::new(vec![false; replies.len()]);
+        Self::serve(move |request| {
+            let target = format!("{} {}", request.method(), request.raw_url());
+            let mut used = used.lock().expect("no panic while choosing");
+            let matching: Vec<usize> = (0..replies.len())
+                .filter(|&index| replies[index].0 == target)
+                .collect();
+            let chosen = matching
+                .iter()
+                .copied()
+                .find(|&index| !used[index])
+                .or(matching.last().copied());
+            match chosen {
+                Some(index) => {
+                    used[index] = true;
+                    let (_, status, body) = &replies[index];
+                    Response::from_data("application/json", body.as_bytes())
+                        .with_status_code(*status)
+                }
+                None => Response::from_data("application/json", r#"{"reason": "unknown"}"#)
+                    .with_status_code(404),
+            }
+        })
+    }
+
+    /// Returns the address as an argument of `--entry`.
+    pub(crate) fn addr(&self) -> String {
+        self.addr.to_string()
+    }
+
+    /// Returns the requests so far, one per line: method, path, body.
+    pub(crate) fn requests(&self) -> Vec<String> {
+        self.requests
+            .lock()
+            .expect("no panic while recording")
+            .clone()
+    }
+}
+
+/// Returns an address at which nobody listens.
+pub(crate) fn closed_addr() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound port").to_string()
+}
+
+/// Starts a server that reads one request and closes the connection without a reply.
+pub(crate) fn losing_addr() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("a bound port").to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut bytes = [0; 4096];
+            // The content does not matter, only that the request was transmitted.
+            let _ = stream.read(&mut bytes);
+        }
+    });
+    addr
+}
+
+/// What a run of the tool printed.
+pub(crate) struct Run {
+    /// The exit code.
+    pub(crate) code: i32,
+    /// Standard output.
+    pub(crate) stdout: String,
+    /// Standard error.
+    pub(crate) stderr: String,
+}
+
+impl Run {
+    /// Returns everything in one text for a snapshot, with each address replaced by its name.
+    pub(crate) fn snapshot(&self, names: &[(&str, &str)]) -> String {
+        let mut text = format!("exit {}\n", self.code);
+        for (title, part) in [("stdout", &self.stdout), ("stderr", &self.stderr)] {
+            if !part.is_empty() {
+                text.push_str(&format!("--- {title}\n{}\n", part.trim_end()));
+            }
+        }
+        for (addr, name) in names {
+            text = text.replace(addr, name);
+        }
+        text
+    }
+}
+
+/// Runs the tool with `args` and `input` on standard input.
+pub(crate) fn run(args: &[&str], input: &str) -> Run {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_fulmarpond"))
+        .args(args)
+        .env_remove("FULMARPOND_ENTRY")
+        .env("NO_COLOR", "1")
+        .env("NO_GRAPHICS", "1")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the tool starts");
+    let mut stdin = child.stdin.take().expect("stdin is piped");
+    // The tool may end without reading its input.
+    let _ = stdin.write_all(input.as_bytes());
+    drop(stdin);
+    let output = child.wait_with_output().expect("the tool ends");
+    Run {
+        code: output.status.code().expect("the tool was not killed"),
+        stdout: String::from_utf8(output.stdout).expect("stdout is text"),
+        stderr: String::from_utf8(output.stderr).expect("stderr is text"),
+    }
+}
