--- a/crates/fulmarpond/src/client.rs
+++ b/crates/fulmarpond/src/client.rs
@@ -231,6 +231,25 @@
             .success(what)
     }
 
+    /// Reads a page of any process without the token.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no reply. A reply with any status is not an error.
+    pub(crate) fn page(
+        &self,
+        addr: &str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        Request::builder()
+            .uri(format!("{}{path}", base(addr)))
+            .body(())
+            .map_err(ureq::Error::from)
+            .and_then(|request| self.send(request, timeout))
+            .map_err(|error| classify(addr, &error))
+    }
+
     fn send<S: ureq::AsSendBody>(
         &self,
         request: Request<S>,
--- a/crates/fulmarpond/src/lib.rs
+++ b/crates/fulmarpond/src/lib.rs
@@ -8,6 +8,7 @@
 mod cli;
 mod client;
 mod failure;
+pub mod load;
 mod output;
 mod table;
 mod verbs;
--- /dev/null
+++ b/crates/fulmarpond/src/load/ledger.rs
@@ -0,0 +1,73 @@
+//! Check of the starts that endpoint stand-ins have seen.
+
+use std::collections::{BTreeMap, HashSet};
+
+use serde::{Deserialize, Serialize};
+
+/// A row of a ledger: one start of a task.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Start {
+    /// The job as `TEAM/ID`.
+    pub job: String,
+    /// The number of the task in its job.
+    pub task: u64,
+    /// How often the endpoint had started the task.
+    #[serde(default)]
+    pub started: u64,
+}
+
+/// The starts of the jobs of one run at all endpoints.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    starts: BTreeMap<(String, u64), u64>,
+}
+
+/// What a ledger shows about the guarantees.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct LedgerCheck {
+    /// The starts of tasks of this run.
+    pub starts: u64,
+    /// The tasks that were started more than once, as `JOB task N`.
+    pub repeated: Vec<String>,
+    /// The started tasks of jobs that were told "not run", as `JOB task N`.
+    pub denied: Vec<String>,
+    /// The ledgers that could not be read, with the error. Their starts are missing.
+    pub unread: Vec<String>,
+}
+
+impl Ledger {
+    /// Adds the rows of one endpoint whose submission id begins with `prefix`.
+    ///
+    /// There is one row per start; a row that states a higher number of starts is believed.
+    pub fn add(&mut self, rows: &[Start], prefix: &str) {
+        let mut endpoint: BTreeMap<(&str, u64), (u64, u64)> = BTreeMap::new();
+        for row in rows {
+            let id = row.job.rsplit('/').next().unwrap_or(&row.job);
+            if id.starts_with(prefix) {
+                let (count, stated) = endpoint.entry((id, row.task)).or_default();
+                *count += 1;
+                *stated = row.started.max(*stated);
+            }
+        }
+        for ((id, task), (count, stated)) in endpoint {
+            *self.starts.entry((id.to_owned(), task)).or_default() += count.max(stated);
+        }
+    }
+
+    /// Checks the starts against the ids of jobs that were told "not run".
+    pub fn check(&self, not_run: &HashSet<String>, unread: Vec<String>) -> LedgerCheck {
+        let tasks = |matches: &dyn Fn(&str, u64) -> bool| {
+            self.starts
+                .iter()
+                .filter(|((id, _), starts)| matches(id, **starts))
+                .map(|((id, task), _)| format!("{id} task {task}"))
+                .collect()
+        };
+        LedgerCheck {
+            starts: self.starts.values().sum(),
+            repeated: tasks(&|_, starts| starts > 1),
+            denied: tasks(&|id, _| not_run.contains(id)),
+            unread,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond/src/load/recorder.rs
@@ -0,0 +1,152 @@
+//! Outcomes of jobs while a run lasts.
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::Quantiles;
+
+/// Values above this are recorded as this: 1 hour in microseconds, or a ratio of 3.6 million.
+const HIGHEST: u64 = 3_600_000_000;
+
+/// How one job ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// The submission id.
+    pub id: String,
+    /// The verdict, or `not_sent`, `no_reply` or `bad_reply` if there is none.
+    pub verdict: &'static str,
+    /// The reason, empty for an answered job.
+    pub reason: String,
+    /// The number of tasks.
+    pub tasks: u64,
+    /// The ideal response time in milliseconds.
+    pub ideal_ms: u64,
+    /// The response time from the scheduled arrival.
+    pub response: Duration,
+    /// How much later than scheduled the request was sent.
+    pub lag: Duration,
+}
+
+/// The number of jobs with one verdict and reason.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct VerdictCount {
+    /// The verdict.
+    pub verdict: String,
+    /// The reason, empty for answered jobs.
+    pub reason: String,
+    /// The number of jobs.
+    pub jobs: u64,
+}
+
+/// Collects the outcomes of jobs.
+#[derive(Debug)]
+pub struct Recorder {
+    counts: BTreeMap<(&'static str, String), u64>,
+    tasks: u64,
+    answered_tasks: u64,
+    micros: Histogram<u64>,
+    thousandths: Histogram<u64>,
+    lag: Duration,
+    not_run: HashSet<String>,
+}
+
+impl Default for Recorder {
+    fn default() -> Self {
+        let histogram = || Histogram::new_with_max(HIGHEST, 3).expect("valid bounds");
+        Self {
+            counts: BTreeMap::new(),
+            tasks: 0,
+            answered_tasks: 0,
+            micros: histogram(),
+            thousandths: histogram(),
+            lag: Duration::ZERO,
+            not_run: HashSet::new(),
+        }
+    }
+}
+
+impl Recorder {
+    /// Adds the outcome of a job.
+    ///
+    /// Response times count for answered jobs only, since a refusal at once would make the system
+    /// look fast. A job whose ideal is 0 has no response time over ideal.
+    pub fn record(&mut self, outcome: Outcome) {
+        self.tasks += outcome.tasks;
+        self.lag = self.lag.max(outcome.lag);
+        if outcome.verdict == "answered" {
+            self.answered_tasks += outcome.tasks;
+            let micros = u64::try_from(outcome.response.as_micros()).unwrap_or(HIGHEST);
+            self.micros.saturating_record(micros);
+            // Microseconds over milliseconds are thousandths.
+            if let Some(thousandths) = micros.checked_div(outcome.ideal_ms) {
+                self.thousandths.saturating_record(thousandths);
+            }
+        }
+        if outcome.verdict == "not_run" {
+            self.not_run.insert(outcome.id);
+        }
+        *self
+            .counts
+            .entry((outcome.verdict, outcome.reason))
+            .or_default() += 1;
+    }
+
+    /// Returns the number of jobs per verdict and reason.
+    pub fn counts(&self) -> Vec<VerdictCount> {
+        self.counts
+            .iter()
+            .map(|((verdict, reason), jobs)| VerdictCount {
+                verdict: (*verdict).to_owned(),
+                reason: reason.clone(),
+                jobs: *jobs,
+            })
+            .collect()
+    }
+
+    /// Returns the number of jobs with a verdict.
+    pub fn jobs(&self, verdict: &str) -> u64 {
+        self.counts
+            .iter()
+            .filter(|((counted, _), _)| *counted == verdict)
+            .map(|(_, jobs)| jobs)
+            .sum()
+    }
+
+    /// Returns the number of all jobs.
+    pub fn all_jobs(&self) -> u64 {
+        self.counts.values().sum()
+    }
+
+    /// Returns the number of tasks of all jobs.
+    pub fn tasks(&self) -> u64 {
+        self.tasks
+    }
+
+    /// Returns the number of tasks of answered jobs.
+    pub fn answered_tasks(&self) -> u64 {
+        self.answered_tasks
+    }
+
+    /// Returns the longest time by which a request was sent later than scheduled.
+    pub fn lag(&self) -> Duration {
+        self.lag
+    }
+
+    /// Returns the ids of the jobs that were told "not run".
+    pub fn not_run(&self) -> &HashSet<String> {
+        &self.not_run
+    }
+
+    /// Returns the response times of answered jobs in milliseconds.
+    pub fn response_ms(&self) -> Quantiles {
+        Quantiles::read(&self.micros, 1000.0)
+    }
+
+    /// Returns the response times of answered jobs over their ideal.
+    pub fn over_ideal(&self) -> Quantiles {
+        Quantiles::read(&self.thousandths, 1000.0)
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond/src/load/runner.rs
@@ -0,0 +1,169 @@
+//! The pool of clients that sends a schedule of jobs.
+
+use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{self, Receiver};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::{Arrivals, Outcome, PlannedJob, Recorder};
+use crate::answer::{Answer, Verdict};
+use crate::client::{CallError, Client, Method, REPLY_MARGIN, Reply};
+
+/// Stack of a client thread. A request needs far less than the default of 2 MB.
+const STACK: usize = 512 * 1024;
+
+/// What all jobs of a run have in common.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    /// The beginning of the submission ids, drawn anew for each run: agents remember accepted ids
+    /// for hours, so a seeded id would make a second run a resubmission.
+    pub(crate) prefix: String,
+    /// The team, if it does not follow from the token.
+    pub(crate) team: Option<String>,
+    /// Milliseconds until the deadline, counted from the sending.
+    pub(crate) deadline_ms: u64,
+    /// The number of client threads.
+    pub(crate) clients: usize,
+}
+
+/// What a run yields besides the recorded outcomes.
+#[derive(Debug)]
+pub(crate) struct Finished {
+    /// The outcomes.
+    pub(crate) recorder: Recorder,
+    /// The time from the start to the last reply.
+    pub(crate) elapsed: Duration,
+    /// The highest number of open jobs.
+    pub(crate) peak: usize,
+    /// The jobs that arrived while all clients were busy.
+    pub(crate) late: u64,
+}
+
+impl Run {
+    /// Sends the jobs at their scheduled times and waits for all replies.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a client thread can't be started.
+    pub(crate) fn send(&self, client: &Client, arrivals: Arrivals) -> io::Result<Finished> {
+        let (sender, receiver) = mpsc::channel::<Due>();
+        let receiver = Mutex::new(receiver);
+        let recorder = Mutex::new(Recorder::default());
+        let open = AtomicUsize::new(0);
+        let (mut peak, mut late) = (0, 0);
+        let elapsed = thread::scope(|scope| {
+            // Dropped at the end of this closure, so that the clients end.
+            let sender = sender;
+            for _ in 0..self.clients {
+                thread::Builder::new()
+                    .stack_size(STACK)
+                    .spawn_scoped(scope, || {
+                        while let Some(due) = next(&receiver) {
+                            let outcome = self.submit(client, &due);
+                            open.fetch_sub(1, Ordering::Relaxed);
+                            recorder
+                                .lock()
+                                .unwrap_or_else(PoisonError::into_inner)
+                                .record(outcome);
+                        }
+                    })?;
+            }
+            let start = Instant::now();
+            for (number, job) in arrivals.enumerate() {
+                let at = start + job.at;
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+                let now_open = open.fetch_add(1, Ordering::Relaxed) + 1;
+                peak = peak.max(now_open);
+                if now_open > self.clients {
+                    late += 1;
+                }
+                if sender.send(Due { number, at, job }).is_err() {
+                    break;
+                }
+            }
+            Ok::<_, io::Error>(start)
+        })?
+        .elapsed();
+        Ok(Finished {
+            recorder: recorder
+                .into_inner()
+                .unwrap_or_else(PoisonError::into_inner),
+            elapsed,
+            peak,
+            late,
+        })
+    }
+
+    fn submit(&self, client: &Client, due: &Due) -> Outcome {
+        let id = format!("{}{}", self.prefix, due.number);
+        let tasks: Vec<Value> = due
+            .job
+            .run_ms
+            .iter()
+            .map(|run_ms| json!({"kind": "load", "payload": {"run_ms": run_ms}}))
+            .collect();
+        let mut body = json!({
+            "id": id,
+            "attempt": 1,
+            "deadline_ms": self.deadline_ms,
+            "wait": true,
+            "tasks": tasks,
+        });
+        if let Some(team) = &self.team {
+            body["team"] = team.as_str().into();
+        }
+        let entries = client.entries();
+        let entry = &entries[due.number % entries.len()];
+        let timeout = Duration::from_millis(self.deadline_ms).saturating_add(REPLY_MARGIN);
+        let lag = due.at.elapsed();
+        let reply = client.call(entry, Method::Post, "/v1/jobs", Some(&body), timeout);
+        let response = due.at.elapsed();
+        let (verdict, reason) = verdict(&reply, due.job.run_ms.len());
+        Outcome {
+            id,
+            verdict,
+            reason,
+            tasks: due.job.run_ms.len() as u64,
+            ideal_ms: due.job.ideal_ms(),
+            response,
+            lag,
+        }
+    }
+}
+
+/// A job whose time has come.
+struct Due {
+    number: usize,
+    at: Instant,
+    job: PlannedJob,
+}
+
+fn next(receiver: &Mutex<Receiver<Due>>) -> Option<Due> {
+    receiver
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .recv()
+        .ok()
+}
+
+/// Returns the verdict and reason under which a reply counts.
+fn verdict(reply: &Result<Reply, CallError>, tasks: usize) -> (&'static str, String) {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(CallError::NotSent(_)) => return ("not_sent", String::new()),
+        Err(CallError::Lost(_)) => return ("no_reply", String::new()),
+    };
+    match Answer::read(reply).map(|answer| answer.verdict) {
+        Some(Verdict::Answered { results }) if results.len() == tasks => {
+            ("answered", String::new())
+        }
+        Some(Verdict::Answered { .. }) => ("bad_reply", "result_count".to_owned()),
+        Some(Verdict::NotRun(refusal)) => ("not_run", refusal.reason),
+        Some(Verdict::MayHaveRun(refusal)) => ("may_have_run", refusal.reason),
+        None => ("bad_reply", format!("status_{}", reply.status)),
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond/src/load/scrape.rs
@@ -0,0 +1,113 @@
+//! Message counters on metrics pages.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+const MESSAGES: &str = "fulmarpond_messages_total";
+const WASTED: &str = "fulmarpond_messages_wasted_total";
+
+/// The message counters of one metrics page, by name and labels.
+///
+/// # Examples
+///
+/// ```
+/// use fulmarpond::load::Counters;
+///
+/// let before = Counters::parse("fulmarpond_messages_total{call=\"run\"} 7\n");
+/// let after = Counters::parse("fulmarpond_messages_total{call=\"run\"} 9\n");
+/// assert_eq!(after.since(&before), (2.0, 0.0));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Counters {
+    series: BTreeMap<String, f64>,
+}
+
+impl Counters {
+    /// Reads the message counters of a page in the OpenMetrics text format. Lines that are not
+    /// samples of these counters are skipped.
+    pub fn parse(page: &str) -> Self {
+        Self {
+            series: page.lines().filter_map(sample).collect(),
+        }
+    }
+
+    /// Returns how many messages, and wasted messages, were counted since an earlier scrape.
+    ///
+    /// A counter that went down was reset by a restart and counts from 0.
+    pub fn since(&self, before: &Self) -> (f64, f64) {
+        let sum = |name: &str| {
+            self.series
+                .iter()
+                .filter(|(series, _)| series.split('{').next() == Some(name))
+                .map(|(series, value)| match before.series.get(series) {
+                    Some(earlier) if earlier <= value => value - earlier,
+                    _ => *value,
+                })
+                .sum()
+        };
+        (sum(MESSAGES), sum(WASTED))
+    }
+}
+
+/// Messages between the processes during a run.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Messages {
+    /// All messages.
+    pub total: f64,
+    /// The wasted messages.
+    pub wasted: f64,
+    /// Messages per task of answered jobs.
+    pub per_task: Option<f64>,
+    /// Wasted messages as a percentage of all messages.
+    pub wasted_percent: Option<f64>,
+    /// The pages that could not be read before or after the run, with the error. Their messages are
+    /// missing in the sums.
+    pub unread: Vec<String>,
+}
+
+impl Messages {
+    /// Creates the measure from sums over pages.
+    pub fn new(total: f64, wasted: f64, tasks: u64, unread: Vec<String>) -> Self {
+        Self {
+            total,
+            wasted,
+            per_task: (tasks > 0).then(|| total / tasks as f64),
+            wasted_percent: (total > 0.0).then(|| wasted / total * 100.0),
+            unread,
+        }
+    }
+}
+
+/// Reads a line `name{labels} value`, which a timestamp or an exemplar may follow.
+fn sample(line: &str) -> Option<(String, f64)> {
+    let name = [WASTED, MESSAGES]
+        .into_iter()
+        .find(|name| line.starts_with(name))?;
+    let rest = &line[name.len()..];
+    let (labels, rest) = if rest.starts_with('{') {
+        rest.split_at(labels_end(rest)?)
+    } else if rest.starts_with([' ', '\t']) {
+        ("", rest)
+    } else {
+        // The name of another metric that begins in the same way.
+        return None;
+    };
+    let value = rest.split_whitespace().next()?.parse().ok()?;
+    Some((format!("{name}{labels}"), value))
+}
+
+/// Returns the position after the closing brace. A quoted value may contain braces.
+fn labels_end(text: &str) -> Option<usize> {
+    let (mut quoted, mut escaped) = (false, false);
+    for (position, byte) in text.bytes().enumerate() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if quoted => escaped = true,
+            b'"' => quoted = !quoted,
+            b'}' if !quoted => return Some(position + 1),
+            _ => {}
+        }
+    }
+    None
+}
--- a/crates/fulmarpond/src/verbs/mod.rs
+++ b/crates/fulmarpond/src/verbs/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod cancel;
+mod load;
 mod status;
 mod submit;
 
@@ -20,6 +21,8 @@
     Answer(answer::Answer),
     /// Cancel a job and print its final answer
     Cancel(cancel::Cancel),
+    /// Generate load and measure response times
+    Load(load::Load),
 }
 
 /// Runs the verb of a command.
@@ -33,6 +36,7 @@
         Verb::Status(verb) => verb.run(&cli.options),
         Verb::Answer(verb) => verb.run(&cli.options),
         Verb::Cancel(verb) => verb.run(&cli.options),
+        Verb::Load(verb) => verb.run(&cli.options),
     }
 }
 
--- a/crates/fulmarpond/tests/common/mod.rs
+++ b/crates/fulmarpond/tests/common/mod.rs
@@ -20,6 +20,21 @@
 }
 
 impl Entry {
+    /// Starts an entry that answers requests with `handler` and does not record them.
+    pub(crate) fn serve_raw<F>(handler: F) -> Self
+    where
+        F: Fn(&Request) -> Response + Send + Sync + 'static,
+    {
+        let server = Server::new("127.0.0.1:0", handler).expect("a free port");
+        let addr = server.server_addr();
+        // Runs until the test process ends: stopping a server waits for its idle connections.
+        std::thread::spawn(move || server.run());
+        Self {
+            addr,
+            requests: Arc::default(),
+        }
+    }
+
     /// Starts an entry that answers requests with `handler`.
     pub(crate) fn serve<F>(handler: F) -> Self
     where
@@ -27,7 +42,7 @@
     {
         let requests = Arc::new(Mutex::new(Vec::new()));
         let record = Arc::clone(&requests);
-        let server = Server::new("127.0.0.1:0", move |request| {
+        let entry = Self::serve_raw(move |request| {
             let mut body = String::new();
             if let Some(mut data) = request.data() {
                 data.read_to_string(&mut body).expect("body is text");
@@ -38,12 +53,8 @@
                 .expect("no panic while recording")
                 .push(line.trim_end().to_owned());
             handler(request)
-        })
-        .expect("a free port");
-        let addr = server.server_addr();
-        // Runs until the test process ends: stopping a server waits for its idle connections.
-        std::thread::spawn(move || server.run());
-        Self { addr, requests }
+        });
+        Self { requests, ..entry }
     }
 
     /// Starts an entry with canned replies. A path may have several, which are used in order; the
