--- a/crates/fulmarpond/src/client.rs
+++ b/crates/fulmarpond/src/client.rs
@@ -44,6 +44,8 @@
 pub(crate) struct Reply {
     pub(crate) status: u16,
     pub(crate) text: String,
+    /// Whether another entry may have received the same request before and gave no reply.
+    pub(crate) lost: bool,
 }
 
 impl Reply {
@@ -56,7 +58,8 @@
     ///
     /// # Errors
     ///
-    /// A refusal (4xx, or 503 with verdict `not_run`) did not run; anything else may have run.
+    /// A refusal (4xx, or 503 with verdict `not_run`) did not run; anything else may have run. After
+    /// a lost request, a refusal says nothing about the lost one.
     pub(crate) fn success(&self, what: &str) -> Result<Value> {
         if (200..300).contains(&self.status) {
             return serde_json::from_str(&self.text).map_err(|error| {
@@ -64,15 +67,31 @@
             });
         }
         let message = format!("{what}: {}", self.explain());
-        Err(match self.status {
+        let refused = match self.status {
             // An id that no candidate knows may belong to a job whose home was lost.
-            404 => Failure::may_have_run(message),
-            400..=499 => Failure::refused(message),
-            503 if self.json()["verdict"] == "not_run" => Failure::refused(message),
-            _ => Failure::may_have_run(message),
+            404 => false,
+            400..=499 => true,
+            503 => self.json()["verdict"] == "not_run",
+            _ => false,
+        };
+        Err(if refused {
+            self.refusal(message)
+        } else {
+            Failure::may_have_run(message)
         })
     }
 
+    /// Returns the failure of a refused request.
+    pub(crate) fn refusal(&self, message: String) -> Failure {
+        if self.lost {
+            Failure::may_have_run(format!(
+                "{message}; another entry gave no reply before and may have run the request"
+            ))
+        } else {
+            Failure::refused(message)
+        }
+    }
+
     /// Returns the status with the reason and detail of the body, for people.
     pub(crate) fn explain(&self) -> String {
         let body = self.json();
@@ -206,18 +225,27 @@
         body: Option<&Value>,
         timeout: Duration,
     ) -> Result<Reply> {
+        let reads = matches!(method, Method::Get);
         let mut unavailable = None;
         let mut errors = Vec::new();
         for entry in &self.entries {
             match self.call(entry, method, path, body, timeout) {
                 Ok(reply) if reply.status == 503 => unavailable = Some(reply),
-                Ok(reply) => return Ok(reply),
+                Ok(reply) => {
+                    return Ok(Reply {
+                        lost: !reads && any_lost(&errors),
+                        ..reply
+                    });
+                }
                 Err(error) => errors.push(error),
             }
         }
         match unavailable {
-            Some(reply) => Ok(reply),
-            None => Err(no_reply(&errors, matches!(method, Method::Get))),
+            Some(reply) => Ok(Reply {
+                lost: !reads && any_lost(&errors),
+                ..reply
+            }),
+            None => Err(no_reply(&errors, reads)),
         }
     }
 
@@ -267,7 +295,11 @@
             .with_config()
             .limit(MAX_REPLY)
             .read_to_string()?;
-        Ok(Reply { status, text })
+        Ok(Reply {
+            status,
+            text,
+            lost: false,
+        })
     }
 }
 
@@ -280,16 +312,20 @@
         .map(CallError::message)
         .collect::<Vec<_>>()
         .join("; ");
-    let lost = errors
-        .iter()
-        .any(|error| matches!(error, CallError::Lost(_)));
-    if lost && !reads {
+    if any_lost(errors) && !reads {
         Failure::may_have_run(format!("no reply: {message}"))
     } else {
         Failure::Unreachable { message }
     }
 }
 
+/// Returns whether any of the requests may have been transmitted.
+pub(crate) fn any_lost(errors: &[CallError]) -> bool {
+    errors
+        .iter()
+        .any(|error| matches!(error, CallError::Lost(_)))
+}
+
 /// Creates an HTTP agent that reports every status as a reply and uses no proxy.
 pub(crate) fn http_agent(connections: usize) -> Agent {
     Agent::config_builder()
--- a/crates/fulmarpond/src/failure.rs
+++ b/crates/fulmarpond/src/failure.rs
@@ -1,5 +1,6 @@
 //! Failures of a command and the exit codes that they map to.
 
+use fulmarpond_settings::SettingsErrors;
 use miette::Diagnostic;
 use thiserror::Error;
 
@@ -19,6 +20,10 @@
         #[help]
         help: Option<String>,
     },
+    /// A file named by the arguments is not valid. Nothing was sent.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    File(#[from] SettingsErrors),
     /// The request was refused: it did not run and will not run.
     #[error("{message}")]
     #[diagnostic(code(fulmarpond::not_run))]
@@ -62,7 +67,7 @@
     /// | 5 | no entry reachable |
     pub fn code(&self) -> u8 {
         match self {
-            Self::Usage { .. } => 2,
+            Self::Usage { .. } | Self::File(_) => 2,
             Self::Refused { .. } => 3,
             Self::MayHaveRun { .. } => 4,
             Self::Unreachable { .. } => 5,
@@ -95,7 +100,7 @@
             Self::Usage { help, .. }
             | Self::Refused { help, .. }
             | Self::MayHaveRun { help, .. } => *help = Some(text.into()),
-            Self::Unreachable { .. } => {}
+            Self::File(_) | Self::Unreachable { .. } => {}
         }
         self
     }
--- a/crates/fulmarpond/src/lib.rs
+++ b/crates/fulmarpond/src/lib.rs
@@ -7,9 +7,12 @@
 mod answer;
 mod cli;
 mod client;
+mod events;
 mod failure;
 pub mod load;
 mod output;
+mod patch_file;
+mod progress;
 mod table;
 mod verbs;
 
--- a/crates/fulmarpond/src/output.rs
+++ b/crates/fulmarpond/src/output.rs
@@ -49,3 +49,8 @@
         other => other.to_string(),
     }
 }
+
+/// Returns the elements of a JSON array, or nothing if the value is something else.
+pub(crate) fn rows(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
--- a/crates/fulmarpond/src/table.rs
+++ b/crates/fulmarpond/src/table.rs
@@ -34,10 +34,9 @@
                     .map(|cell| cell.chars().count())
                     .max()
                     .unwrap_or(0);
-                (
-                    width,
-                    !self.rows.is_empty() && cells().all(|cell| is_number(cell)),
-                )
+                let right = cells().any(|cell| is_number(cell))
+                    && cells().all(|cell| cell == "-" || is_number(cell));
+                (width, right)
             })
             .collect();
         for row in std::iter::once(&self.header).chain(&self.rows) {
@@ -59,5 +58,5 @@
 }
 
 fn is_number(cell: &str) -> bool {
-    cell == "-" || cell.trim_end_matches('%').trim().parse::<f64>().is_ok()
+    cell.trim_end_matches('%').trim().parse::<f64>().is_ok()
 }
--- /dev/null
+++ b/crates/fulmarpond/src/verbs/config/apply.rs
@@ -0,0 +1,91 @@
+//! `config apply`: applies a patch file.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use fulmarpond_core::policy::{Patch, Version};
+use serde_json::{Value, json};
+
+use super::snapshot::Snapshot;
+use crate::cli::Options;
+use crate::client::{Client, Method, REPLY_MARGIN, Reply};
+use crate::output;
+use crate::patch_file;
+use crate::{Failure, Result};
+
+/// Arguments of `config apply`.
+#[derive(Debug, Args)]
+#[command(
+    after_help = "A patch that was applied before is fine: exit code 0. After exit code 4 the \
+                  patch may have been applied; apply it again to find out."
+)]
+pub(super) struct Apply {
+    /// Patch file
+    file: PathBuf,
+}
+
+impl Apply {
+    pub(super) fn run(&self, client: &Client, options: &Options) -> Result<()> {
+        let patch = patch_file::read(&self.file)?;
+        let what = format!("patch {}", patch.id);
+        let body = serde_json::to_value(&patch)
+            .map_err(|error| Failure::usage(format!("{what} can't be encoded: {error}")))?;
+        // The id tells a repeated patch from a conflict, so a lost reply allows the next entry.
+        let reply = client
+            .ask(Method::Post, "/v1/config", Some(&body), REPLY_MARGIN)
+            .map_err(|failure| failure.with_help("apply the patch again to find out"))?;
+        if reply.status == 409 {
+            let current = current(client, &reply)?;
+            return match Snapshot::of_patch(client, &patch, current)? {
+                Some(version) => report(options, &patch, version, true),
+                None => Err(conflict(&patch, current)),
+            };
+        }
+        let accepted = reply.success(&what)?;
+        let version = version(&accepted).ok_or_else(|| {
+            Failure::may_have_run(format!("{what}: the reply names no version"))
+                .with_help("apply the patch again to find out")
+        })?;
+        report(options, &patch, version, false)
+    }
+}
+
+/// Returns the failure of a patch whose base is not the version in force.
+pub(super) fn conflict(patch: &Patch, current: Version) -> Failure {
+    let failure = Failure::refused(format!(
+        "patch {} applies to version {}, but version {current} is in force",
+        patch.id, patch.base
+    ));
+    if patch.base > current {
+        return failure;
+    }
+    failure.with_help(format!(
+        "see `fulmarpond config diff {} {current}`, then change `base`",
+        patch.base
+    ))
+}
+
+/// Returns the version in force, from the reply to a patch that conflicts with it.
+fn current(client: &Client, reply: &Reply) -> Result<Version> {
+    match version(&reply.json()) {
+        Some(version) => Ok(version),
+        None => Ok(Snapshot::current(client)?.version),
+    }
+}
+
+fn version(body: &Value) -> Option<Version> {
+    body["version"].as_u64().map(Version)
+}
+
+fn report(options: &Options, patch: &Patch, version: Version, before: bool) -> Result<()> {
+    if options.json {
+        return output::print_json(
+            &json!({"patch": patch.id, "version": version, "applied_before": before}),
+        );
+    }
+    let when = if before { " before" } else { "" };
+    output::print(&format!(
+        "patch {} was applied{when} as version {version}",
+        patch.id
+    ))
+}
--- /dev/null
+++ b/crates/fulmarpond/src/verbs/endpoints.rs
@@ -0,0 +1,30 @@
+//! `endpoints`: the endpoints behind the agents.
+
+use clap::Args;
+
+use crate::Result;
+use crate::cli::Options;
+use crate::client::Client;
+use crate::output::{self, cell, rows};
+use crate::table::Table;
+
+/// Arguments of `endpoints`.
+#[derive(Debug, Args)]
+pub(crate) struct Endpoints {}
+
+impl Endpoints {
+    pub(super) fn run(&self, options: &Options) -> Result<()> {
+        let endpoints = Client::new(options, 1)?.read("endpoints", "/v1/endpoints")?;
+        if options.json {
+            return output::print_json(&endpoints);
+        }
+        let mut table = Table::new(["AGENT", "ADDR", "ZONE", "SLOTS", "FREE", "QUEUED", "STATE"]);
+        for row in rows(&endpoints) {
+            table.row(
+                ["agent", "addr", "zone", "slots", "free", "queued", "state"]
+                    .map(|field| cell(&row[field])),
+            );
+        }
+        output::print(&table.to_string())
+    }
+}
--- a/crates/fulmarpond/src/verbs/mod.rs
+++ b/crates/fulmarpond/src/verbs/mod.rs
@@ -2,9 +2,16 @@
 
 mod answer;
 mod cancel;
+mod completions;
+mod config;
+mod endpoints;
 mod load;
+mod roster;
 mod status;
 mod submit;
+mod teams;
+mod watch;
+mod why;
 
 use clap::Subcommand;
 
@@ -19,10 +26,24 @@
     Status(status::Status),
     /// Print the answer to a job
     Answer(answer::Answer),
+    /// Print the events of a job until it ends
+    Watch(watch::Watch),
+    /// Print all decisions about a job
+    Why(why::Why),
     /// Cancel a job and print its final answer
     Cancel(cancel::Cancel),
+    /// Show and change the configuration
+    Config(config::Config),
+    /// List the endpoints
+    Endpoints(endpoints::Endpoints),
+    /// List the members of the roster
+    Roster(roster::Roster),
+    /// List the teams with their quotas
+    Teams(teams::Teams),
     /// Generate load and measure response times
     Load(load::Load),
+    /// Print completions for a shell
+    Completions(completions::Completions),
 }
 
 /// Runs the verb of a command.
@@ -35,8 +56,15 @@
         Verb::Submit(verb) => verb.run(&cli.options),
         Verb::Status(verb) => verb.run(&cli.options),
         Verb::Answer(verb) => verb.run(&cli.options),
+        Verb::Watch(verb) => verb.run(&cli.options),
+        Verb::Why(verb) => verb.run(&cli.options),
         Verb::Cancel(verb) => verb.run(&cli.options),
+        Verb::Config(verb) => verb.run(&cli.options),
+        Verb::Endpoints(verb) => verb.run(&cli.options),
+        Verb::Roster(verb) => verb.run(&cli.options),
+        Verb::Teams(verb) => verb.run(&cli.options),
         Verb::Load(verb) => verb.run(&cli.options),
+        Verb::Completions(verb) => verb.run(),
     }
 }
 
--- a/crates/fulmarpond/src/verbs/submit.rs
+++ b/crates/fulmarpond/src/verbs/submit.rs
@@ -16,7 +16,7 @@
 use crate::{Failure, Result};
 
 /// Fields that options decide, so that a job file can be submitted more than once.
-const RESERVED: [&str; 4] = ["id", "attempt", "age_ms", "wait"];
+const RESERVED: [&str; 3] = ["id", "attempt", "age_ms"];
 
 /// Arguments of `submit`.
 #[derive(Debug, Args)]
@@ -53,8 +53,8 @@
         if io::stderr().is_terminal() {
             eprintln!("job {}", job.id);
         }
-        let (reply, lost) = job.send(&client)?;
-        job.report(&reply, lost, options.json)
+        let reply = job.send(&client)?;
+        job.report(&reply, options.json)
     }
 }
 
@@ -74,7 +74,7 @@
             return Err(Failure::usage(format!(
                 "the job file has a field `{field}`, which is given as an option"
             ))
-            .with_help("remove the field; see `--id`, `--attempt`, `--age-ms` and `--no-wait`"));
+            .with_help("remove the field; see `--id`, `--attempt` and `--age-ms`"));
         }
         if let Some(team) = &args.team {
             body.insert("team".to_owned(), team.as_str().into());
@@ -86,7 +86,9 @@
                 Failure::usage("the job has no deadline")
                     .with_help("set `deadline_ms` in the job file or give `--deadline-ms`")
             })?;
-        body.insert("wait".to_owned(), (!args.no_wait).into());
+        if args.no_wait {
+            body.insert("wait".to_owned(), false.into());
+        }
         let first = args.id.is_none() || args.first;
         Ok(Self {
             id: args.id.clone().unwrap_or_else(random_id),
@@ -102,8 +104,8 @@
     }
 
     /// Sends the job to each entry in turn until one replies. Every entry after the first gets it
-    /// as a resubmission. Returns whether an earlier request may have been transmitted.
-    fn send(&self, client: &Client) -> Result<(Reply, bool)> {
+    /// as a resubmission.
+    fn send(&self, client: &Client) -> Result<Reply> {
         let start = Instant::now();
         let mut errors: Vec<CallError> = Vec::new();
         for (number, entry) in client.entries().iter().enumerate() {
@@ -116,10 +118,10 @@
             let timeout = Duration::from_millis(remaining).saturating_add(REPLY_MARGIN);
             match client.call(entry, Method::Post, "/v1/jobs", Some(&body), timeout) {
                 Ok(reply) => {
-                    let lost = errors
-                        .iter()
-                        .any(|error| matches!(error, CallError::Lost(_)));
-                    return Ok((reply, lost));
+                    return Ok(Reply {
+                        lost: client::any_lost(&errors),
+                        ..reply
+                    });
                 }
                 Err(error) => errors.push(error),
             }
@@ -146,18 +148,18 @@
         body.into()
     }
 
-    fn report(&self, reply: &Reply, lost: bool, json: bool) -> Result<()> {
+    fn report(&self, reply: &Reply, json: bool) -> Result<()> {
         if let Some(answer) = Answer::read(reply) {
             answer.print(reply, json)?;
             // An entry can refuse the resubmission by itself while the earlier attempt runs.
             return match &answer.verdict {
-                Verdict::NotRun(refusal) if lost => Err(Failure::may_have_run(format!(
-                    "job {}: no reply to an earlier attempt, which may have run, and the \
-                     resubmission was refused: {}",
-                    self.id,
-                    refusal.text()
-                ))
-                .with_help(format!("see `fulmarpond answer {}`", self.id))),
+                Verdict::NotRun(refusal) if reply.lost => Err(reply
+                    .refusal(format!(
+                        "the resubmission of job {} was refused: {}",
+                        self.id,
+                        refusal.text()
+                    ))
+                    .with_help(format!("see `fulmarpond answer {}`", self.id))),
                 _ => answer.outcome(),
             };
         }
--- /dev/null
+++ b/crates/fulmarpond/src/verbs/watch.rs
@@ -0,0 +1,81 @@
+//! `watch`: the events of a job as they come.
+
+use std::io::{self, IsTerminal};
+use std::thread;
+use std::time::Duration;
+
+use clap::Args;
+
+use super::job_id;
+use crate::Result;
+use crate::cli::Options;
+use crate::client::Client;
+use crate::events::{Event, Page};
+use crate::output;
+use crate::progress::Progress;
+
+/// How long an entry is asked to wait for the next event.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// The pause after a page without events, in case an entry replies before the wait is over.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Arguments of `watch`.
+#[derive(Debug, Args)]
+#[command(
+    after_help = "With --json, each event is one line. The exit code does not depend on the \
+                  verdict of the job; see `answer`."
+)]
+pub(crate) struct Watch {
+    /// Id of the job
+    #[arg(value_parser = job_id)]
+    id: String,
+}
+
+impl Watch {
+    pub(super) fn run(&self, options: &Options) -> Result<()> {
+        let client = Client::new(options, 1)?;
+        let mut progress = self.progress(&client);
+        let mut from = 0;
+        loop {
+            let page = Page::read(&client, &self.id, from, WAIT)?;
+            let events = page.events()?;
+            if let Some(progress) = &mut progress {
+                progress.clear();
+            }
+            for (event, raw) in events.iter().zip(page.raw()) {
+                if options.json {
+                    output::print(&raw.to_string())?;
+                } else {
+                    output::print(&line(event))?;
+                }
+            }
+            if page.ended {
+                return Ok(());
+            }
+            if let Some(progress) = &mut progress {
+                progress.add(&events);
+                progress.draw();
+            }
+            if events.is_empty() {
+                thread::sleep(PAUSE);
+            }
+            from = page.next.max(from);
+        }
+    }
+
+    /// Returns the progress line if standard error is a terminal.
+    fn progress(&self, client: &Client) -> Option<Progress> {
+        io::stderr().is_terminal().then(|| {
+            // Without the number of tasks the line shows only the counts.
+            let status = client.read("status", &format!("/v1/jobs/{}", self.id));
+            Progress::new(status.ok().and_then(|status| status["tasks"].as_u64()))
+        })
+    }
+}
+
+fn line(event: &Event) -> String {
+    let [task, agent, detail] = event.cells();
+    let Event { at_ms, kind, .. } = event;
+    format!("{at_ms:>8} ms  {kind:<8}  {task:>4}  {agent:<16}  {detail}")
+}
