--- a/crates/fulmarpond/src/load/report.rs
+++ b/crates/fulmarpond/src/load/report.rs
@@ -101,7 +101,10 @@
             ("over ideal", &self.response_over_ideal),
             ("ms", &self.response_ms),
         ] {
-            let value = |value: f64| format!("{value:.3}");
+            let value = |value: f64| match quantiles.count {
+                0 => "-".to_owned(),
+                _ => format!("{value:.3}"),
+            };
             response.row([
                 name.to_owned(),
                 quantiles.count.to_string(),
--- a/crates/fulmarpond/tests/load_run.rs
+++ b/crates/fulmarpond/tests/load_run.rs
@@ -266,6 +266,8 @@
     );
     assert_eq!(run.code, 5, "{}", run.stderr);
     assert!(run.stdout.contains("not_sent"), "{}", run.stdout);
+    // Quantiles of nothing must not look like response times of 0.
+    assert!(!run.stdout.contains("0.000"), "{}", run.stdout);
 }
 
 /// Guards against options that silently mean nothing, or a rate that can't be computed.
