--- a/crates/fulmarpond-core/src/link/error.rs
+++ b/crates/fulmarpond-core/src/link/error.rs
@@ -14,7 +14,8 @@
     /// The request was sent, and no response came. The other side may have acted on it.
     #[error("the link was lost before a response came")]
     Lost,
-    /// The other side answered, but not with a valid response. It did not act on the request.
-    #[error("the other side rejected the request")]
+    /// The request was refused before it had any effect, because it is too large, could not be decoded
+    /// or met a stopping process.
+    #[error("the request was rejected without effect")]
     Rejected,
 }
