--- a/crates/fulmarpond/src/cli.rs
+++ b/crates/fulmarpond/src/cli.rs
@@ -37,6 +37,9 @@
     /// File with the token of the caller
     #[arg(long, global = true, value_name = "FILE")]
     pub(crate) token_file: Option<PathBuf>,
+    /// Team of the job, unless it follows from the token
+    #[arg(long, global = true, env = "FULMARPOND_TEAM")]
+    pub(crate) team: Option<String>,
     /// Print JSON instead of tables
     #[arg(long, global = true)]
     pub(crate) json: bool,
--- a/crates/fulmarpond/src/client.rs
+++ b/crates/fulmarpond/src/client.rs
@@ -137,6 +137,7 @@
     agent: Agent,
     entries: Vec<String>,
     token: Option<String>,
+    team: Option<String>,
 }
 
 impl Client {
@@ -171,6 +172,7 @@
             agent: http_agent(connections),
             entries,
             token,
+            team: options.team.clone(),
         })
     }
 
@@ -179,6 +181,19 @@
         &self.entries
     }
 
+    /// Returns the path of job `id`, or of the part of it named by `tail`, with a query.
+    ///
+    /// The team goes into the query, where an entry without tokens looks for it.
+    pub(crate) fn job_path(&self, id: &str, tail: &str, query: &[(&str, u64)]) -> String {
+        let mut pairs: Vec<String> = query
+            .iter()
+            .map(|(name, value)| format!("{name}={value}"))
+            .collect();
+        pairs.extend(self.team.iter().map(|team| format!("team={team}")));
+        let mark = if pairs.is_empty() { "" } else { "?" };
+        format!("/v1/jobs/{id}{tail}{mark}{}", pairs.join("&"))
+    }
+
     /// Sends one request to one entry.
     ///
     /// # Errors
--- a/crates/fulmarpond/src/events.rs
+++ b/crates/fulmarpond/src/events.rs
@@ -60,10 +60,8 @@
     /// Returns a failure if no entry replied or if the reply is not a page of events.
     pub(crate) fn read(client: &Client, id: &str, from: u64, wait: Duration) -> Result<Self> {
         let what = format!("events of job {id}");
-        let path = format!(
-            "/v1/jobs/{id}/events?from={from}&wait_ms={}",
-            wait.as_millis()
-        );
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let path = client.job_path(id, "/events", &[("from", from), ("wait_ms", wait_ms)]);
         let reply = client.ask(Method::Get, &path, None, wait + REPLY_MARGIN)?;
         serde_json::from_value(reply.success(&what)?)
             .map_err(|error| Failure::may_have_run(format!("{what}: {error}")))
--- a/crates/fulmarpond/src/verbs/answer.rs
+++ b/crates/fulmarpond/src/verbs/answer.rs
@@ -28,7 +28,7 @@
 impl Answer {
     pub(super) fn run(&self, options: &Options) -> Result<()> {
         let client = Client::new(options, 1)?;
-        let path = format!("/v1/jobs/{}/answer?wait_ms={}", self.id, self.wait_ms);
+        let path = client.job_path(&self.id, "/answer", &[("wait_ms", self.wait_ms)]);
         let timeout = Duration::from_millis(self.wait_ms).saturating_add(REPLY_MARGIN);
         let reply = client.ask(Method::Get, &path, None, timeout)?;
         if let Some(answer) = answer::Answer::read(&reply) {
--- a/crates/fulmarpond/src/verbs/cancel.rs
+++ b/crates/fulmarpond/src/verbs/cancel.rs
@@ -23,7 +23,7 @@
 impl Cancel {
     pub(super) fn run(&self, options: &Options) -> Result<()> {
         let client = Client::new(options, 1)?;
-        let path = format!("/v1/jobs/{}", self.id);
+        let path = client.job_path(&self.id, "", &[]);
         // A repeated cancellation has no further effect, so the next entry can be asked.
         let reply = client.ask(Method::Delete, &path, None, REPLY_MARGIN)?;
         let Some(answer) = Answer::read(&reply) else {
--- a/crates/fulmarpond/src/verbs/load.rs
+++ b/crates/fulmarpond/src/verbs/load.rs
@@ -50,9 +50,6 @@
     /// Seed of arrivals, sizes and run times
     #[arg(long, value_name = "N", default_value_t = 1)]
     seed: u64,
-    /// Team of the jobs
-    #[arg(long)]
-    team: Option<String>,
     /// Milliseconds until the deadline of a job
     #[arg(long, value_name = "N", default_value_t = 30_000, value_parser = clap::value_parser!(u64).range(1..))]
     deadline_ms: u64,
@@ -90,7 +87,7 @@
         let profile = self.profile(&shape)?;
         let run = Run {
             prefix: format!("load-{:016x}-", rand::random::<u64>()),
-            team: self.team.clone(),
+            team: options.team.clone(),
             deadline_ms: self.deadline_ms,
             clients: self.clients,
         };
--- a/crates/fulmarpond/src/verbs/mod.rs
+++ b/crates/fulmarpond/src/verbs/mod.rs
@@ -10,6 +10,7 @@
 mod status;
 mod submit;
 mod teams;
+mod up;
 mod watch;
 mod why;
 
@@ -40,6 +41,8 @@
     Roster(roster::Roster),
     /// List the teams with their quotas
     Teams(teams::Teams),
+    /// Run a whole system on this machine until Ctrl-C, with stand-ins for platform and endpoints
+    Up(up::Up),
     /// Generate load and measure response times
     Load(load::Load),
     /// Print completions for a shell
@@ -63,6 +66,7 @@
         Verb::Endpoints(verb) => verb.run(&cli.options),
         Verb::Roster(verb) => verb.run(&cli.options),
         Verb::Teams(verb) => verb.run(&cli.options),
+        Verb::Up(verb) => verb.run(&cli.options),
         Verb::Load(verb) => verb.run(&cli.options),
         Verb::Completions(verb) => verb.run(),
     }
--- a/crates/fulmarpond/src/verbs/status.rs
+++ b/crates/fulmarpond/src/verbs/status.rs
@@ -22,7 +22,7 @@
         let client = Client::new(options, 1)?;
         let status = client.read(
             &format!("job {}", self.id),
-            &format!("/v1/jobs/{}", self.id),
+            &client.job_path(&self.id, "", &[]),
         )?;
         if options.json {
             return output::print_json(&status);
--- a/crates/fulmarpond/src/verbs/submit.rs
+++ b/crates/fulmarpond/src/verbs/submit.rs
@@ -38,9 +38,6 @@
     /// Milliseconds until the deadline
     #[arg(long, value_name = "N", value_parser = clap::value_parser!(u64).range(1..))]
     deadline_ms: Option<u64>,
-    /// Team of the job
-    #[arg(long)]
-    team: Option<String>,
     /// Return as soon as the job is accepted
     #[arg(long)]
     no_wait: bool,
@@ -49,7 +46,7 @@
 impl Submit {
     pub(super) fn run(&self, options: &Options) -> Result<()> {
         let client = Client::new(options, 1)?;
-        let job = Job::read(self)?;
+        let job = Job::read(self, options.team.as_deref())?;
         if io::stderr().is_terminal() {
             eprintln!("job {}", job.id);
         }
@@ -68,7 +65,7 @@
 }
 
 impl Job {
-    fn read(args: &Submit) -> Result<Self> {
+    fn read(args: &Submit, team: Option<&str>) -> Result<Self> {
         let mut body = read_object(&args.file)?;
         if let Some(field) = RESERVED.iter().find(|field| body.contains_key(**field)) {
             return Err(Failure::usage(format!(
@@ -76,8 +73,8 @@
             ))
             .with_help("remove the field; see `--id`, `--attempt` and `--age-ms`"));
         }
-        if let Some(team) = &args.team {
-            body.insert("team".to_owned(), team.as_str().into());
+        if let Some(team) = team {
+            body.insert("team".to_owned(), team.into());
         }
         let deadline_ms = args
             .deadline_ms
--- a/crates/fulmarpond/src/verbs/watch.rs
+++ b/crates/fulmarpond/src/verbs/watch.rs
@@ -68,7 +68,7 @@
     fn progress(&self, client: &Client) -> Option<Progress> {
         io::stderr().is_terminal().then(|| {
             // Without the number of tasks the line shows only the counts.
-            let status = client.read("status", &format!("/v1/jobs/{}", self.id));
+            let status = client.read("status", &client.job_path(&self.id, "", &[]));
             Progress::new(status.ok().and_then(|status| status["tasks"].as_u64()))
         })
     }
--- a/crates/fulmarpondd/src/store.rs
+++ b/crates/fulmarpondd/src/store.rs
@@ -104,15 +104,18 @@
 ) {
     let mut after = 0;
     let mut out = false;
+    // The first look must not wait: an empty service has no change to report.
+    let mut wait_ms = 0;
     while !stop.load(Ordering::Relaxed) {
         metrics.messages("store", 2);
-        match client.watch(PREFIX, after, WATCH_MS) {
+        match client.watch(PREFIX, after, wait_ms) {
             Ok(changes) => {
                 if out {
                     info!("the platform's key-value service is back");
                     out = false;
                 }
                 after = changes.revision;
+                wait_ms = WATCH_MS;
                 let items = changes
                     .items
                     .into_iter()
