perf(core): bind late without delay after a refusal for load

Cause: every refusal for load took a retry from the budget; once it was used up, jobs were held back for up to 1 s although slots were free, and slots were asked for and granted for nothing meanwhile. Change: slots are asked for only for tasks that may be sent, and a refusal that came with the load of a full agent delays nothing when tasks are bound late. Wasted grants remain and are the next target.

--- a/crates/fulmarpond-core/src/home/placing.rs
+++ b/crates/fulmarpond-core/src/home/placing.rs
@@ -193,12 +193,13 @@
 
     /// Asks agents for slots for the tasks that wait.
     fn reserve<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
-        let late = ctx.policy.placement == PlacementKind::CarriedLoad
-            && ctx.policy.weigh == Weigh::Response;
-        if !late {
+        if !ctx.policy.binds_late() {
+            return;
+        }
+        let waiting = self.ready_tasks(ctx.now);
+        if waiting == 0 {
             return;
         }
-        let waiting = usize::try_from(self.waiting()).unwrap_or(usize::MAX);
         let outstanding = self
             .fleet
             .iter()
@@ -234,6 +235,18 @@
         }
     }
 
+    /// Returns the waiting tasks of jobs that are not held back after refusals.
+    ///
+    /// A slot that is asked for while its task is held back is granted at once and for nothing.
+    fn ready_tasks(&self, now: Time) -> usize {
+        self.line
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(|job| now >= job.resume)
+            .map(|job| job.pending.len())
+            .sum()
+    }
+
     /// Handles the reply to a request for slots.
     pub(super) fn granted<R: Rng>(
         &mut self,
@@ -276,8 +289,7 @@
     ///
     /// Agents hold no waiting tasks when tasks are bound late, so nothing is sent then.
     pub(super) fn withdraw<R: Rng>(&mut self, ctx: &Context<'_, R>, id: &JobId) {
-        let late = ctx.policy.placement == PlacementKind::CarriedLoad
-            && ctx.policy.weigh == Weigh::Response;
+        let late = ctx.policy.binds_late();
         let batches = self.batches.extract_if(|_, batch| batch.job == *id);
         let mut any = false;
         for (number, batch) in batches {
--- a/crates/fulmarpond-core/src/home/reports.rs
+++ b/crates/fulmarpond-core/src/home/reports.rs
@@ -164,7 +164,9 @@
             _ => RetryCause::Full,
         };
         ctx.count(Count::Retry(cause));
-        if !self.budget.take() {
+        // A full agent reported its load, so a task that is bound late goes to no full agent twice.
+        let corrected = cause == RetryCause::Full && ctx.policy.binds_late();
+        if !corrected && !self.budget.take() {
             let delay = PLACE_BACKOFF.delay_ms(job.retries, ctx.rng);
             job.resume = ctx.now.after_millis(delay);
             job.retries += 1;
--- a/crates/fulmarpond-core/src/policy/policy_values.rs
+++ b/crates/fulmarpond-core/src/policy/policy_values.rs
@@ -96,6 +96,13 @@
 }
 
 impl Policy {
+    /// Returns whether tasks wait at the home until an agent grants a slot.
+    ///
+    /// Otherwise they may wait in the queues of the agents.
+    pub fn binds_late(&self) -> bool {
+        self.placement == PlacementKind::CarriedLoad && self.weigh == Weigh::Response
+    }
+
     /// Returns the quota of `team` in tasks in flight.
     pub fn quota(&self, team: &str) -> u64 {
         self.quotas.get(team).copied().unwrap_or(self.default_quota)
--- a/crates/fulmarpond-core/src/runner/runner.rs
+++ b/crates/fulmarpond-core/src/runner/runner.rs
@@ -10,7 +10,6 @@
 use crate::contract::{Needs, Reason, Refusal, Task};
 use crate::link::{Ask, Batch, CallId, Grant, Outcome, Reserve, Response, Withdraw, Withdrawn};
 use crate::machine::{AgentId, Health, Load, Registration};
-use crate::policy::Weigh;
 
 /// How long granted slots are held for a home, in milliseconds.
 ///
@@ -221,13 +220,10 @@
         if !task.needs.fit(&self.limits()) {
             return Some(Refusal::new(Reason::NeverFits, 0));
         }
-        let queue_max = match ctx.policy.weigh {
-            Weigh::Response => 0,
-            Weigh::Messages => ctx.policy.queue_max as usize,
-        };
-        let queue_max = match ctx.policy.placement {
-            crate::policy::PlacementKind::CarriedLoad => queue_max,
-            _ => ctx.policy.queue_max as usize,
+        let queue_max = if ctx.policy.binds_late() {
+            0
+        } else {
+            ctx.policy.queue_max as usize
         };
         let full = self.free(ctx.now) == 0 && self.queue.len() >= queue_max;
         full.then(|| Refusal::new(Reason::QueueFull, 0))
