perf(core): fill the free slots of one agent before the next

Cause: jobs were spread task by task over all agents with free slots, one message and reply each. Change: the free slots of the chosen agent are filled at once; queues take up to half the slots.

--- a/crates/fulmarpond-core/src/home/placing.rs
+++ b/crates/fulmarpond-core/src/home/placing.rs
@@ -68,6 +68,22 @@
         }
     }
 
+    /// Returns how many tasks of a job go to the agent at `index` at once.
+    ///
+    /// Each agent that gets tasks of a job costs a message and its reply, so free slots of one agent
+    /// are filled before the next agent is chosen. The baseline spreads tasks one by one.
+    fn chunk(&self, index: usize, policy: &Policy) -> u32 {
+        let choice = self.choices[index];
+        match policy.placement {
+            PlacementKind::CarriedLoad if choice.free > 0 => choice.free,
+            PlacementKind::CarriedLoad => {
+                let room = policy.queue_max.saturating_sub(choice.queued);
+                room.min(choice.slots / 2).max(1)
+            }
+            PlacementKind::Uniform | PlacementKind::TwoChoices => 1,
+        }
+    }
+
     /// Notes that a task goes to the agent at `index`.
     fn take(&mut self, index: usize) {
         let choice = &mut self.choices[index];
@@ -131,11 +147,17 @@
             let Some(index) = cached.choose(ctx.policy, ctx.rng) else {
                 break;
             };
-            cached.take(index);
-            job.pending.pop_front();
-            plan.entry(cached.agents[index].clone())
-                .or_default()
-                .push(task);
+            let tasks = plan.entry(cached.agents[index].clone()).or_default();
+            for _ in 0..cached.chunk(index, ctx.policy) {
+                match job.pending.front().copied() {
+                    Some(task) if job.tasks[task as usize].needs == needs => {
+                        cached.take(index);
+                        job.pending.pop_front();
+                        tasks.push(task);
+                    }
+                    _ => break,
+                }
+            }
         }
         plan
     }
