--- /dev/null
+++ b/crates/fulmarpond-http/src/response.rs
@@ -0,0 +1,90 @@
+//! A response.
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use http::{HeaderMap, StatusCode};
+use http_body_util::Full;
+use serde::Serialize;
+
+/// A response.
+///
+/// # Examples
+///
+/// ```
+/// use fulmarpond_http::Response;
+///
+/// let response = Response::json(200, &["a", "b"]);
+/// assert_eq!(response.status(), 200);
+/// assert_eq!(response.body(), r#"["a","b"]"#);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Response {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Response {
+    /// Creates a response. A status outside 200 to 999 becomes 500.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the content type has characters that are not allowed in a header.
+    pub fn new(status: u16, content_type: &'static str, body: impl Into<Bytes>) -> Self {
+        let mut response = Self::empty(status);
+        let content_type = HeaderValue::from_static(content_type);
+        response.headers.insert(CONTENT_TYPE, content_type);
+        response.body = body.into();
+        response
+    }
+
+    /// Creates a response without a body. A status outside 200 to 999 becomes 500.
+    pub fn empty(status: u16) -> Self {
+        let status = StatusCode::from_u16(status)
+            .ok()
+            .filter(|status| !status.is_informational())
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        Self {
+            status,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Creates a response with a text.
+    pub fn text(status: u16, text: impl Into<String>) -> Self {
+        Self::new(status, "text/plain; charset=utf-8", text.into())
+    }
+
+    /// Creates a response with a JSON value. A value that has no JSON form gives status 500.
+    pub fn json<T: Serialize + ?Sized>(status: u16, value: &T) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self::new(status, "application/json", body),
+            Err(error) => Self::text(500, error.to_string()),
+        }
+    }
+
+    /// Sets a header.
+    #[must_use]
+    pub fn with_header(mut self, name: HeaderName, value: impl Into<HeaderValue>) -> Self {
+        self.headers.insert(name, value.into());
+        self
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> u16 {
+        self.status.as_u16()
+    }
+
+    /// Returns the body.
+    pub fn body(&self) -> &Bytes {
+        &self.body
+    }
+
+    pub(crate) fn into_http(self) -> http::Response<Full<Bytes>> {
+        let mut response = http::Response::new(Full::new(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
