feat(daemon): serve HTTP with the new listener

A waiting caller holds no thread, and a request that the core never answers ends with "may have run" instead of "not run".

--- a/crates/fulmarpond-http/src/response.rs
+++ b/crates/fulmarpond-http/src/response.rs
@@ -1,8 +1,8 @@
 //! A response.
 
 use bytes::Bytes;
+use http::StatusCode;
 use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
-use http::{HeaderMap, StatusCode};
 use http_body_util::Full;
 use serde::Serialize;
 
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone)]
 pub struct Response {
     status: StatusCode,
-    headers: HeaderMap,
+    headers: Vec<(HeaderName, HeaderValue)>,
     body: Bytes,
 }
 
@@ -33,7 +33,7 @@
     pub fn new(status: u16, content_type: &'static str, body: impl Into<Bytes>) -> Self {
         let mut response = Self::empty(status);
         let content_type = HeaderValue::from_static(content_type);
-        response.headers.insert(CONTENT_TYPE, content_type);
+        response.headers.push((CONTENT_TYPE, content_type));
         response.body = body.into();
         response
     }
@@ -46,7 +46,7 @@
             .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         Self {
             status,
-            headers: HeaderMap::new(),
+            headers: Vec::new(),
             body: Bytes::new(),
         }
     }
@@ -64,10 +64,10 @@
         }
     }
 
-    /// Sets a header.
+    /// Adds a header.
     #[must_use]
     pub fn with_header(mut self, name: HeaderName, value: impl Into<HeaderValue>) -> Self {
-        self.headers.insert(name, value.into());
+        self.headers.push((name, value.into()));
         self
     }
 
@@ -84,7 +84,7 @@
     pub(crate) fn into_http(self) -> http::Response<Full<Bytes>> {
         let mut response = http::Response::new(Full::new(self.body));
         *response.status_mut() = self.status;
-        *response.headers_mut() = self.headers;
+        response.headers_mut().extend(self.headers);
         response
     }
 }
--- a/crates/fulmarpondd/src/daemon.rs
+++ b/crates/fulmarpondd/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::SyncSender;
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, RwLock};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,7 @@
 use fulmarpond_core::link::{CallId, Envelope, Response};
 use fulmarpond_core::machine::AgentId;
 use fulmarpond_core::runner::RunnerOptions;
+use fulmarpond_http::{Handler, Listener, Options};
 use fulmarpond_link::{
     ClientOptions, LinkClient, LinkRuntime, LinkServer, Responder, Secret, ServeOptions,
 };
@@ -22,9 +23,10 @@
 use tracing::info;
 
 use crate::auth::Tokens;
+use crate::callers::Callers;
 use crate::clock::Clock;
 use crate::driver::{AgentDriver, AgentView, EntryDriver, EntryView, Links, run};
-use crate::http::{AgentApi, EntryApi, Listener};
+use crate::http::{AgentApi, EntryApi};
 use crate::metrics::Metrics;
 use crate::ring::{Waiting, ring};
 use crate::slots::Slots;
@@ -32,10 +34,19 @@
 
 /// The threads of the link runtime.
 const LINK_THREADS: usize = 2;
-/// The requests that an agent's HTTP listener serves at once.
-const AGENT_HTTP_THREADS: usize = 8;
-/// The threads of an entry's HTTP listener beside those of waiting callers.
-const ENTRY_HTTP_THREADS: usize = 16;
+/// The threads of an agent's HTTP listener.
+const AGENT_HTTP_THREADS: usize = 1;
+/// The threads of an entry's HTTP listener. They parse and render the bodies.
+const ENTRY_HTTP_THREADS: usize = 4;
+/// The connections to an agent: its endpoint, scrapes and health checks.
+const AGENT_CONNECTIONS: usize = 64;
+/// The connections to an entry beside two for each caller that may wait. Above the number of
+/// waiting callers there must be room for connections on which more are refused.
+const ENTRY_CONNECTIONS: usize = 64;
+/// The largest announcement of an endpoint in bytes.
+const ANNOUNCE_MAX: u64 = 64 << 10;
+/// How long closing the HTTP listener waits for responses that are being written.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
 
 /// One running role.
 ///
@@ -43,8 +54,8 @@
 pub struct Daemon {
     drain: Box<dyn Fn() + Send + Sync>,
     core: JoinHandle<()>,
-    http: Mutex<Listener>,
-    http_addr: SocketAddr,
+    http: Listener,
+    callers: Option<Callers>,
     server: LinkServer,
     stop_threads: Arc<AtomicBool>,
     _runtime: LinkRuntime,
@@ -76,7 +87,7 @@
 
     /// Returns the address of the HTTP listener.
     pub fn http_addr(&self) -> SocketAddr {
-        self.http_addr
+        self.http.addr()
     }
 
     /// Returns the address of the link listener.
@@ -111,10 +122,10 @@
     /// Closes the listeners. Responses in progress are written first.
     pub fn close(&self) {
         self.stop_threads.store(true, Ordering::Relaxed);
-        self.http
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .stop();
+        if let Some(callers) = &self.callers {
+            callers.abandon();
+        }
+        self.http.stop(CLOSE_LIMIT);
         self.server.stop();
     }
 }
@@ -185,6 +196,17 @@
     Ok(common.runtime.serve(settings.link, options, handler)?)
 }
 
+fn listen<H, R>(addr: SocketAddr, options: Options, handler: H) -> Result<Listener>
+where
+    H: Handler<R>,
+    R: Into<fulmarpond_http::Response> + Send + 'static,
+{
+    Listener::start(addr, options, handler).map_err(|error| Error::Listen {
+        addr,
+        message: error.to_string(),
+    })
+}
+
 fn links<I>(common: &Common, core: &SyncSender<I>) -> Links<I> {
     Links {
         client: common.client.clone(),
@@ -236,9 +258,12 @@
         zone: settings.zone.as_str().to_owned(),
         lease_ms: millis(timing.lease),
     };
-    let http = Listener::start(settings.http, AGENT_HTTP_THREADS, move |request| {
-        api.handle(request)
-    })?;
+    let http = Options::default()
+        .threads(AGENT_HTTP_THREADS)
+        .max_connections(AGENT_CONNECTIONS)
+        .headers_max(settings.limits.headers)
+        .body_max(ANNOUNCE_MAX);
+    let http = listen(settings.http, http, api)?;
     let driver = AgentDriver {
         links: links(&common, &core),
         slots: Slots::new(core.clone(), Arc::clone(&common.metrics)),
@@ -258,6 +283,7 @@
         server,
         http,
         thread,
+        None,
         Arc::default(),
         Box::new(drain),
     ))
@@ -285,7 +311,8 @@
         &stop_threads,
     )?;
     let view = Arc::new(RwLock::new(EntryView::default()));
-    let callers = Waiting::new(&common.numbers);
+    let callers = Callers::new(&common.numbers, settings.limits.callers, &common.metrics);
+    callers.start_sweeping(&stop_threads)?;
     let api = EntryApi {
         core: core.clone(),
         waiting: callers.clone(),
@@ -297,14 +324,16 @@
             max_tasks: settings.limits.tasks,
             deadline_ms: millis(settings.limits.deadline),
         },
-        body_max: settings.limits.body,
-        headers_max: settings.limits.headers,
     };
-    let threads = settings.limits.callers + ENTRY_HTTP_THREADS;
-    let http = Listener::start(settings.http, threads, move |request| api.handle(request))?;
+    let http = Options::default()
+        .threads(ENTRY_HTTP_THREADS)
+        .max_connections(ENTRY_CONNECTIONS + 2 * settings.limits.callers)
+        .headers_max(settings.limits.headers)
+        .body_max(settings.limits.body);
+    let http = listen(settings.http, http, api)?;
     let driver = EntryDriver {
         links: links(&common, &core),
-        callers,
+        callers: callers.clone(),
         store,
         core: core.clone(),
         view,
@@ -323,6 +352,7 @@
         server,
         http,
         thread,
+        Some(callers),
         stop_threads,
         Box::new(drain),
     ))
@@ -333,14 +363,15 @@
     server: LinkServer,
     http: Listener,
     core: JoinHandle<()>,
+    callers: Option<Callers>,
     stop_threads: Arc<AtomicBool>,
     drain: Box<dyn Fn() + Send + Sync>,
 ) -> Daemon {
     Daemon {
         drain,
         core,
-        http_addr: http.addr(),
-        http: Mutex::new(http),
+        http,
+        callers,
         server,
         stop_threads,
         _runtime: common.runtime,
--- a/crates/fulmarpondd/src/driver/entry_driver.rs
+++ b/crates/fulmarpondd/src/driver/entry_driver.rs
@@ -4,13 +4,14 @@
 use std::sync::{Arc, RwLock};
 
 use fulmarpond_core::Time;
-use fulmarpond_core::entry::{CallerReply, Entry, EntryAction, EntryInput, StoreError, StoreOp};
+use fulmarpond_core::entry::{Entry, EntryAction, EntryInput, StoreError, StoreOp};
 use fulmarpond_core::link::{CallId, LinkError, Response};
 use tracing::info;
 
 use super::{Driver, Flow, Links};
+use crate::callers::Callers;
+use crate::http::Reply;
 use crate::metrics::set;
-use crate::ring::Waiting;
 
 /// The state of an entry that other threads may see.
 #[derive(Debug, Clone, Default)]
@@ -26,7 +27,7 @@
 /// Carries out the actions of an entry.
 pub(crate) struct EntryDriver {
     pub(crate) links: Links<EntryInput>,
-    pub(crate) callers: Waiting<SyncSender<CallerReply>>,
+    pub(crate) callers: Callers,
     pub(crate) store: SyncSender<(CallId, StoreOp)>,
     pub(crate) core: SyncSender<EntryInput>,
     pub(crate) view: Arc<RwLock<EntryView>>,
@@ -46,10 +47,8 @@
     fn perform(&mut self, action: EntryAction) -> Flow {
         match action {
             EntryAction::Answer { call, reply } => {
-                if let Some(caller) = self.callers.take(call) {
-                    // A caller that has gone needs no answer; its job keeps the result.
-                    let _ = caller.try_send(reply);
-                }
+                // A caller that has gone needs no answer; its job keeps the result.
+                self.callers.answer(call, || Reply::Core(reply));
             }
             EntryAction::Reply { call, response } => self.links.reply(call, response),
             EntryAction::Call {
--- a/crates/fulmarpondd/src/http/agent_api.rs
+++ b/crates/fulmarpondd/src/http/agent_api.rs
@@ -5,7 +5,7 @@
 
 use fulmarpond_core::agent::AgentInput;
 use fulmarpond_core::machine::Registration;
-use rouille::{Request, Response};
+use fulmarpond_http::{Fault, Handler, Request, Responder, Response};
 use serde_json::json;
 use tracing::{info, warn};
 
@@ -13,9 +13,6 @@
 use crate::driver::AgentView;
 use crate::metrics::Metrics;
 
-/// The largest announcement of an endpoint in bytes.
-const ANNOUNCE_MAX: u64 = 64 << 10;
-
 /// The HTTP interface of an agent.
 pub(crate) struct AgentApi {
     pub(crate) core: SyncSender<AgentInput>,
@@ -26,22 +23,30 @@
     pub(crate) lease_ms: u64,
 }
 
+impl Handler for AgentApi {
+    fn handle(&self, request: Request, responder: Responder) {
+        responder.send(self.answer(&request));
+    }
+
+    fn refuse(&self, fault: Fault) -> Response {
+        render::fault(fault)
+    }
+}
+
 impl AgentApi {
-    /// Handles a request.
-    pub(crate) fn handle(&self, request: &Request) -> Response {
-        let url = request.url();
-        match (request.method(), url.as_str()) {
+    fn answer(&self, request: &Request) -> Response {
+        match (request.method(), request.path().as_str()) {
             ("POST", "/v1/endpoint") => self.register(request),
             ("DELETE", "/v1/endpoint") => self.deliver(AgentInput::EndpointLeaves, &json!({})),
             ("GET", "/metrics") => metrics(&self.metrics),
-            ("GET", "/healthz") => Response::text("ok"),
+            ("GET", "/healthz") => Response::text(200, "ok"),
             ("GET", "/readyz") => self.ready(),
-            _ => Response::empty_404(),
+            _ => Response::empty(404),
         }
     }
 
     fn register(&self, request: &Request) -> Response {
-        let registration: Registration = match body::read(request, ANNOUNCE_MAX) {
+        let registration: Registration = match body::read(request) {
             Ok(registration) => registration,
             Err(response) => return response,
         };
@@ -77,11 +82,9 @@
             .map(|view| view.clone())
             .unwrap_or_default();
         match (view.ready, view.draining) {
-            (true, _) => Response::text("ready"),
-            (false, true) => Response::text("draining").with_status_code(503),
-            (false, false) => {
-                Response::text("no endpoint or no confirmed roster").with_status_code(503)
-            }
+            (true, _) => Response::text(200, "ready"),
+            (false, true) => Response::text(503, "draining"),
+            (false, false) => Response::text(503, "no endpoint or no confirmed roster"),
         }
     }
 }
@@ -89,5 +92,5 @@
 /// Makes the response to a scrape.
 pub(super) fn metrics(metrics: &Metrics) -> Response {
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-    Response::from_data(kind, metrics.encode())
+    Response::new(200, kind, metrics.encode())
 }
--- a/crates/fulmarpondd/src/http/entry_api.rs
+++ b/crates/fulmarpondd/src/http/entry_api.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface of an entry: callers, operators, metrics and health.
 
-use std::sync::mpsc::{RecvTimeoutError, SyncSender, sync_channel};
+use std::sync::mpsc::{SyncSender, TrySendError};
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 
@@ -8,56 +8,97 @@
 use fulmarpond_core::contract::{
     JobId, RawSubmission, Reason, Refusal, Submission, SubmissionLimits,
 };
-use fulmarpond_core::entry::{CallerReply, CallerRequest, EntryInput};
+use fulmarpond_core::entry::{CallerRequest, EntryInput};
 use fulmarpond_core::policy::{Patch, Version};
-use rouille::{Request, Response};
+use fulmarpond_http::{Fault, Handler, Request, Responder, Response};
 use tracing::{debug, info};
 
-use super::{agent_api, body, render};
+use super::{Reply, agent_api, body, render};
 use crate::auth::{Access, Tokens};
+use crate::callers::{Caller, Callers, Waiter};
 use crate::driver::EntryView;
 use crate::metrics::Metrics;
-use crate::ring::Waiting;
 
 /// The longest wait that a caller may ask for, in milliseconds.
 const WAIT_MAX_MS: u64 = 10_000;
 /// How long the core may take beyond the time that a request allows.
 const GRACE: Duration = Duration::from_secs(8);
+/// When a caller may come back that was refused because of overload, in milliseconds.
+const OVERLOAD_RETRY_MS: u64 = 100;
 
 /// The HTTP interface of an entry.
 pub(crate) struct EntryApi {
     pub(crate) core: SyncSender<EntryInput>,
-    pub(crate) waiting: Waiting<SyncSender<CallerReply>>,
+    pub(crate) waiting: Callers,
     pub(crate) view: Arc<RwLock<EntryView>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) callers: Tokens,
     pub(crate) operators: Tokens,
     pub(crate) limits: SubmissionLimits,
-    /// The largest body in bytes.
-    pub(crate) body_max: u64,
-    /// The largest number of headers.
-    pub(crate) headers_max: usize,
 }
 
-impl EntryApi {
-    /// Handles a request.
-    pub(crate) fn handle(&self, request: &Request) -> Response {
-        if request.headers().count() > self.headers_max {
-            return render::invalid(431, "the request has too many headers");
+/// A request that the core answers.
+struct Question {
+    request: CallerRequest,
+    /// How long the request allows the core to take.
+    timeout: Duration,
+    /// Set for a submission.
+    waiter: Option<Waiter>,
+}
+
+impl Question {
+    fn new(request: CallerRequest, timeout: Duration) -> Self {
+        Self {
+            request,
+            timeout,
+            waiter: None,
+        }
+    }
+}
+
+impl Handler<Reply> for EntryApi {
+    fn handle(&self, request: Request, responder: Responder<Reply>) {
+        let segments = request.segments();
+        let path: Vec<&str> = segments.iter().map(String::as_str).collect();
+        let question = match (request.method(), path.as_slice()) {
+            ("GET", ["metrics"]) => Err(agent_api::metrics(&self.metrics)),
+            ("GET", ["healthz"]) => Err(Response::text(200, "ok")),
+            ("GET", ["readyz"]) => Err(self.ready()),
+            ("POST", ["v1", "jobs"]) => self.submit(&request),
+            (_, ["v1", "jobs", rest @ ..]) => self.job(&request, rest),
+            (_, ["v1", rest @ ..]) => self.operate(&request, rest),
+            _ => Err(Response::empty(404)),
+        };
+        match question {
+            Ok(question) => self.ask(question, responder),
+            Err(response) => responder.send(Reply::Done(response)),
         }
-        let url = request.url();
-        let path: Vec<&str> = url.trim_matches('/').split('/').collect();
-        match (request.method(), path.as_slice()) {
-            ("GET", ["metrics"]) => agent_api::metrics(&self.metrics),
-            ("GET", ["healthz"]) => Response::text("ok"),
-            ("GET", ["readyz"]) => self.ready(),
-            ("POST", ["v1", "jobs"]) => self.submit(request),
-            (_, ["v1", "jobs", rest @ ..]) => self.job(request, rest),
-            (_, ["v1", rest @ ..]) => self.operate(request, rest),
-            _ => Response::empty_404(),
+    }
+
+    fn admit(&self, head: &Request) -> Result<(), Response> {
+        match head
+            .segments()
+            .iter()
+            .map(String::as_str)
+            .collect::<Vec<_>>()[..]
+        {
+            ["v1", "jobs", ..] => self.team(head).map(drop),
+            ["v1", ..] => self.operator(head).map(drop),
+            _ => Ok(()),
         }
     }
 
+    fn refuse(&self, fault: Fault) -> Response {
+        let reason = match fault {
+            Fault::BodyTooLarge(_) => Reason::TooLarge,
+            _ => Reason::Invalid,
+        };
+        self.metrics.count(Count::NotRun(reason));
+        render::fault(fault)
+    }
+}
+
+impl EntryApi {
     fn ready(&self) -> Response {
         let view = self
             .view
@@ -68,11 +109,9 @@
             format!("confirmed {age} ms ago")
         });
         match (view.ready, view.draining) {
-            (true, _) => Response::text(format!("ready, roster {store}")),
-            (false, true) => Response::text("draining").with_status_code(503),
-            (false, false) => {
-                Response::text(format!("no live agents, roster {store}")).with_status_code(503)
-            }
+            (true, _) => Response::text(200, format!("ready, roster {store}")),
+            (false, true) => Response::text(503, "draining"),
+            (false, false) => Response::text(503, format!("no live agents, roster {store}")),
         }
     }
 
@@ -85,52 +124,47 @@
         }
     }
 
-    fn submit(&self, request: &Request) -> Response {
+    /// Returns the operator of a token, or the response that denies access.
+    fn operator(&self, request: &Request) -> Result<Option<String>, Response> {
+        match self.operators.check(request.header("Authorization")) {
+            Access::Open => Ok(None),
+            Access::Named(operator) => Ok(Some(operator)),
+            Access::Denied => Err(render::invalid(403, "the token is not an operator's")),
+        }
+    }
+
+    fn submit(&self, request: &Request) -> Result<Question, Response> {
         let started = Instant::now();
-        let team = match self.team(request) {
-            Ok(team) => team,
-            Err(response) => return response,
-        };
-        let raw: RawSubmission = match body::read(request, self.body_max) {
-            Ok(raw) => raw,
-            Err(response) => {
-                self.metrics.count(Count::NotRun(Reason::Invalid));
-                return response;
-            }
+        let team = self.team(request)?;
+        let invalid = |response| {
+            self.metrics.count(Count::NotRun(Reason::Invalid));
+            response
         };
+        let raw: RawSubmission = body::read(request).map_err(invalid)?;
         let wait = raw.wait;
-        let submission = match Submission::check(raw, team.as_deref(), &self.limits) {
-            Ok(submission) => submission,
-            Err(error) => {
-                self.metrics.count(Count::NotRun(Reason::Invalid));
-                return render::invalid(400, &error.to_string());
-            }
-        };
-        let span = tracing::info_span!("job", id = %submission.job);
-        let _entered = span.enter();
-        debug!(tasks = submission.tasks.len(), "submitted");
+        let submission = Submission::check(raw, team.as_deref(), &self.limits)
+            .map_err(|error| invalid(render::invalid(400, &error.to_string())))?;
+        let waiter = self
+            .waiting
+            .admit(started)
+            .ok_or_else(|| self.refused(Reason::Overloaded))?;
+        debug!(id = %submission.job, tasks = submission.tasks.len(), "submitted");
         let timeout = Duration::from_millis(submission.remaining_ms);
-        let response = self.ask(CallerRequest::Submit { submission, wait }, timeout);
-        self.metrics
-            .job_seconds
-            .observe(started.elapsed().as_secs_f64());
-        response
+        Ok(Question {
+            request: CallerRequest::Submit { submission, wait },
+            timeout,
+            waiter: Some(waiter),
+        })
     }
 
-    fn job(&self, request: &Request, path: &[&str]) -> Response {
-        let team = match self.team(request) {
-            Ok(team) => team,
-            Err(response) => return response,
-        };
+    fn job(&self, request: &Request, path: &[&str]) -> Result<Question, Response> {
         // Without tokens the team is named in the query.
-        let Some(team) = team.or_else(|| request.get_param("team")) else {
-            return render::invalid(400, "parameter `team` is missing");
-        };
-        let waits = body::number(request, "wait_ms", 0);
-        let (wait_ms, from) = match (waits, body::number(request, "from", 0)) {
-            (Ok(wait_ms), Ok(from)) => (wait_ms.min(WAIT_MAX_MS), from),
-            (Err(response), _) | (_, Err(response)) => return response,
-        };
+        let team = self
+            .team(request)?
+            .or_else(|| request.query("team"))
+            .ok_or_else(|| render::invalid(400, "parameter `team` is missing"))?;
+        let wait_ms = body::number(request, "wait_ms", 0)?.min(WAIT_MAX_MS);
+        let from = body::number(request, "from", 0)?;
         let question = match (request.method(), path) {
             ("GET", [id]) => CallerRequest::Status(JobId::new(&team, id)),
             ("DELETE", [id]) => CallerRequest::Cancel(JobId::new(&team, id)),
@@ -143,19 +177,13 @@
                 from,
                 wait_ms,
             },
-            _ => return Response::empty_404(),
+            _ => return Err(Response::empty(404)),
         };
-        self.ask(question, Duration::from_millis(wait_ms))
+        Ok(Question::new(question, Duration::from_millis(wait_ms)))
     }
 
-    fn operate(&self, request: &Request, path: &[&str]) -> Response {
-        let operator = match self.operators.check(request.header("Authorization")) {
-            Access::Open => None,
-            Access::Named(operator) => Some(operator),
-            Access::Denied => {
-                return render::invalid(403, "the token is not an operator's");
-            }
-        };
+    fn operate(&self, request: &Request, path: &[&str]) -> Result<Question, Response> {
+        let operator = self.operator(request)?;
         let question = match (request.method(), path) {
             ("GET", ["endpoints"]) => CallerRequest::Endpoints,
             ("GET", ["roster"]) => CallerRequest::Roster,
@@ -163,44 +191,46 @@
             ("GET", ["config"]) => CallerRequest::Config(None),
             ("GET", ["config", version]) => match version.parse() {
                 Ok(version) => CallerRequest::Config(Some(Version(version))),
-                Err(_) => return render::invalid(400, "the version must be a whole number"),
+                Err(_) => {
+                    return Err(render::invalid(400, "the version must be a whole number"));
+                }
             },
             ("POST", ["config"]) => {
-                let mut patch: Patch = match body::read(request, self.body_max) {
-                    Ok(patch) => patch,
-                    Err(response) => return response,
-                };
+                let mut patch: Patch = body::read(request)?;
                 if let Some(operator) = operator {
                     patch.author = operator;
                 }
                 info!(patch = %patch.id, base = %patch.base, "patch submitted");
                 CallerRequest::Patch(patch)
             }
-            _ => return Response::empty_404(),
+            _ => return Err(Response::empty(404)),
         };
-        self.ask(question, Duration::ZERO)
+        Ok(Question::new(question, Duration::ZERO))
     }
 
-    /// Asks the core and waits for its reply.
-    fn ask(&self, request: CallerRequest, timeout: Duration) -> Response {
+    /// Asks the core, which answers over the responder.
+    fn ask(&self, question: Question, responder: Responder<Reply>) {
         self.metrics.messages("caller", 2);
-        let (sender, receiver) = sync_channel(1);
-        let call = self.waiting.add(sender);
-        if self
-            .core
-            .try_send(EntryInput::Caller { call, request })
-            .is_err()
-        {
-            self.waiting.take(call);
-            self.metrics.count(Count::NotRun(Reason::Overloaded));
-            return render::refused(&Refusal::new(Reason::Overloaded, 100));
-        }
-        match receiver.recv_timeout(timeout + GRACE) {
-            Ok(reply) => render::reply(reply),
-            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
-                self.waiting.take(call);
-                render::invalid(500, "the entry stopped before the request was answered")
-            }
-        }
+        let call = self.waiting.add(Caller {
+            responder,
+            until: Instant::now() + question.timeout + GRACE,
+            waiter: question.waiter,
+        });
+        let request = question.request;
+        let Err(error) = self.core.try_send(EntryInput::Caller { call, request }) else {
+            return;
+        };
+        let reason = match error {
+            TrySendError::Full(_) => Reason::Overloaded,
+            TrySendError::Disconnected(_) => Reason::Draining,
+        };
+        self.waiting
+            .answer(call, || Reply::Done(self.refused(reason)));
+    }
+
+    /// Counts and renders a refusal that a later attempt can get past.
+    fn refused(&self, reason: Reason) -> Response {
+        self.metrics.count(Count::NotRun(reason));
+        render::refused(&Refusal::new(reason, OVERLOAD_RETRY_MS))
     }
 }
--- a/crates/fulmarpondd/src/http/render.rs
+++ b/crates/fulmarpondd/src/http/render.rs
@@ -2,7 +2,8 @@
 
 use fulmarpond_core::contract::{Answer, Event, JobId, Reason, Refusal, Status, Verdict};
 use fulmarpond_core::entry::CallerReply;
-use rouille::Response;
+use fulmarpond_http::header::RETRY_AFTER;
+use fulmarpond_http::{Fault, Response};
 use serde_json::{Value, json};
 
 /// Renders the reply of the core.
@@ -96,10 +97,23 @@
     json_response(status, &body)
 }
 
-/// Renders the refusal of a body above `limit` bytes.
-pub(super) fn too_large(limit: u64) -> Response {
-    let detail = format!("the body is larger than {limit} bytes");
-    refused(&Refusal::new(Reason::TooLarge, 0).detail(detail))
+/// Renders the refusal of a request that the listener did not read whole.
+pub(super) fn fault(fault: Fault) -> Response {
+    match fault {
+        Fault::BodyTooLarge(_) => {
+            refused(&Refusal::new(Reason::TooLarge, 0).detail(fault.to_string()))
+        }
+        _ => invalid(fault.status(), &fault.to_string()),
+    }
+}
+
+/// Renders the end of a request that the core has not answered.
+pub(super) fn unanswered(refusal: &Refusal) -> Response {
+    let body = json!({
+        "verdict": "may_have_run", "reason": refusal.reason,
+        "retry_after_ms": refusal.retry_ms, "detail": refusal.detail,
+    });
+    with_retry(json_response(504, &body), refusal)
 }
 
 fn status_of(refusal: &Refusal) -> u16 {
@@ -116,7 +130,7 @@
         return response;
     }
     let seconds = refusal.retry_ms.div_ceil(1_000);
-    response.with_additional_header("Retry-After", seconds.to_string())
+    response.with_header(RETRY_AFTER, seconds)
 }
 
 fn state(status: u16, job: &JobId, state: &str) -> Response {
@@ -143,5 +157,5 @@
 
 /// Makes a JSON response.
 pub(super) fn json_response(status: u16, body: &Value) -> Response {
-    Response::json(body).with_status_code(status)
+    Response::json(status, body)
 }
--- a/crates/fulmarpondd/src/lib.rs
+++ b/crates/fulmarpondd/src/lib.rs
@@ -5,6 +5,7 @@
 //! JSON-RPC, HTTP listeners serve callers or the endpoint, and slot threads run tasks.
 
 mod auth;
+mod callers;
 mod clock;
 mod daemon;
 mod driver;
--- a/crates/fulmarpondd/src/ring.rs
+++ b/crates/fulmarpondd/src/ring.rs
@@ -54,6 +54,13 @@
         self.lock().remove(&call)
     }
 
+    /// Removes all requests that `condition` holds for.
+    pub(crate) fn take_if(&self, mut condition: impl FnMut(&T) -> bool) -> Vec<T> {
+        let mut waiting = self.lock();
+        let taken = waiting.extract_if(|_, request| condition(request));
+        taken.map(|(_, request)| request).collect()
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<CallId, T>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/fulmarpondd/tests/common/mod.rs
+++ b/crates/fulmarpondd/tests/common/mod.rs
@@ -18,21 +18,21 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 /// The zones of the hunt desk.
-pub const ZONES: [&str; 4] = ["Fukuoka", "Kitakyushu", "Saga", "Kurume"];
+pub(crate) const ZONES: [&str; 4] = ["Fukuoka", "Kitakyushu", "Saga", "Kurume"];
 
 static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
 
 /// A daemon process.
-pub struct Process {
+pub(crate) struct Process {
     child: Child,
-    pub http: SocketAddr,
-    pub link: SocketAddr,
+    pub(crate) http: SocketAddr,
+    pub(crate) link: SocketAddr,
     settings: PathBuf,
 }
 
 impl Process {
     /// Starts a daemon with these settings and reads its addresses.
-    pub fn start(settings: &str) -> Self {
+    pub(crate) fn start(settings: &str) -> Self {
         let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
         let name = format!("fulmarpond-{}-{number}.ini", std::process::id());
         let path = std::env::temp_dir().join(name);
@@ -60,7 +60,7 @@
     }
 
     /// Sends a signal by process id.
-    pub fn signal(&self, signal: &str) {
+    pub(crate) fn signal(&self, signal: &str) {
         let status = Command::new("kill")
             .args([signal, &self.child.id().to_string()])
             .status()
@@ -69,13 +69,13 @@
     }
 
     /// Kills the process without warning.
-    pub fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
     /// Stops the process gracefully and returns whether it reported success.
-    pub fn terminate(&mut self) -> bool {
+    pub(crate) fn terminate(&mut self) -> bool {
         self.signal("-TERM");
         self.child.wait().expect("the daemon ends").success()
     }
@@ -89,18 +89,18 @@
 }
 
 /// An agent process with its endpoint.
-pub struct Node {
-    pub agent: Process,
-    pub endpoint: Endpoint,
-    pub name: String,
-    pub zone: &'static str,
+pub(crate) struct Node {
+    pub(crate) agent: Process,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) name: String,
+    pub(crate) zone: &'static str,
 }
 
 /// A system of daemon processes.
-pub struct System {
-    pub kv: KeyValue,
-    pub entries: Vec<Process>,
-    pub nodes: Vec<Node>,
+pub(crate) struct System {
+    pub(crate) kv: KeyValue,
+    pub(crate) entries: Vec<Process>,
+    pub(crate) nodes: Vec<Node>,
     slots: u32,
     extra: String,
 }
@@ -108,12 +108,12 @@
 impl System {
     /// Starts `entries` entries and `agents` agents with endpoints of `slots` slots, and waits
     /// until all are ready.
-    pub fn start(entries: usize, agents: usize, slots: u32) -> Self {
+    pub(crate) fn start(entries: usize, agents: usize, slots: u32) -> Self {
         Self::with_timing(entries, agents, slots, "")
     }
 
     /// Starts a system with additional lines in the section `[timing]`.
-    pub fn with_timing(entries: usize, agents: usize, slots: u32, timing: &str) -> Self {
+    pub(crate) fn with_timing(entries: usize, agents: usize, slots: u32, timing: &str) -> Self {
         let kv = KeyValue::start("127.0.0.1:0").expect("the key-value stand-in starts");
         let extra = format!("[timing]\nannounce = 100ms\n{timing}\n");
         let mut system = Self {
@@ -146,7 +146,7 @@
     }
 
     /// Starts one more agent with its endpoint.
-    pub fn add_node(&mut self, number: usize) {
+    pub(crate) fn add_node(&mut self, number: usize) {
         let zone = ZONES[number % ZONES.len()];
         let name = format!("host-{number}");
         let agent = self.start_agent(&name, zone, "127.0.0.1:0");
@@ -160,7 +160,7 @@
     }
 
     /// Starts an agent process.
-    pub fn start_agent(&self, name: &str, zone: &str, link: &str) -> Process {
+    pub(crate) fn start_agent(&self, name: &str, zone: &str, link: &str) -> Process {
         let entries: Vec<String> = self
             .entries
             .iter()
@@ -176,7 +176,7 @@
     }
 
     /// Starts an endpoint that announces itself to an agent.
-    pub fn start_endpoint(&self, agent: SocketAddr, zone: &str) -> Endpoint {
+    pub(crate) fn start_endpoint(&self, agent: SocketAddr, zone: &str) -> Endpoint {
         Endpoint::start(EndpointOptions {
             listen: "127.0.0.1:0".parse().expect("an address"),
             agent,
@@ -193,7 +193,7 @@
     }
 
     /// Waits until every agent is in the roster of every entry and every process is ready.
-    pub fn wait_ready(&self) {
+    pub(crate) fn wait_ready(&self) {
         let agents = self.nodes.len();
         wait_until("all processes are ready", || {
             let entries = self.entries.iter().all(|entry| {
@@ -219,7 +219,7 @@
     }
 
     /// Returns how often each task was started, over all endpoints that are still there.
-    pub fn starts(&self) -> HashMap<(String, u64), u64> {
+    pub(crate) fn starts(&self) -> HashMap<(String, u64), u64> {
         let mut starts = HashMap::new();
         for row in self.nodes.iter().flat_map(|node| node.endpoint.ledger()) {
             *starts.entry((row.job.clone(), row.task)).or_insert(0) += 1;
@@ -228,7 +228,7 @@
     }
 
     /// Asserts that no task was started more than once.
-    pub fn assert_single_starts(&self) {
+    pub(crate) fn assert_single_starts(&self) {
         for (task, starts) in self.starts() {
             assert_eq!(starts, 1, "task {task:?} was started {starts} times");
         }
@@ -236,7 +236,7 @@
 }
 
 /// Waits until a condition holds.
-pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+pub(crate) fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let deadline = Instant::now() + PATIENCE;
     while !condition() {
         assert!(Instant::now() < deadline, "gave up waiting until {what}");
@@ -267,17 +267,17 @@
 }
 
 /// Sends a GET request. Status 0 means that no response came.
-pub fn get(addr: SocketAddr, path: &str) -> (u16, Value) {
+pub(crate) fn get(addr: SocketAddr, path: &str) -> (u16, Value) {
     read(client().get(format!("http://{addr}{path}")).call())
 }
 
 /// Sends a DELETE request.
-pub fn delete(addr: SocketAddr, path: &str) -> (u16, Value) {
+pub(crate) fn delete(addr: SocketAddr, path: &str) -> (u16, Value) {
     read(client().delete(format!("http://{addr}{path}")).call())
 }
 
 /// Sends a POST request.
-pub fn post(addr: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+pub(crate) fn post(addr: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
     read(
         client()
             .post(format!("http://{addr}{path}"))
@@ -286,7 +286,7 @@
 }
 
 /// Makes a submission with one task for each run time in milliseconds.
-pub fn job(id: &str, attempt: u32, runs: &[u64]) -> Value {
+pub(crate) fn job(id: &str, attempt: u32, runs: &[u64]) -> Value {
     let tasks: Vec<Value> = runs
         .iter()
         .enumerate()
@@ -300,12 +300,12 @@
 }
 
 /// Submits a job and waits for the answer.
-pub fn submit(entry: SocketAddr, job: &Value) -> (u16, Value) {
+pub(crate) fn submit(entry: SocketAddr, job: &Value) -> (u16, Value) {
     post(entry, "/v1/jobs", job)
 }
 
 /// Asserts that an answer is complete, with the result of each task at its position.
-pub fn assert_complete(answer: &Value, tasks: usize) {
+pub(crate) fn assert_complete(answer: &Value, tasks: usize) {
     assert_eq!(answer["verdict"], "answered", "{answer}");
     let results = answer["results"].as_array().expect("an answer has results");
     assert_eq!(results.len(), tasks);
