--- a/crates/fulmarpond-standins/src/endpoint/mod.rs
+++ b/crates/fulmarpond-standins/src/endpoint/mod.rs
@@ -11,11 +11,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rouille::{Request, Response};
+use fulmarpond_http::{Options, Request, Response};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::service::{Outcome, Service, json_body, status};
+use crate::service::{Outcome, Service, json_body};
 use announcer::Announcer;
 use ledger::Ledger;
 
@@ -26,6 +26,9 @@
 /// How long a stop waits for the tasks in flight.
 const STOP_LIMIT: Duration = Duration::from_secs(60);
 
+/// Largest body of a task in bytes.
+const BODY_LIMIT: u64 = 64 * 1024 * 1024;
+
 /// Longest run time of a task.
 const RUN_LIMIT: Duration = Duration::from_secs(3600);
 
@@ -50,9 +53,10 @@
         let inner = Arc::new(Inner::new(options.slots));
         let handler = Arc::clone(&inner);
         let connections = usize::try_from(options.connections).unwrap_or(usize::MAX);
-        let service = Service::start(options.listen, connections, move |request| {
-            handler.handle(request)
-        })?;
+        let http = Options::default()
+            .max_connections(connections)
+            .body_max(BODY_LIMIT);
+        let service = Service::start(options.listen, http, move |request| handler.handle(request))?;
         let announcer = Announcer::start(options, service.addr(), Arc::clone(&inner));
         Ok(Self {
             inner,
@@ -185,17 +189,17 @@
     }
 
     fn handle(&self, request: &Request) -> Outcome {
-        match (request.method(), request.url().as_str()) {
+        match (request.method(), request.path().as_str()) {
             ("POST", "/run") => self.run(request),
-            ("GET", "/control/ledger") => Response::json(&self.lock().ledger.rows()),
+            ("GET", "/control/ledger") => Response::json(200, &self.lock().ledger.rows()),
             ("POST", "/control") => match json_body(request) {
                 Ok(control) => {
                     self.control(control);
-                    Response::json(&json!({}))
+                    Response::json(200, &json!({}))
                 }
                 Err(response) => response,
             },
-            _ => status(404, "no such resource"),
+            _ => Response::text(404, "no such resource"),
         }
         .into()
     }
@@ -207,14 +211,14 @@
         };
         let mut state = self.lock_awake();
         if state.stopping || state.refuse {
-            return status(503, "the endpoint refuses tasks");
+            return Response::text(503, "the endpoint refuses tasks");
         }
         if state.running >= self.slots {
-            return status(503, "no slot is free");
+            return Response::text(503, "no slot is free");
         }
         state.ledger.record(&run.job, run.task);
         if state.fail {
-            return status(500, "the task failed");
+            return Response::text(500, "the task failed");
         }
         state.running += 1;
         drop(state);
@@ -223,6 +227,6 @@
             thread::sleep(time);
         }
         self.lock_awake().running -= 1;
-        Response::json(&json!({ "echo": run.payload }))
+        Response::json(200, &json!({ "echo": run.payload }))
     }
 }
--- a/crates/fulmarpond-standins/src/key_value/mod.rs
+++ b/crates/fulmarpond-standins/src/key_value/mod.rs
@@ -4,15 +4,15 @@
 mod control;
 mod store;
 
-use std::io::{self, Read};
+use std::io;
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use rouille::{Request, Response};
+use fulmarpond_http::{Options, Request, Response};
 use serde_json::json;
 
-use crate::service::{Outcome, Service, json_body, status};
+use crate::service::{Outcome, Service, json_body};
 use calls::Call;
 use store::{Refusal, Store};
 
@@ -55,7 +55,10 @@
     pub fn start<A: ToSocketAddrs>(listen: A) -> io::Result<Self> {
         let inner = Arc::new(Inner::default());
         let handler = Arc::clone(&inner);
-        let service = Service::start(listen, usize::MAX, move |request| handler.handle(request))?;
+        let options = Options::default()
+            .max_connections(usize::MAX)
+            .body_max(VALUE_LIMIT);
+        let service = Service::start(listen, options, move |request| handler.handle(request))?;
         Ok(Self { inner, service })
     }
 
@@ -135,14 +138,14 @@
     }
 
     fn handle(&self, request: &Request) -> Outcome {
-        let path = request.url();
+        let path = request.path();
         match (request.method(), path.as_str()) {
-            ("GET", "/control/calls") => return Response::json(&self.lock().calls).into(),
+            ("GET", "/control/calls") => return Response::json(200, &self.lock().calls).into(),
             ("POST", "/control") => {
                 return match json_body(request) {
                     Ok(control) => {
                         self.control(control);
-                        Response::json(&json!({})).into()
+                        Response::json(200, &json!({})).into()
                     }
                     Err(response) => response.into(),
                 };
@@ -154,7 +157,7 @@
                 Ok(outcome) => outcome,
                 Err(response) => response.into(),
             },
-            None => status(404, "no such resource").into(),
+            None => Response::text(404, "no such resource").into(),
         }
     }
 
@@ -173,15 +176,15 @@
         drop(state);
 
         let if_revision = number(request, "if_revision")?;
-        let prefix = request.get_param("prefix").unwrap_or_default();
+        let prefix = request.query("prefix").unwrap_or_default();
         match *call {
             Call::Get(key) => match self.read(|store| store.get(key))? {
-                Some(item) => Ok(Response::json(&item).into()),
-                None => Err(status(404, "no such key")),
+                Some(item) => Ok(Response::json(200, &item).into()),
+                None => Err(Response::text(404, "no such key")),
             },
             Call::List => {
                 let items = self.read(|store| store.list(&prefix))?;
-                Ok(Response::json(&items).into())
+                Ok(Response::json(200, &items).into())
             }
             Call::Put(key) => {
                 let lease = number(request, "lease")?;
@@ -200,7 +203,7 @@
                     .ok_or_else(|| invalid("ttl_ms is missing or 0"))?;
                 let ttl = Duration::from_millis(ttl_ms);
                 let lease = self.read(|store| store.grant(ttl, Instant::now()))?;
-                Ok(Response::json(&json!({ "lease": lease })).into())
+                Ok(Response::json(200, &json!({ "lease": lease })).into())
             }
             Call::Renew(lease) => {
                 let known = self.read(|store| store.renew(lease, Instant::now()))?;
@@ -233,10 +236,9 @@
         let revision = match self.read(action)? {
             Ok(revision) => revision,
             Err(Refusal::Conflict { revision }) => {
-                let reply = Response::json(&json!({ "revision": revision }));
-                return Err(reply.with_status_code(409));
+                return Err(Response::json(409, &json!({ "revision": revision })));
             }
-            Err(Refusal::NoLease) => return Err(status(404, "no such lease")),
+            Err(Refusal::NoLease) => return Err(Response::text(404, "no such lease")),
         };
         self.changed.notify_all();
         let mut state = self.lock();
@@ -244,7 +246,7 @@
             state.lose_replies -= 1;
             return Ok(Outcome::Close);
         }
-        Ok(Response::json(&json!({ "revision": revision })).into())
+        Ok(Response::json(200, &json!({ "revision": revision })).into())
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Response, Response> {
@@ -260,7 +262,7 @@
             }
             let changes = state.store.changes(prefix, after);
             if !changes.items.is_empty() || now >= end || state.stopping {
-                return Ok(Response::json(&changes));
+                return Ok(Response::json(200, &changes));
             }
             let until = state
                 .store
@@ -273,24 +275,24 @@
 
 fn lease_reply(lease: u64, known: bool) -> Result<Outcome, Response> {
     if known {
-        Ok(Response::json(&json!({ "lease": lease })).into())
+        Ok(Response::json(200, &json!({ "lease": lease })).into())
     } else {
-        Err(status(404, "no such lease"))
+        Err(Response::text(404, "no such lease"))
     }
 }
 
 fn invalid(text: &str) -> Response {
-    status(400, text)
+    Response::text(400, text)
 }
 
 fn outage() -> Response {
-    status(503, "the service is out of order")
+    Response::text(503, "the service is out of order")
 }
 
 /// Reads the query parameter `name` as a number.
 fn number(request: &Request, name: &str) -> Result<Option<u64>, Response> {
     request
-        .get_param(name)
+        .query(name)
         .map(|text| text.parse())
         .transpose()
         .map_err(|_| invalid(&format!("{name} is not a number")))
@@ -298,14 +300,5 @@
 
 /// Reads the body as a value of a key.
 fn body(request: &Request) -> Result<String, Response> {
-    let mut bytes = Vec::new();
-    if let Some(data) = request.data() {
-        data.take(VALUE_LIMIT + 1)
-            .read_to_end(&mut bytes)
-            .map_err(|error| invalid(&error.to_string()))?;
-    }
-    if bytes.len() as u64 > VALUE_LIMIT {
-        return Err(status(413, "the value is larger than 1 MB"));
-    }
-    String::from_utf8(bytes).map_err(|_| invalid("the value is not text"))
+    String::from_utf8(request.body().to_vec()).map_err(|_| invalid("the value is not text"))
 }
--- a/crates/fulmarpond-standins/src/relay.rs
+++ b/crates/fulmarpond-standins/src/relay.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time limit for a connection to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -53,20 +53,10 @@
     ///
     /// Returns the error of the system if `listen` cannot be opened.
     pub fn bind<A: ToSocketAddrs>(listen: A, target: SocketAddr) -> io::Result<Self> {
-        Self::bind_limited(listen, target, usize::MAX)
-    }
-
-    /// Starts a relay that closes new connections at once while `limit` connections are open.
-    pub(crate) fn bind_limited<A: ToSocketAddrs>(
-        listen: A,
-        target: SocketAddr,
-        limit: usize,
-    ) -> io::Result<Self> {
         let listener = TcpListener::bind(listen)?;
         let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
             target,
-            limit,
             state: Mutex::default(),
             changed: Condvar::new(),
         });
@@ -127,27 +117,7 @@
         self.refuse();
         self.shared.lock().stopped = true;
         self.cut();
-        drop(self.shared.wait_ended(None));
-    }
-
-    /// Stops listening and reads nothing more from the callers, then waits until the target has
-    /// answered what it had received and closed its connections, for at most `limit`.
-    pub(crate) fn drain(&self, limit: Duration) {
-        self.refuse();
-        let mut state = self.shared.lock();
-        // Connections that were accepted but not yet connected to the target are closed.
-        state.stopped = true;
-        for link in state.links.values() {
-            // The forwarding thread still forwards what was received before.
-            let _ = link.caller.shutdown(Shutdown::Read);
-        }
-        drop(state);
-        drop(self.shared.wait_ended(Instant::now().checked_add(limit)));
-    }
-
-    /// Returns a handle that closes single connections.
-    pub(crate) fn cutter(&self) -> Cutter {
-        Cutter(Arc::clone(&self.shared))
+        self.shared.wait_ended();
     }
 
     fn acceptor(&self) -> MutexGuard<'_, Option<Acceptor>> {
@@ -161,26 +131,9 @@
     }
 }
 
-/// Closes single connections of a relay.
-#[derive(Debug, Clone)]
-pub(crate) struct Cutter(Arc<Shared>);
-
-impl Cutter {
-    /// Closes the connection that the target sees as coming from `source`.
-    pub(crate) fn cut(&self, source: SocketAddr) {
-        for link in self.0.lock().links.values() {
-            if link.source == source {
-                link.close();
-            }
-        }
-        self.0.changed.notify_all();
-    }
-}
-
 #[derive(Debug)]
 struct Shared {
     target: SocketAddr,
-    limit: usize,
     state: Mutex<State>,
     /// Signals that a link was closed or has ended.
     changed: Condvar,
@@ -198,24 +151,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until no link is left or `until` has passed.
-    fn wait_ended(&self, until: Option<Instant>) -> MutexGuard<'_, State> {
+    /// Waits until no link is left.
+    fn wait_ended(&self) {
         let mut state = self.lock();
         while !state.links.is_empty() {
-            let left = until.map(|until| until.saturating_duration_since(Instant::now()));
-            state = match left {
-                Some(Duration::ZERO) => break,
-                Some(left) => match self.changed.wait_timeout(state, left) {
-                    Ok((state, _)) => state,
-                    Err(error) => error.into_inner().0,
-                },
-                None => self
-                    .changed
-                    .wait(state)
-                    .unwrap_or_else(PoisonError::into_inner),
-            };
+            state = self
+                .changed
+                .wait(state)
+                .unwrap_or_else(PoisonError::into_inner);
         }
-        state
     }
 
     /// Connects to the target and forwards in both directions until both have ended.
@@ -223,17 +167,15 @@
         let target = TcpStream::connect_timeout(&self.target, CONNECT_TIMEOUT)?;
         caller.set_nodelay(true)?;
         target.set_nodelay(true)?;
-        let source = target.local_addr()?;
         let link = Arc::new(Link {
             caller,
             target,
-            source,
             silent: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         });
         let number = {
             let mut state = self.lock();
-            if state.stopped || state.links.len() >= self.limit {
+            if state.stopped {
                 return Ok(());
             }
             state.next += 1;
@@ -267,7 +209,6 @@
             if size == 0 || to.write_all(&buffer[..size]).is_err() {
                 break;
             }
-            acknowledge(from);
         }
         let _ = to.shutdown(Shutdown::Write);
         let _ = from.shutdown(Shutdown::Read);
@@ -284,26 +225,11 @@
     }
 }
 
-/// Acknowledges received data at once.
-///
-/// The HTTP server behind the stand-ins leaves Nagle's algorithm on and sends a reply of more than
-/// 1 KB in several writes, so that a delayed acknowledgement holds the reply back for 40 ms.
-#[cfg(target_os = "linux")]
-fn acknowledge(stream: &TcpStream) {
-    use std::os::linux::net::TcpStreamExt;
-    let _ = stream.set_quickack(true);
-}
-
-#[cfg(not(target_os = "linux"))]
-fn acknowledge(_stream: &TcpStream) {}
-
 /// A forwarded connection.
 #[derive(Debug)]
 struct Link {
     caller: TcpStream,
     target: TcpStream,
-    /// The address from which the target sees the connection.
-    source: SocketAddr,
     silent: AtomicBool,
     closed: AtomicBool,
 }
--- a/crates/fulmarpond-standins/tests/endpoint.rs
+++ b/crates/fulmarpond-standins/tests/endpoint.rs
@@ -2,13 +2,13 @@
 
 mod common;
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
 
 use common::{PATIENCE, http, send, wait_until};
+use fulmarpond_http::{Listener, Options, Request, Responder, Response};
 use fulmarpond_standins::{Endpoint, EndpointControl, EndpointLimits, EndpointOptions, LedgerRow};
 use serde_json::{Value, json};
 
@@ -17,19 +17,17 @@
 fn agent(statuses: Vec<u16>) -> (SocketAddr, Receiver<(String, String, Value)>) {
     let (sender, receiver) = mpsc::channel();
     let statuses = Mutex::new(statuses.into_iter());
-    let server = rouille::Server::new("127.0.0.1:0", move |request| {
-        let mut body = String::new();
-        if let Some(mut data) = request.data() {
-            data.read_to_string(&mut body).expect("a body");
-        }
-        let body = serde_json::from_str(&body).unwrap_or(Value::Null);
-        let _ = sender.send((request.method().to_owned(), request.url(), body));
+    let handler = move |request: Request, responder: Responder| {
+        let body = serde_json::from_slice(request.body()).unwrap_or(Value::Null);
+        let _ = sender.send((request.method().to_owned(), request.path(), body));
         let status = statuses.lock().expect("no panic").next().unwrap_or(200);
-        rouille::Response::json(&json!({"lease_ms": 3000})).with_status_code(status)
-    })
-    .expect("a free port");
-    let addr = server.server_addr();
-    thread::spawn(move || server.run());
+        responder.send(Response::json(status, &json!({"lease_ms": 3000})));
+    };
+    let listener = Listener::start("127.0.0.1:0", Options::default(), handler);
+    let listener = listener.expect("a free port");
+    let addr = listener.addr();
+    // Serves until the test process ends.
+    std::mem::forget(listener);
     (addr, receiver)
 }
 
--- a/crates/fulmarpond/tests/common/mod.rs
+++ b/crates/fulmarpond/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::process::{Command, Stdio};
 use std::sync::{Arc, Mutex};
 
-use rouille::{Request, Response, Server};
+use fulmarpond_http::{Listener, Options, Request, Responder, Response};
 
 /// One canned reply: method and path with query, status, body.
 pub(crate) type Canned<'a> = (&'a str, u16, &'a str);
@@ -25,10 +25,17 @@
     where
         F: Fn(&Request) -> Response + Send + Sync + 'static,
     {
-        let server = Server::new("127.0.0.1:0", handler).expect("a free port");
-        let addr = server.server_addr();
-        // Runs until the test process ends: stopping a server waits for its idle connections.
-        std::thread::spawn(move || server.run());
+        let handler = Arc::new(handler);
+        // A handler may block, so each request has its own thread.
+        let answer = move |request: Request, responder: Responder| {
+            let handler = Arc::clone(&handler);
+            std::thread::spawn(move || responder.send(handler(&request)));
+        };
+        let listener = Listener::start("127.0.0.1:0", Options::default(), answer);
+        let listener = listener.expect("a free port");
+        let addr = listener.addr();
+        // Serves until the test process ends.
+        std::mem::forget(listener);
         Self {
             addr,
             requests: Arc::default(),
@@ -43,11 +50,8 @@
         let requests = Arc::new(Mutex::new(Vec::new()));
         let record = Arc::clone(&requests);
         let entry = Self::serve_raw(move |request| {
-            let mut body = String::new();
-            if let Some(mut data) = request.data() {
-                data.read_to_string(&mut body).expect("body is text");
-            }
-            let line = format!("{} {} {body}", request.method(), request.raw_url());
+            let body = std::str::from_utf8(request.body()).expect("body is text");
+            let line = format!("{} {} {body}", request.method(), request.target());
             record
                 .lock()
                 .expect("no panic while recording")
@@ -66,7 +70,7 @@
             .collect();
         let used = Mutex::new(vec![false; replies.len()]);
         Self::serve(move |request| {
-            let target = format!("{} {}", request.method(), request.raw_url());
+            let target = format!("{} {}", request.method(), request.target());
             let mut used = used.lock().expect("no panic while choosing");
             let matching: Vec<usize> = (0..replies.len())
                 .filter(|&index| replies[index].0 == target)
@@ -80,11 +84,9 @@
                 Some(index) => {
                     used[index] = true;
                     let (_, status, body) = &replies[index];
-                    Response::from_data("application/json", body.as_bytes())
-                        .with_status_code(*status)
+                    Response::new(*status, "application/json", body.clone())
                 }
-                None => Response::from_data("application/json", r#"{"reason": "unknown"}"#)
-                    .with_status_code(404),
+                None => Response::new(404, "application/json", r#"{"reason": "unknown"}"#),
             }
         })
     }
--- a/crates/fulmarpond/tests/lists.rs
+++ b/crates/fulmarpond/tests/lists.rs
@@ -122,7 +122,7 @@
 fn token_is_sent() {
     let entry = Entry::serve(|request| {
         let token = request.header("authorization").unwrap_or("none").to_owned();
-        rouille::Response::json(&vec![serde_json::json!({"team": token})])
+        fulmarpond_http::Response::json(200, &vec![serde_json::json!({"team": token})])
     });
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("token");
     std::fs::write(&path, "secret\n").expect("the directory for temporary files is writable");
--- a/crates/fulmarpond/tests/load_run.rs
+++ b/crates/fulmarpond/tests/load_run.rs
@@ -2,14 +2,13 @@
 
 mod common;
 
-use std::io::Read;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use common::{Entry, Run, closed_addr, run};
 use expect_test::expect;
-use rouille::{Request, Response};
+use fulmarpond_http::{Request, Response};
 use serde_json::{Value, json};
 
 /// A system in one process: entry, metrics page and ledger.
@@ -28,33 +27,30 @@
     }
 
     fn reply(&self, request: &Request) -> Response {
-        match request.url().as_str() {
+        match request.path().as_str() {
             "/v1/jobs" => self.submit(request),
             "/metrics" => {
                 let scrapes = self.scrapes.fetch_add(1, Ordering::Relaxed);
-                Response::text(format!(
-                    "fulmarpond_messages_total{{call=\"run\"}} {}\n\
+                Response::text(
+                    200,
+                    format!(
+                        "fulmarpond_messages_total{{call=\"run\"}} {}\n\
                      fulmarpond_messages_wasted_total {}\n",
-                    100 + 300 * scrapes,
-                    2 + 3 * scrapes
-                ))
+                        100 + 300 * scrapes,
+                        2 + 3 * scrapes
+                    ),
+                )
             }
             "/control/ledger" => {
-                Response::json(&*self.starts.lock().expect("no panic while recording"))
+                Response::json(200, &*self.starts.lock().expect("no panic while recording"))
             }
-            _ => Response::empty_404(),
+            _ => Response::empty(404),
         }
     }
 
     /// Answers every job but those whose number ends in 3 or 7.
     fn submit(&self, request: &Request) -> Response {
-        let mut text = String::new();
-        request
-            .data()
-            .expect("a body")
-            .read_to_string(&mut text)
-            .expect("body is text");
-        let job: Value = serde_json::from_str(&text).expect("JSON");
+        let job: Value = serde_json::from_slice(request.body()).expect("JSON");
         let id = job["id"].as_str().expect("an id");
         let tasks = job["tasks"].as_array().expect("tasks");
         let start = |task: usize| {
@@ -64,8 +60,10 @@
                 .push(json!({"job": format!("hunt/{id}"), "task": task, "started": 1, "at_ms": 0}));
         };
         let refused = |status, verdict, reason| {
-            Response::json(&json!({"id": id, "verdict": verdict, "reason": reason}))
-                .with_status_code(status)
+            Response::json(
+                status,
+                &json!({"id": id, "verdict": verdict, "reason": reason}),
+            )
         };
         if id.ends_with('3') {
             if self.faulty && id.ends_with("-3") {
@@ -86,7 +84,10 @@
             .iter()
             .map(|task| json!({"echo": task["payload"]}))
             .collect();
-        Response::json(&json!({"id": id, "verdict": "answered", "results": results}))
+        Response::json(
+            200,
+            &json!({"id": id, "verdict": "answered", "results": results}),
+        )
     }
 }
 
@@ -223,7 +224,7 @@
 fn too_few_clients_are_reported() {
     let entry = Entry::serve_raw(|_| {
         std::thread::sleep(Duration::from_millis(50));
-        Response::text("{}")
+        Response::text(200, "{}")
     });
     let run = load(&entry, &["--clients", "1", "--json"]);
     let report: Value = serde_json::from_str(&run.stdout).expect("a JSON report");
