--- a/crates/fulmarpondd/tests/path.rs
+++ b/crates/fulmarpondd/tests/path.rs
@@ -96,6 +96,53 @@
     assert!(started < 40, "a cancelled job went on to its end");
 }
 
+/// Guards against callers above the bound that wait in a queue, or are refused without a reason and
+/// a time to come back, and against places that are never given back.
+#[test]
+fn callers_above_the_bound_are_refused_at_once() {
+    let system = System::with_timing(1, 2, 8, "[limits]\ncallers = 2");
+    let entry = system.entries[0].http;
+    let waiting: Vec<_> = (0..2)
+        .map(|number| {
+            let job = job(&format!("waiting-{number}"), 1, &[3_000]);
+            thread::spawn(move || submit(entry, &job))
+        })
+        .collect();
+    wait_until("both jobs run", || system.starts().len() == 2);
+    let (status, refusal) = submit(entry, &job("refused", 1, &[0]));
+    assert_eq!(status, 503, "{refusal}");
+    assert_eq!(refusal["verdict"], "not_run");
+    assert_eq!(refusal["reason"], "overloaded");
+    assert!(refusal["retry_after_ms"].as_u64() > Some(0), "{refusal}");
+    assert_eq!(get(entry, "/v1/roster").0, 200, "others are still served");
+    for thread in waiting {
+        let (status, answer) = thread.join().expect("the caller ends");
+        assert_eq!(status, 200, "{answer}");
+    }
+    let (status, answer) = submit(entry, &job("refused", 2, &[0]));
+    assert_eq!(status, 200, "{answer}");
+    system.assert_single_starts();
+}
+
+/// Guards against callers that are not answered while many others wait at the same entry.
+#[test]
+fn many_callers_wait_at_once() {
+    let system = System::start(1, 4, 8);
+    let entry = system.entries[0].http;
+    let callers: Vec<_> = (0..200)
+        .map(|number| {
+            let job = job(&format!("many-{number}"), 1, &[100, 0]);
+            thread::spawn(move || submit(entry, &job))
+        })
+        .collect();
+    for caller in callers {
+        let (status, answer) = caller.join().expect("the caller ends");
+        assert_eq!(status, 200, "{answer}");
+        assert_complete(&answer, 2);
+    }
+    system.assert_single_starts();
+}
+
 /// A malformed submission with what its refusal must name.
 struct BadInput {
     name: &'static str,
