--- a/crates/fulmarpond-standins/src/lib.rs
+++ b/crates/fulmarpond-standins/src/lib.rs
@@ -10,6 +10,7 @@
 mod key_value;
 mod relay;
 mod service;
+mod workers;
 
 pub use endpoint::{Endpoint, EndpointControl, EndpointLimits, EndpointOptions, LedgerRow};
 pub use key_value::{Calls, KeyValue, KeyValueControl};
--- a/crates/fulmarpond-standins/src/service.rs
+++ b/crates/fulmarpond-standins/src/service.rs
@@ -2,13 +2,13 @@
 
 use std::io;
 use std::net::{SocketAddr, ToSocketAddrs};
-use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use fulmarpond_http::{Listener, Options, Request, Responder, Response};
 use serde::de::DeserializeOwned;
 
+use crate::workers::Workers;
+
 /// What a handler does with a request.
 pub(crate) enum Outcome {
     /// Sends a reply.
@@ -23,7 +23,7 @@
     }
 }
 
-/// An HTTP server with a thread for each request, so that a handler may block.
+/// An HTTP server whose handler may block.
 #[derive(Debug)]
 pub(crate) struct Service {
     listener: Listener,
@@ -36,14 +36,9 @@
         A: ToSocketAddrs,
         F: Fn(&Request) -> Outcome + Send + Sync + 'static,
     {
-        let handler = Arc::new(handler);
+        let workers = Workers::new(handler);
         let answer = move |request: Request, responder: Responder| {
-            let handler = Arc::clone(&handler);
-            // Without a thread the responder is dropped, which answers with status 500.
-            let _ = thread::Builder::new().spawn(move || match handler(&request) {
-                Outcome::Reply(response) => responder.send(response),
-                Outcome::Close => responder.close(),
-            });
+            workers.handle(request, responder);
         };
         Ok(Self {
             listener: Listener::start(listen, options, answer)?,
