--- a/crates/fulmarpondd/tests/common/mod.rs
+++ b/crates/fulmarpondd/tests/common/mod.rs
@@ -2,37 +2,53 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
+pub(crate) mod history;
+pub(crate) mod load;
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fulmarpond_standins::{Endpoint, EndpointLimits, EndpointOptions, KeyValue};
+use fulmarpond_core::contract::JobId;
+use fulmarpond_core::zone::Roster;
+use fulmarpond_standins::{Endpoint, EndpointLimits, EndpointOptions, KeyValue, Relay};
 use serde_json::{Value, json};
 
 /// How long a condition may take before a test gives up. Tests assert outcomes, not times.
 const PATIENCE: Duration = Duration::from_secs(60);
 
 /// The zones of the hunt desk.
-pub const ZONES: [&str; 4] = ["Fukuoka", "Kitakyushu", "Saga", "Kurume"];
+pub(crate) const ZONES: [&str; 4] = ["Fukuoka", "Kitakyushu", "Saga", "Kurume"];
+
+/// The team of all jobs.
+pub(crate) const TEAM: &str = "hunt-desk";
+
+/// How often the start of a process is tried whose port may be taken by another one.
+const START_TRIES: u32 = 5;
 
 static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
 
 /// A daemon process.
-pub struct Process {
+pub(crate) struct Process {
     child: Child,
-    pub http: SocketAddr,
-    pub link: SocketAddr,
+    pub(crate) http: SocketAddr,
+    pub(crate) link: SocketAddr,
     settings: PathBuf,
 }
 
 impl Process {
     /// Starts a daemon with these settings and reads its addresses.
-    pub fn start(settings: &str) -> Self {
+    pub(crate) fn start(settings: &str) -> Self {
+        Self::try_start(settings).expect("the daemon prints its addresses")
+    }
+
+    /// Starts a daemon. Returns `None` if it ends without addresses, as with a port in use.
+    pub(crate) fn try_start(settings: &str) -> Option<Self> {
         let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
         let name = format!("fulmarpond-{}-{number}.ini", std::process::id());
         let path = std::env::temp_dir().join(name);
@@ -48,19 +64,24 @@
         let mut line = String::new();
         BufReader::new(stdout)
             .read_line(&mut line)
-            .expect("the daemon prints its addresses");
+            .expect("standard output can be read");
         let words: Vec<&str> = line.split_whitespace().collect();
-        let addr = |index: usize| words[index].parse().expect("an address");
-        Self {
-            http: addr(1),
-            link: addr(3),
+        let [_, http, _, link] = words[..] else {
+            let _ = child.kill();
+            let _ = child.wait();
+            let _ = std::fs::remove_file(&path);
+            return None;
+        };
+        Some(Self {
+            http: http.parse().expect("an address"),
+            link: link.parse().expect("an address"),
             child,
             settings: path,
-        }
+        })
     }
 
     /// Sends a signal by process id.
-    pub fn signal(&self, signal: &str) {
+    pub(crate) fn signal(&self, signal: &str) {
         let status = Command::new("kill")
             .args([signal, &self.child.id().to_string()])
             .status()
@@ -68,14 +89,40 @@
         assert!(status.success());
     }
 
+    /// Stops the process from running, without ending it.
+    pub(crate) fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a frozen process run again.
+    pub(crate) fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Returns whether the process has ended by itself, and with success.
+    pub(crate) fn ended(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().expect("the process can be queried");
+        status.map(|status| status.success())
+    }
+
+    /// Returns the value of a metric without labels of its own.
+    pub(crate) fn metric(&self, name: &str) -> Option<u64> {
+        let (_, text) = get(self.http, "/metrics");
+        let text = text.as_str()?.to_owned();
+        let line = text
+            .lines()
+            .find(|line| line.starts_with(&format!("fulmarpond_{name}{{")))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
     /// Kills the process without warning.
-    pub fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
     /// Stops the process gracefully and returns whether it reported success.
-    pub fn terminate(&mut self) -> bool {
+    pub(crate) fn terminate(&mut self) -> bool {
         self.signal("-TERM");
         self.child.wait().expect("the daemon ends").success()
     }
@@ -89,18 +136,37 @@
 }
 
 /// An agent process with its endpoint.
-pub struct Node {
-    pub agent: Process,
-    pub endpoint: Endpoint,
-    pub name: String,
-    pub zone: &'static str,
+///
+/// A node whose agent has ended keeps its endpoint, since the ledger is checked at the end.
+pub(crate) struct Node {
+    pub(crate) agent: Process,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) name: String,
+    pub(crate) zone: &'static str,
+    /// The address by which other processes reach the agent.
+    pub(crate) addr: SocketAddr,
+    /// Forwards all links to the agent, if it is reached through a relay.
+    pub(crate) relay: Option<Relay>,
+    /// Whether the agent is expected in the roster.
+    pub(crate) live: bool,
+    /// A time after the start of the endpoint, from which its ledger counts.
+    pub(crate) begun: Instant,
+}
+
+impl Node {
+    /// Returns whether the endpoint has started a task of a job.
+    pub(crate) fn has_started(&self, id: &str) -> bool {
+        let job = format!("{TEAM}/{id}");
+        self.endpoint.ledger().iter().any(|row| row.job == job)
+    }
 }
 
 /// A system of daemon processes.
-pub struct System {
-    pub kv: KeyValue,
-    pub entries: Vec<Process>,
-    pub nodes: Vec<Node>,
+pub(crate) struct System {
+    pub(crate) entries: Vec<Process>,
+    pub(crate) nodes: Vec<Node>,
+    /// Dropped after the processes that use it.
+    pub(crate) kv: KeyValue,
     slots: u32,
     extra: String,
 }
@@ -108,12 +174,12 @@
 impl System {
     /// Starts `entries` entries and `agents` agents with endpoints of `slots` slots, and waits
     /// until all are ready.
-    pub fn start(entries: usize, agents: usize, slots: u32) -> Self {
+    pub(crate) fn start(entries: usize, agents: usize, slots: u32) -> Self {
         Self::with_timing(entries, agents, slots, "")
     }
 
     /// Starts a system with additional lines in the section `[timing]`.
-    pub fn with_timing(entries: usize, agents: usize, slots: u32, timing: &str) -> Self {
+    pub(crate) fn with_timing(entries: usize, agents: usize, slots: u32, timing: &str) -> Self {
         let kv = KeyValue::start("127.0.0.1:0").expect("the key-value stand-in starts");
         let extra = format!("[timing]\nannounce = 100ms\n{timing}\n");
         let mut system = Self {
@@ -140,27 +206,90 @@
         let settings = format!(
             "[daemon]\nrole = entry\nname = entry-{number}\nzone = {zone}\n\
              [listen]\nhttp = 127.0.0.1:0\nlink = 127.0.0.1:0\n\
-             [platform]\nkv = {kv}\n[log]\nlevel = warn\n{extra}"
+             [platform]\nkv = {kv}\n[limits]\ncallers = 64\n[log]\nlevel = warn\n{extra}"
         );
         self.entries.push(Process::start(&settings));
     }
 
     /// Starts one more agent with its endpoint.
-    pub fn add_node(&mut self, number: usize) {
+    pub(crate) fn add_node(&mut self, number: usize) {
+        let agent = self
+            .start_agent(number, "link = 127.0.0.1:0")
+            .expect("an agent starts on any port");
+        let addr = agent.link;
+        self.push_node(number, agent, addr, None);
+    }
+
+    /// Starts one more agent with its endpoint. All links to the agent go through a relay.
+    pub(crate) fn add_relayed_node(&mut self, number: usize) {
+        for _ in 0..START_TRIES {
+            let free = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+            let link = free.local_addr().expect("the port has an address");
+            drop(free);
+            let relay = Relay::start(link).expect("the relay starts");
+            let addr = relay.addr();
+            let listen = format!("link = {link}\nadvertise = {addr}");
+            if let Some(agent) = self.start_agent(number, &listen) {
+                self.push_node(number, agent, addr, Some(relay));
+                return;
+            }
+        }
+        panic!("no agent could be started behind a relay");
+    }
+
+    /// Starts a new agent process with a new endpoint at the address of a node whose agent ended.
+    pub(crate) fn replace(&mut self, index: usize) {
+        let link = self.nodes[index].addr;
+        let name = self.nodes[index].name.clone();
+        let number: usize = name[5..].parse().expect("the name has a number");
+        let listen = format!("link = {link}");
+        for _ in 0..START_TRIES {
+            if let Some(agent) = self.start_agent(number, &listen) {
+                self.push_node(number, agent, link, None);
+                return;
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        panic!("no agent could be started at {link}");
+    }
+
+    fn push_node(&mut self, number: usize, agent: Process, addr: SocketAddr, relay: Option<Relay>) {
         let zone = ZONES[number % ZONES.len()];
-        let name = format!("host-{number}");
-        let agent = self.start_agent(&name, zone, "127.0.0.1:0");
         let endpoint = self.start_endpoint(agent.http, zone);
         self.nodes.push(Node {
             agent,
             endpoint,
-            name,
+            name: format!("host-{number}"),
             zone,
+            addr,
+            relay,
+            live: true,
+            begun: Instant::now(),
         });
     }
 
-    /// Starts an agent process.
-    pub fn start_agent(&self, name: &str, zone: &str, link: &str) -> Process {
+    /// Kills an agent without warning. Its endpoint finishes the tasks in flight and ends.
+    pub(crate) fn kill_agent(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.agent.kill();
+        node.live = false;
+        // A later process could get the port of the agent, so the endpoint must not go on.
+        node.endpoint.stop();
+    }
+
+    /// Stops an agent gracefully, then its endpoint. Returns whether the agent reported success.
+    pub(crate) fn stop_agent(&mut self, index: usize) -> bool {
+        let node = &mut self.nodes[index];
+        let success = node.agent.terminate();
+        node.live = false;
+        node.endpoint.stop();
+        success
+    }
+
+    /// Starts an agent process. Returns `None` if it can't listen.
+    fn start_agent(&self, number: usize, listen: &str) -> Option<Process> {
+        let name = format!("host-{number}");
+        let zone = ZONES[number % ZONES.len()];
         let entries: Vec<String> = self
             .entries
             .iter()
@@ -168,15 +297,15 @@
             .collect();
         let entries = entries.join(", ");
         let extra = &self.extra;
-        Process::start(&format!(
+        Process::try_start(&format!(
             "[daemon]\nrole = agent\nname = {name}\nzone = {zone}\n\
-             [listen]\nhttp = 127.0.0.1:0\nlink = {link}\n\
+             [listen]\nhttp = 127.0.0.1:0\n{listen}\n\
              [cluster]\nentries = {entries}\n[log]\nlevel = warn\n{extra}"
         ))
     }
 
     /// Starts an endpoint that announces itself to an agent.
-    pub fn start_endpoint(&self, agent: SocketAddr, zone: &str) -> Endpoint {
+    pub(crate) fn start_endpoint(&self, agent: SocketAddr, zone: &str) -> Endpoint {
         Endpoint::start(EndpointOptions {
             listen: "127.0.0.1:0".parse().expect("an address"),
             agent,
@@ -192,9 +321,49 @@
         .expect("the endpoint stand-in starts")
     }
 
-    /// Waits until every agent is in the roster of every entry and every process is ready.
-    pub fn wait_ready(&self) {
-        let agents = self.nodes.len();
+    /// Returns the addresses of the entries.
+    pub(crate) fn entry_addrs(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.http).collect()
+    }
+
+    /// Returns the nodes whose agents are expected in the roster.
+    pub(crate) fn live_nodes(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.iter().filter(|node| node.live)
+    }
+
+    /// Returns the roster as an entry knows it.
+    pub(crate) fn roster(&self, entry: usize) -> Roster {
+        let (_, mut roster) = get(self.entries[entry].http, "/v1/roster");
+        // The floor is not shown and does not matter for the candidates.
+        roster["floor"] = json!(0);
+        serde_json::from_value(roster).expect("an entry shows its roster")
+    }
+
+    /// Returns the indices of the nodes that may be home of a job, best first.
+    pub(crate) fn candidates(&self, id: &str) -> Vec<usize> {
+        let roster = self.roster(0);
+        let candidates = roster.candidates(&JobId::new(TEAM, id));
+        let index = |addr| {
+            let found = |node: &Node| node.live && node.addr == addr;
+            self.nodes.iter().position(found)
+        };
+        candidates
+            .iter()
+            .filter_map(|member| index(member.addr))
+            .collect()
+    }
+
+    /// Returns a job id that begins with `prefix` and whose home is, or is not, a node.
+    pub(crate) fn id_with_home(&self, prefix: &str, node: usize, is_home: bool) -> String {
+        (0..10_000)
+            .map(|number| format!("{prefix}-{number}"))
+            .find(|id| (self.candidates(id).first() == Some(&node)) == is_home)
+            .expect("some id has the home")
+    }
+
+    /// Waits until every live agent is in the roster of every entry and every process is ready.
+    pub(crate) fn wait_ready(&self) {
+        let agents = self.live_nodes().count();
         wait_until("all processes are ready", || {
             let entries = self.entries.iter().all(|entry| {
                 let members = get(entry.http, "/v1/roster").1["members"].clone();
@@ -212,14 +381,13 @@
             });
             entries
                 && self
-                    .nodes
-                    .iter()
+                    .live_nodes()
                     .all(|node| get(node.agent.http, "/readyz").0 == 200)
         });
     }
 
-    /// Returns how often each task was started, over all endpoints that are still there.
-    pub fn starts(&self) -> HashMap<(String, u64), u64> {
+    /// Returns how often each task was started, over all endpoints there were.
+    pub(crate) fn starts(&self) -> HashMap<(String, u64), u64> {
         let mut starts = HashMap::new();
         for row in self.nodes.iter().flat_map(|node| node.endpoint.ledger()) {
             *starts.entry((row.job.clone(), row.task)).or_insert(0) += 1;
@@ -227,8 +395,15 @@
         starts
     }
 
+    /// Waits until a task of a job has started at any endpoint.
+    pub(crate) fn wait_started(&self, id: &str) {
+        wait_until("a task has started", || {
+            self.nodes.iter().any(|node| node.has_started(id))
+        });
+    }
+
     /// Asserts that no task was started more than once.
-    pub fn assert_single_starts(&self) {
+    pub(crate) fn assert_single_starts(&self) {
         for (task, starts) in self.starts() {
             assert_eq!(starts, 1, "task {task:?} was started {starts} times");
         }
@@ -236,7 +411,7 @@
 }
 
 /// Waits until a condition holds.
-pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+pub(crate) fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let deadline = Instant::now() + PATIENCE;
     while !condition() {
         assert!(Instant::now() < deadline, "gave up waiting until {what}");
@@ -244,10 +419,10 @@
     }
 }
 
-fn client() -> ureq::Agent {
+fn client(limit: Duration) -> ureq::Agent {
     ureq::Agent::config_builder()
         .http_status_as_error(false)
-        .timeout_global(Some(PATIENCE))
+        .timeout_global(Some(limit))
         .build()
         .new_agent()
 }
@@ -267,45 +442,60 @@
 }
 
 /// Sends a GET request. Status 0 means that no response came.
-pub fn get(addr: SocketAddr, path: &str) -> (u16, Value) {
-    read(client().get(format!("http://{addr}{path}")).call())
+pub(crate) fn get(addr: SocketAddr, path: &str) -> (u16, Value) {
+    read(client(PATIENCE).get(format!("http://{addr}{path}")).call())
 }
 
 /// Sends a DELETE request.
-pub fn delete(addr: SocketAddr, path: &str) -> (u16, Value) {
-    read(client().delete(format!("http://{addr}{path}")).call())
+pub(crate) fn delete(addr: SocketAddr, path: &str) -> (u16, Value) {
+    read(
+        client(PATIENCE)
+            .delete(format!("http://{addr}{path}"))
+            .call(),
+    )
 }
 
 /// Sends a POST request.
-pub fn post(addr: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+pub(crate) fn post(addr: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+    post_within(addr, path, body, PATIENCE)
+}
+
+/// Sends a POST request and waits at most `limit` for the response.
+pub(crate) fn post_within(
+    addr: SocketAddr,
+    path: &str,
+    body: &Value,
+    limit: Duration,
+) -> (u16, Value) {
     read(
-        client()
+        client(limit)
             .post(format!("http://{addr}{path}"))
             .send_json(body),
     )
 }
 
 /// Makes a submission with one task for each run time in milliseconds.
-pub fn job(id: &str, attempt: u32, runs: &[u64]) -> Value {
+pub(crate) fn job(id: &str, attempt: u32, runs: &[u64]) -> Value {
     let tasks: Vec<Value> = runs
         .iter()
         .enumerate()
         .map(|(index, run_ms)| {
-            json!({"kind": "answer-check", "payload": {"run_ms": run_ms, "number": index}})
+            let payload = json!({"run_ms": run_ms, "number": index, "job": id});
+            json!({"kind": "answer-check", "payload": payload})
         })
         .collect();
     json!({
-        "id": id, "team": "hunt-desk", "attempt": attempt, "deadline_ms": 30_000, "tasks": tasks,
+        "id": id, "team": TEAM, "attempt": attempt, "deadline_ms": 30_000, "tasks": tasks,
     })
 }
 
 /// Submits a job and waits for the answer.
-pub fn submit(entry: SocketAddr, job: &Value) -> (u16, Value) {
+pub(crate) fn submit(entry: SocketAddr, job: &Value) -> (u16, Value) {
     post(entry, "/v1/jobs", job)
 }
 
 /// Asserts that an answer is complete, with the result of each task at its position.
-pub fn assert_complete(answer: &Value, tasks: usize) {
+pub(crate) fn assert_complete(answer: &Value, tasks: usize) {
     assert_eq!(answer["verdict"], "answered", "{answer}");
     let results = answer["results"].as_array().expect("an answer has results");
     assert_eq!(results.len(), tasks);
