fix(core): eject an endpoint that refuses every task

Cause: health counted failed tasks only. An endpoint that answers 503 at once looks free, so placement by free slots sends it every task. Ruled out: the retry budget and its backoff; they delay the job in both cases. Change: a task that the endpoint refuses or can't be connected for counts like a failed one. Refusals of the agent itself don't.

--- a/crates/fulmarpond-core/src/runner/runner.rs
+++ b/crates/fulmarpond-core/src/runner/runner.rs
@@ -309,14 +309,15 @@
                     .record(ctx.now, true, ctx.policy.eject_after, ctx.rng);
                 Outcome::Done { result, run_us }
             }
-            RunOutcome::NotStarted(refusal) => Outcome::NotStarted(refusal),
-            RunOutcome::Failed(refusal) => {
-                if self
-                    .health
-                    .record(ctx.now, false, ctx.policy.eject_after, ctx.rng)
-                {
-                    ctx.count(Count::Ejected);
+            RunOutcome::NotStarted(refusal) => {
+                // An endpoint that refuses at once looks free and would draw every task to it.
+                if matches!(refusal.reason, Reason::QueueFull | Reason::Unreachable) {
+                    self.failed(ctx);
                 }
+                Outcome::NotStarted(refusal)
+            }
+            RunOutcome::Failed(refusal) => {
+                self.failed(ctx);
                 Outcome::Failed(refusal)
             }
         };
@@ -327,6 +328,14 @@
         self.pump(ctx);
     }
 
+    /// Notes that the endpoint failed or refused a task.
+    fn failed<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        let limit = ctx.policy.eject_after;
+        if self.health.record(ctx.now, false, limit, ctx.rng) {
+            ctx.count(Count::Ejected);
+        }
+    }
+
     /// Reports a batch to the waiting call if it has ended or a task of it did not start.
     fn report<R: Rng>(&mut self, ctx: &mut Context<'_, R>, key: &BatchKey) {
         let load = self.load(ctx.now);
--- a/crates/fulmarpondd/tests/faults.rs
+++ b/crates/fulmarpondd/tests/faults.rs
@@ -276,7 +276,8 @@
     load.finish(&system);
 }
 
-/// Guards against tasks that are lost or started twice when an endpoint refuses them.
+/// Guards against tasks that are lost or started twice when an endpoint refuses them, and against
+/// an endpoint that refuses at once, looks free and draws all tasks to it.
 #[test]
 fn tasks_that_an_endpoint_refuses_run_elsewhere() {
     let system = System::with_timing(2, 4, 2, TIMING);
@@ -286,16 +287,19 @@
     refusing
         .endpoint
         .control(EndpointControl::default().refuse(true));
-    let caller = submit_aside(&load, system.entries[0].http, job("wide", 1, &[50; 40]));
-    let answer = told(caller);
-    assert!(answer.is_answered(), "{answer:?}");
+    let caller = submit_aside(&load, system.entries[0].http, job("wide", 1, &[50; 8]));
+    wait_until("the endpoint is ejected", || {
+        refusing.agent.metric("ejections_total") > Some(0)
+    });
     load.wait_answered(20);
     refusing
         .endpoint
         .control(EndpointControl::default().refuse(false));
+    let answer = told(caller);
+    assert!(answer.is_answered(), "{answer:?}");
     let before = refusing.endpoint.ledger().len();
     wait_until("the endpoint serves again", || {
-        refusing.endpoint.ledger().len() > before + 10
+        has_state(&system, 3, "open") && refusing.endpoint.ledger().len() > before + 10
     });
     load.finish(&system);
 }
