--- a/crates/fulmarpond-link/tests/calls.rs
+++ b/crates/fulmarpond-link/tests/calls.rs
@@ -157,7 +157,7 @@
                     "job": job, "attempt": "first", "remaining_ms": 10,
                     "tasks": [{"kind": "hint-draw", "payload": [1, 2]}],
                 },
-                "entry": "entry-1", "roster": 4, "skipped": true,
+                "entry": "entry-1", "roster": 4, "skipped": true, "wait": true,
             }),
         ),
         ("fetch", json!({"job": job, "wait_ms": 10})),
