fix(core): keep an inherited acceptance over an own seal

A candidate that had begun to seal an id kept its own seal when a stopping agent handed it the memory of the accepted job. The next attempt then found no trace of the acceptance and started the tasks again. An acceptance now replaces a seal in Memory::inherit, and Memory::seal never replaces one. Found by promises_hold; guarded by an_inherited_acceptance_outlasts_an_own_seal.

--- a/crates/fulmarpond-core/src/home/memory.rs
+++ b/crates/fulmarpond-core/src/home/memory.rs
@@ -31,21 +31,36 @@
         self.ids.insert(job.digest(), Entry { tombstone, forget });
     }
 
-    /// Remembers that `holder` has the seal of `job`.
+    /// Remembers that `holder` has the seal of `job`, unless the job was accepted.
     pub(super) fn seal(&mut self, job: &JobId, holder: &AgentId, forget: Time) {
+        if self.get(job) == Some(&Tombstone::Accepted) {
+            return;
+        }
         let tombstone = Tombstone::Sealed {
             holder: holder.clone(),
         };
         self.ids.insert(job.digest(), Entry { tombstone, forget });
     }
 
-    /// Takes over what another agent remembered. Own memory goes first.
+    /// Takes over what another agent remembered. An acceptance goes first, then own memory.
+    ///
+    /// An attempt that this agent began can hold its seal although the other agent accepted the
+    /// job, so the seal must not hide the acceptance.
     pub(super) fn inherit(&mut self, keepsake: Keepsake, now: Time) {
         let forget = now.after_millis(keepsake.keep_ms);
         let tombstone = keepsake.memory;
-        self.ids
-            .entry(keepsake.digest)
-            .or_insert(Entry { tombstone, forget });
+        let accepted = |entry: &Entry| entry.tombstone == Tombstone::Accepted;
+        match self.ids.get_mut(&keepsake.digest) {
+            Some(own) if accepted(own) || tombstone != Tombstone::Accepted => {}
+            Some(own) => {
+                own.tombstone = tombstone;
+                own.forget = own.forget.max(forget);
+            }
+            None => {
+                self.ids
+                    .insert(keepsake.digest, Entry { tombstone, forget });
+            }
+        }
     }
 
     /// Returns everything, for an heir.
