fix(core): admit that an unread configuration version may be applied

After a confirmed write, or a conflict with a version of unknown author, an outage during the read-back made the entry answer "the patch was not applied". It now answers that the patch may have been applied. Found and guarded by versions_have_one_author, which checks racing operators, outages and lost replies against a register with compare-and-swap per version.

--- a/crates/fulmarpond-core/src/entry/configuration.rs
+++ b/crates/fulmarpond-core/src/entry/configuration.rs
@@ -25,7 +25,7 @@
 pub(super) struct Patching {
     patch: Patch,
     deadline: Time,
-    /// Whether a write may have taken effect without a reply.
+    /// Whether the patch may have made a version that was not read back yet.
     unknown: bool,
 }
 
@@ -130,9 +130,12 @@
         match result {
             Ok(StoreReply::Written(_)) => {
                 // The version is read back, so that it enters memory in one way only.
+                patching.unknown = true;
                 self.read_back(step, call);
             }
             Err(StoreError::Conflict) => {
+                // The version can stem from an earlier request with the same patch.
+                patching.unknown = true;
                 step.count(Count::Retry(RetryCause::Conflict));
                 self.read_back(step, call);
             }
