fix(core): count a member that came back from its return on

Roster::revive cleared the version of the removal, so seal lists counted the member as live in the gap as well. An agent that was among the first three only during the gap was then missing from the seal list, and a resubmission could start its jobs again. A member now keeps the version of its return and outweighs others only from there on. Found and guarded by seal_lists_hold_all_former_candidates.

--- a/crates/fulmarpond-core/src/zone/member.rs
+++ b/crates/fulmarpond-core/src/zone/member.rs
@@ -20,6 +20,9 @@
     pub joined: u64,
     /// The roster version that changed it last.
     pub changed: u64,
+    /// The roster version that made it a member again, if it came back after a removal.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub back: Option<u64>,
     /// The roster version that removed it, if it was removed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub left: Option<u64>,
@@ -29,8 +32,16 @@
 }
 
 impl Member {
-    /// Returns whether the member was in the roster at `version`.
+    /// Returns whether the member was in the roster from `version` on without a gap.
+    ///
+    /// The versions before it came back do not count, because the roster does not hold how long it
+    /// was away.
     pub fn live_at(&self, version: u64) -> bool {
+        self.back.unwrap_or(self.joined) <= version && self.may_live_at(version)
+    }
+
+    /// Returns whether the member may have been in the roster at `version`.
+    pub fn may_live_at(&self, version: u64) -> bool {
         self.joined <= version && self.left.is_none_or(|left| version < left)
     }
 
--- a/crates/fulmarpond-core/src/zone/roster.rs
+++ b/crates/fulmarpond-core/src/zone/roster.rs
@@ -101,8 +101,8 @@
         list
     }
 
-    /// Returns whether there is a version from the floor on at which `member` was live and fewer
-    /// than [`CANDIDATES`] of the heavier members were.
+    /// Returns whether there is a version from the floor on at which `member` may have been live and
+    /// fewer than [`CANDIDATES`] of the heavier members certainly were.
     ///
     /// The number of live heavier members is lowest where `member` joined or where one of them left.
     fn was_candidate(&self, member: &Member, heavier: &[&Member]) -> bool {
@@ -110,7 +110,7 @@
         let ends = heavier.iter().filter_map(|other| other.left);
         std::iter::once(start)
             .chain(ends)
-            .filter(|version| *version >= start && member.live_at(*version))
+            .filter(|version| *version >= start && member.may_live_at(*version))
             .any(|version| {
                 heavier
                     .iter()
@@ -162,6 +162,7 @@
             zone: zone.clone(),
             joined: self.version,
             changed: self.version,
+            back: None,
             left: None,
             heir: None,
         });
@@ -204,6 +205,7 @@
         }
         let member = &mut self.members[index];
         member.left = None;
+        member.back = Some(version);
         member.changed = version;
         self.version = version;
         true
