fix(core): send all members to a process behind the floor

Roster::settle drops members that were removed up to the floor, so a delta for an older version did not hold their removal, and a process that was cut off for longer than the roster window kept them as live. Such a process now gets all members and drops its own. Found and guarded by deltas_converge.

--- a/crates/fulmarpond-core/src/zone/roster.rs
+++ b/crates/fulmarpond-core/src/zone/roster.rs
@@ -226,15 +226,16 @@
         true
     }
 
-    /// Returns the changes since `version`.
+    /// Returns the changes since `version`, or all members if `version` is before the floor.
     pub fn since(&self, version: u64) -> Delta {
+        let all = version < self.floor;
         Delta {
             version: self.version,
             floor: self.floor,
             changed: self
                 .members
                 .iter()
-                .filter(|member| member.changed > version)
+                .filter(|member| all || member.changed > version)
                 .cloned()
                 .collect(),
         }
@@ -245,6 +246,10 @@
         if delta.version <= self.version {
             return false;
         }
+        if self.version < delta.floor {
+            // Removals up to the floor are not part of the delta, which holds all members instead.
+            self.members.clear();
+        }
         for changed in delta.changed {
             match self
                 .members
--- a/crates/fulmarpond-core/tests/rosters.rs
+++ b/crates/fulmarpond-core/tests/rosters.rs
@@ -2,12 +2,12 @@
 
 mod support;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use fulmarpond_core::contract::JobId;
 use fulmarpond_core::machine::AgentId;
-use fulmarpond_core::zone::{CANDIDATES, Member, Roster, Zone};
+use fulmarpond_core::zone::{CANDIDATES, Delta, Member, Roster, Zone};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use support::cases::config;
@@ -76,6 +76,12 @@
         .collect()
 }
 
+fn members(roster: &Roster) -> BTreeMap<AgentId, Member> {
+    let all = roster.members().iter();
+    all.map(|member| (member.agent.clone(), member.clone()))
+        .collect()
+}
+
 proptest! {
     #![proptest_config(config(512))]
 
@@ -131,6 +137,32 @@
         }
     }
 
+    /// Guards against an agent whose roster goes backward or never becomes the latest.
+    #[test]
+    fn deltas_converge(changes in changes(), picks in vec((any::<prop::sample::Index>(), any::<prop::sample::Index>()), 0..20)) {
+        let all = rosters(&changes);
+        let latest = &all[all.len() - 1];
+        let mut copy = Roster::default();
+        for (from, to) in picks {
+            let (from, to) = (from.get(&all), to.get(&all));
+            // A delta answers a version that the receiver had, so it starts no later than that.
+            if from.version() > copy.version() {
+                continue;
+            }
+            let before = copy.version();
+            let advanced = copy.apply(to.since(from.version()));
+            prop_assert_eq!(advanced, copy.version() > before);
+            prop_assert!(copy.version() >= before);
+            let same = all.iter().find(|roster| roster.version() == copy.version());
+            prop_assert_eq!(members(&copy), same.map(members).unwrap_or_default());
+        }
+        let stale: Delta = all[0].since(0);
+        copy.apply(latest.since(copy.version()));
+        prop_assert!(!copy.apply(stale));
+        prop_assert_eq!(members(&copy), members(latest));
+        prop_assert_eq!(copy.floor(), latest.floor());
+    }
+
     /// Guards against a chain of heirs that ends at an agent without the memory.
     #[test]
     fn keepers_are_live(changes in changes()) {
