fix(core): answer may have run once the own seal is at another agent

A candidate that still sealed a first attempt answered "not run" at the deadline or on a cancellation, although it had granted its own seal to another candidate that may have started the tasks. Later attempts that reached the record were told the same.

--- a/crates/fulmarpond-core/src/home/home.rs
+++ b/crates/fulmarpond-core/src/home/home.rs
@@ -393,13 +393,15 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let resolved = !matches!(
-            job.phase,
-            Phase::Sealing {
-                tolerant: false,
-                ..
-            }
-        );
+        let resolved = match &job.phase {
+            // Whoever accepted the job or holds the own seal may have started it.
+            Phase::Sealing { tolerant, .. } => match self.memory.get(id) {
+                None => *tolerant,
+                Some(Tombstone::Sealed { holder }) => *tolerant && holder == ctx.me,
+                Some(Tombstone::Accepted) => false,
+            },
+            Phase::Running | Phase::Ended(_) => true,
+        };
         let verdict = if resolved && job.exposed == 0 && job.done == 0 {
             Verdict::NotRun(refusal)
         } else {
