fix(core): confirm a roster as of the announcement, not of its reply

An agent that woke from a pause of more than the roster window took the reply that had waited meanwhile for a fresh confirmation, and accepted new jobs by its old roster. The age now counts from the time at which the announcement was sent. Guarded by a_reply_from_before_a_pause_confirms_no_roster.

--- a/crates/fulmarpond-core/src/agent/agent.rs
+++ b/crates/fulmarpond-core/src/agent/agent.rs
@@ -72,7 +72,8 @@
 /// What an outgoing call of the agent itself is about.
 #[derive(Debug)]
 enum Pending {
-    Announce(usize),
+    /// An announcement to the entry with this position, sent at this time.
+    Announce(usize, Time),
     Handover,
     Leave,
 }
@@ -302,11 +303,11 @@
         actions: &mut Vec<AgentAction>,
     ) {
         match (pending, result) {
-            (Pending::Announce(entry), Ok(Response::Announce(reply))) => {
+            (Pending::Announce(entry, sent), Ok(Response::Announce(reply))) => {
                 self.announces[*entry] = now.after_millis(reply.next_ms);
-                self.learn(now, *reply, rng, actions);
+                self.learn(now, *sent, *reply, rng, actions);
             }
-            (Pending::Announce(_), _) => {}
+            (Pending::Announce(..), _) => {}
             (Pending::Handover, result) => {
                 self.handed_over(now, matches!(result, Ok(Response::Done)), actions);
             }
@@ -321,9 +322,13 @@
     }
 
     /// Takes over the roster, the configuration and the loads that an entry sent.
+    ///
+    /// The age of the roster counts from the time at which the announcement was sent, since the
+    /// reply may have waited while the process was paused.
     fn learn<R: Rng>(
         &mut self,
         now: Time,
+        sent: Time,
         reply: AnnounceReply,
         rng: &mut R,
         actions: &mut Vec<AgentAction>,
@@ -331,7 +336,7 @@
         // An entry with an older roster confirms nothing about the newer one.
         if reply.roster.version >= self.roster.version() {
             let age_us = reply.age_ms.saturating_mul(1_000);
-            let confirmed = Time::from_micros(now.as_micros().saturating_sub(age_us));
+            let confirmed = Time::from_micros(sent.as_micros().saturating_sub(age_us));
             if reply.age_ms < self.options.window_ms {
                 self.confirmed = self.confirmed.max(Some(confirmed));
             }
@@ -377,7 +382,7 @@
         }));
         self.announced = me.load;
         self.announces[entry] = now.after_millis(self.options.announce_ms);
-        self.call_entry(now, entry, request, Pending::Announce(entry), actions);
+        self.call_entry(now, entry, request, Pending::Announce(entry, now), actions);
     }
 
     fn call_entry(
--- a/crates/fulmarpond-core/tests/regressions.rs
+++ b/crates/fulmarpond-core/tests/regressions.rs
@@ -2,6 +2,18 @@
 
 mod support;
 
+use std::net::SocketAddr;
+
+use fulmarpond_core::agent::{Agent, AgentAction, AgentInput, AgentOptions};
+use fulmarpond_core::contract::Needs;
+use fulmarpond_core::home::HomeOptions;
+use fulmarpond_core::link::{AnnounceReply, Response};
+use fulmarpond_core::machine::{AgentId, Registration};
+use fulmarpond_core::runner::RunnerOptions;
+use fulmarpond_core::zone::{Roster, Zone};
+use fulmarpond_core::{Role, Time};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::SeedableRng;
 use support::schedule::{AGENTS, Fate, Schedule, Step};
 use support::world;
 
@@ -42,3 +54,71 @@
         assert_eq!(world::check(&schedule), Ok(()), "first candidate {first}");
     }
 }
+
+/// Guards against an agent that pauses for longer than the roster window, wakes, and takes a reply
+/// from before the pause for a confirmation of its roster.
+#[test]
+fn a_reply_from_before_a_pause_confirms_no_roster() {
+    let window_ms = 10_000;
+    let addr = SocketAddr::from(([10, 0, 0, 1], 1_000));
+    let id = AgentId::new("saga-1", 1);
+    let zone = Zone::new("Saga");
+    let mut agent = Agent::new(AgentOptions {
+        id: id.clone(),
+        addr,
+        zone: zone.clone(),
+        entries: vec![SocketAddr::from(([10, 0, 0, 1], 2_000))],
+        announce_ms: 1_000,
+        window_ms,
+        home: HomeOptions {
+            memory_ms: window_ms,
+            margin_ms: 1_000,
+        },
+        runner: RunnerOptions {
+            lease_ms: 60_000_000,
+            margin_ms: 1_000,
+        },
+    });
+    let mut roster = Roster::default();
+    roster.join(&id, addr, &zone);
+    let registration = Registration {
+        addr,
+        slots: 1,
+        connections: 1,
+        zone: "Saga".to_owned(),
+        limits: Needs::default(),
+    };
+    let mut rng = Pcg32::seed_from_u64(1);
+    let mut actions = Vec::new();
+    let start = Time::from_millis(1);
+    agent.step(
+        start,
+        AgentInput::Endpoint(registration),
+        &mut rng,
+        &mut actions,
+    );
+    for pause_ms in [1, window_ms + 1] {
+        let sent = start.after_millis(2_000 * pause_ms);
+        actions.clear();
+        agent.step(sent, AgentInput::Tick, &mut rng, &mut actions);
+        let call = actions.iter().find_map(|action| match action {
+            AgentAction::Call { call, .. } => Some(*call),
+            _ => None,
+        });
+        let reply = AnnounceReply {
+            entry: "entry-1".to_owned(),
+            roster: roster.since(0),
+            age_ms: 0,
+            config: None,
+            peers: Vec::new(),
+            next_ms: 1_000,
+        };
+        let input = AgentInput::Response {
+            call: call.expect("an announcement is due"),
+            result: Ok(Response::Announce(Box::new(reply))),
+        };
+        let now = sent.after_millis(pause_ms);
+        agent.step(now, input, &mut rng, &mut actions);
+        assert_eq!(agent.is_ready(now), pause_ms < window_ms, "{pause_ms} ms");
+    }
+}
