perf(core): keep answered jobs apart and move tasks out of queues that do not move

A step of a home no longer looks at the records of answered jobs. Jobs whose caller does not wait count for the quota of their entry. With weigh = messages, tasks that wait in a full queue for 250 ms while other agents have free slots are withdrawn once and placed again.

--- a/crates/fulmarpond-core/src/entry/quota.rs
+++ b/crates/fulmarpond-core/src/entry/quota.rs
@@ -31,23 +31,32 @@
         Some(Refusal::new(Reason::OverQuota, retry_ms).detail(detail))
     }
 
+    /// Returns the tasks that a team has in flight.
+    ///
+    /// A job whose caller does not wait has no route here once it is accepted, so of the own jobs
+    /// the larger of both counts is taken.
     fn in_flight(&self, now: Time, team: &str) -> u64 {
-        let own: u64 = self
+        let routed: u64 = self
             .routes
             .values()
             .filter(|route| route.submission.job.team() == team)
             .map(|route| route.submission.tasks.len() as u64)
             .sum();
-        let others: u64 = self
+        let (mut own, mut others) = (0, 0);
+        let announced = self
             .heard
             .values()
             .filter(|heard| now.millis_since(heard.at) < USAGE_MS)
             .filter_map(|heard| heard.announce.usage.teams.get(team))
-            .flat_map(BTreeMap::iter)
-            .filter(|(entry, _)| **entry != self.options.name)
-            .map(|(_, tasks)| *tasks)
-            .sum();
-        own + others
+            .flat_map(BTreeMap::iter);
+        for (entry, tasks) in announced {
+            if *entry == self.options.name {
+                own += tasks;
+            } else {
+                others += tasks;
+            }
+        }
+        routed.max(own) + others
     }
 
     /// Returns all teams that have a quota or tasks in flight.
--- a/crates/fulmarpond-core/src/home/home.rs
+++ b/crates/fulmarpond-core/src/home/home.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::fleet::Fleet;
-use super::job::{Job, Phase, Waiter, Wants};
+use super::job::{Job, Phase, TaskState, Waiter, Wants};
 use super::memory::Memory;
 use crate::Time;
 use crate::agent::{AgentAction, Context, Count};
@@ -60,6 +60,10 @@
     /// The tasks without a reported outcome.
     pub(super) tasks: Vec<u32>,
     pub(super) deadline: Time,
+    /// When the batch was sent.
+    pub(super) sent: Time,
+    /// Whether its waiting tasks were withdrawn.
+    pub(super) withdrawn: bool,
     /// When the batch is asked about again after a lost link.
     pub(super) ask: Option<Time>,
     pub(super) asks: u32,
@@ -69,7 +73,10 @@
 #[derive(Debug)]
 pub struct Home {
     pub(super) options: HomeOptions,
+    /// The jobs without an answer.
     pub(super) jobs: HashMap<JobId, Job>,
+    /// The jobs with an answer. They are kept apart, since every step looks at the others.
+    pub(super) ended: HashMap<JobId, Job>,
     /// The ids of running jobs with waiting tasks, oldest first.
     pub(super) line: Vec<JobId>,
     pub(super) memory: Memory,
@@ -94,6 +101,7 @@
         Self {
             options,
             jobs: HashMap::new(),
+            ended: HashMap::new(),
             line: Vec::new(),
             memory: Memory::default(),
             fleet: Fleet::default(),
@@ -111,15 +119,22 @@
 
     /// Returns whether no job waits for its answer.
     pub fn is_idle(&self) -> bool {
-        self.jobs.values().all(|job| job.answer().is_some())
+        self.jobs.is_empty()
     }
 
     /// Returns the number of jobs without an answer.
     pub fn running(&self) -> usize {
-        self.jobs
-            .values()
-            .filter(|job| job.answer().is_none())
-            .count()
+        self.jobs.len()
+    }
+
+    /// Returns the record of a job, answered or not.
+    fn find(&mut self, id: &JobId) -> Option<&mut Job> {
+        self.jobs.get_mut(id).or_else(|| self.ended.get_mut(id))
+    }
+
+    /// Returns whether there is a record of a job, answered or not.
+    pub(super) fn has(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id) || self.ended.contains_key(id)
     }
 
     /// Returns the number of remembered ids.
@@ -139,7 +154,7 @@
     /// Returns the tasks in flight by team and entry.
     pub fn usage(&self) -> Usage {
         let mut usage = Usage::default();
-        for job in self.jobs.values().filter(|job| job.answer().is_none()) {
+        for job in self.jobs.values() {
             let team = usage.teams.entry(job.id.team().to_owned()).or_default();
             *team.entry(job.entry.clone()).or_default() += job.in_flight();
         }
@@ -150,6 +165,7 @@
     pub(crate) fn peers<R: Rng>(&mut self, ctx: &mut Context<'_, R>, peers: &[Peer]) {
         self.fleet.update(peers, ctx.now);
         self.place(ctx);
+        self.correct(ctx);
     }
 
     /// Handles [`Request::Submit`](crate::link::Request::Submit).
@@ -160,7 +176,7 @@
         submit: Submit,
     ) {
         let submission = &submit.submission;
-        if let Some(job) = self.jobs.get_mut(&submission.job) {
+        if let Some(job) = self.find(&submission.job) {
             attach(ctx, job, call, &submit);
             return;
         }
@@ -168,7 +184,7 @@
             ctx.reply(call, Response::Submit(reply));
             return;
         }
-        if let Some(refusal) = self.refusal(ctx, submission) {
+        if let Some(refusal) = self.refusal(ctx, &submit) {
             ctx.count_refusal(refusal.reason);
             ctx.reply(call, Response::Submit(SubmitReply::Refused(refusal)));
             return;
@@ -210,7 +226,8 @@
     }
 
     /// Returns why a job that is not known can't be accepted.
-    fn refusal<R: Rng>(&self, ctx: &Context<'_, R>, submission: &Submission) -> Option<Refusal> {
+    fn refusal<R: Rng>(&self, ctx: &Context<'_, R>, submit: &Submit) -> Option<Refusal> {
+        let submission = &submit.submission;
         if ctx.draining {
             return Some(Refusal::new(Reason::Draining, RETRY_STOP_MS));
         }
@@ -227,6 +244,10 @@
             .iter()
             .any(|member| member.agent == *ctx.me);
         if !holds_seal && !is_candidate {
+            // An entry that knows a newer roster may be right; this agent catches up soon.
+            if submit.roster > ctx.roster.version() {
+                return Some(Refusal::new(Reason::StaleRoster, RETRY_STOP_MS));
+            }
             return Some(Refusal::new(Reason::WrongHome, RETRY_STOP_MS));
         }
         if let Some(task) = submission
@@ -353,12 +374,9 @@
         id: &JobId,
         verdict: Verdict,
     ) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let Some(mut job) = self.jobs.remove(id) else {
             return;
         };
-        if job.answer().is_some() {
-            return;
-        }
         ctx.count_verdict(&verdict);
         let detail = match verdict.refusal() {
             None => "answered".to_owned(),
@@ -382,7 +400,8 @@
         }
         job.pending.clear();
         job.tasks = Vec::new();
-        job.states.fill(super::job::TaskState::Waiting);
+        job.states.fill(TaskState::Waiting);
+        self.ended.insert(id.clone(), job);
         self.line.retain(|waiting| waiting != id);
         self.withdraw(ctx, id);
     }
@@ -412,7 +431,7 @@
 
     /// Handles [`Request::Fetch`](crate::link::Request::Fetch).
     pub(crate) fn fetch<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, fetch: &Fetch) {
-        let reply = match self.jobs.get_mut(&fetch.job) {
+        let reply = match self.find(&fetch.job) {
             Some(job) => match job.answer() {
                 Some(answer) => FetchReply::Answer(answer.clone()),
                 None if fetch.wait_ms == 0 => FetchReply::Pending,
@@ -448,7 +467,7 @@
         call: CallId,
         request: &StatusRequest,
     ) {
-        let status = self.jobs.get(&request.job).map(|job| job.status(ctx.me));
+        let status = self.find(&request.job).map(|job| job.status(ctx.me));
         ctx.reply(call, Response::Status(status));
     }
 
@@ -459,7 +478,7 @@
         call: CallId,
         request: &Events,
     ) {
-        let reply = match self.jobs.get_mut(&request.job) {
+        let reply = match self.find(&request.job) {
             None => None,
             Some(job) if request.wait_ms > 0 && !job.has_events(request.from) => {
                 let deadline = ctx.now.after_millis(request.wait_ms);
@@ -499,7 +518,7 @@
             from: me.clone(),
             memory: self.memory.keepsakes(now),
             answers: self
-                .jobs
+                .ended
                 .values()
                 .filter_map(|job| job.answer().cloned())
                 .collect(),
@@ -513,13 +532,13 @@
         }
         for answer in handover.answers {
             let id = answer.job.clone();
-            if self.jobs.contains_key(&id) {
+            if self.has(&id) {
                 continue;
             }
             let mut job = Job::new(id.clone(), String::new(), Vec::new(), ctx.now, ctx.now);
             job.forget = ctx.now.after_millis(self.options.margin_ms);
             job.phase = Phase::Ended(answer);
-            self.jobs.insert(id, job);
+            self.ended.insert(id, job);
         }
     }
 
@@ -544,7 +563,7 @@
         let late: Vec<JobId> = self
             .jobs
             .values()
-            .filter(|job| job.answer().is_none() && now >= job.deadline)
+            .filter(|job| now >= job.deadline)
             .map(|job| job.id.clone())
             .collect();
         for id in late {
@@ -556,8 +575,7 @@
         self.place(ctx);
         if now >= self.next_sweep {
             self.next_sweep = now.after_millis(1_000);
-            self.jobs
-                .retain(|_, job| job.answer().is_none() || now < job.forget);
+            self.ended.retain(|_, job| now < job.forget);
             self.memory.expire(now);
             self.fleet.expire();
         }
@@ -605,11 +623,7 @@
 
     /// Returns when something is due.
     pub(crate) fn wake(&self) -> Option<Time> {
-        let deadlines = self
-            .jobs
-            .values()
-            .filter(|job| job.answer().is_none())
-            .map(|job| job.deadline);
+        let deadlines = self.jobs.values().map(|job| job.deadline);
         let waiters = self
             .jobs
             .values()
@@ -617,7 +631,7 @@
             .filter(|deadline| *deadline != Time::MAX);
         let asks = self.batches.values().filter_map(|batch| batch.ask);
         let placing = (!self.line.is_empty()).then_some(self.next_place);
-        let sweep = (!self.jobs.is_empty() || self.memory.len() > 0).then_some(self.next_sweep);
+        let sweep = (!self.ended.is_empty() || self.memory.len() > 0).then_some(self.next_sweep);
         deadlines
             .chain(waiters)
             .chain(asks)
--- a/crates/fulmarpond-core/src/home/job.rs
+++ b/crates/fulmarpond-core/src/home/job.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Returns the number of tasks.
+    /// Returns the number of tasks of a job without an answer.
     pub(super) fn task_count(&self) -> u32 {
         u32::try_from(self.states.len()).unwrap_or(u32::MAX)
     }
--- a/crates/fulmarpond-core/src/home/placing.rs
+++ b/crates/fulmarpond-core/src/home/placing.rs
@@ -1,6 +1,6 @@
 //! Placement: binding waiting tasks to agents.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
@@ -29,6 +29,8 @@
 /// Milliseconds within which withdrawals are collected, so that a wave of cancellations costs each
 /// agent one message.
 const FLUSH_MS: u64 = 5;
+/// How long a batch may wait before its waiting tasks are withdrawn, in milliseconds.
+const CORRECT_MS: u64 = 250;
 
 /// The agents that may run tasks with the same needs.
 struct Choices {
@@ -202,6 +204,8 @@
             addr,
             tasks,
             deadline,
+            sent: ctx.now,
+            withdrawn: false,
             ask: None,
             asks: 0,
         };
@@ -257,6 +261,44 @@
         }
     }
 
+    /// Withdraws tasks from queues that do not move while other agents have free slots.
+    ///
+    /// Only tasks that the agent confirms as not started are sent elsewhere, and each batch is
+    /// withdrawn at most once, so that a task does not wander between queues.
+    pub(super) fn correct<R: Rng>(&mut self, ctx: &Context<'_, R>) {
+        if ctx.policy.placement != PlacementKind::CarriedLoad || ctx.policy.binds_late() {
+            return;
+        }
+        let usable = self
+            .fleet
+            .usable(&Needs::default(), ctx.policy.eject_percent, ctx.now);
+        let mut free: usize = usable.iter().map(|machine| machine.free() as usize).sum();
+        let full: BTreeSet<AgentId> = self
+            .fleet
+            .iter()
+            .filter(|machine| machine.free() == 0 && machine.load().queued > 0)
+            .map(|machine| machine.agent.clone())
+            .collect();
+        let mut late: Vec<BatchId> = self
+            .batches
+            .iter()
+            .filter(|(_, batch)| !batch.withdrawn && full.contains(&batch.agent))
+            .filter(|(_, batch)| ctx.now.millis_since(batch.sent) >= CORRECT_MS)
+            .map(|(number, _)| *number)
+            .collect();
+        late.sort_unstable();
+        for number in late {
+            let Some(batch) = self.batches.get_mut(&number).filter(|_| free > 0) else {
+                return;
+            };
+            free = free.saturating_sub(batch.tasks.len());
+            batch.withdrawn = true;
+            let agent = batch.agent.clone();
+            self.withdrawals.entry(agent).or_default().push(number);
+            self.flush.get_or_insert(ctx.now.after_millis(FLUSH_MS));
+        }
+    }
+
     /// Returns the waiting tasks of jobs that are not held back after refusals.
     ///
     /// A slot that is asked for while its task is held back is granted at once and for nothing.
--- a/crates/fulmarpond-core/src/home/reports.rs
+++ b/crates/fulmarpond-core/src/home/reports.rs
@@ -161,11 +161,13 @@
         let cause = match refusal.reason {
             Reason::Draining | Reason::NoEndpoint | Reason::WrongAgent => RetryCause::Leaving,
             Reason::Unreachable => RetryCause::NotSent,
+            Reason::Cancelled => RetryCause::Moved,
             _ => RetryCause::Full,
         };
         ctx.count(Count::Retry(cause));
         // A full agent reported its load, so a task that is bound late goes to no full agent twice.
-        let corrected = cause == RetryCause::Full && ctx.policy.binds_late();
+        let late = cause == RetryCause::Full && ctx.policy.binds_late();
+        let corrected = late || cause == RetryCause::Moved;
         if !corrected && !self.budget.take() {
             let delay = PLACE_BACKOFF.delay_ms(job.retries, ctx.rng);
             job.resume = ctx.now.after_millis(delay);
--- a/crates/fulmarpond-core/src/home/sealing.rs
+++ b/crates/fulmarpond-core/src/home/sealing.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::home::{Home, Pending};
-use super::job::{Phase, Wants};
+use super::job::{Job, Phase, Wants};
 use crate::agent::{AgentAction, Context, Count};
 use crate::contract::{EventKind, JobId, Reason, Refusal, Verdict};
 use crate::link::{
@@ -27,12 +27,8 @@
     }
 
     fn seal_reply<R: Rng>(&mut self, ctx: &Context<'_, R>, seal: &Seal) -> SealReply {
-        let sealing = |phase: &Phase| matches!(phase, Phase::Sealing { .. });
-        if self
-            .jobs
-            .get(&seal.job)
-            .is_some_and(|job| !sealing(&job.phase))
-        {
+        let sealing = |job: &Job| matches!(job.phase, Phase::Sealing { .. });
+        if self.has(&seal.job) && !self.jobs.get(&seal.job).is_some_and(sealing) {
             return SealReply::Known;
         }
         match self.memory.get(&seal.job) {
@@ -183,7 +179,7 @@
         let refusal = Refusal::new(Reason::SealUnreachable, RETRY_SEAL_MS)
             .detail("a candidate that may know the job can't be reached");
         self.finish(ctx, id, Verdict::MayHaveRun(refusal));
-        self.jobs.remove(id);
+        self.ended.remove(id);
     }
 
     /// Leaves a job to the agent that has it or holds its seal.
--- a/crates/fulmarpond-core/src/retry/cause.rs
+++ b/crates/fulmarpond-core/src/retry/cause.rs
@@ -7,6 +7,8 @@
 pub enum RetryCause {
     /// The agent had no free slot.
     Full,
+    /// The task was withdrawn from a queue that did not move.
+    Moved,
     /// The agent takes no new work.
     Leaving,
     /// No connection to the agent could be made.
@@ -25,8 +27,9 @@
 
 impl RetryCause {
     /// All causes.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Full,
+        Self::Moved,
         Self::Leaving,
         Self::NotSent,
         Self::Asked,
@@ -40,6 +43,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Full => "full",
+            Self::Moved => "moved",
             Self::Leaving => "leaving",
             Self::NotSent => "not_sent",
             Self::Asked => "asked",
