--- a/crates/fulmarpond-core/tests/schedules.rs
+++ b/crates/fulmarpond-core/tests/schedules.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use support::cases::config;
-use support::schedule::schedules;
+use support::schedule::{races, schedules};
 use support::world;
 
 proptest! {
@@ -16,4 +16,10 @@
     fn promises_hold(schedule in schedules()) {
         world::check(&schedule).map_err(TestCaseError::fail)?;
     }
+
+    /// Guards against two agents that accept one job while attempts compete for its seals.
+    #[test]
+    fn races_start_a_job_once(schedule in races()) {
+        world::check(&schedule).map_err(TestCaseError::fail)?;
+    }
 }
--- a/crates/fulmarpond-core/tests/support/schedule.rs
+++ b/crates/fulmarpond-core/tests/support/schedule.rs
@@ -22,6 +22,8 @@
     NotSent,
     /// It arrives, and once more after some milliseconds.
     Twice(u64),
+    /// It arrives later, after the sender learned that it may have arrived.
+    Orphaned(u64),
 }
 
 /// What becomes of one call to the key-value service.
@@ -130,6 +132,12 @@
             store: BTreeMap::new(),
         }
     }
+
+    /// Sets the seed.
+    fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
 }
 
 const QUEUES: &[(&str, &str)] = &[("placement.weigh", "messages"), ("limits.queue", "3")];
@@ -146,6 +154,7 @@
         Just(Fate::Lost),
         Just(Fate::NotSent),
         (0..1_500_u64).prop_map(Fate::Twice),
+        (1..1_500_u64).prop_map(Fate::Orphaned),
     ]
 }
 
@@ -204,6 +213,35 @@
     ]
 }
 
+/// Returns schedules of competing attempts for one job while some processes can't reach others.
+pub fn races() -> impl Strategy<Value = Schedule> {
+    let slot = || 0..AGENTS + ENTRIES;
+    let entry = || 0..ENTRIES;
+    let step = prop_oneof![
+        6 => entry().prop_map(|entry| Step::Submit { job: 0, entry }),
+        4 => (AGENTS..AGENTS + ENTRIES, 0..AGENTS, span())
+            .prop_map(|(one, other, ms)| Step::Split(one, other, ms)),
+        2 => (0..AGENTS, 0..AGENTS, span()).prop_map(|(one, other, ms)| Step::Split(one, other, ms)),
+        2 => (slot(), span()).prop_map(|(slot, ms)| Step::Freeze(slot, ms)),
+        1 => (0..AGENTS).prop_map(Step::Kill),
+        1 => (0..AGENTS).prop_map(Step::Drain),
+        1 => entry().prop_map(|entry| Step::Cancel { job: 0, entry }),
+    ];
+    let delay = prop_oneof![2 => Just(0), 3 => 1..20_u64, 2 => 20..400_u64, 1 => 400..3_000_u64];
+    (
+        any::<u64>(),
+        2..5_usize,
+        vec(job(), JOBS),
+        vec((delay, step), 3..14),
+        btree_map(0..50_u32, fate(), 0..14),
+    )
+        .prop_map(|(seed, agents, jobs, steps, fates)| Schedule {
+            jobs,
+            fates,
+            ..Schedule::calm(agents, &steps).seed(seed)
+        })
+}
+
 /// Returns schedules.
 pub fn schedules() -> impl Strategy<Value = Schedule> {
     let delay =
--- a/crates/fulmarpond-core/tests/support/world.rs
+++ b/crates/fulmarpond-core/tests/support/world.rs
@@ -661,8 +661,13 @@
             self.deliver(1_000, from, Input::Response(call, Err(LinkError::NotSent)));
             return;
         }
-        if matches!(fate, Some(Fate::Lost)) {
+        if matches!(fate, Some(Fate::Lost | Fate::Orphaned(_))) {
             self.deliver(20_000, from, Input::Response(call, Err(LinkError::Lost)));
+            if let Some(Fate::Orphaned(ms)) = fate {
+                self.sequence += 1;
+                let late = Event::Arrive(to, self.sequence, envelope);
+                self.push(self.now.after_millis(ms), late);
+            }
             return;
         }
         let latency = self.latency();
@@ -709,7 +714,9 @@
         let latency = self.latency();
         match fate {
             _ if split => self.answer(number, Err(LinkError::Lost), 20_000),
-            Some(Fate::Lost | Fate::NotSent) => self.answer(number, Err(LinkError::Lost), 20_000),
+            Some(Fate::Lost | Fate::NotSent | Fate::Orphaned(_)) => {
+                self.answer(number, Err(LinkError::Lost), 20_000);
+            }
             Some(Fate::Late(ms)) => self.answer(number, Ok(response), latency + ms * 1_000),
             Some(Fate::Twice(_)) | None => self.answer(number, Ok(response), latency),
         }
