fix(core): remember that a job was told not run before it was accepted

A first attempt that ended as "not run" while it sealed left no trace once its record was dropped. A submission that was lost on its way and arrived later then started the tasks, although its caller had been told "not run". The id is now remembered like an accepted one. Found by races_start_a_job_once; guarded by a_job_that_was_told_not_run_does_not_run_later.

--- a/crates/fulmarpond-core/src/home/home.rs
+++ b/crates/fulmarpond-core/src/home/home.rs
@@ -403,6 +403,9 @@
             Phase::Running | Phase::Ended(_) => true,
         };
         let verdict = if resolved && job.exposed == 0 && job.done == 0 {
+            // A copy of a submission that is still under way must not run once the record is gone.
+            let forget = ctx.now.after_millis(self.options.memory_ms).max(job.forget);
+            self.memory.accept(id, forget);
             Verdict::NotRun(refusal)
         } else {
             Verdict::MayHaveRun(refusal)
--- a/crates/fulmarpond-core/tests/regressions.rs
+++ b/crates/fulmarpond-core/tests/regressions.rs
@@ -122,3 +122,24 @@
         assert_eq!(agent.is_ready(now), pause_ms < window_ms, "{pause_ms} ms");
     }
 }
+
+/// Guards against a submission that was lost on its way, arrives after its home forgot the answer
+/// "not run", and runs after all.
+#[test]
+fn a_job_that_was_told_not_run_does_not_run_later() {
+    let submit = |entry| Step::Submit { job: 0, entry };
+    for first in 0..3 {
+        let steps = [
+            (0, Step::Split(AGENTS, first, 20_000)),
+            (0, submit(0)),
+            (3_100, submit(0)),
+        ];
+        let mut schedule = Schedule::calm(3, &steps);
+        schedule.jobs[0].deadline = 200;
+        // The second candidate can't seal the first one before the deadline, and the second attempt
+        // reaches it twice: once after the record of the first is gone.
+        schedule.fates.insert(2, Fate::Late(600));
+        schedule.fates.insert(6, Fate::Orphaned(1_400));
+        assert_eq!(world::check(&schedule), Ok(()), "first candidate {first}");
+    }
+}
