--- a/crates/fulmarpond-core/tests/schedules.rs
+++ b/crates/fulmarpond-core/tests/schedules.rs
@@ -23,3 +23,14 @@
         world::check(&schedule).map_err(TestCaseError::fail)?;
     }
 }
+
+proptest! {
+    #![proptest_config(config(64))]
+
+    /// Guards against choices that depend on more than the inputs and the seed.
+    #[test]
+    fn runs_repeat(schedule in schedules()) {
+        let history = || format!("{:?}", world::run(&schedule).history);
+        prop_assert_eq!(history(), history());
+    }
+}
