--- a/crates/fulmarpondd/tests/common/history.rs
+++ b/crates/fulmarpondd/tests/common/history.rs
@@ -73,8 +73,6 @@
     /// Submissions whose reply has not come.
     open: usize,
     fetched: Vec<Told>,
-    /// Whether a caller gave up without a final answer, because the test cut it off on purpose.
-    abandoned: bool,
 }
 
 /// The history of callers' requests. Threads share it.
@@ -147,11 +145,6 @@
         unreachable!("the attempts end with a return");
     }
 
-    /// Notes that the caller of a job was cut off on purpose and gets no final answer.
-    pub(crate) fn abandon(&self, id: &str) {
-        self.with(id, |record| record.abandoned = true);
-    }
-
     /// Returns how many jobs have a complete answer.
     pub(crate) fn answered(&self) -> usize {
         let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
@@ -161,6 +154,18 @@
             .count()
     }
 
+    /// Returns what callers were told in reply to submissions, with the ids of the jobs.
+    pub(crate) fn told(&self) -> Vec<(String, Told)> {
+        let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        let told = |(id, record): (&String, &Record)| {
+            let id = id.clone();
+            let attempts = record.attempts.iter();
+            let list: Vec<_> = attempts.map(|a| (id.clone(), a.told.clone())).collect();
+            list
+        };
+        records.iter().flat_map(told).collect()
+    }
+
     /// Checks what callers were told against what the endpoints did.
     pub(crate) fn check(&self, system: &System) {
         let starts = Starts::read(system);
@@ -222,7 +227,7 @@
         if self.open > 0 {
             faults.push(format!("{job}: {} submissions have no reply", self.open));
         }
-        if !self.abandoned && !self.told().any(Told::is_final) {
+        if !self.told().any(Told::is_final) {
             faults.push(format!("{job}: no final answer: {:?}", self.attempts));
         }
         for (task, _) in started {
--- a/crates/fulmarpondd/tests/common/load.rs
+++ b/crates/fulmarpondd/tests/common/load.rs
@@ -28,6 +28,11 @@
         Self::with_deadline(system, callers, seed, DEADLINE_MS)
     }
 
+    /// Starts callers who take a refusal as the end and never submit an id again.
+    pub(crate) fn first_attempts(system: &System, callers: u64, seed: u64) -> Self {
+        Self::begin(system, callers, seed, DEADLINE_MS, 0)
+    }
+
     /// Starts callers whose jobs have `deadline_ms` milliseconds.
     pub(crate) fn with_deadline(
         system: &System,
@@ -35,6 +40,10 @@
         seed: u64,
         deadline_ms: u64,
     ) -> Self {
+        Self::begin(system, callers, seed, deadline_ms, 5)
+    }
+
+    fn begin(system: &System, callers: u64, seed: u64, deadline_ms: u64, retries: u32) -> Self {
         let history = Arc::new(History::default());
         let stop = Arc::new(AtomicBool::new(false));
         let callers = (0..callers)
@@ -47,6 +56,7 @@
                     number: caller,
                     rng: Pcg64::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(caller)),
                     deadline_ms,
+                    retries,
                     history: Arc::clone(&history),
                     stop: Arc::clone(&stop),
                 };
@@ -104,6 +114,8 @@
     number: u64,
     rng: Pcg64,
     deadline_ms: u64,
+    /// How often some of the callers submit an id again after a refusal.
+    retries: u32,
     history: Arc<History>,
     stop: Arc<AtomicBool>,
 }
@@ -119,7 +131,11 @@
             let mut job = job(&format!("load-{}-{number}", self.number), 1, &runs);
             job["deadline_ms"] = self.deadline_ms.into();
             // Some callers take a refusal as the end, others try the same id again.
-            let retries = if self.rng.random_bool(0.5) { 5 } else { 0 };
+            let retries = if self.rng.random_bool(0.5) {
+                self.retries
+            } else {
+                0
+            };
             let told = self.history.persist(&self.entries, &job, retries);
             if !told.is_answered() {
                 thread::sleep(Duration::from_millis(self.rng.random_range(20..100)));
--- a/crates/fulmarpondd/tests/common/mod.rs
+++ b/crates/fulmarpondd/tests/common/mod.rs
@@ -99,12 +99,6 @@
         self.signal("-CONT");
     }
 
-    /// Returns whether the process has ended by itself, and with success.
-    pub(crate) fn ended(&mut self) -> Option<bool> {
-        let status = self.child.try_wait().expect("the process can be queried");
-        status.map(|status| status.success())
-    }
-
     /// Returns the value of a metric without labels of its own.
     pub(crate) fn metric(&self, name: &str) -> Option<u64> {
         let (_, text) = get(self.http, "/metrics");
@@ -124,7 +118,17 @@
     /// Stops the process gracefully and returns whether it reported success.
     pub(crate) fn terminate(&mut self) -> bool {
         self.signal("-TERM");
-        self.child.wait().expect("the daemon ends").success()
+        self.wait()
+    }
+
+    /// Waits until the process ends and returns whether it reported success.
+    pub(crate) fn wait(&mut self) -> bool {
+        let mut status = None;
+        wait_until("the daemon ends", || {
+            status = self.child.try_wait().expect("the daemon can be queried");
+            status.is_some()
+        });
+        status.is_some_and(|status| status.success())
     }
 }
 
@@ -206,7 +210,7 @@
         let settings = format!(
             "[daemon]\nrole = entry\nname = entry-{number}\nzone = {zone}\n\
              [listen]\nhttp = 127.0.0.1:0\nlink = 127.0.0.1:0\n\
-             [platform]\nkv = {kv}\n[limits]\ncallers = 64\n[log]\nlevel = warn\n{extra}"
+             [platform]\nkv = {kv}\n[log]\nlevel = warn\n{extra}"
         );
         self.entries.push(Process::start(&settings));
     }
