fix(core): hold a job back when an endpoint refuses with free slots

Cause: since tasks are bound late without delay after a refusal for load, an endpoint that refuses every task while its slots are free got them back at once, message after message, until the deadline. Ruled out: wake times in the past. Found by promises_hold, which did not end and filled the memory. Change: only a refusal that comes with a load without free slots is without delay.

--- a/crates/fulmarpond-core/src/home/reports.rs
+++ b/crates/fulmarpond-core/src/home/reports.rs
@@ -72,8 +72,11 @@
         if refused == before {
             ctx.count(Count::Wasted(2));
         }
+        // A full agent has no free slot in its load, so no task goes there again without news. An
+        // endpoint that refuses although it has free slots would draw the task back at once.
+        let corrected = report.load.free == 0 && ctx.policy.binds_late();
         for task in news {
-            if !self.apply_task(ctx, &id, &agent, task) {
+            if !self.apply_task(ctx, &id, &agent, task, corrected) {
                 return;
             }
         }
@@ -92,12 +95,15 @@
     }
 
     /// Applies the outcome of one task. Returns whether the job goes on.
+    ///
+    /// `corrected` is as in [`Home::return_task`].
     fn apply_task<R: Rng>(
         &mut self,
         ctx: &mut Context<'_, R>,
         id: &JobId,
         agent: &AgentId,
         report: &TaskReport,
+        corrected: bool,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
@@ -124,7 +130,7 @@
                 true
             }
             Outcome::NotStarted(refusal) => {
-                self.return_task(ctx, id, agent, report.task, refusal);
+                self.return_task(ctx, id, agent, report.task, refusal, corrected);
                 true
             }
             Outcome::Failed(refusal) => {
@@ -137,6 +143,9 @@
     }
 
     /// Puts a task that did not start back in line.
+    ///
+    /// `corrected` says that the refusal came with a load that keeps the task away from the agent.
+    /// Other retries need the budget, or the job is held back for a time.
     fn return_task<R: Rng>(
         &mut self,
         ctx: &mut Context<'_, R>,
@@ -144,6 +153,7 @@
         agent: &AgentId,
         task: u32,
         refusal: &Refusal,
+        corrected: bool,
     ) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -165,10 +175,7 @@
             _ => RetryCause::Full,
         };
         ctx.count(Count::Retry(cause));
-        // A full agent reported its load, so a task that is bound late goes to no full agent twice.
-        let late = cause == RetryCause::Full && ctx.policy.binds_late();
-        let corrected = late || cause == RetryCause::Moved;
-        if !corrected && !self.budget.take() {
+        if !corrected && cause != RetryCause::Moved && !self.budget.take() {
             let delay = PLACE_BACKOFF.delay_ms(job.retries, ctx.rng);
             job.resume = ctx.now.after_millis(delay);
             job.retries += 1;
@@ -190,7 +197,7 @@
         }
         ctx.count(Count::Wasted(2));
         for task in sent.tasks.into_iter().rev() {
-            self.return_task(ctx, &sent.job, &sent.agent, task, refusal);
+            self.return_task(ctx, &sent.job, &sent.agent, task, refusal, false);
         }
         self.notify(ctx, &sent.job);
         self.place(ctx);
