fix: say truthfully what a refusal speaks about

A resubmission that is refused before it reaches the core may have run; a refused question has no verdict; a patch whose fate is unknown may have been applied. A resubmission over the quota is attached to its job if the home knows it. Tasks never go through a proxy of the environment, results are bounded, and announcements come at least every 3 s.

--- a/crates/fulmarpond-core/src/contract/reason.rs
+++ b/crates/fulmarpond-core/src/contract/reason.rs
@@ -39,8 +39,6 @@
     WrongAgent,
     /// The caller cancelled the job.
     Cancelled,
-    /// Another agent holds the seal of the job.
-    Sealed,
     /// The budget of retries is used up.
     RetryBudget,
     /// An agent was lost with tasks that may have started.
@@ -57,7 +55,7 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 21] = [
         Self::Invalid,
         Self::TooLarge,
         Self::NeverFits,
@@ -73,7 +71,6 @@
         Self::WrongHome,
         Self::WrongAgent,
         Self::Cancelled,
-        Self::Sealed,
         Self::RetryBudget,
         Self::AgentLost,
         Self::HomeLost,
@@ -100,7 +97,6 @@
             Self::WrongHome => "wrong_home",
             Self::WrongAgent => "wrong_agent",
             Self::Cancelled => "cancelled",
-            Self::Sealed => "sealed",
             Self::RetryBudget => "retry_budget",
             Self::AgentLost => "agent_lost",
             Self::HomeLost => "home_lost",
--- a/crates/fulmarpond-core/src/entry/action.rs
+++ b/crates/fulmarpond-core/src/entry/action.rs
@@ -126,6 +126,8 @@
     },
     /// The patch is not valid.
     BadPatch(String),
+    /// The patch may have been applied, but its version could not be read back.
+    Unconfirmed(Refusal),
     /// The request was refused.
     Refused(Refusal),
 }
--- a/crates/fulmarpond-core/src/entry/configuration.rs
+++ b/crates/fulmarpond-core/src/entry/configuration.rs
@@ -200,7 +200,12 @@
             "the platform's service is not available: the patch was not applied"
         };
         let refusal = Refusal::new(Reason::Unreachable, RETRY_STORE_MS).detail(detail);
-        self.patched(step, call, CallerReply::Refused(refusal));
+        let reply = if unknown {
+            CallerReply::Unconfirmed(refusal)
+        } else {
+            CallerReply::Refused(refusal)
+        };
+        self.patched(step, call, reply);
     }
 
     fn patched<R: Rng>(&mut self, step: &mut Step<'_, R>, call: CallId, reply: CallerReply) {
--- a/crates/fulmarpond-core/src/entry/membership.rs
+++ b/crates/fulmarpond-core/src/entry/membership.rs
@@ -25,6 +25,9 @@
 /// Milliseconds between the announcements that an entry takes, so that its own share of control
 /// traffic stays the same when the fleet grows.
 const ANNOUNCE_SHARE_MS: u64 = 30;
+/// The longest interval between announcements in milliseconds. A configuration reaches every agent
+/// within two intervals, and must be in force everywhere within 7 s.
+const ANNOUNCE_MAX_MS: u64 = 3_000;
 /// How long a stopping agent waits for its departure to be written, in milliseconds.
 const LEAVE_MS: u64 = 1_000;
 /// A pause of the process after which silence of others proves nothing, in milliseconds.
@@ -114,28 +117,30 @@
         let age_ms = self
             .confirmed
             .map_or(u64::MAX, |confirmed| step.now.millis_since(confirmed));
-        let agents = self.heard.len() as u64;
         AnnounceReply {
             entry: self.options.name.clone(),
             roster: self.roster.since(announce.roster),
             age_ms,
             config: config.cloned(),
             peers: self.peers(step, Some(&announce.agent)),
-            next_ms: self.options.announce_ms.max(agents * ANNOUNCE_SHARE_MS),
+            next_ms: self.interval_ms(),
         }
     }
 
+    /// Returns the milliseconds between the announcements of an agent.
+    fn interval_ms(&self) -> u64 {
+        let share = self.heard.len() as u64 * ANNOUNCE_SHARE_MS;
+        let longest = ANNOUNCE_MAX_MS.min(self.options.silence_ms / 4);
+        share.min(longest).max(self.options.announce_ms)
+    }
+
     /// Returns what was last heard from the agents other than `receiver`, or a random part of it.
     pub(super) fn peers<R: Rng>(
         &self,
         step: &mut Step<'_, R>,
         receiver: Option<&AgentId>,
     ) -> Vec<Peer> {
-        let interval = self
-            .options
-            .announce_ms
-            .max(self.heard.len() as u64 * ANNOUNCE_SHARE_MS);
-        let fresh = PEER_MS.max(3 * interval);
+        let fresh = PEER_MS.max(3 * self.interval_ms());
         let mut peers: Vec<Peer> = self
             .heard
             .values()
--- a/crates/fulmarpond-core/src/entry/quota.rs
+++ b/crates/fulmarpond-core/src/entry/quota.rs
@@ -9,8 +9,9 @@
 
 /// Milliseconds after which a request over the quota is worth another attempt.
 const RETRY_QUOTA_MS: u64 = 200;
-/// How long the usage that an agent announced counts, in milliseconds.
-pub(super) const USAGE_MS: u64 = 5_000;
+/// How long the usage that an agent announced counts, in milliseconds. It covers a lost announcement
+/// at the longest interval.
+const USAGE_MS: u64 = 7_000;
 
 impl Entry {
     /// Returns a refusal if the job would exceed the quota of its team.
--- a/crates/fulmarpond-core/src/entry/routing.rs
+++ b/crates/fulmarpond-core/src/entry/routing.rs
@@ -29,6 +29,8 @@
 pub(super) struct Route {
     pub(super) submission: Submission,
     wait: bool,
+    /// Why the job is to be refused unless it is known.
+    over: Option<Refusal>,
     deadline: Time,
     /// The agents that are still to be tried, best first.
     candidates: VecDeque<AgentId>,
@@ -63,7 +65,10 @@
         submission: Submission,
         wait: bool,
     ) {
-        if let Some(refusal) = self.over_quota(step.now, &submission) {
+        let over = self.over_quota(step.now, &submission);
+        if submission.attempt == Attempt::First
+            && let Some(refusal) = over
+        {
             self.refuse_submission(step, call, &submission, refusal);
             return;
         }
@@ -80,6 +85,7 @@
             candidates,
             current: None,
             skipped: false,
+            over,
             unresolved: submission.attempt != Attempt::First,
             asks: 0,
             ask: None,
@@ -199,6 +205,7 @@
             roster: self.roster.version(),
             skipped: route.skipped,
             wait: route.wait,
+            refusal: route.over.clone(),
         };
         let envelope = Envelope {
             to: Some(member.agent.clone()),
--- a/crates/fulmarpond-core/src/home/home.rs
+++ b/crates/fulmarpond-core/src/home/home.rs
@@ -184,7 +184,8 @@
             ctx.reply(call, Response::Submit(reply));
             return;
         }
-        if let Some(refusal) = self.refusal(ctx, &submit) {
+        let refusal = submit.refusal.clone();
+        if let Some(refusal) = refusal.or_else(|| self.refusal(ctx, &submit)) {
             ctx.count_refusal(refusal.reason);
             ctx.reply(call, Response::Submit(SubmitReply::Refused(refusal)));
             return;
--- a/crates/fulmarpond-core/src/home/job.rs
+++ b/crates/fulmarpond-core/src/home/job.rs
@@ -79,6 +79,8 @@
     pub(super) states: Vec<TaskState>,
     pub(super) pending: VecDeque<u32>,
     pub(super) done: u32,
+    /// The size of the results so far in bytes of JSON, roughly.
+    pub(super) bytes: usize,
     /// The tasks that may have started and have no result.
     pub(super) exposed: u32,
     pub(super) waiters: Vec<Waiter>,
@@ -108,6 +110,7 @@
             pending: (0..count).collect(),
             tasks,
             done: 0,
+            bytes: 0,
             exposed: 0,
             waiters: Vec::new(),
             events: Vec::new(),
@@ -199,3 +202,19 @@
         }
     }
 }
+
+/// Returns the size of a value in bytes of JSON, roughly.
+pub(super) fn json_size(value: &Value) -> usize {
+    match value {
+        Value::Null | Value::Bool(_) => 5,
+        Value::Number(_) => 12,
+        Value::String(text) => text.len() + 2,
+        Value::Array(items) => 2 + items.iter().map(|item| json_size(item) + 1).sum::<usize>(),
+        Value::Object(fields) => {
+            let fields = fields
+                .iter()
+                .map(|(name, value)| name.len() + json_size(value) + 4);
+            2 + fields.sum::<usize>()
+        }
+    }
+}
--- a/crates/fulmarpond-core/src/home/reports.rs
+++ b/crates/fulmarpond-core/src/home/reports.rs
@@ -3,7 +3,8 @@
 use rand::Rng;
 
 use super::home::{Home, Pending};
-use super::job::TaskState;
+use super::job::{TaskState, json_size};
+use crate::Time;
 use crate::agent::{AgentAction, Context, Count};
 use crate::contract::{EventKind, JobId, Reason, Refusal, Verdict};
 use crate::link::{Ask, BatchId, BatchReport, LinkError, Outcome, Request, Response, TaskReport};
@@ -16,6 +17,8 @@
 const ASK_BACKOFF: Backoff = Backoff::new(100, 800);
 /// The delays of a job whose retries are over the budget.
 const PLACE_BACKOFF: Backoff = Backoff::new(20, 1_000);
+/// The largest answer in bytes. It stays below the largest message of a link.
+const ANSWER_MAX: usize = 8 << 20;
 /// Milliseconds after which a lost agent is expected to be replaced.
 const RETRY_LOST_MS: u64 = 1_000;
 
@@ -117,7 +120,23 @@
                 job.states[index] = TaskState::Done(result.clone());
                 job.done += 1;
                 job.exposed -= 1;
-                let detail = format!("ran {} ms", run_us / 1_000);
+                job.bytes += json_size(result);
+                if job.bytes > ANSWER_MAX {
+                    let detail = format!("the results exceed {ANSWER_MAX} bytes");
+                    self.fail(ctx, id, Refusal::new(Reason::TooLarge, 0).detail(detail));
+                    return false;
+                }
+                let run_ms = run_us / 1_000;
+                let started = Time::from_micros(ctx.now.as_micros().saturating_sub(*run_us));
+                let detail = format!("{run_ms} ms before its report");
+                job.note(
+                    started,
+                    EventKind::Started,
+                    Some(report.task),
+                    Some(agent),
+                    detail,
+                );
+                let detail = format!("ran {run_ms} ms");
                 job.note(
                     ctx.now,
                     EventKind::Done,
--- a/crates/fulmarpond-core/src/link/message.rs
+++ b/crates/fulmarpond-core/src/link/message.rs
@@ -213,6 +213,10 @@
     pub skipped: bool,
     /// Whether the caller waits for the answer. Otherwise the reply comes with the acceptance.
     pub wait: bool,
+    /// Why the job is to be refused unless it is known. A resubmission over the quota of its team
+    /// still gets the answer of its earlier attempt.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refusal: Option<Refusal>,
 }
 
 /// The outcome of a submit.
--- a/crates/fulmarpond-settings/src/daemon/timing_settings.rs
+++ b/crates/fulmarpond-settings/src/daemon/timing_settings.rs
@@ -22,7 +22,7 @@
     pub keepalive: Duration,
     /// The time without any traffic after which a link is replaced, 3 s by default.
     pub link_timeout: Duration,
-    /// The longest graceful stop, 30 s by default.
+    /// The longest graceful stop, 310 s by default: the longest deadline of a job and a margin.
     pub drain: Duration,
 }
 
@@ -37,7 +37,7 @@
             lease: Duration::from_secs(3),
             keepalive: Duration::from_secs(1),
             link_timeout: Duration::from_secs(3),
-            drain: Duration::from_secs(30),
+            drain: Duration::from_secs(310),
         }
     }
 }
--- a/crates/fulmarpondd/src/http/entry_api.rs
+++ b/crates/fulmarpondd/src/http/entry_api.rs
@@ -6,7 +6,7 @@
 
 use fulmarpond_core::agent::Count;
 use fulmarpond_core::contract::{
-    JobId, RawSubmission, Reason, Refusal, Submission, SubmissionLimits,
+    Answer, Attempt, JobId, RawSubmission, Reason, Refusal, Submission, SubmissionLimits, Verdict,
 };
 use fulmarpond_core::entry::{CallerRequest, EntryInput};
 use fulmarpond_core::policy::{Patch, Version};
@@ -147,7 +147,7 @@
         let waiter = self
             .waiting
             .admit(started)
-            .ok_or_else(|| self.refused(Reason::Overloaded))?;
+            .ok_or_else(|| self.refuse_submission(&submission, Reason::Overloaded))?;
         debug!(id = %submission.job, tasks = submission.tasks.len(), "submitted");
         let timeout = Duration::from_millis(submission.remaining_ms);
         Ok(Question {
@@ -220,17 +220,30 @@
         let Err(error) = self.core.try_send(EntryInput::Caller { call, request }) else {
             return;
         };
-        let reason = match error {
-            TrySendError::Full(_) => Reason::Overloaded,
-            TrySendError::Disconnected(_) => Reason::Draining,
+        let (reason, input) = match error {
+            TrySendError::Full(input) => (Reason::Overloaded, input),
+            TrySendError::Disconnected(input) => (Reason::Draining, input),
         };
-        self.waiting
-            .answer(call, || Reply::Done(self.refused(reason)));
+        let response = match &input {
+            EntryInput::Caller {
+                request: CallerRequest::Submit { submission, .. },
+                ..
+            } => self.refuse_submission(submission, reason),
+            _ => render::refused(&Refusal::new(reason, OVERLOAD_RETRY_MS)),
+        };
+        self.waiting.answer(call, || Reply::Done(response));
     }
 
-    /// Counts and renders a refusal that a later attempt can get past.
-    fn refused(&self, reason: Reason) -> Response {
-        self.metrics.count(Count::NotRun(reason));
-        render::refused(&Refusal::new(reason, OVERLOAD_RETRY_MS))
+    /// Counts and renders the refusal of a submission that did not reach the core.
+    ///
+    /// An earlier attempt of the same id may have run.
+    fn refuse_submission(&self, submission: &Submission, reason: Reason) -> Response {
+        let refusal = Refusal::new(reason, OVERLOAD_RETRY_MS);
+        let (count, verdict) = match submission.attempt {
+            Attempt::First => (Count::NotRun(reason), Verdict::NotRun(refusal)),
+            Attempt::Unresolved { .. } => (Count::MayHaveRun(reason), Verdict::MayHaveRun(refusal)),
+        };
+        self.metrics.count(count);
+        render::answer(&Answer::new(&submission.job, verdict))
     }
 }
--- a/crates/fulmarpondd/src/http/render.rs
+++ b/crates/fulmarpondd/src/http/render.rs
@@ -9,7 +9,7 @@
 /// Renders the reply of the core.
 pub(super) fn reply(reply: CallerReply) -> Response {
     match reply {
-        CallerReply::Answer(answer) => render_answer(&answer),
+        CallerReply::Answer(final_answer) => answer(&final_answer),
         CallerReply::Accepted(job) => state(202, &job, "accepted"),
         CallerReply::Pending(job) => state(202, &job, "running"),
         CallerReply::Unknown(job) => state(404, &job, "unknown"),
@@ -60,12 +60,13 @@
             )
         }
         CallerReply::BadPatch(detail) => invalid(400, &detail),
+        CallerReply::Unconfirmed(refusal) => unanswered(&refusal),
         CallerReply::Refused(refusal) => refused(&refusal),
     }
 }
 
 /// Renders the final answer of a job.
-fn render_answer(answer: &Answer) -> Response {
+pub(super) fn answer(answer: &Answer) -> Response {
     let mut body = json!({"id": answer.job.name(), "team": answer.job.team()});
     if let (Some(body), Ok(Value::Object(verdict))) =
         (body.as_object_mut(), serde_json::to_value(&answer.verdict))
@@ -79,18 +80,20 @@
     }
 }
 
-/// Renders a refusal that is not the answer of a job.
+/// Renders the refusal of a question. It has no verdict, since it says nothing about the job.
 pub(super) fn refused(refusal: &Refusal) -> Response {
     let body = json!({
-        "verdict": "not_run", "reason": refusal.reason,
-        "retry_after_ms": refusal.retry_ms, "detail": refusal.detail,
+        "reason": refusal.reason, "retry_after_ms": refusal.retry_ms, "detail": refusal.detail,
     });
     with_retry(json_response(status_of(refusal), &body), refusal)
 }
 
-/// Renders a refusal of a malformed request.
+/// Renders a refusal of a malformed request. The request itself was not run.
 pub(super) fn invalid(status: u16, detail: &str) -> Response {
-    let reason = Reason::Invalid;
+    malformed(status, Reason::Invalid, detail)
+}
+
+fn malformed(status: u16, reason: Reason, detail: &str) -> Response {
     let body = json!({
         "verdict": "not_run", "reason": reason, "retry_after_ms": 0, "detail": detail,
     });
@@ -100,9 +103,7 @@
 /// Renders the refusal of a request that the listener did not read whole.
 pub(super) fn fault(fault: Fault) -> Response {
     match fault {
-        Fault::BodyTooLarge(_) => {
-            refused(&Refusal::new(Reason::TooLarge, 0).detail(fault.to_string()))
-        }
+        Fault::BodyTooLarge(_) => malformed(fault.status(), Reason::TooLarge, &fault.to_string()),
         _ => invalid(fault.status(), &fault.to_string()),
     }
 }
--- a/crates/fulmarpondd/src/slots.rs
+++ b/crates/fulmarpondd/src/slots.rs
@@ -23,8 +23,9 @@
 const IDLE: Duration = Duration::from_secs(2);
 /// The time in which a connection must be made.
 const CONNECT: Duration = Duration::from_millis(500);
-/// The largest result of a task in bytes.
-const RESULT_MAX: u64 = 8 << 20;
+/// The largest result of a task in bytes. A report with the results of all slots must stay below
+/// the largest message of a link.
+const RESULT_MAX: u64 = 256 << 10;
 
 /// One task to run at the endpoint.
 #[derive(Debug)]
@@ -77,6 +78,8 @@
             .max_idle_connections(256)
             .max_idle_connections_per_host(256)
             .max_redirects(0)
+            // Endpoints are on the own host; a proxy of the environment must not see their tasks.
+            .proxy(None)
             .build()
             .new_agent();
         let runs_in = Mutex::new(receiver);
