--- a/crates/fulmarpond-core/tests/support/world.rs
+++ b/crates/fulmarpond-core/tests/support/world.rs
@@ -29,9 +29,10 @@
 /// The roster window and the memory window. Callers resubmit no later than that.
 const WINDOW_MS: u64 = 40_000;
 const MARGIN_MS: u64 = 3_000;
-/// The time between the end of the faults and the check: the longest deadline, the time for a
-/// patch that is being written, and 7 s for its spread.
+/// The time from the end of the faults to the end of the run, above the longest deadline.
 const REST_MS: u64 = 16_000;
+/// The time within which a configuration version is in force everywhere.
+const SPREAD_MS: u64 = 7_000;
 const WATCH_MS: u64 = 300;
 const STORE_TIMEOUT_MS: u64 = 500;
 
@@ -105,6 +106,8 @@
     callers: BTreeMap<u64, usize>,
     splits: Vec<(usize, usize, Time)>,
     outage: Time,
+    /// When the latest configuration version was written.
+    configured: Time,
     messages: u32,
     store_calls: u32,
     /// The number of attempts of each job and the time of the first.
@@ -187,6 +190,7 @@
             callers: BTreeMap::new(),
             splits: Vec::new(),
             outage: Time::default(),
+            configured: Time::default(),
             messages: 0,
             store_calls: 0,
             attempts: BTreeMap::new(),
@@ -249,8 +253,14 @@
                 self.start(slot);
             }
         }
-        self.run_until(now.after_millis(REST_MS));
+        // A patch that an entry is still writing starts the time for its spread again.
+        let mut due = now;
+        while due < self.configured.max(now).after_millis(SPREAD_MS) {
+            due = self.configured.max(now).after_millis(SPREAD_MS);
+            self.run_until(due);
+        }
         self.check_configs();
+        self.run_until(due.max(now.after_millis(REST_MS)));
     }
 
     fn run_until(&mut self, end: Time) {
@@ -432,7 +442,12 @@
                 let result = if out {
                     Err(StoreError::Unavailable)
                 } else {
-                    self.store.perform(op)
+                    let before = self.store.latest_config();
+                    let result = self.store.perform(op);
+                    if self.store.latest_config() > before {
+                        self.configured = self.now;
+                    }
+                    result
                 };
                 if !reply_lost {
                     let at = self.now.after_millis(2);
