fix(core): accept without seals only where nobody can seal without this agent

Cause: a member that had just joined accepted first attempts without seals, while an agent whose roster did not have it yet sealed the same id without it. Both started the job. Found by the schedules; the case is a_retry_soon_after_a_member_joined_starts_nothing_again. Ruled out: holding first attempts back in the entry, since the entry that learned of the join first is not the one that seals. Change: an agent accepts a first attempt without seals only if it was the first candidate at every version of the last 30 s and was not paused; it seals only by a roster confirmed within 15 s, and gives up a seal round that a pause interrupted. An entry doubts first attempts that come right after its own pause, and confirms its roster as of the beginning of a watch. The roster window must not be below the memory window. After: the schedules pass without holding first attempts back.

--- a/crates/fulmarpond-core/src/agent/agent.rs
+++ b/crates/fulmarpond-core/src/agent/agent.rs
@@ -87,6 +87,11 @@
     roster: Roster,
     /// The latest time at which the roster was known to be the one in the platform's service.
     confirmed: Option<Time>,
+    /// The roster versions that were in force in the last time, with when each was learned.
+    versions: VecDeque<(Time, u64)>,
+    last_step: Time,
+    /// When the last pause of the process ended.
+    resumed: Time,
     policy: Policy,
     config: Version,
     calls: u64,
@@ -108,6 +113,9 @@
             runner: Runner::new(options.runner),
             roster: Roster::default(),
             confirmed: None,
+            versions: VecDeque::new(),
+            last_step: Time::default(),
+            resumed: Time::default(),
             policy: Policy::default(),
             config: Version::default(),
             calls: 0,
@@ -165,6 +173,33 @@
             .is_none_or(|confirmed| now.millis_since(confirmed) >= self.options.window_ms)
     }
 
+    fn is_fresh(&self, now: Time) -> bool {
+        let fresh_ms = self.options.home.fresh_ms;
+        self.confirmed
+            .is_some_and(|confirmed| now.millis_since(confirmed) <= fresh_ms)
+    }
+
+    /// Notes the time of a step. A long gap shows that the process was paused.
+    fn note_step(&mut self, now: Time) {
+        if now.millis_since(self.last_step) > self.options.home.fresh_ms / 3 {
+            self.resumed = now;
+        }
+        self.last_step = now;
+        let settle_ms = 2 * self.options.home.fresh_ms;
+        while self.versions.len() > 1 && now.millis_since(self.versions[1].0) >= settle_ms {
+            self.versions.pop_front();
+        }
+    }
+
+    /// Returns the latest roster version that was learned long enough ago for all others to have it.
+    fn settled(&self, now: Time) -> u64 {
+        let settle_ms = 2 * self.options.home.fresh_ms;
+        self.versions
+            .front()
+            .filter(|(learned, _)| now.millis_since(*learned) >= settle_ms)
+            .map_or(0, |(_, version)| *version)
+    }
+
     /// Runs `f` on the home and the runner with the context of this step.
     fn with<R: Rng, T>(
         &mut self,
@@ -173,8 +208,14 @@
         actions: &mut Vec<AgentAction>,
         f: impl FnOnce(&mut Home, &mut Runner, &mut Context<'_, R>) -> T,
     ) -> T {
+        let settled = self.settled(now);
+        let fresh = self.is_fresh(now);
+        let paused = now.millis_since(self.resumed) <= self.options.home.fresh_ms / 3;
         let mut ctx = Context {
             now,
+            settled,
+            fresh,
+            paused,
             me: &self.options.id,
             roster: &self.roster,
             policy: &self.policy,
@@ -341,7 +382,9 @@
                 self.confirmed = self.confirmed.max(Some(confirmed));
             }
         }
-        self.roster.apply(reply.roster);
+        if self.roster.apply(reply.roster) {
+            self.versions.push_back((now, self.roster.version()));
+        }
         if let Some(config) = reply.config
             && config.version > self.config
             && let Ok(policy) = Policy::try_from(&config.values)
@@ -597,6 +640,7 @@
         rng: &mut R,
         actions: &mut Vec<AgentAction>,
     ) {
+        self.note_step(now);
         let mut inputs = VecDeque::from([input]);
         while let Some(input) = inputs.pop_front() {
             let start = actions.len();
--- a/crates/fulmarpond-core/src/agent/context.rs
+++ b/crates/fulmarpond-core/src/agent/context.rs
@@ -19,6 +19,12 @@
     pub(crate) me: &'a AgentId,
     /// The roster as this agent knows it.
     pub(crate) roster: &'a Roster,
+    /// The roster version from which on all changes are recent.
+    pub(crate) settled: u64,
+    /// Whether the roster was confirmed recently.
+    pub(crate) fresh: bool,
+    /// Whether the process was paused a moment ago, so that requests may be old.
+    pub(crate) paused: bool,
     /// The policy in force.
     pub(crate) policy: &'a Policy,
     /// Whether the process is stopping.
--- a/crates/fulmarpond-core/src/contract/submission.rs
+++ b/crates/fulmarpond-core/src/contract/submission.rs
@@ -32,6 +32,17 @@
     },
 }
 
+impl Attempt {
+    /// Returns the attempt as one that may not be the first.
+    #[must_use]
+    pub fn doubted(self) -> Self {
+        match self {
+            Self::First => Self::Unresolved { age_ms: None },
+            Self::Unresolved { .. } => self,
+        }
+    }
+}
+
 /// A submission as a caller sends it.
 #[message]
 #[serde(deny_unknown_fields)]
--- a/crates/fulmarpond-core/src/entry/action.rs
+++ b/crates/fulmarpond-core/src/entry/action.rs
@@ -45,7 +45,12 @@
         result: Result<StoreReply, StoreError>,
     },
     /// The watch of the platform's service returned, with or without changes.
-    Watched(Vec<StoreItem>),
+    Watched {
+        /// The changed values.
+        items: Vec<StoreItem>,
+        /// When the watch began. What it returned is at least as recent.
+        began: Time,
+    },
     /// The process is to stop gracefully.
     Drain,
     /// The time of [`Role::wake`](crate::Role::wake) has come.
--- a/crates/fulmarpond-core/src/entry/entry.rs
+++ b/crates/fulmarpond-core/src/entry/entry.rs
@@ -23,6 +23,9 @@
 
 /// Milliseconds between ticks while nothing else is due.
 const TICK_MS: u64 = 500;
+/// A pause of the process in milliseconds after which silence of others proves nothing, and requests
+/// may be old.
+pub(super) const PAUSE_MS: u64 = 2_000;
 /// Milliseconds after which another entry is expected to take a request.
 const RETRY_STOP_MS: u64 = 50;
 
@@ -69,6 +72,7 @@
     pub(super) lookups: HashMap<CallId, Lookup>,
     pub(super) patches: HashMap<CallId, Patching>,
     pub(super) last_tick: Time,
+    pub(super) last_step: Time,
     /// Since when the process runs without a pause.
     pub(super) awake: Time,
     pending: HashMap<CallId, Pending>,
@@ -118,6 +122,7 @@
             lookups: HashMap::new(),
             patches: HashMap::new(),
             last_tick: Time::default(),
+            last_step: Time::default(),
             awake: Time::default(),
             pending: HashMap::new(),
             calls: 0,
@@ -272,8 +277,8 @@
         }
     }
 
-    fn watched<R: Rng>(&mut self, step: &mut Step<'_, R>, items: &[StoreItem]) {
-        self.confirmed = Some(step.now);
+    fn watched<R: Rng>(&mut self, step: &mut Step<'_, R>, items: &[StoreItem], began: Time) {
+        self.confirmed = self.confirmed.max(Some(began));
         for item in items {
             if item.key == ROSTER_KEY {
                 self.adopt_item(step, item);
@@ -295,13 +300,17 @@
         rng: &mut R,
         actions: &mut Vec<EntryAction>,
     ) {
+        if now.millis_since(self.last_step) > PAUSE_MS {
+            self.awake = now;
+        }
+        self.last_step = now;
         let step = &mut Step { now, rng, actions };
         match input {
             EntryInput::Caller { call, request } => self.caller(step, call, request),
             EntryInput::Request { call, envelope } => self.request(step, call, envelope),
             EntryInput::Response { call, result } => self.response(step, call, result),
             EntryInput::Stored { call, result } => self.stored(step, call, result),
-            EntryInput::Watched(items) => self.watched(step, &items),
+            EntryInput::Watched { items, began } => self.watched(step, &items, began),
             EntryInput::Drain => self.draining = true,
             EntryInput::Tick => {
                 self.tick_routes(step);
--- a/crates/fulmarpond-core/src/entry/membership.rs
+++ b/crates/fulmarpond-core/src/entry/membership.rs
@@ -30,8 +30,6 @@
 const ANNOUNCE_MAX_MS: u64 = 3_000;
 /// How long a stopping agent waits for its departure to be written, in milliseconds.
 const LEAVE_MS: u64 = 1_000;
-/// A pause of the process after which silence of others proves nothing, in milliseconds.
-const PAUSE_MS: u64 = 2_000;
 
 /// What an entry last heard from an agent.
 #[derive(Debug)]
@@ -347,9 +345,6 @@
 
     /// Handles what is due.
     pub(super) fn tick_roster<R: Rng>(&mut self, step: &mut Step<'_, R>) {
-        if step.now.millis_since(self.last_tick) > PAUSE_MS {
-            self.awake = step.now;
-        }
         self.last_tick = step.now;
         self.released(step);
         self.remove_silent(step);
--- a/crates/fulmarpond-core/src/entry/routing.rs
+++ b/crates/fulmarpond-core/src/entry/routing.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::action::{CallerReply, EntryAction};
-use super::entry::{Entry, Pending, Step};
+use super::entry::{Entry, PAUSE_MS, Pending, Step};
 use crate::Time;
 use crate::agent::Count;
 use crate::contract::{Answer, Attempt, Reason, Refusal, Submission, Verdict};
@@ -62,9 +62,13 @@
         &mut self,
         step: &mut Step<'_, R>,
         call: CallId,
-        submission: Submission,
+        mut submission: Submission,
         wait: bool,
     ) {
+        // A request that waited while the process was paused may come after its own resubmission.
+        if step.now.millis_since(self.awake) <= PAUSE_MS && self.awake > Time::default() {
+            submission.attempt = submission.attempt.doubted();
+        }
         let over = self.over_quota(step.now, &submission);
         if submission.attempt == Attempt::First
             && let Some(refusal) = over
@@ -196,8 +200,8 @@
         };
         let mut submission = route.submission.clone();
         submission.remaining_ms = route.deadline.remaining_millis(step.now);
-        if route.unresolved && submission.attempt == Attempt::First {
-            submission.attempt = Attempt::Unresolved { age_ms: Some(0) };
+        if route.unresolved {
+            submission.attempt = submission.attempt.doubted();
         }
         let submit = Submit {
             submission,
--- a/crates/fulmarpond-core/src/home/home.rs
+++ b/crates/fulmarpond-core/src/home/home.rs
@@ -31,8 +31,19 @@
     pub memory_ms: u64,
     /// How long an answer is kept after the deadline of its job, in milliseconds.
     pub margin_ms: u64,
+    /// The age in milliseconds up to which a confirmed roster is fresh. See [`FRESH_MS`].
+    pub fresh_ms: u64,
 }
 
+/// The age in milliseconds up to which a confirmed roster is fresh, by default.
+///
+/// An agent seals only by a fresh roster, and accepts a first attempt without seals only if it was
+/// the first candidate for twice this time. Whoever seals then has it in the list, provided that a
+/// request is under way for less than this time: pauses above a third of it are noticed, and silent
+/// links are cut earlier. It must exceed the age that a roster normally has, which is two waits of
+/// an entry's watch and the interval between announcements.
+pub const FRESH_MS: u64 = 15_000;
+
 /// What an outgoing call of a home is about.
 #[derive(Debug, Clone)]
 pub(super) enum Pending {
@@ -239,6 +250,10 @@
             self.memory.get(&submission.job),
             Some(Tombstone::Sealed { holder }) if holder == ctx.me
         );
+        // A member that joined since would be missing in the seal list.
+        if submission.attempt != Attempt::First && !ctx.fresh {
+            return Some(Refusal::new(Reason::StaleRoster, RETRY_LOST_MS));
+        }
         let is_candidate = ctx
             .roster
             .candidates(&submission.job)
@@ -303,11 +318,7 @@
         let deadline = ctx.now.after_millis(submission.remaining_ms);
         let first = submission.attempt == Attempt::First;
         let id = submission.job;
-        let is_home = ctx
-            .roster
-            .candidates(&id)
-            .first()
-            .is_some_and(|member| member.agent == *ctx.me);
+        let is_home = ctx.roster.always_first(&id, ctx.me, ctx.settled);
         let sealed = self.memory.get(&id).is_some();
         let mut job = Job::new(id.clone(), entry, submission.tasks, ctx.now, deadline);
         job.forget = deadline.after_millis(self.options.margin_ms);
@@ -322,7 +333,7 @@
         });
         self.budget
             .earn(u64::from(job.task_count()), ctx.policy.retry_percent);
-        if first && is_home && !skipped && !sealed {
+        if first && is_home && !skipped && !sealed && !ctx.paused {
             self.jobs.insert(id.clone(), job);
             self.accept(ctx, &id);
             return;
--- a/crates/fulmarpond-core/src/home/mod.rs
+++ b/crates/fulmarpond-core/src/home/mod.rs
@@ -9,4 +9,4 @@
 mod reports;
 mod sealing;
 
-pub use home::{Home, HomeOptions};
+pub use home::{FRESH_MS, Home, HomeOptions};
--- a/crates/fulmarpond-core/src/home/reports.rs
+++ b/crates/fulmarpond-core/src/home/reports.rs
@@ -37,7 +37,9 @@
         match (result, asks) {
             (Ok(Response::Run(report)), _) => self.apply(ctx, batch, &report),
             (Ok(Response::Refused(refusal)), 0) => self.not_started(ctx, batch, &refusal),
-            (Ok(Response::Refused(refusal)), _) if refusal.reason == Reason::Cancelled => {
+            (Ok(Response::Refused(refusal)), _)
+                if refusal.reason == Reason::Cancelled && !self.is_late(ctx.now, batch) =>
+            {
                 self.not_started(ctx, batch, &refusal);
             }
             (Ok(Response::Refused(refusal)), _) if refusal.reason == Reason::WrongAgent => {
@@ -51,6 +53,14 @@
         }
     }
 
+    /// Returns whether the deadline of a batch has passed, so that its agent may have forgotten it
+    /// after it ran.
+    fn is_late(&self, now: Time, batch: BatchId) -> bool {
+        self.batches
+            .get(&batch)
+            .is_none_or(|sent| now >= sent.deadline)
+    }
+
     /// Applies a report. Outcomes that were reported before are ignored.
     fn apply<R: Rng>(&mut self, ctx: &mut Context<'_, R>, batch: BatchId, report: &BatchReport) {
         let Some(sent) = self.batches.get_mut(&batch) else {
--- a/crates/fulmarpond-core/src/home/sealing.rs
+++ b/crates/fulmarpond-core/src/home/sealing.rs
@@ -78,9 +78,15 @@
                 }
             }
         }
-        if self.jobs.contains_key(id) && self.seal_own(ctx, id) {
-            self.accept(ctx, id);
+        if !self.jobs.contains_key(id) || !self.seal_own(ctx, id) {
+            return;
+        }
+        // The roster may have changed while the process was paused between two seals.
+        if ctx.paused && !self.is_tolerant(id) {
+            self.give_up(ctx, id);
+            return;
         }
+        self.accept(ctx, id);
     }
 
     fn next_in_list(&self, id: &JobId) -> Option<AgentId> {
@@ -161,11 +167,10 @@
     /// Skips an unreachable candidate if the caller stated that there was no earlier attempt.
     /// Otherwise ends the attempt. Returns whether the job may go on.
     fn skip_unreachable<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId) -> bool {
-        let tolerant = match self.jobs.get(id).map(|job| &job.phase) {
-            Some(Phase::Sealing { tolerant, .. }) => *tolerant,
-            _ => return false,
-        };
-        if tolerant {
+        if !self.jobs.contains_key(id) {
+            return false;
+        }
+        if self.is_tolerant(id) {
             self.advance(id);
             return true;
         }
@@ -173,6 +178,12 @@
         false
     }
 
+    /// Returns whether the caller stated that there was no earlier attempt of a job that is sealed.
+    fn is_tolerant(&self, id: &JobId) -> bool {
+        let phase = self.jobs.get(id).map(|job| &job.phase);
+        matches!(phase, Some(Phase::Sealing { tolerant: true, .. }))
+    }
+
     /// Ends an attempt whose seals can't be had. The record is dropped, so that a later attempt
     /// tries again.
     fn give_up<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId) {
--- a/crates/fulmarpond-core/src/runner/runner.rs
+++ b/crates/fulmarpond-core/src/runner/runner.rs
@@ -191,7 +191,11 @@
     }
 
     fn admit<R: Rng>(&mut self, ctx: &mut Context<'_, R>, key: &BatchKey, index: u32, task: Task) {
-        let refusal = self.refusal(ctx, &task);
+        let deadline = self
+            .batches
+            .get(key)
+            .map_or(ctx.now, |memory| memory.deadline);
+        let refusal = self.refusal(ctx, &task, deadline);
         let Some(memory) = self.batches.get_mut(key) else {
             return;
         };
@@ -205,7 +209,15 @@
         self.start_queued(ctx);
     }
 
-    fn refusal<R: Rng>(&self, ctx: &Context<'_, R>, task: &Task) -> Option<Refusal> {
+    fn refusal<R: Rng>(
+        &self,
+        ctx: &Context<'_, R>,
+        task: &Task,
+        deadline: Time,
+    ) -> Option<Refusal> {
+        if ctx.now >= deadline {
+            return Some(Refusal::new(Reason::DeadlinePassed, 0));
+        }
         if ctx.draining
             || self
                 .endpoint
--- a/crates/fulmarpond-core/src/zone/roster.rs
+++ b/crates/fulmarpond-core/src/zone/roster.rs
@@ -79,6 +79,20 @@
         live.into_iter().map(|(_, member)| member).collect()
     }
 
+    /// Returns whether `agent` was the first candidate for `job` at every version from `since` on.
+    pub fn always_first(&self, job: &JobId, agent: &AgentId, since: u64) -> bool {
+        let Some(own) = self.get(agent).filter(|member| member.live_at(since)) else {
+            return false;
+        };
+        let own_weight = weight(job, own);
+        own.is_live()
+            && self
+                .members
+                .iter()
+                .filter(|member| member.left.is_none_or(|left| left > since))
+                .all(|member| weight(job, member) <= own_weight)
+    }
+
     /// Returns every member that may have been a candidate for `job` under any version from the
     /// floor on, by descending weight.
     ///
--- a/crates/fulmarpond-core/tests/configurations.rs
+++ b/crates/fulmarpond-core/tests/configurations.rs
@@ -242,7 +242,13 @@
     fn watch(&mut self, entry: usize) {
         let items = self.store.changed(self.processes[entry].watched);
         self.processes[entry].watched = self.store.revision();
-        self.step(entry, EntryInput::Watched(items));
+        self.step(
+            entry,
+            EntryInput::Watched {
+                items,
+                began: self.now,
+            },
+        );
     }
 }
 
--- a/crates/fulmarpond-core/tests/regressions.rs
+++ b/crates/fulmarpond-core/tests/regressions.rs
@@ -75,6 +75,7 @@
         home: HomeOptions {
             memory_ms: window_ms,
             margin_ms: 1_000,
+            fresh_ms: 15_000,
         },
         runner: RunnerOptions {
             lease_ms: 60_000_000,
@@ -169,3 +170,25 @@
     // The four tasks that hold both agents, and those of the two later jobs.
     assert_eq!(world.history.summary(), [12, 2, 0, 1]);
 }
+
+/// Guards against a member that accepts a first attempt without seals just after it joined, while
+/// an agent that does not know it yet seals without it and starts the job as well.
+#[test]
+fn a_retry_soon_after_a_member_joined_starts_nothing_again() {
+    let steps = [
+        (
+            0,
+            Step::CutOff {
+                entry: 0,
+                ms: 6_000,
+            },
+        ),
+        (0, Step::Split(0, 6, 6_000)),
+        (0, Step::Split(1, 6, 6_000)),
+        (0, Step::Start(2)),
+        (1_500, Step::Submit { job: 0, entry: 1 }),
+        (50, Step::Submit { job: 0, entry: 0 }),
+    ];
+    let schedule = Schedule::calm(2, &steps);
+    assert_eq!(world::check(&schedule), Ok(()));
+}
--- a/crates/fulmarpond-core/tests/support/world.rs
+++ b/crates/fulmarpond-core/tests/support/world.rs
@@ -14,7 +14,7 @@
 use fulmarpond_core::machine::{AgentId, Registration};
 use fulmarpond_core::policy::{Patch, Version};
 use fulmarpond_core::runner::RunnerOptions;
-use fulmarpond_core::zone::{Roster, Zone};
+use fulmarpond_core::zone::Zone;
 use fulmarpond_core::{Role, Time};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -29,6 +29,9 @@
 /// The roster window and the memory window. Callers resubmit no later than that.
 const WINDOW_MS: u64 = 40_000;
 const MARGIN_MS: u64 = 3_000;
+/// The age up to which a roster is fresh. It is shorter than in the daemon, so that the schedules
+/// reach the time in which first attempts are accepted without seals.
+const FRESH_MS: u64 = 6_000;
 /// The time from the end of the faults to the end of the run, above the longest deadline.
 const REST_MS: u64 = 16_000;
 /// The time within which a configuration version is in force everywhere.
@@ -44,7 +47,7 @@
     Caller(u64, CallerRequest),
     Ended(RunId, RunOutcome),
     Stored(CallId, Result<StoreReply, StoreError>),
-    Watched(Vec<StoreItem>),
+    Watched(Vec<StoreItem>, Time),
     Endpoint,
     EndpointLeaves,
     Drain,
@@ -331,6 +334,7 @@
                 home: HomeOptions {
                     memory_ms: WINDOW_MS,
                     margin_ms: MARGIN_MS,
+                    fresh_ms: FRESH_MS,
                 },
                 runner: RunnerOptions {
                     lease_ms: 3_000,
@@ -476,11 +480,11 @@
         let waits = process
             .inbox
             .iter()
-            .any(|input| matches!(input, Input::Watched(_)));
+            .any(|input| matches!(input, Input::Watched(..)));
         if self.now >= self.outage && self.now >= process.cut_off && !(frozen && waits) {
             let items = self.store.changed(process.watched);
             self.processes[slot].watched = self.store.revision();
-            self.input(slot, Input::Watched(items));
+            self.input(slot, Input::Watched(items, self.now));
         }
         self.push(self.now.after_millis(WATCH_MS), Event::Beat(slot, number));
     }
@@ -556,7 +560,7 @@
                         request,
                     },
                     Some(Input::Stored(call, result)) => EntryInput::Stored { call, result },
-                    Some(Input::Watched(items)) => EntryInput::Watched(items),
+                    Some(Input::Watched(items, began)) => EntryInput::Watched { items, began },
                     Some(Input::Drain) => EntryInput::Drain,
                     Some(_) => return,
                 };
@@ -874,9 +878,6 @@
         if age + 15_000 > WINDOW_MS {
             return;
         }
-        if attempts == 0 && !self.is_settled() {
-            return;
-        }
         let attempt = match attempts {
             0 => Attempt::First,
             _ => Attempt::Unresolved { age_ms: Some(age) },
@@ -910,25 +911,6 @@
         );
     }
 
-    /// Returns whether every process has the latest roster.
-    ///
-    /// First attempts wait for it, because an agent that does not know a new member seals without
-    /// it. `docs/promises-core.md` describes the case, which `FULMARPOND_UNSETTLED` lets happen.
-    fn is_settled(&self) -> bool {
-        let latest = self
-            .store
-            .get("roster")
-            .and_then(|roster| serde_json::from_str::<Roster>(roster).ok())
-            .map_or(0, |roster| roster.version());
-        let has = |process: &Process| match &process.node {
-            None => latest,
-            Some(Node::Agent(agent)) => agent.roster().version(),
-            Some(Node::Entry(entry)) => entry.roster().version(),
-        };
-        std::env::var_os("FULMARPOND_UNSETTLED").is_some()
-            || self.processes.iter().all(|process| has(process) == latest)
-    }
-
     fn ask(&mut self, slot: usize, job: usize, request: CallerRequest, wait_ms: u64) {
         // Each of at most 16 agents has a second beyond the wait.
         let limit = 16 * (wait_ms + 1_000);
--- a/crates/fulmarpond-link/tests/calls.rs
+++ b/crates/fulmarpond-link/tests/calls.rs
@@ -176,7 +176,10 @@
             json!({"home": "saga-1~7", "want": 2, "wait_ms": 10}),
         ),
         ("withdraw", json!({"home": "saga-1~7", "batches": [9, 10]})),
-        ("ask", json!({"home": "saga-1~7", "batch": 9, "repeat": true})),
+        (
+            "ask",
+            json!({"home": "saga-1~7", "batch": 9, "repeat": true}),
+        ),
         (
             "seal",
             json!({"job": job, "holder": "saga-1~7", "keep_ms": 10}),
--- a/crates/fulmarpond-settings/src/daemon/combinations.rs
+++ b/crates/fulmarpond-settings/src/daemon/combinations.rs
@@ -41,12 +41,12 @@
         ),
     );
     rule(
-        timing.memory_window >= timing.roster_window,
-        &[("timing", "memory_window"), ("timing", "roster_window")],
+        timing.roster_window >= timing.memory_window,
+        &[("timing", "roster_window"), ("timing", "memory_window")],
         format!(
-            "memory_window ({}) must not be below roster_window ({})",
-            show(timing.memory_window),
-            show(timing.roster_window)
+            "roster_window ({}) must not be below memory_window ({})",
+            show(timing.roster_window),
+            show(timing.memory_window)
         ),
     );
     rule(
--- a/crates/fulmarpondd/src/daemon.rs
+++ b/crates/fulmarpondd/src/daemon.rs
@@ -11,7 +11,7 @@
 use fulmarpond_core::agent::{Agent, AgentInput, AgentOptions, Count};
 use fulmarpond_core::contract::{Reason, Refusal, SubmissionLimits};
 use fulmarpond_core::entry::{Entry, EntryInput, EntryOptions};
-use fulmarpond_core::home::HomeOptions;
+use fulmarpond_core::home::{FRESH_MS, HomeOptions};
 use fulmarpond_core::link::{CallId, Envelope, Response};
 use fulmarpond_core::machine::AgentId;
 use fulmarpond_core::runner::RunnerOptions;
@@ -244,6 +244,7 @@
         home: HomeOptions {
             memory_ms: millis(timing.memory_window),
             margin_ms: millis(timing.answer_margin),
+            fresh_ms: FRESH_MS,
         },
         runner: RunnerOptions {
             lease_ms: millis(timing.lease),
@@ -308,6 +309,7 @@
         entry.timeout,
         &core,
         &common.metrics,
+        common.clock,
         &stop_threads,
     )?;
     let view = Arc::new(RwLock::new(EntryView::default()));
--- a/crates/fulmarpondd/src/store.rs
+++ b/crates/fulmarpondd/src/store.rs
@@ -13,6 +13,7 @@
 use rand::RngExt;
 use tracing::{info, warn};
 
+use crate::clock::Clock;
 use crate::metrics::Metrics;
 
 /// The calls that may wait for the platform's service.
@@ -20,7 +21,7 @@
 /// What all keys of the system begin with, since the service is shared.
 const PREFIX: &str = "fulmarpond/";
 /// How long one watch waits for a change, in milliseconds.
-const WATCH_MS: u64 = 5_000;
+const WATCH_MS: u64 = 3_000;
 /// The longest delay after a failed watch, in milliseconds.
 const WATCH_RETRY_MS: u64 = 1_000;
 
@@ -30,6 +31,7 @@
     timeout: Duration,
     core: &SyncSender<EntryInput>,
     metrics: &Arc<Metrics>,
+    clock: Clock,
     stop: &Arc<AtomicBool>,
 ) -> crate::Result<SyncSender<(CallId, StoreOp)>> {
     let (calls, receiver) = sync_channel(RING_SIZE);
@@ -45,7 +47,7 @@
     let stop = Arc::clone(stop);
     thread::Builder::new()
         .name("watch".to_owned())
-        .spawn(move || watch(&client, &to_core, &counted, &stop))?;
+        .spawn(move || watch(&client, &to_core, &counted, clock, &stop))?;
     Ok(calls)
 }
 
@@ -100,6 +102,7 @@
     client: &KeyValueClient,
     core: &SyncSender<EntryInput>,
     metrics: &Metrics,
+    clock: Clock,
     stop: &AtomicBool,
 ) {
     let mut after = 0;
@@ -108,6 +111,7 @@
     let mut wait_ms = 0;
     while !stop.load(Ordering::Relaxed) {
         metrics.messages("store", 2);
+        let began = clock.now();
         match client.watch(PREFIX, after, wait_ms) {
             Ok(changes) => {
                 if out {
@@ -127,7 +131,7 @@
                         })
                     })
                     .collect();
-                if core.send(EntryInput::Watched(items)).is_err() {
+                if core.send(EntryInput::Watched { items, began }).is_err() {
                     return;
                 }
             }
