fix(core): count no pause before the first step of an agent

Cause: the start of the clock counted as the end of a pause, so an agent gave up seal rounds in its first seconds. Found by a_late_first_attempt_starts_nothing_after_its_home_died. A refusal for a missing seal now names the agent that can't be reached.

--- a/crates/fulmarpond-core/src/agent/agent.rs
+++ b/crates/fulmarpond-core/src/agent/agent.rs
@@ -90,8 +90,8 @@
     /// The roster versions that were in force in the last time, with when each was learned.
     versions: VecDeque<(Time, u64)>,
     last_step: Time,
-    /// When the last pause of the process ended.
-    resumed: Time,
+    /// When the last pause of the process ended, if there was one.
+    resumed: Option<Time>,
     policy: Policy,
     config: Version,
     calls: u64,
@@ -115,7 +115,7 @@
             confirmed: None,
             versions: VecDeque::new(),
             last_step: Time::default(),
-            resumed: Time::default(),
+            resumed: None,
             policy: Policy::default(),
             config: Version::default(),
             calls: 0,
@@ -181,8 +181,9 @@
 
     /// Notes the time of a step. A long gap shows that the process was paused.
     fn note_step(&mut self, now: Time) {
-        if now.millis_since(self.last_step) > self.options.home.fresh_ms / 3 {
-            self.resumed = now;
+        let started = self.last_step > Time::default();
+        if started && now.millis_since(self.last_step) > self.options.home.fresh_ms / 3 {
+            self.resumed = Some(now);
         }
         self.last_step = now;
         let settle_ms = 2 * self.options.home.fresh_ms;
@@ -210,7 +211,10 @@
     ) -> T {
         let settled = self.settled(now);
         let fresh = self.is_fresh(now);
-        let paused = now.millis_since(self.resumed) <= self.options.home.fresh_ms / 3;
+        let pause_ms = self.options.home.fresh_ms / 3;
+        let paused = self
+            .resumed
+            .is_some_and(|resumed| now.millis_since(resumed) <= pause_ms);
         let mut ctx = Context {
             now,
             settled,
--- a/crates/fulmarpond-core/src/home/sealing.rs
+++ b/crates/fulmarpond-core/src/home/sealing.rs
@@ -83,7 +83,7 @@
         }
         // The roster may have changed while the process was paused between two seals.
         if ctx.paused && !self.is_tolerant(id) {
-            self.give_up(ctx, id);
+            self.give_up(ctx, id, "the process was paused while it sealed the job");
             return;
         }
         self.accept(ctx, id);
@@ -174,7 +174,13 @@
             self.advance(id);
             return true;
         }
-        self.give_up(ctx, id);
+        let agent = self.next_in_list(id);
+        let name = agent.as_ref().map_or("", AgentId::as_str);
+        self.give_up(
+            ctx,
+            id,
+            &format!("{name} may know the job and can't be reached"),
+        );
         false
     }
 
@@ -186,9 +192,8 @@
 
     /// Ends an attempt whose seals can't be had. The record is dropped, so that a later attempt
     /// tries again.
-    fn give_up<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId) {
-        let refusal = Refusal::new(Reason::SealUnreachable, RETRY_SEAL_MS)
-            .detail("a candidate that may know the job can't be reached");
+    fn give_up<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId, detail: &str) {
+        let refusal = Refusal::new(Reason::SealUnreachable, RETRY_SEAL_MS).detail(detail);
         self.finish(ctx, id, Verdict::MayHaveRun(refusal));
         self.ended.remove(id);
     }
@@ -196,7 +201,7 @@
     /// Leaves a job to the agent that has it or holds its seal.
     fn yield_to<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId, holder: &AgentId) {
         let Some(keeper) = ctx.roster.keeper(holder) else {
-            self.give_up(ctx, id);
+            self.give_up(ctx, id, &format!("{holder} holds the seal and is lost"));
             return;
         };
         let agent = keeper.agent.clone();
