fix(core): let the own jobs of a stopping agent use its slots

Cause: a stopping agent refused all tasks with `draining`, those of its own home included. When no other agent was left, jobs that it had accepted waited until their deadline, and the process ended with work in flight. Ruled out: the order of stop and handover; the agent never became idle. Change: while it stops, an agent still starts tasks of its own home, which are work in flight. Entries and other homes see it as leaving, as before.

The stop tests now wait until all agents know the new roster before they resubmit: until then a home can't get the seal of the stopped agent and truthfully says "may have run".

--- a/crates/fulmarpond-core/src/agent/agent.rs
+++ b/crates/fulmarpond-core/src/agent/agent.rs
@@ -351,7 +351,10 @@
         }
         let mut peers = reply.peers;
         peers.retain(|peer| peer.agent != self.options.id);
-        peers.push(self.own_peer(now));
+        // The own home goes on with the own slots while the agent stops.
+        let mut me = self.own_peer(now);
+        me.leaving = !self.runner.is_open(now);
+        peers.push(me);
         self.with(now, rng, actions, |home, _, ctx| home.peers(ctx, &peers));
     }
 
--- a/crates/fulmarpond-core/src/runner/runner.rs
+++ b/crates/fulmarpond-core/src/runner/runner.rs
@@ -191,7 +191,7 @@
     }
 
     fn admit<R: Rng>(&mut self, ctx: &mut Context<'_, R>, key: &BatchKey, index: u32, task: Task) {
-        let refusal = self.refusal(ctx, &task);
+        let refusal = self.refusal(ctx, &key.0, &task);
         let Some(memory) = self.batches.get_mut(key) else {
             return;
         };
@@ -205,8 +205,19 @@
         self.start_queued(ctx);
     }
 
-    fn refusal<R: Rng>(&self, ctx: &Context<'_, R>, task: &Task) -> Option<Refusal> {
-        if ctx.draining
+    /// Returns whether a stop keeps `home` from new slots. The jobs of the agent's own home are work
+    /// in flight, and there may be no other agent that can run them.
+    fn stopping<R: Rng>(ctx: &Context<'_, R>, home: &AgentId) -> bool {
+        ctx.draining && home != ctx.me
+    }
+
+    fn refusal<R: Rng>(
+        &self,
+        ctx: &Context<'_, R>,
+        home: &AgentId,
+        task: &Task,
+    ) -> Option<Refusal> {
+        if Self::stopping(ctx, home)
             || self
                 .endpoint
                 .as_ref()
@@ -350,9 +361,6 @@
     /// Uses free slots for waiting tasks first, then for reservations.
     fn pump<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
         self.start_queued(ctx);
-        if ctx.draining {
-            return;
-        }
         while self.free(ctx.now) > 0 {
             let Some(reservation) = self.reservations.pop_front() else {
                 return;
@@ -379,7 +387,7 @@
         call: CallId,
         reserve: Reserve,
     ) {
-        if ctx.draining || !self.is_open(ctx.now) {
+        if Self::stopping(ctx, &reserve.home) || !self.is_open(ctx.now) {
             ctx.reply(call, Response::Refused(Refusal::new(Reason::Draining, 0)));
             return;
         }
--- a/crates/fulmarpondd/tests/common/mod.rs
+++ b/crates/fulmarpondd/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -101,12 +102,7 @@
 
     /// Returns the value of a metric without labels of its own.
     pub(crate) fn metric(&self, name: &str) -> Option<u64> {
-        let (_, text) = get(self.http, "/metrics");
-        let text = text.as_str()?.to_owned();
-        let line = text
-            .lines()
-            .find(|line| line.starts_with(&format!("fulmarpond_{name}{{")))?;
-        line.rsplit(' ').next()?.parse().ok()
+        metric(self.http, name)
     }
 
     /// Kills the process without warning.
@@ -170,7 +166,7 @@
     pub(crate) entries: Vec<Process>,
     pub(crate) nodes: Vec<Node>,
     /// Dropped after the processes that use it.
-    pub(crate) kv: KeyValue,
+    pub(crate) kv: Arc<KeyValue>,
     slots: u32,
     extra: String,
 }
@@ -185,6 +181,7 @@
     /// Starts a system with additional lines in the section `[timing]`.
     pub(crate) fn with_timing(entries: usize, agents: usize, slots: u32, timing: &str) -> Self {
         let kv = KeyValue::start("127.0.0.1:0").expect("the key-value stand-in starts");
+        let kv = Arc::new(kv);
         let extra = format!("[timing]\nannounce = 100ms\n{timing}\n");
         let mut system = Self {
             kv,
@@ -390,6 +387,19 @@
         });
     }
 
+    /// Waits until every process shows the same roster with the live agents as its members.
+    pub(crate) fn wait_roster(&self) {
+        let live = self.live_nodes().count() as u64;
+        wait_until("all processes have the same roster", || {
+            let version = self.entries[0].metric("roster_version");
+            let agents = self.live_nodes().map(|node| &node.agent);
+            self.entries.iter().chain(agents).all(|process| {
+                process.metric("roster_version") == version
+                    && process.metric("roster_members") == Some(live)
+            })
+        });
+    }
+
     /// Returns how often each task was started, over all endpoints there were.
     pub(crate) fn starts(&self) -> HashMap<(String, u64), u64> {
         let mut starts = HashMap::new();
@@ -450,6 +460,17 @@
     read(client(PATIENCE).get(format!("http://{addr}{path}")).call())
 }
 
+/// Returns the value of a metric without labels of its own from the process at `addr`.
+pub(crate) fn metric(addr: SocketAddr, name: &str) -> Option<u64> {
+    let (_, text) = get(addr, "/metrics");
+    let prefix = format!("fulmarpond_{name}{{");
+    let line = text
+        .as_str()?
+        .lines()
+        .find(|line| line.starts_with(&prefix))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
 /// Sends a DELETE request.
 pub(crate) fn delete(addr: SocketAddr, path: &str) -> (u16, Value) {
     read(
--- a/crates/fulmarpondd/tests/stops.rs
+++ b/crates/fulmarpondd/tests/stops.rs
@@ -70,6 +70,8 @@
         let fetched = load.history().fetch(second, id);
         assert!(fetched.is_answered(), "{id}: {fetched:?}");
     }
+    // Until the agents know who the heir is, they can't get the seal of the stopped one.
+    system.wait_roster();
     // The check of the history finds a second start.
     for (id, runs) in [(&done, vec![20; 4]), (&id, vec![LONG_MS; 6])] {
         let again = load.history().submit(second, &job(id, 2, &runs));
@@ -219,6 +221,7 @@
         assert!(system.stop_agent(node), "agent {node} reports a failure");
         load.wait_answered(5);
     }
+    system.wait_roster();
     for id in &ids {
         let told = load.history().submit(second, &job(id, 2, &[5; 2]));
         assert!(told.is_answered(), "{id}: {told:?}");
@@ -227,3 +230,27 @@
     assert_uninterrupted(&load);
     load.finish(&system);
 }
+/// Guards against agents that can't hand over because all of them stop, and against a system that
+/// does not start to serve again afterwards.
+#[test]
+fn after_all_agents_stopped_a_new_one_serves() {
+    let mut system = System::start(2, 3, 2);
+    let entry = system.entries[1].http;
+    let load = Load::start(&system, 2, 26);
+    load.wait_answered(10);
+    let answer = load.history().submit(entry, &job("kept", 1, &[20; 4]));
+    assert!(answer.is_answered(), "{answer:?}");
+    for node in 0..3 {
+        assert!(system.stop_agent(node), "agent {node} reports a failure");
+    }
+    wait_until("the roster is empty", || {
+        (0..2).all(|entry| system.roster(entry).live().count() == 0)
+    });
+    system.add_node(3);
+    system.wait_ready();
+    load.wait_answered(20);
+    // The last agent had no heir, so nobody can rule out that the job ran.
+    let again = load.history().submit(entry, &job("kept", 2, &[20; 4]));
+    assert!(matches!(again, Told::MayHaveRun(_)), "{again:?}");
+    load.finish(&system);
+}
