fix(core): find the version of a repeated patch that is no longer kept

Cause: an entry keeps 64 versions. A patch for an older base was answered with a conflict without a read, even if the patch itself had made the next version, so its author was told that it had not been applied. Ruled out: the store; it holds every version. Change: the entry reads a version that exists but is not kept, and compares the patch id. Before: the first patch repeated after 70 versions got status 409. After: 201 with version 1.

Guarded by tests/configuration.rs, which also checks the operations of racing operators with the linearizability checker of todc-utils.

--- a/crates/fulmarpond-core/src/entry/configuration.rs
+++ b/crates/fulmarpond-core/src/entry/configuration.rs
@@ -85,6 +85,14 @@
             self.patched(step, call, CallerReply::Applied(next));
             return;
         }
+        if next <= self.config && !self.configs.contains_key(&next) {
+            // The version exists but is not kept here. It may be the one that this patch made.
+            if let Some(patching) = self.patches.get_mut(&call) {
+                patching.unknown = true;
+            }
+            self.read_back(step, call);
+            return;
+        }
         let values = self
             .configs
             .get(&self.config)
--- a/crates/fulmarpondd/tests/common/mod.rs
+++ b/crates/fulmarpondd/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod history;
 pub(crate) mod load;
+pub(crate) mod operators;
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
