--- a/crates/fulmarpond-core/src/runner/runner.rs
+++ b/crates/fulmarpond-core/src/runner/runner.rs
@@ -195,7 +195,7 @@
             .batches
             .get(key)
             .map_or(ctx.now, |memory| memory.deadline);
-        let refusal = self.refusal(ctx, &task, deadline);
+        let refusal = self.refusal(ctx, &key.0, &task, deadline);
         let Some(memory) = self.batches.get_mut(key) else {
             return;
         };
@@ -209,16 +209,23 @@
         self.start_queued(ctx);
     }
 
+    /// Returns whether a stop keeps `home` from new slots. The jobs of the agent's own home are work
+    /// in flight, and there may be no other agent that can run them.
+    fn stopping<R: Rng>(ctx: &Context<'_, R>, home: &AgentId) -> bool {
+        ctx.draining && home != ctx.me
+    }
+
     fn refusal<R: Rng>(
         &self,
         ctx: &Context<'_, R>,
+        home: &AgentId,
         task: &Task,
         deadline: Time,
     ) -> Option<Refusal> {
         if ctx.now >= deadline {
             return Some(Refusal::new(Reason::DeadlinePassed, 0));
         }
-        if ctx.draining
+        if Self::stopping(ctx, home)
             || self
                 .endpoint
                 .as_ref()
@@ -362,9 +369,6 @@
     /// Uses free slots for waiting tasks first, then for reservations.
     fn pump<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
         self.start_queued(ctx);
-        if ctx.draining {
-            return;
-        }
         while self.free(ctx.now) > 0 {
             let Some(reservation) = self.reservations.pop_front() else {
                 return;
@@ -391,7 +395,7 @@
         call: CallId,
         reserve: Reserve,
     ) {
-        if ctx.draining || !self.is_open(ctx.now) {
+        if Self::stopping(ctx, &reserve.home) || !self.is_open(ctx.now) {
             ctx.reply(call, Response::Refused(Refusal::new(Reason::Draining, 0)));
             return;
         }
