--- a/crates/fulmarpondd/src/daemon.rs
+++ b/crates/fulmarpondd/src/daemon.rs
@@ -213,6 +213,7 @@
         responders: common.responders.clone(),
         core: core.clone(),
         metrics: Arc::clone(&common.metrics),
+        stats: Arc::clone(common.runtime.stats()),
         clock: common.clock,
     }
 }
--- a/crates/fulmarpondd/src/driver/agent_driver.rs
+++ b/crates/fulmarpondd/src/driver/agent_driver.rs
@@ -94,6 +94,7 @@
     }
 
     fn publish(&self, role: &Agent, now: Time) {
+        self.links.publish();
         let metrics = &self.links.metrics;
         let load = role.runner().load(now);
         set(&metrics.slots, u64::from(load.slots));
--- a/crates/fulmarpondd/src/driver/entry_driver.rs
+++ b/crates/fulmarpondd/src/driver/entry_driver.rs
@@ -76,6 +76,7 @@
     }
 
     fn publish(&self, role: &Entry, now: Time) {
+        self.links.publish();
         let metrics = &self.links.metrics;
         set(&metrics.open, role.open() as u64);
         set(&metrics.config_version, role.config().0);
--- a/crates/fulmarpondd/src/driver/links.rs
+++ b/crates/fulmarpondd/src/driver/links.rs
@@ -6,10 +6,10 @@
 
 use fulmarpond_core::Time;
 use fulmarpond_core::link::{CallId, Envelope, LinkError, Request, Response};
-use fulmarpond_link::{LinkClient, Responder};
+use fulmarpond_link::{LinkClient, LinkStats, Responder};
 
 use crate::clock::Clock;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, set};
 use crate::ring::Waiting;
 
 /// Calls over links on behalf of a role, and the requests that wait for its replies.
@@ -18,6 +18,7 @@
     pub(crate) responders: Waiting<Responder>,
     pub(crate) core: SyncSender<I>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) stats: Arc<LinkStats>,
     pub(crate) clock: Clock,
 }
 
@@ -50,4 +51,12 @@
             responder.send(response);
         }
     }
+
+    /// Makes the traffic of the links visible in the metrics.
+    pub(crate) fn publish(&self) {
+        set(&self.metrics.link_sent, self.stats.sent_bytes());
+        set(&self.metrics.link_received, self.stats.received_bytes());
+        set(&self.metrics.links_opened, self.stats.opened());
+        set(&self.metrics.links_denied, self.stats.unauthorized());
+    }
 }
--- a/crates/fulmarpondd/src/metrics.rs
+++ b/crates/fulmarpondd/src/metrics.rs
@@ -54,6 +54,14 @@
     pub(crate) open: Level,
     /// The remembered ids.
     pub(crate) remembered: Level,
+    /// Bytes written to links since the start.
+    pub(crate) link_sent: Level,
+    /// Bytes read from links since the start.
+    pub(crate) link_received: Level,
+    /// Connections opened to other processes since the start.
+    pub(crate) links_opened: Level,
+    /// Connections refused for want of the secret since the start.
+    pub(crate) links_denied: Level,
 }
 
 impl Metrics {
@@ -86,6 +94,10 @@
             waiting: Level::default(),
             open: Level::default(),
             remembered: Level::default(),
+            link_sent: Level::default(),
+            link_received: Level::default(),
+            links_opened: Level::default(),
+            links_denied: Level::default(),
             registry: Registry::default(),
         };
         metrics.register_counters(&mut registry);
@@ -188,6 +200,10 @@
                 &self.waiting,
             ),
             ("open", "Jobs or requests without an answer", &self.open),
+            ("link_sent_bytes", "Bytes written to links", &self.link_sent),
+            ("link_received_bytes", "Bytes read from links", &self.link_received),
+            ("links_opened", "Connections opened to other processes", &self.links_opened),
+            ("links_denied", "Connections refused for want of the secret", &self.links_denied),
             ("ids_remembered", "Remembered ids", &self.remembered),
         ];
         for (name, help, level) in levels {
