fix(core): route a request again when its home left before it got it

Cause: an entry that lost the link to a home asked only that home. If the home had stopped in the meantime, the caller was told "may have run" (home_lost), although the heir has the home's memory and can tell. Ruled out: the handover; the resubmission of an answered job finds it at the heir. Change: once the roster shows that the home handed its memory over, the entry starts the route again as unresolved, with seals. Before: a_request_that_a_stopping_home_never_got_runs_elsewhere got home_lost. After: the job is answered. A load caller of a_stopping_runner_finishes_its_tasks got the same home_lost once in eight runs at a load average of 26; that run was not traced.

--- a/crates/fulmarpond-core/src/entry/routing.rs
+++ b/crates/fulmarpond-core/src/entry/routing.rs
@@ -322,6 +322,12 @@
             return;
         };
         route.unresolved = true;
+        if self.reroute(step, call) {
+            return;
+        }
+        let Some(route) = self.routes.get_mut(&call) else {
+            return;
+        };
         route.asks += 1;
         if route.asks > ASKS_MAX || step.now >= route.deadline {
             self.lose(step, call, Reason::HomeLost);
@@ -337,6 +343,33 @@
         route.ask = Some(step.now.after_millis(delay));
     }
 
+    /// Starts a route again if the agent that was asked has handed its memory over and left.
+    ///
+    /// The seals then tell whether that agent accepted the job. Returns whether the route goes on.
+    fn reroute<R: Rng>(&mut self, step: &mut Step<'_, R>, call: CallId) -> bool {
+        let Some(route) = self.routes.get_mut(&call) else {
+            return false;
+        };
+        let handed_over = route.current.as_ref().is_some_and(|agent| {
+            !self.roster.contains(agent) && self.roster.keeper(agent).is_some()
+        });
+        if !handed_over || route.redirects >= REDIRECTS_MAX || step.now >= route.deadline {
+            return false;
+        }
+        route.redirects += 1;
+        route.asks = 0;
+        route.skipped = false;
+        route.candidates = self
+            .roster
+            .candidates(&route.submission.job)
+            .into_iter()
+            .map(|member| member.agent.clone())
+            .collect();
+        step.count(Count::Retry(RetryCause::Redirected));
+        self.next_candidate(step, call);
+        true
+    }
+
     /// Handles routes for which something is due.
     pub(super) fn tick_routes<R: Rng>(&mut self, step: &mut Step<'_, R>) {
         let mut due: Vec<CallId> = self
--- a/crates/fulmarpondd/tests/stops.rs
+++ b/crates/fulmarpondd/tests/stops.rs
@@ -83,6 +83,32 @@
     load.finish(&system);
 }
 
+/// Guards against a request that is lost on the way to a home that stops: the home never accepted
+/// it, and its heir can tell.
+#[test]
+fn a_request_that_a_stopping_home_never_got_runs_elsewhere() {
+    let mut system = System::with_timing(2, 3, 2, "keepalive = 500ms\nlink_timeout = 2s");
+    system.add_relayed_node(3);
+    system.wait_ready();
+    let load = Load::start(&system, 0, 28);
+    let entry = system.entries[0].http;
+    let leaver = 3;
+    // This job opens the connection that falls silent.
+    let first = system.id_with_home("first", leaver, true);
+    let told = load.history().submit(entry, &job(&first, 1, &[10; 2]));
+    assert!(told.is_answered(), "{told:?}");
+    let relay = system.nodes[leaver].relay.as_ref();
+    relay.expect("the node has a relay").silence();
+    let id = system.id_with_home("lost", leaver, true);
+    let caller = submit_aside(&load, entry, job(&id, 1, &[10; 2]));
+    wait_until("the entry has the request", || {
+        system.entries[0].metric("open") > Some(0)
+    });
+    assert!(system.stop_agent(leaver), "the agent reports a failure");
+    assert_answered(caller);
+    load.finish(&system);
+}
+
 /// Guards against a stop of a runner that fails the tasks in its slots.
 #[test]
 fn a_stopping_runner_finishes_its_tasks() {
