test(daemon): silence the link of a runner and of a home one after the other

The job of the home took the slots behind the relay, so the other job could end without a task there, and the test waited in vain in one of eight busy runs.

--- a/crates/fulmarpondd/tests/faults.rs
+++ b/crates/fulmarpondd/tests/faults.rs
@@ -313,24 +313,24 @@
     system.wait_ready();
     let load = Load::start(&system, 2, 11);
     load.wait_answered(10);
-    let home = system.id_with_home("home", 3, true);
-    let runner = system.id_with_home("runner", 3, false);
     let entry = system.entries[0].http;
-    let first = submit_aside(&load, entry, job(&home, 1, &[LONG_MS; 2]));
-    system.wait_started(&home);
-    let second = submit_aside(&load, entry, job(&runner, 1, &[LONG_MS; 8]));
+    let node = &system.nodes[3];
+    let relay = node.relay.as_ref().expect("the node has a relay");
+    // More tasks than the other agents have slots for.
+    let id = system.id_with_home("runner", 3, false);
+    let caller = submit_aside(&load, entry, job(&id, 1, &[LONG_MS; 8]));
     wait_until("the agent behind the relay runs a task", || {
-        system.nodes[3].has_started(&runner)
+        node.has_started(&id)
     });
-    let relay = system.nodes[3]
-        .relay
-        .as_ref()
-        .expect("the node has a relay");
     relay.silence();
-    for caller in [first, second] {
-        let answer = told(caller);
-        assert!(answer.is_answered(), "{answer:?}");
-    }
+    let answer = told(caller);
+    assert!(answer.is_answered(), "{answer:?}");
+    let id = system.id_with_home("home", 3, true);
+    let caller = submit_aside(&load, entry, job(&id, 1, &[LONG_MS; 4]));
+    system.wait_started(&id);
+    relay.silence();
+    let answer = told(caller);
+    assert!(answer.is_answered(), "{answer:?}");
     load.wait_answered(20);
     load.finish(&system);
 }
