fix(core): ask the next heir when one refuses the handover

Cause: every try of a handover asked the same heir, so an agent whose heir was stopping as well left without handing its memory over. Change: each try asks the next one by hash. The stop of an agent and the questions of callers at a home have modules of their own.

--- a/crates/fulmarpond-core/src/agent/agent.rs
+++ b/crates/fulmarpond-core/src/agent/agent.rs
@@ -5,12 +5,11 @@
 
 use rand::Rng;
 
+use super::stop::Stop;
 use super::{AgentAction, AgentInput, Context, Count};
 use crate::contract::{Reason, Refusal};
 use crate::home::{Home, HomeOptions};
-use crate::link::{
-    Announce, AnnounceReply, CallId, Envelope, Handover, Leave, LinkError, Request, Response,
-};
+use crate::link::{Announce, AnnounceReply, CallId, Envelope, LinkError, Request, Response};
 use crate::machine::{AgentId, Load};
 use crate::policy::{Policy, Version};
 use crate::runner::{Runner, RunnerOptions};
@@ -19,14 +18,8 @@
 
 /// Numbers from here on belong to requests of the agent to itself.
 const LOCAL_CALLS: u64 = 1 << 63;
-/// The ids in one message to an heir, so that the message stays below a megabyte.
-const HANDOVER_IDS: usize = 4_000;
 /// How long an entry or heir may take to reply, in milliseconds.
-const REPLY_MS: u64 = 2_000;
-/// How often a handover is tried with different heirs.
-const HANDOVER_TRIES: u32 = 3;
-/// How often the departure is announced before the agent stops all the same.
-const LEAVE_TRIES: u32 = 5;
+pub(super) const REPLY_MS: u64 = 2_000;
 
 /// The identity and intervals of an agent.
 #[derive(Debug, Clone)]
@@ -49,29 +42,9 @@
     pub runner: RunnerOptions,
 }
 
-/// How far a graceful stop has come.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Stop {
-    /// Not stopping.
-    No,
-    /// Work in flight is finished.
-    Draining,
-    /// The memory is handed to an heir.
-    HandingOver {
-        heir: AgentId,
-        open: usize,
-        failed: bool,
-        tries: u32,
-    },
-    /// The departure is announced.
-    Leaving { heir: Option<AgentId>, tries: u32 },
-    /// Everything is done.
-    Stopped,
-}
-
 /// What an outgoing call of the agent itself is about.
 #[derive(Debug)]
-enum Pending {
+pub(super) enum Pending {
     /// An announcement to the entry with this position, sent at this time.
     Announce(usize, Time),
     Handover,
@@ -81,10 +54,10 @@
 /// The state machine of one agent.
 #[derive(Debug)]
 pub struct Agent {
-    options: AgentOptions,
-    home: Home,
-    runner: Runner,
-    roster: Roster,
+    pub(super) options: AgentOptions,
+    pub(super) home: Home,
+    pub(super) runner: Runner,
+    pub(super) roster: Roster,
     /// The latest time at which the roster was known to be the one in the platform's service.
     confirmed: Option<Time>,
     /// The roster versions that were in force in the last time, with when each was learned.
@@ -94,15 +67,15 @@
     resumed: Option<Time>,
     policy: Policy,
     config: Version,
-    calls: u64,
-    pending: HashMap<CallId, Pending>,
+    pub(super) calls: u64,
+    pub(super) pending: HashMap<CallId, Pending>,
     /// Calls of the agent to itself, by the number of the request.
     local: HashMap<CallId, CallId>,
     next_local: u64,
     /// When the next announcement to each entry is due.
-    announces: Vec<Time>,
+    pub(super) announces: Vec<Time>,
     announced: Load,
-    stop: Stop,
+    pub(super) stop: Stop,
 }
 
 impl Agent {
@@ -202,7 +175,7 @@
     }
 
     /// Runs `f` on the home and the runner with the context of this step.
-    fn with<R: Rng, T>(
+    pub(super) fn with<R: Rng, T>(
         &mut self,
         now: Time,
         rng: &mut R,
@@ -417,7 +390,7 @@
         }
     }
 
-    fn announce(&mut self, now: Time, entry: usize, actions: &mut Vec<AgentAction>) {
+    pub(super) fn announce(&mut self, now: Time, entry: usize, actions: &mut Vec<AgentAction>) {
         let me = self.own_peer(now);
         let request = Request::Announce(Box::new(Announce {
             agent: me.agent,
@@ -435,7 +408,7 @@
         self.call_entry(now, entry, request, Pending::Announce(entry, now), actions);
     }
 
-    fn call_entry(
+    pub(super) fn call_entry(
         &mut self,
         now: Time,
         entry: usize,
@@ -468,133 +441,6 @@
         }
     }
 
-    fn drain<R: Rng>(&mut self, now: Time, rng: &mut R, actions: &mut Vec<AgentAction>) {
-        if self.stop != Stop::No {
-            return;
-        }
-        self.stop = Stop::Draining;
-        self.with(now, rng, actions, |_, runner, ctx| {
-            runner.refuse_queue(ctx, Reason::Draining);
-            runner.release_reservations(ctx);
-        });
-        for entry in 0..self.announces.len() {
-            self.announce(now, entry, actions);
-        }
-    }
-
-    /// Goes on with the stop once nothing is in flight.
-    fn advance_stop(&mut self, now: Time, actions: &mut Vec<AgentAction>) {
-        let idle = self.home.is_idle() && self.runner.is_idle();
-        if self.stop == Stop::Draining && idle {
-            self.hand_over(now, 1, actions);
-        }
-    }
-
-    fn hand_over(&mut self, now: Time, tries: u32, actions: &mut Vec<AgentAction>) {
-        let heir = self.roster.heir_of(&self.options.id).cloned();
-        let known = self.roster.contains(&self.options.id);
-        let Some(heir) = heir.filter(|_| known && tries <= HANDOVER_TRIES) else {
-            self.leave(now, None, 1, actions);
-            return;
-        };
-        let Handover {
-            from,
-            memory,
-            answers,
-        } = self.home.handover(&self.options.id, now);
-        let mut messages: Vec<Handover> = memory
-            .chunks(HANDOVER_IDS)
-            .map(|ids| Handover {
-                from: from.clone(),
-                memory: ids.to_vec(),
-                answers: Vec::new(),
-            })
-            .collect();
-        messages.extend(answers.chunks(16).map(|answers| Handover {
-            from: from.clone(),
-            memory: Vec::new(),
-            answers: answers.to_vec(),
-        }));
-        if messages.is_empty() {
-            messages.push(Handover {
-                from,
-                memory: Vec::new(),
-                answers: Vec::new(),
-            });
-        }
-        self.stop = Stop::HandingOver {
-            heir: heir.agent.clone(),
-            open: messages.len(),
-            failed: false,
-            tries,
-        };
-        for message in messages {
-            self.calls += 1;
-            let call = CallId(self.calls);
-            self.pending.insert(call, Pending::Handover);
-            let request = Request::Handover(message);
-            let deadline = now.after_millis(REPLY_MS);
-            actions.push(AgentAction::call(
-                call,
-                heir.addr,
-                &heir.agent,
-                request,
-                deadline,
-            ));
-        }
-    }
-
-    fn handed_over(&mut self, now: Time, ok: bool, actions: &mut Vec<AgentAction>) {
-        let Stop::HandingOver {
-            heir,
-            open,
-            failed,
-            tries,
-        } = &mut self.stop
-        else {
-            return;
-        };
-        *open = open.saturating_sub(1);
-        *failed |= !ok;
-        if *open > 0 {
-            return;
-        }
-        let (heir, failed, tries) = (heir.clone(), *failed, *tries);
-        if failed {
-            self.hand_over(now, tries + 1, actions);
-        } else {
-            self.leave(now, Some(heir), 1, actions);
-        }
-    }
-
-    fn leave(
-        &mut self,
-        now: Time,
-        heir: Option<AgentId>,
-        tries: u32,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        if self.options.entries.is_empty() || tries > LEAVE_TRIES {
-            self.stop = Stop::Stopped;
-            actions.push(AgentAction::Stopped);
-            return;
-        }
-        let entry = tries as usize % self.options.entries.len();
-        let request = Request::Leave(Leave {
-            agent: self.options.id.clone(),
-            heir: heir.clone(),
-        });
-        self.stop = Stop::Leaving { heir, tries };
-        self.call_entry(now, entry, request, Pending::Leave, actions);
-    }
-
-    fn leave_again(&mut self, now: Time, actions: &mut Vec<AgentAction>) {
-        if let Stop::Leaving { heir, tries } = &self.stop {
-            let (heir, tries) = (heir.clone(), *tries);
-            self.leave(now, heir, tries + 1, actions);
-        }
-    }
-
     /// Turns calls of the agent to itself into inputs. They cost no message.
     fn take_local(&mut self, actions: &mut Vec<AgentAction>, start: usize) -> Vec<AgentInput> {
         let mut inputs = Vec::new();
--- a/crates/fulmarpond-core/src/agent/mod.rs
+++ b/crates/fulmarpond-core/src/agent/mod.rs
@@ -4,6 +4,7 @@
 #[allow(clippy::module_inception)]
 mod agent;
 mod context;
+mod stop;
 
 pub use action::{AgentAction, AgentInput, Count, RunId, RunOutcome};
 pub use agent::{Agent, AgentOptions};
--- /dev/null
+++ b/crates/fulmarpond-core/src/home/callers.rs
@@ -0,0 +1,134 @@
+//! Questions about jobs, and the callers that wait for something about a job.
+
+use rand::Rng;
+
+use super::home::Home;
+use super::job::{Waiter, Wants};
+use crate::agent::{AgentAction, Context};
+use crate::contract::{JobId, Reason, Refusal};
+use crate::link::{CallId, Cancel, Events, Fetch, FetchReply, Response, StatusRequest, Tombstone};
+
+impl Home {
+    /// Handles [`Request::Fetch`](crate::link::Request::Fetch).
+    pub(crate) fn fetch<R: Rng>(&mut self, ctx: &mut Context<'_, R>, call: CallId, fetch: &Fetch) {
+        let reply = match self.find(&fetch.job) {
+            Some(job) => match job.answer() {
+                Some(answer) => FetchReply::Answer(answer.clone()),
+                None if fetch.wait_ms == 0 => FetchReply::Pending,
+                None => {
+                    let deadline = ctx.now.after_millis(fetch.wait_ms);
+                    job.waiters.push(Waiter {
+                        call,
+                        wants: Wants::Fetched,
+                        deadline,
+                    });
+                    return;
+                }
+            },
+            None => self.remembered_reply(ctx, &fetch.job),
+        };
+        ctx.reply(call, Response::Fetch(reply));
+    }
+
+    fn remembered_reply<R: Rng>(&self, ctx: &Context<'_, R>, job: &JobId) -> FetchReply {
+        match self.memory.get(job) {
+            Some(Tombstone::Accepted) => FetchReply::Forgotten,
+            Some(Tombstone::Sealed { holder }) if holder != ctx.me => FetchReply::Redirect {
+                agent: holder.clone(),
+            },
+            _ => FetchReply::Unknown,
+        }
+    }
+
+    /// Handles [`Request::Status`](crate::link::Request::Status).
+    pub(crate) fn status<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        request: &StatusRequest,
+    ) {
+        let status = self.find(&request.job).map(|job| job.status(ctx.me));
+        ctx.reply(call, Response::Status(status));
+    }
+
+    /// Handles [`Request::Events`](crate::link::Request::Events).
+    pub(crate) fn events<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        request: &Events,
+    ) {
+        let reply = match self.find(&request.job) {
+            None => None,
+            Some(job) if request.wait_ms > 0 && !job.has_events(request.from) => {
+                let deadline = ctx.now.after_millis(request.wait_ms);
+                let wants = Wants::Events(request.from);
+                job.waiters.push(Waiter {
+                    call,
+                    wants,
+                    deadline,
+                });
+                return;
+            }
+            Some(job) => Some(job.events_from(request.from)),
+        };
+        ctx.reply(call, Response::Events(reply));
+    }
+
+    /// Handles [`Request::Cancel`](crate::link::Request::Cancel).
+    pub(crate) fn cancel<R: Rng>(
+        &mut self,
+        ctx: &mut Context<'_, R>,
+        call: CallId,
+        cancel: &Cancel,
+    ) {
+        if self.jobs.contains_key(&cancel.job) {
+            self.fail(ctx, &cancel.job, Refusal::new(Reason::Cancelled, 0));
+        }
+        let fetch = Fetch {
+            job: cancel.job.clone(),
+            wait_ms: 0,
+        };
+        self.fetch(ctx, call, &fetch);
+    }
+
+    pub(super) fn expire_waiters<R: Rng>(&mut self, ctx: &mut Context<'_, R>) {
+        for job in self.jobs.values_mut() {
+            if job.waiters.iter().all(|waiter| ctx.now < waiter.deadline) {
+                continue;
+            }
+            let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut job.waiters)
+                .into_iter()
+                .partition(|waiter| ctx.now >= waiter.deadline);
+            job.waiters = waiting;
+            for waiter in due {
+                let response = match waiter.wants {
+                    Wants::Events(from) => Response::Events(Some(job.events_from(from))),
+                    _ => Response::Fetch(FetchReply::Pending),
+                };
+                ctx.actions.push(AgentAction::Reply {
+                    call: waiter.call,
+                    response,
+                });
+            }
+        }
+    }
+
+    /// Replies to callers who watch a job that has new events.
+    pub(super) fn notify<R: Rng>(&mut self, ctx: &mut Context<'_, R>, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let mut index = 0;
+        while index < job.waiters.len() {
+            match job.waiters[index].wants {
+                Wants::Events(from) if job.has_events(from) => {
+                    let call = job.waiters.swap_remove(index).call;
+                    let response = Response::Events(Some(job.events_from(from)));
+                    ctx.reply(call, response);
+                }
+                _ => index += 1,
+            }
+        }
+    }
+}
--- a/crates/fulmarpond-core/src/home/mod.rs
+++ b/crates/fulmarpond-core/src/home/mod.rs
@@ -1,5 +1,6 @@
 //! The home of jobs: deduplication, seals, placement and answers.
 
+mod callers;
 mod fleet;
 #[allow(clippy::module_inception)]
 mod home;
--- a/crates/fulmarpond-core/src/zone/roster.rs
+++ b/crates/fulmarpond-core/src/zone/roster.rs
@@ -149,12 +149,18 @@
         None
     }
 
-    /// Returns the live agent other than `agent` that receives its memory when it stops.
-    pub fn heir_of(&self, agent: &AgentId) -> Option<&Member> {
+    /// Returns the other live agents in the order in which they are asked to take over the memory of
+    /// `agent` when it stops.
+    pub fn heirs_of(&self, agent: &AgentId) -> Vec<&Member> {
         let seed = agent.hash64();
-        self.live()
+        let mut heirs: Vec<&Member> = self
+            .live()
             .filter(|member| member.agent != *agent)
-            .max_by_key(|member| xxh3_64_with_seed(member.agent.as_str().as_bytes(), seed))
+            .collect();
+        heirs.sort_by_key(|member| {
+            Reverse(xxh3_64_with_seed(member.agent.as_str().as_bytes(), seed))
+        });
+        heirs
     }
 
     /// Adds an incarnation in a new version. Older incarnations at the same address are removed
--- a/crates/fulmarpond-core/tests/regressions.rs
+++ b/crates/fulmarpond-core/tests/regressions.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 
 use fulmarpond_core::agent::{Agent, AgentAction, AgentInput, AgentOptions};
-use fulmarpond_core::contract::Needs;
+use fulmarpond_core::contract::{Needs, Reason, Refusal};
 use fulmarpond_core::home::HomeOptions;
-use fulmarpond_core::link::{AnnounceReply, Response};
+use fulmarpond_core::link::{AnnounceReply, CallId, Response};
 use fulmarpond_core::machine::{AgentId, Registration};
 use fulmarpond_core::runner::RunnerOptions;
 use fulmarpond_core::zone::{Roster, Zone};
@@ -57,16 +57,12 @@
     }
 }
 
-/// Guards against an agent that pauses for longer than the roster window, wakes, and takes a reply
-/// from before the pause for a confirmation of its roster.
-#[test]
-fn a_reply_from_before_a_pause_confirms_no_roster() {
-    let window_ms = 10_000;
+/// Creates an agent that no driver runs.
+fn lone_agent(window_ms: u64) -> (Agent, SocketAddr, Zone) {
     let addr = SocketAddr::from(([10, 0, 0, 1], 1_000));
-    let id = AgentId::new("saga-1", 1);
     let zone = Zone::new("Saga");
-    let mut agent = Agent::new(AgentOptions {
-        id: id.clone(),
+    let agent = Agent::new(AgentOptions {
+        id: AgentId::new("saga-1", 1),
         addr,
         zone: zone.clone(),
         entries: vec![SocketAddr::from(([10, 0, 0, 1], 2_000))],
@@ -82,6 +78,67 @@
             margin_ms: 1_000,
         },
     });
+    (agent, addr, zone)
+}
+
+fn announce_reply(roster: &Roster) -> AnnounceReply {
+    AnnounceReply {
+        entry: "entry-1".to_owned(),
+        roster: roster.since(0),
+        age_ms: 0,
+        config: None,
+        peers: Vec::new(),
+        next_ms: 1_000,
+    }
+}
+
+/// Returns the last call of a step: its number, its addressee and its method.
+fn last_call(actions: &[AgentAction]) -> (CallId, Option<AgentId>, &'static str) {
+    let call = actions.iter().rev().find_map(|action| match action {
+        AgentAction::Call { call, envelope, .. } => {
+            Some((*call, envelope.to.clone(), envelope.request.method()))
+        }
+        _ => None,
+    });
+    call.expect("the step makes a call")
+}
+
+/// Guards against a stopping agent that asks the same heir again and again, although it stops as
+/// well, and leaves without handing its memory over.
+#[test]
+fn a_refused_handover_goes_to_the_next_heir() {
+    let (mut agent, addr, zone) = lone_agent(10_000);
+    let mut roster = Roster::default();
+    roster.join(agent.id(), addr, &zone);
+    for number in 2..4 {
+        let other = AgentId::new(&format!("saga-{number}"), 1);
+        roster.join(&other, SocketAddr::from(([10, 0, 0, number], 1_000)), &zone);
+    }
+    let mut rng = Pcg32::seed_from_u64(1);
+    let mut step = |now, input| {
+        let mut actions = Vec::new();
+        agent.step(Time::from_millis(now), input, &mut rng, &mut actions);
+        actions
+    };
+    let (call, _, method) = last_call(&step(1, AgentInput::Tick));
+    assert_eq!(method, "announce");
+    let result = Ok(Response::Announce(Box::new(announce_reply(&roster))));
+    step(2, AgentInput::Response { call, result });
+    let (call, first, method) = last_call(&step(3, AgentInput::Drain));
+    assert_eq!(method, "handover");
+    let result = Ok(Response::Refused(Refusal::new(Reason::Draining, 0)));
+    let (_, second, method) = last_call(&step(4, AgentInput::Response { call, result }));
+    assert_eq!(method, "handover");
+    assert_ne!(first, second);
+}
+
+/// Guards against an agent that pauses for longer than the roster window, wakes, and takes a reply
+/// from before the pause for a confirmation of its roster.
+#[test]
+fn a_reply_from_before_a_pause_confirms_no_roster() {
+    let window_ms = 10_000;
+    let (mut agent, addr, zone) = lone_agent(window_ms);
+    let id = agent.id().clone();
     let mut roster = Roster::default();
     roster.join(&id, addr, &zone);
     let registration = Registration {
@@ -108,14 +165,7 @@
             AgentAction::Call { call, .. } => Some(*call),
             _ => None,
         });
-        let reply = AnnounceReply {
-            entry: "entry-1".to_owned(),
-            roster: roster.since(0),
-            age_ms: 0,
-            config: None,
-            peers: Vec::new(),
-            next_ms: 1_000,
-        };
+        let reply = announce_reply(&roster);
         let input = AgentInput::Response {
             call: call.expect("an announcement is due"),
             result: Ok(Response::Announce(Box::new(reply))),
--- a/crates/fulmarpondd/src/metrics.rs
+++ b/crates/fulmarpondd/src/metrics.rs
@@ -201,9 +201,21 @@
             ),
             ("open", "Jobs or requests without an answer", &self.open),
             ("link_sent_bytes", "Bytes written to links", &self.link_sent),
-            ("link_received_bytes", "Bytes read from links", &self.link_received),
-            ("links_opened", "Connections opened to other processes", &self.links_opened),
-            ("links_denied", "Connections refused for want of the secret", &self.links_denied),
+            (
+                "link_received_bytes",
+                "Bytes read from links",
+                &self.link_received,
+            ),
+            (
+                "links_opened",
+                "Connections opened to other processes",
+                &self.links_opened,
+            ),
+            (
+                "links_denied",
+                "Connections refused for want of the secret",
+                &self.links_denied,
+            ),
             ("ids_remembered", "Remembered ids", &self.remembered),
         ];
         for (name, help, level) in levels {
