--- a/crates/fulmarpond-core/src/contract/task.rs
+++ b/crates/fulmarpond-core/src/contract/task.rs
@@ -12,7 +12,8 @@
     /// The input that the endpoint receives.
     #[serde(default)]
     pub payload: Value,
-    /// The declared run time in milliseconds. Only used until run times of the kind were observed.
+    /// The declared run time in milliseconds. It decides only the order in which the tasks are sent,
+    /// since declarations are often far off.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub expect_ms: Option<u64>,
     /// What the endpoint must have.
--- a/crates/fulmarpond-core/src/home/job.rs
+++ b/crates/fulmarpond-core/src/home/job.rs
@@ -1,5 +1,6 @@
 //! The record of a job at its home.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 use serde_json::Value;
@@ -88,7 +89,7 @@
 }
 
 impl Job {
-    /// Creates the record of a job whose tasks all wait.
+    /// Creates the record of a job whose tasks all wait, the longest by declaration first.
     pub(super) fn new(
         id: JobId,
         entry: String,
@@ -97,6 +98,9 @@
         deadline: Time,
     ) -> Self {
         let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+        let mut pending: Vec<u32> = (0..count).collect();
+        // The longest task decides when a job ends. A wrong declaration costs no more than this order.
+        pending.sort_by_key(|task| Reverse(tasks[*task as usize].expect_ms));
         Self {
             id,
             entry,
@@ -107,7 +111,7 @@
             resume: now,
             retries: 0,
             states: vec![TaskState::Waiting; tasks.len()],
-            pending: (0..count).collect(),
+            pending: pending.into(),
             tasks,
             done: 0,
             bytes: 0,
