--- a/crates/fulmarpondd/src/driver/agent_driver.rs
+++ b/crates/fulmarpondd/src/driver/agent_driver.rs
@@ -103,9 +103,7 @@
         set(&metrics.waiting, role.home().waiting());
         set(&metrics.open, role.home().running() as u64);
         set(&metrics.remembered, role.home().remembered() as u64);
-        set(&metrics.config_version, role.config().0);
-        set(&metrics.roster_version, role.roster().version());
-        set(&metrics.roster_members, role.roster().live().count() as u64);
+        metrics.versions(role.config(), role.roster());
         if let Ok(mut view) = self.view.write() {
             view.ready = role.is_ready(now);
             view.draining = role.is_draining();
--- a/crates/fulmarpondd/src/driver/entry_driver.rs
+++ b/crates/fulmarpondd/src/driver/entry_driver.rs
@@ -79,9 +79,7 @@
         self.links.publish();
         let metrics = &self.links.metrics;
         set(&metrics.open, role.open() as u64);
-        set(&metrics.config_version, role.config().0);
-        set(&metrics.roster_version, role.roster().version());
-        set(&metrics.roster_members, role.roster().live().count() as u64);
+        metrics.versions(role.config(), role.roster());
         if let Ok(mut view) = self.view.write() {
             view.ready = role.is_ready();
             view.draining = role.is_draining();
--- a/crates/fulmarpondd/src/metrics.rs
+++ b/crates/fulmarpondd/src/metrics.rs
@@ -4,7 +4,9 @@
 
 use fulmarpond_core::agent::Count;
 use fulmarpond_core::contract::Reason;
+use fulmarpond_core::policy::Version;
 use fulmarpond_core::retry::RetryCause;
+use fulmarpond_core::zone::Roster;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -37,11 +39,11 @@
     /// Time of a task at the endpoint in seconds.
     pub(crate) task_seconds: Histogram,
     /// The configuration version in force.
-    pub(crate) config_version: Level,
+    config_version: Level,
     /// The roster version.
-    pub(crate) roster_version: Level,
+    roster_version: Level,
     /// The live members of the roster.
-    pub(crate) roster_members: Level,
+    roster_members: Level,
     /// The slots of the endpoint.
     pub(crate) slots: Level,
     /// The free slots of the endpoint.
@@ -267,6 +269,13 @@
         }
     }
 
+    /// Shows the configuration in force and the roster.
+    pub(crate) fn versions(&self, config: Version, roster: &Roster) {
+        set(&self.config_version, config.0);
+        set(&self.roster_version, roster.version());
+        set(&self.roster_members, roster.live().count() as u64);
+    }
+
     /// Returns all metrics as OpenMetrics text.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
