refactor: count verdicts in one place and drop a dead conversion

The mapping of a verdict to its counter stood three times; it is a conversion now. An unused conversion of verdicts to outcomes is gone. A home asks once whether any endpoint is open and how many tasks wait, not for every task of a submission. Behaviour is unchanged.

--- a/crates/fulmarpond-core/src/agent/action.rs
+++ b/crates/fulmarpond-core/src/agent/action.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use crate::Time;
-use crate::contract::{JobId, Reason, Refusal};
+use crate::contract::{JobId, Reason, Refusal, Verdict};
 use crate::link::{CallId, Envelope, LinkError, Request, Response};
 use crate::machine::{AgentId, Registration};
 use crate::retry::RetryCause;
@@ -131,6 +131,17 @@
     Attached,
 }
 
+impl From<&Verdict> for Count {
+    /// Returns what counts the final verdict on a job.
+    fn from(verdict: &Verdict) -> Self {
+        match verdict {
+            Verdict::Answered { .. } => Self::Answered,
+            Verdict::NotRun(refusal) => Self::NotRun(refusal.reason),
+            Verdict::MayHaveRun(refusal) => Self::MayHaveRun(refusal.reason),
+        }
+    }
+}
+
 impl AgentAction {
     /// Creates a call to the agent `to` at `addr`.
     pub(crate) fn call(
--- a/crates/fulmarpond-core/src/agent/context.rs
+++ b/crates/fulmarpond-core/src/agent/context.rs
@@ -61,10 +61,6 @@
 
     /// Counts the final verdict on a job.
     pub(crate) fn count_verdict(&mut self, verdict: &Verdict) {
-        self.count(match verdict {
-            Verdict::Answered { .. } => Count::Answered,
-            Verdict::NotRun(refusal) => Count::NotRun(refusal.reason),
-            Verdict::MayHaveRun(refusal) => Count::MayHaveRun(refusal.reason),
-        });
+        self.count(verdict.into());
     }
 }
--- a/crates/fulmarpond-core/src/entry/routing.rs
+++ b/crates/fulmarpond-core/src/entry/routing.rs
@@ -132,11 +132,7 @@
     }
 
     fn answer_job<R: Rng>(&self, step: &mut Step<'_, R>, call: CallId, answer: Answer) {
-        step.actions.push(EntryAction::Count(match &answer.verdict {
-            Verdict::Answered { .. } => Count::Answered,
-            Verdict::NotRun(refusal) => Count::NotRun(refusal.reason),
-            Verdict::MayHaveRun(refusal) => Count::MayHaveRun(refusal.reason),
-        }));
+        step.count((&answer.verdict).into());
         step.answer(call, CallerReply::Answer(answer));
     }
 
--- a/crates/fulmarpond-core/src/home/home.rs
+++ b/crates/fulmarpond-core/src/home/home.rs
@@ -266,19 +266,19 @@
             }
             return Some(Refusal::new(Reason::WrongHome, RETRY_STOP_MS));
         }
+        if self.fleet.is_closed() {
+            return Some(Refusal::new(Reason::NoEndpoint, RETRY_LOST_MS));
+        }
         if let Some(task) = submission
             .tasks
             .iter()
-            .find(|task| !self.fleet.is_closed() && !self.fleet.could_hold(&task.needs))
+            .find(|task| !self.fleet.could_hold(&task.needs))
         {
             let detail = format!("no live endpoint has room for a task of kind {}", task.kind);
             return Some(Refusal::new(Reason::NeverFits, 0).detail(detail));
         }
-        if self.fleet.is_closed() {
-            return Some(Refusal::new(Reason::NoEndpoint, RETRY_LOST_MS));
-        }
-        let waiting = self.waiting() + submission.tasks.len() as u64;
-        if self.waiting() > 0 && waiting > ctx.policy.waiting_max {
+        let waiting = self.waiting();
+        if waiting > 0 && waiting + submission.tasks.len() as u64 > ctx.policy.waiting_max {
             return Some(Refusal::new(Reason::QueueFull, RETRY_LOAD_MS));
         }
         self.late(submission, ctx.roster.live().count() as u64)
--- a/crates/fulmarpond-core/src/link/message.rs
+++ b/crates/fulmarpond-core/src/link/message.rs
@@ -10,7 +10,7 @@
 use fulmarpond_derive::message;
 use serde_json::Value;
 
-use crate::contract::{Answer, Event, JobId, Refusal, Status, Submission, Task, Verdict};
+use crate::contract::{Answer, Event, JobId, Refusal, Status, Submission, Task};
 use crate::machine::{AgentId, Load};
 use crate::policy::{Patch, Values, Version};
 use crate::zone::{Delta, Zone};
@@ -490,17 +490,3 @@
         u128::from_str_radix(&text, 16).map_err(de::Error::custom)
     }
 }
-
-impl From<Verdict> for Outcome {
-    /// Maps the verdict on a single task. An answered verdict yields its first result.
-    fn from(verdict: Verdict) -> Self {
-        match verdict {
-            Verdict::Answered { results } => Self::Done {
-                result: results.into_iter().next().unwrap_or(Value::Null),
-                run_us: 0,
-            },
-            Verdict::NotRun(refusal) => Self::NotStarted(refusal),
-            Verdict::MayHaveRun(refusal) => Self::Failed(refusal),
-        }
-    }
-}
--- a/crates/fulmarpondd/src/http/entry_api.rs
+++ b/crates/fulmarpondd/src/http/entry_api.rs
@@ -239,11 +239,11 @@
     /// An earlier attempt of the same id may have run.
     fn refuse_submission(&self, submission: &Submission, reason: Reason) -> Response {
         let refusal = Refusal::new(reason, OVERLOAD_RETRY_MS);
-        let (count, verdict) = match submission.attempt {
-            Attempt::First => (Count::NotRun(reason), Verdict::NotRun(refusal)),
-            Attempt::Unresolved { .. } => (Count::MayHaveRun(reason), Verdict::MayHaveRun(refusal)),
+        let verdict = match submission.attempt {
+            Attempt::First => Verdict::NotRun(refusal),
+            Attempt::Unresolved { .. } => Verdict::MayHaveRun(refusal),
         };
-        self.metrics.count(count);
+        self.metrics.count((&verdict).into());
         render::answer(&Answer::new(&submission.job, verdict))
     }
 }
