--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint.rs
@@ -0,0 +1,78 @@
+//! The endpoint of an agent, as the agent knows it.
+
+use fulmarpond_core::Time;
+
+use super::CallNo;
+use crate::{EndpointState, Registration, RemoteClock};
+
+/// After this many heartbeat intervals without a heartbeat an idle endpoint counts as gone.
+const MISSED_BEATS: u64 = 4;
+
+/// How long an endpoint that called itself unhealthy gets no new task, in milliseconds.
+const UNHEALTHY_MS: u64 = 400;
+
+/// One incarnation of the endpoint.
+#[derive(Debug)]
+pub(super) struct Endpoint {
+    pub(super) about: Registration,
+    pub(super) clock: RemoteClock,
+    /// The number of the last end that was taken note of.
+    pub(super) acked: u64,
+    /// The hold that has no reply yet.
+    pub(super) hold: Option<CallNo>,
+    /// When the next hold may be sent after one that failed.
+    pub(super) next_hold: Time,
+    /// Whether nothing runs there that this process did not start.
+    pub(super) settled: bool,
+    /// Whether its last calls were answered.
+    pub(super) reachable: bool,
+    /// When everything there is surely over, unless the lease is extended again.
+    pub(super) lapse: Time,
+    /// Until when it gets no new task since it called itself unhealthy.
+    pub(super) unhealthy: Time,
+    /// When it counts as unreachable unless it answers a call; `Time::MAX` without open calls.
+    pub(super) answer_by: Time,
+    /// When it counts as gone unless it sends a heartbeat.
+    pub(super) beat_by: Time,
+}
+
+impl Endpoint {
+    pub(super) fn new(about: Registration, now: Time, beat_ms: u64) -> Self {
+        Self {
+            about,
+            clock: RemoteClock::default(),
+            acked: 0,
+            hold: None,
+            next_hold: now,
+            settled: false,
+            reachable: true,
+            lapse: now,
+            unhealthy: now,
+            answer_by: Time::MAX,
+            beat_by: now.after_millis(beat_ms * MISSED_BEATS),
+        }
+    }
+
+    /// Takes a heartbeat of this incarnation; returns whether it is newer than the last.
+    pub(super) fn beat(&mut self, about: Registration, now: Time, beat_ms: u64) -> bool {
+        if about.sequence < self.about.sequence {
+            return false;
+        }
+        self.beat_by = now.after_millis(beat_ms * MISSED_BEATS);
+        self.about = about;
+        true
+    }
+
+    /// Returns whether new tasks may start.
+    pub(super) fn takes_tasks(&self, now: Time) -> bool {
+        self.settled
+            && self.reachable
+            && self.about.state == EndpointState::Ready
+            && now >= self.unhealthy
+            && now < self.beat_by
+    }
+
+    pub(super) const fn called_unhealthy(&mut self, now: Time) {
+        self.unhealthy = now.after_millis(UNHEALTHY_MS);
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -0,0 +1,53 @@
+//! A task at an agent.
+
+use fulmarpond_core::Time;
+
+use crate::{LinkNo, Needs, Outcome};
+
+/// A task that an entry ordered.
+#[derive(Debug)]
+pub(super) struct Run {
+    /// The link of the entry that ordered it.
+    pub(super) link: LinkNo,
+    /// The number of the run at the endpoint.
+    pub(super) number: u32,
+    pub(super) spec: String,
+    pub(super) needs: Needs,
+    /// The expected run time, in milliseconds.
+    pub(super) expected: u32,
+    /// Until when it has to start to meet its objective.
+    pub(super) start_by: Time,
+    /// When the caller leaves.
+    pub(super) deadline: Time,
+    pub(super) phase: Phase,
+}
+
+/// Where a task stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// It waits for room.
+    Queued,
+    /// Its start was sent.
+    Starting,
+    /// It runs.
+    Running {
+        /// When its start was confirmed.
+        since: Time,
+    },
+    /// Its run is being ended.
+    Stopping {
+        /// What the entry is told at the end; nothing if it does not want to know.
+        report: Option<Outcome>,
+        /// When the stop is sent again; `Time::MAX` once it is confirmed.
+        resend: Time,
+        /// When the run is surely over.
+        over: Time,
+    },
+}
+
+impl Phase {
+    /// Returns whether the task takes room at the endpoint.
+    pub(super) const fn uses_room(self) -> bool {
+        !matches!(self, Self::Queued)
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -0,0 +1,360 @@
+//! The configuration and the list of entries in the platform's store.
+//!
+//! An entry announces its address under a lease, lists the others, and follows both the list and
+//! the configuration with watches. A watch waits only shortly: one that went silent would hide a
+//! new configuration until it times out.
+
+use std::net::SocketAddr;
+
+use fulmarpond_core::Time;
+use tracing::{debug, info, warn};
+
+use crate::entry::Configuration;
+
+/// How long a watch of the configuration waits, in milliseconds.
+const CONFIGURATION_WAIT_MS: u64 = 1_000;
+
+/// How long a watch of the entries waits, in milliseconds.
+const ENTRIES_WAIT_MS: u64 = 8_000;
+
+/// How long a reply may take beyond the wait, in milliseconds.
+const REPLY_MS: u64 = 450;
+
+/// The first and the longest pause after a failed call, in milliseconds.
+const PAUSE_MS: (u64, u64) = (60, 800);
+
+/// The time to live of an announcement, in milliseconds.
+const LEASE_MS: u64 = 9_000;
+
+/// The interval of renewals, in milliseconds.
+const RENEW_MS: u64 = 3_000;
+
+/// A call to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreCall {
+    /// Reads the configuration.
+    ReadConfiguration,
+    /// Waits for a change of the configuration after a revision.
+    WatchConfiguration {
+        /// The revision.
+        after: u64,
+        /// How long to wait, in milliseconds.
+        wait: u64,
+    },
+    /// Reads all entries.
+    ListEntries,
+    /// Waits for a change of the entries after a revision.
+    WatchEntries {
+        /// The revision.
+        after: u64,
+        /// How long to wait, in milliseconds.
+        wait: u64,
+    },
+    /// Asks for a lease.
+    Grant {
+        /// Its time to live, in milliseconds.
+        ttl: u64,
+    },
+    /// Renews a lease.
+    Renew {
+        /// The lease.
+        lease: u64,
+    },
+    /// Writes the own address under a lease.
+    Announce {
+        /// The lease.
+        lease: u64,
+    },
+    /// Ends a lease.
+    End {
+        /// The lease.
+        lease: u64,
+    },
+}
+
+/// The reply of the store.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreReply {
+    /// The configuration at a revision; nothing if there is none or if it can't be read.
+    Configuration {
+        /// The configuration.
+        value: Option<Configuration>,
+        /// The revision of the store.
+        at: u64,
+    },
+    /// The addresses of all entries at a revision.
+    Entries {
+        /// The addresses.
+        addrs: Vec<SocketAddr>,
+        /// The revision of the store.
+        at: u64,
+    },
+    /// What a watch waited for has changed, or its time is over.
+    Changed {
+        /// Whether anything changed.
+        any: bool,
+        /// The revision to go on from.
+        at: u64,
+    },
+    /// The history that a watch needs is gone.
+    Compacted,
+    /// A lease was granted or renewed.
+    Leased {
+        /// The lease.
+        lease: u64,
+    },
+    /// The lease has ended.
+    NoLease,
+    /// A write was done.
+    Written,
+}
+
+/// A duty of the directory; each has at most one call under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Duty {
+    /// Follows the configuration.
+    Configuration,
+    /// Follows the entries.
+    Entries,
+    /// Keeps the own announcement.
+    Announcement,
+}
+
+impl Duty {
+    /// All duties.
+    pub const ALL: [Self; 3] = [Self::Configuration, Self::Entries, Self::Announcement];
+}
+
+/// What the directory wants done, or has learned.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Call the store, and report the outcome with [`Directory::answered`].
+    Call {
+        /// For which duty.
+        duty: Duty,
+        /// The call.
+        call: StoreCall,
+        /// How long to wait for a reply, in milliseconds.
+        timeout: u64,
+    },
+    /// The configuration was read.
+    Configured(Configuration),
+    /// The entries were listed.
+    Listed(Vec<SocketAddr>),
+}
+
+#[derive(Debug)]
+struct Progress {
+    busy: bool,
+    due: Time,
+    pause: u64,
+    /// The revision to go on from; nothing if a full read is needed.
+    at: Option<u64>,
+}
+
+impl Progress {
+    const fn new(now: Time) -> Self {
+        Self {
+            busy: false,
+            due: now,
+            pause: PAUSE_MS.0,
+            at: None,
+        }
+    }
+
+    fn failed(&mut self, now: Time) {
+        self.due = now.after_millis(self.pause);
+        self.pause = (self.pause * 2).min(PAUSE_MS.1);
+    }
+
+    const fn succeeded(&mut self, now: Time) {
+        self.due = now;
+        self.pause = PAUSE_MS.0;
+    }
+}
+
+/// What an entry keeps and follows in the store.
+#[derive(Debug)]
+pub struct Directory {
+    configuration: Progress,
+    entries: Progress,
+    announcement: Progress,
+    lease: Option<u64>,
+    announced: bool,
+    leaving: bool,
+    reachable: bool,
+    /// When the store last answered.
+    confirmed: Time,
+}
+
+impl Directory {
+    /// Creates a directory that knows nothing.
+    pub const fn new(now: Time) -> Self {
+        Self {
+            configuration: Progress::new(now),
+            entries: Progress::new(now),
+            announcement: Progress::new(now),
+            lease: None,
+            announced: false,
+            leaving: false,
+            reachable: true,
+            confirmed: now,
+        }
+    }
+
+    /// Returns when [`tick`](Self::tick) is due at the latest.
+    pub fn wake(&self) -> Time {
+        let due = |progress: &Progress| {
+            if progress.busy {
+                Time::MAX
+            } else {
+                progress.due
+            }
+        };
+        due(&self.configuration)
+            .min(due(&self.entries))
+            .min(due(&self.announcement))
+    }
+
+    /// Returns how long ago the store last answered, in milliseconds.
+    pub const fn age(&self, now: Time) -> u64 {
+        now.millis_since(self.confirmed)
+    }
+
+    /// Withdraws the announcement.
+    pub const fn leave(&mut self, now: Time) {
+        self.leaving = true;
+        self.announcement.due = now;
+    }
+
+    /// Makes the calls that are due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        for duty in Duty::ALL {
+            let progress = self.progress(duty);
+            if progress.busy || now < progress.due {
+                continue;
+            }
+            let Some((call, wait)) = self.next_call(duty) else {
+                self.progress(duty).due = now.after_millis(RENEW_MS);
+                continue;
+            };
+            self.progress(duty).busy = true;
+            out.push(Action::Call {
+                duty,
+                call,
+                timeout: wait + REPLY_MS,
+            });
+        }
+    }
+
+    const fn progress(&mut self, duty: Duty) -> &mut Progress {
+        match duty {
+            Duty::Configuration => &mut self.configuration,
+            Duty::Entries => &mut self.entries,
+            Duty::Announcement => &mut self.announcement,
+        }
+    }
+
+    fn next_call(&self, duty: Duty) -> Option<(StoreCall, u64)> {
+        match (duty, self.configuration.at, self.entries.at) {
+            (Duty::Configuration, None, _) => Some((StoreCall::ReadConfiguration, 0)),
+            (Duty::Configuration, Some(after), _) => {
+                let wait = CONFIGURATION_WAIT_MS;
+                Some((StoreCall::WatchConfiguration { after, wait }, wait))
+            }
+            (Duty::Entries, _, None) => Some((StoreCall::ListEntries, 0)),
+            (Duty::Entries, _, Some(after)) => {
+                let wait = ENTRIES_WAIT_MS;
+                Some((StoreCall::WatchEntries { after, wait }, wait))
+            }
+            (Duty::Announcement, _, _) => self.next_announcement().map(|call| (call, 0)),
+        }
+    }
+
+    const fn next_announcement(&self) -> Option<StoreCall> {
+        match self.lease {
+            Some(lease) if self.leaving => Some(StoreCall::End { lease }),
+            None if self.leaving => None,
+            None => Some(StoreCall::Grant { ttl: LEASE_MS }),
+            Some(lease) if self.announced => Some(StoreCall::Renew { lease }),
+            Some(lease) => Some(StoreCall::Announce { lease }),
+        }
+    }
+
+    /// Takes the outcome of a call; `None` stands for a call that failed.
+    pub fn answered(
+        &mut self,
+        duty: Duty,
+        reply: Option<StoreReply>,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let progress = self.progress(duty);
+        progress.busy = false;
+        let Some(reply) = reply else {
+            progress.failed(now);
+            self.lost(duty, now);
+            return;
+        };
+        progress.succeeded(now);
+        self.confirmed = now;
+        if !self.reachable {
+            info!("store answers again");
+            self.reachable = true;
+        }
+        self.replied(duty, reply, now, out);
+    }
+
+    fn lost(&mut self, duty: Duty, now: Time) {
+        if self.reachable {
+            warn!(?duty, age_ms = self.age(now), "store does not answer");
+            self.reachable = false;
+        }
+    }
+
+    fn replied(&mut self, duty: Duty, reply: StoreReply, now: Time, out: &mut Vec<Action>) {
+        match (duty, reply) {
+            (Duty::Configuration, StoreReply::Configuration { value, at }) => {
+                self.configuration.at = Some(at);
+                match value {
+                    Some(value) => out.push(Action::Configured(value)),
+                    None => warn!(at, "no readable configuration in the store"),
+                }
+            }
+            (Duty::Entries, StoreReply::Entries { addrs, at }) => {
+                self.entries.at = Some(at);
+                out.push(Action::Listed(addrs));
+            }
+            (Duty::Configuration | Duty::Entries, StoreReply::Changed { any, at }) => {
+                // Both values are small, so a change is read in full.
+                self.progress(duty).at = if any { None } else { Some(at) };
+            }
+            (Duty::Configuration | Duty::Entries, StoreReply::Compacted) => {
+                debug!(?duty, "history is gone, reading again");
+                self.progress(duty).at = None;
+            }
+            (Duty::Announcement, StoreReply::Leased { lease }) => {
+                self.lease = Some(lease);
+                if self.announced {
+                    self.announcement.due = now.after_millis(RENEW_MS);
+                }
+            }
+            (Duty::Announcement, StoreReply::Written) => {
+                self.announced = !self.leaving;
+                if self.leaving {
+                    self.lease = None;
+                }
+                self.announcement.due = now.after_millis(RENEW_MS);
+            }
+            (Duty::Announcement, StoreReply::NoLease) => {
+                info!("announcement lapsed, announcing again");
+                self.lease = None;
+                self.announced = false;
+            }
+            (duty, reply) => {
+                warn!(?duty, ?reply, "unexpected reply of the store");
+                self.progress(duty).failed(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/action.rs
@@ -0,0 +1,56 @@
+//! What an entry wants done.
+
+use fulmarpond_derive::value;
+
+use crate::{EntryFrame, LinkNo, Refusal};
+
+/// Names a request of a caller.
+#[value]
+pub struct RequestNo(pub u64);
+
+/// The final answer to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// All tasks of the job are done.
+    Completed,
+    /// A task has failed as often as it may.
+    Failed,
+    /// The job has not run, and never will by this request.
+    NotRun {
+        /// Why.
+        reason: Refusal,
+        /// When the caller may come back, in seconds; 0 if a later attempt will not help.
+        retry: u32,
+    },
+    /// Parts of the job may have run.
+    MayHaveRun {
+        /// Why.
+        reason: Refusal,
+    },
+}
+
+/// An action of an entry.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Close a link.
+    Close {
+        /// The link.
+        link: LinkNo,
+    },
+    /// Send a frame.
+    Send {
+        /// The link.
+        link: LinkNo,
+        /// The frame.
+        frame: EntryFrame,
+    },
+    /// Answer a request.
+    Answer {
+        /// The request.
+        request: RequestNo,
+        /// The answer.
+        answer: Answer,
+        /// How long the job was in progress, in milliseconds.
+        age: u64,
+    },
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -0,0 +1,136 @@
+//! A job of a caller.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use fulmarpond_core::Time;
+
+use super::RequestNo;
+use super::configuration::Route;
+use super::submission::Submission;
+use crate::LinkNo;
+
+/// Where a task stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TaskState {
+    /// It waits for the steps before it, or to be placed.
+    Waiting,
+    /// It was sent to an agent.
+    Sent(LinkNo),
+    /// Its agent is lost; a run may go on until then.
+    Lost(Time),
+    /// It is done.
+    Done,
+}
+
+/// A task of a job.
+#[derive(Debug)]
+pub(super) struct Task {
+    pub(super) step: u16,
+    pub(super) index: u16,
+    pub(super) state: TaskState,
+    pub(super) failures: u32,
+}
+
+/// A job.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) request: RequestNo,
+    pub(super) route: Rc<Route>,
+    pub(super) submission: Submission,
+    pub(super) tasks: Vec<Task>,
+    pub(super) arrived: Time,
+    /// Until when its tasks have to start to meet the objective.
+    pub(super) start_by: Time,
+    /// After this its answer is of no use.
+    pub(super) useful_until: Time,
+    /// When the caller leaves.
+    pub(super) deadline: Time,
+    /// Whether some task may have started.
+    pub(super) begun: bool,
+    /// Agents where its tasks met trouble.
+    pub(super) avoided: Vec<LinkNo>,
+}
+
+impl Job {
+    pub(super) fn tasks_of(submission: &Submission) -> Vec<Task> {
+        let mut tasks = Vec::new();
+        for (step, about) in submission.steps.iter().enumerate() {
+            for index in 0..about.count {
+                tasks.push(Task {
+                    step: step as u16,
+                    index,
+                    state: TaskState::Waiting,
+                    failures: 0,
+                });
+            }
+        }
+        tasks
+    }
+
+    pub(super) fn task(&mut self, step: u16, index: u16) -> Option<&mut Task> {
+        let mut tasks = self.tasks.iter_mut();
+        tasks.find(|task| task.step == step && task.index == index)
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == TaskState::Done)
+    }
+
+    /// Returns whether no task has started or can start any more.
+    pub(super) fn has_not_run(&self) -> bool {
+        let quiet = |task: &Task| task.state == TaskState::Waiting;
+        !self.begun && self.tasks.iter().all(quiet)
+    }
+
+    /// Returns the positions of the tasks that can be placed now.
+    pub(super) fn ready(&self) -> Vec<usize> {
+        let step_done: Vec<bool> = (0..self.submission.steps.len())
+            .map(|step| {
+                let mut of_step = self
+                    .tasks
+                    .iter()
+                    .filter(|task| usize::from(task.step) == step);
+                of_step.all(|task| task.state == TaskState::Done)
+            })
+            .collect();
+        let is_ready = |task: &Task| {
+            let after = &self.submission.steps[usize::from(task.step)].after;
+            task.state == TaskState::Waiting
+                && after
+                    .iter()
+                    .all(|&step| step_done.get(usize::from(step)).copied().unwrap_or(true))
+        };
+        let numbered = self.tasks.iter().enumerate();
+        numbered
+            .filter(|(_, task)| is_ready(task))
+            .map(|(position, _)| position)
+            .collect()
+    }
+
+    /// Returns how many tasks of a step each agent has been given.
+    pub(super) fn spread(&self, step: u16) -> BTreeMap<LinkNo, u16> {
+        let mut counts = BTreeMap::new();
+        for task in self.tasks.iter().filter(|task| task.step == step) {
+            if let TaskState::Sent(link) = task.state {
+                *counts.entry(link).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    /// Returns the links that hold tasks of the job.
+    pub(super) fn links(&self) -> Vec<LinkNo> {
+        let mut links: Vec<LinkNo> = self
+            .tasks
+            .iter()
+            .filter_map(|task| match task.state {
+                TaskState::Sent(link) => Some(link),
+                _ => None,
+            })
+            .collect();
+        links.sort_unstable();
+        links.dedup();
+        links
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! The process that callers talk to: holds their jobs and places the tasks.
+
+mod action;
+mod configuration;
+#[allow(clippy::module_inception)]
+mod entry;
+mod estimates;
+mod fleet;
+mod job;
+mod placement;
+mod submission;
+
+pub use action::{Action, Answer, RequestNo};
+pub use configuration::{CallerLimits, Configuration, Route};
+pub use entry::{Entry, EntryOptions};
+pub use submission::{Step, Submission};
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/submission.rs
@@ -0,0 +1,33 @@
+//! What a caller submits.
+
+use crate::Needs;
+
+/// A step of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// The number of tasks.
+    pub count: u16,
+    /// What each task needs.
+    pub needs: Needs,
+    /// The run time of a task by the caller's estimate, in milliseconds.
+    pub estimate: u32,
+    /// The numbers of the steps that have to be done before.
+    pub after: Vec<u16>,
+    /// A label that the endpoint must have.
+    pub label: Option<String>,
+    /// The rack where the tasks run fastest.
+    pub affinity: Option<String>,
+    /// The most tasks that one endpoint may run.
+    pub spread: Option<u16>,
+}
+
+/// A job as submitted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Submission {
+    /// What the tasks do.
+    pub spec: String,
+    /// The steps.
+    pub steps: Vec<Step>,
+    /// How long the caller waits, in milliseconds.
+    pub patience: u64,
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -0,0 +1,160 @@
+//! Messages between entries and agents.
+//!
+//! Times are remaining or elapsed milliseconds, since the clocks of two processes are unrelated.
+
+use std::net::SocketAddr;
+
+use fulmarpond_derive::{message, value};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{JobId, Needs, TaskKey};
+
+/// A frame that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("unreadable frame: {0}")]
+pub struct FrameError(postcard::Error);
+
+/// Encodes a frame.
+pub fn encode<T: Serialize>(frame: &T) -> Vec<u8> {
+    // Encoding into a growing vector fails only for types of unknown length, which no frame has.
+    postcard::to_stdvec(frame).unwrap_or_default()
+}
+
+/// Decodes a frame.
+///
+/// # Errors
+///
+/// Fails if the bytes are not such a frame.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
+    postcard::from_bytes(bytes).map_err(FrameError)
+}
+
+/// What an agent tells an entry.
+#[message]
+pub enum AgentFrame {
+    /// The first frame on a link.
+    Hello {
+        /// The host name.
+        name: String,
+        /// The availability zone.
+        zone: String,
+    },
+    /// The endpoint changed, or there is none.
+    Endpoint {
+        /// The service; empty without an endpoint.
+        service: String,
+        /// Its room.
+        capacity: Needs,
+        /// Its kind and its rack.
+        labels: Vec<String>,
+    },
+    /// The present load, sent regularly. The entry returns `sent` and so renews its lease.
+    Status {
+        /// The time of sending on the agent's clock, in microseconds.
+        sent: u64,
+        /// How many orders of this link it reflects.
+        orders: u64,
+        /// The load.
+        load: EndpointStatus,
+    },
+    /// Tasks of this entry ended.
+    Ended(Vec<TaskEnd>),
+}
+
+/// The load of an endpoint.
+#[message]
+#[derive(Copy, Default)]
+pub struct EndpointStatus {
+    /// Whether new tasks are taken.
+    pub ready: bool,
+    /// The room that is not in use.
+    pub free: Needs,
+    /// The work that waits at the agent, in core-milliseconds.
+    pub backlog: u32,
+    /// The expected time until the next end of a run, in milliseconds.
+    pub next_end: u32,
+    /// Observed over expected run time, in percent.
+    pub slowness: u32,
+    /// The share of recent runs that failed, in percent.
+    pub failures: u32,
+    /// Whether runs are overdue without any end.
+    pub stalled: bool,
+}
+
+/// What an entry tells an agent.
+#[message]
+pub enum EntryFrame {
+    /// The first frame on a link: the name of the entry.
+    Hello {
+        /// The host name.
+        name: String,
+    },
+    /// Renews the lease of this entry's runs.
+    Renew {
+        /// The agent's own time of its latest status, in microseconds.
+        sent: u64,
+    },
+    /// Starts tasks of one job.
+    Start(Order),
+    /// Ends tasks of one job without an answer.
+    Stop {
+        /// The job.
+        job: JobId,
+        /// The steps and numbers of the tasks; empty for all of the job.
+        tasks: Vec<(u16, u16)>,
+    },
+    /// The link addresses of all entries.
+    Entries(Vec<SocketAddr>),
+}
+
+/// Tasks of one step that an agent is to start.
+#[message]
+pub struct Order {
+    /// The job.
+    pub job: JobId,
+    /// The step.
+    pub step: u16,
+    /// The numbers of the tasks within the step.
+    pub indexes: Vec<u16>,
+    /// The service that may run them.
+    pub service: String,
+    /// What the tasks do, as the caller wrote it.
+    pub spec: String,
+    /// What each of them needs.
+    pub needs: Needs,
+    /// The expected run time, in milliseconds.
+    pub expected: u32,
+    /// How long they may wait for room without missing their objective, in milliseconds.
+    pub slack: u32,
+    /// When the caller has its answer or leaves, in milliseconds.
+    pub remaining: u32,
+}
+
+/// How a task ended.
+#[value]
+#[derive(Serialize, Deserialize)]
+pub enum Outcome {
+    /// It ran to its end.
+    Done,
+    /// It ran and failed.
+    Failed,
+    /// It was started and ended before it was done: stopped, lapsed or lost with its endpoint.
+    Aborted,
+    /// It was not started: the endpoint leaves, is away or belongs to another service.
+    Unavailable,
+    /// It was not started: the endpoint cannot hold it.
+    NoRoom,
+}
+
+/// The end of a task at an agent.
+#[message]
+pub struct TaskEnd {
+    /// The task.
+    pub task: TaskKey,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The run time, in milliseconds; 0 if it did not run to its end.
+    pub elapsed: u32,
+}
--- /dev/null
+++ b/crates/fulmarpond-reactor/src/http/request.rs
@@ -0,0 +1,146 @@
+//! Requests.
+
+use thiserror::Error;
+
+use super::MAX_HEADERS;
+
+/// The method of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Method {
+    /// `GET`
+    Get,
+    /// `POST`
+    Post,
+    /// `DELETE`
+    Delete,
+    /// Any other method.
+    Other,
+}
+
+impl Method {
+    /// Returns the name of the method on the wire.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "GET",
+            Self::Post => "POST",
+            Self::Delete => "DELETE",
+            Self::Other => "OTHER",
+        }
+    }
+}
+
+impl From<&str> for Method {
+    fn from(name: &str) -> Self {
+        match name {
+            "GET" => Self::Get,
+            "POST" => Self::Post,
+            "DELETE" => Self::Delete,
+            _ => Self::Other,
+        }
+    }
+}
+
+/// A whole request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// The headers, with names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Whether the connection stays open after the response.
+    pub keep_alive: bool,
+}
+
+impl Request {
+    /// Returns the value of a header by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Why a request can't be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum RequestError {
+    /// The bytes are not an HTTP/1.1 request.
+    #[error("malformed request")]
+    Malformed,
+    /// The header section is larger than the limit.
+    #[error("header section too large")]
+    HeadersTooLarge,
+    /// The body is larger than the limit.
+    #[error("body too large")]
+    BodyTooLarge,
+    /// The body has a transfer coding that is not supported.
+    #[error("unsupported transfer coding")]
+    UnsupportedCoding,
+}
+
+impl RequestError {
+    /// Returns the status code that answers such a request.
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::HeadersTooLarge => 431,
+            Self::BodyTooLarge => 413,
+            Self::UnsupportedCoding => 501,
+        }
+    }
+}
+
+/// Parses a request at the start of a buffer, and returns it with its length.
+///
+/// Returns `None` while the request is incomplete.
+pub(crate) fn parse_request(
+    buffer: &[u8],
+    header_limit: usize,
+    body_limit: usize,
+) -> Result<Option<(Request, usize)>, RequestError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let head_len = match head.parse(buffer) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) if buffer.len() > header_limit => {
+            return Err(RequestError::HeadersTooLarge);
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(RequestError::HeadersTooLarge),
+        Err(_) => return Err(RequestError::Malformed),
+    };
+    if head_len > header_limit {
+        return Err(RequestError::HeadersTooLarge);
+    }
+    let mut request = Request {
+        method: Method::from(head.method.unwrap_or_default()),
+        path: head.path.unwrap_or_default().to_owned(),
+        headers: Vec::with_capacity(head.headers.len()),
+        body: Vec::new(),
+        keep_alive: head.version == Some(1),
+    };
+    let mut body_len = 0;
+    for header in head.headers.iter() {
+        let value = String::from_utf8_lossy(header.value).trim().to_owned();
+        let name = header.name.to_ascii_lowercase();
+        match name.as_str() {
+            "content-length" => {
+                body_len = value.parse().map_err(|_| RequestError::Malformed)?;
+            }
+            "transfer-encoding" => return Err(RequestError::UnsupportedCoding),
+            "connection" if value.eq_ignore_ascii_case("close") => request.keep_alive = false,
+            _ => {}
+        }
+        request.headers.push((name, value));
+    }
+    if body_len > body_limit {
+        return Err(RequestError::BodyTooLarge);
+    }
+    let Some(body) = buffer.get(head_len..head_len + body_len) else {
+        return Ok(None);
+    };
+    request.body = body.to_vec();
+    Ok(Some((request, head_len + body_len)))
+}
--- /dev/null
+++ b/crates/fulmarpond-reactor/src/http/response.rs
@@ -0,0 +1,184 @@
+//! Responses of this process, and replies that it receives.
+
+use std::io::Write;
+
+use super::MAX_HEADERS;
+use crate::call::Reply;
+
+/// A response to a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    /// The status code.
+    pub status: u16,
+    /// The content type; empty without a body.
+    pub content_type: &'static str,
+    /// After how many seconds the caller may come back, if the response says so.
+    pub retry_after: Option<u32>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Response {
+    /// Creates a response without a body.
+    pub const fn empty(status: u16) -> Self {
+        Self {
+            status,
+            content_type: "",
+            retry_after: None,
+            body: Vec::new(),
+        }
+    }
+
+    /// Creates a response with a JSON body.
+    pub const fn json(status: u16, body: Vec<u8>) -> Self {
+        Self {
+            status,
+            content_type: "application/json",
+            retry_after: None,
+            body,
+        }
+    }
+
+    /// Creates a response with a text body.
+    pub const fn text(status: u16, body: Vec<u8>) -> Self {
+        Self {
+            status,
+            content_type: "text/plain; version=1.0.0; charset=utf-8",
+            retry_after: None,
+            body,
+        }
+    }
+
+    /// Sets after how many seconds the caller may come back.
+    #[must_use]
+    pub const fn with_retry_after(mut self, seconds: u32) -> Self {
+        self.retry_after = Some(seconds);
+        self
+    }
+
+    pub(crate) fn write_to(&self, out: &mut Vec<u8>, keep_alive: bool) {
+        let reason = reason_phrase(self.status);
+        let length = self.body.len();
+        // Writing to a vector never fails.
+        let _ = write!(
+            out,
+            "HTTP/1.1 {} {reason}\r\ncontent-length: {length}\r\n",
+            self.status
+        );
+        if !self.content_type.is_empty() {
+            let _ = write!(out, "content-type: {}\r\n", self.content_type);
+        }
+        if let Some(seconds) = self.retry_after {
+            let _ = write!(out, "retry-after: {seconds}\r\n");
+        }
+        if !keep_alive {
+            out.extend_from_slice(b"connection: close\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(&self.body);
+    }
+}
+
+const fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        410 => "Gone",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// The result of parsing a reply.
+pub(crate) enum Parsed {
+    /// More bytes are needed.
+    Partial,
+    /// A whole reply.
+    Complete {
+        reply: Reply,
+        len: usize,
+        keep_alive: bool,
+    },
+    /// The bytes are not an HTTP/1.1 reply.
+    Malformed,
+}
+
+/// Parses a reply at the start of a buffer.
+pub(crate) fn parse_reply(buffer: &[u8], closed: bool) -> Parsed {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let head_len = match head.parse(buffer) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) => return Parsed::Partial,
+        Err(_) => return Parsed::Malformed,
+    };
+    let mut length = None;
+    let mut chunked = false;
+    let mut keep_alive = head.version == Some(1);
+    for header in head.headers.iter() {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            length = std::str::from_utf8(header.value)
+                .ok()
+                .and_then(|text| text.trim().parse::<usize>().ok());
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            chunked = true;
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            keep_alive &= !header.value.eq_ignore_ascii_case(b"close");
+        }
+    }
+    let status = head.code.unwrap_or_default();
+    let rest = &buffer[head_len..];
+    let body = if chunked {
+        match unchunk(rest) {
+            Ok(Some((body, used))) => Some((body, used)),
+            Ok(None) => None,
+            Err(()) => return Parsed::Malformed,
+        }
+    } else if let Some(length) = length {
+        rest.get(..length).map(|body| (body.to_vec(), length))
+    } else if status == 204 || status == 304 {
+        Some((Vec::new(), 0))
+    } else if closed {
+        Some((rest.to_vec(), rest.len()))
+    } else {
+        None
+    };
+    match body {
+        Some((body, used)) => Parsed::Complete {
+            reply: Reply { status, body },
+            len: head_len + used,
+            keep_alive,
+        },
+        None => Parsed::Partial,
+    }
+}
+
+fn unchunk(mut rest: &[u8]) -> Result<Option<(Vec<u8>, usize)>, ()> {
+    let total = rest.len();
+    let mut body = Vec::new();
+    loop {
+        let (start, size) = match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete((start, size))) => (start, size),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(()),
+        };
+        let size = usize::try_from(size).map_err(|_| ())?;
+        let Some(chunk) = rest.get(start..start + size + 2) else {
+            return Ok(None);
+        };
+        body.extend_from_slice(&chunk[..size]);
+        rest = &rest[start + size + 2..];
+        if size == 0 {
+            return Ok(Some((body, total - rest.len())));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -0,0 +1,215 @@
+//! Settings of a leased entry or agent.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::document::Document;
+use crate::reader::{Reader, hint, name};
+use crate::units::duration;
+use crate::{LogLevel, Result};
+
+/// The sections with their keys.
+const SCHEMA: &[(&str, &[&str])] = &[
+    ("daemon", &["mode", "role", "name", "zone"]),
+    (
+        "listen",
+        &["callers", "readiness", "heartbeats", "link", "metrics"],
+    ),
+    ("cluster", &["seeds", "link_port"]),
+    ("store", &["addr"]),
+    (
+        "timing",
+        &["resend", "hold_max", "stop", "heartbeat", "grace"],
+    ),
+    ("placement", &["far"]),
+    ("log", &["level", "lines"]),
+];
+
+/// The value of `daemon.mode` that selects these settings.
+const MODE: &str = "leased";
+
+/// The most log lines a second, if the settings do not say.
+const DEFAULT_LINES: u32 = 300;
+
+/// The settings that only one role has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeasedRole {
+    /// Takes jobs of callers.
+    Entry {
+        /// Where callers connect.
+        callers: SocketAddr,
+        /// Where the load balancer asks whether the entry takes connections.
+        readiness: SocketAddr,
+        /// Where agents link to the entry.
+        link: SocketAddr,
+        /// The platform's store.
+        store: SocketAddr,
+    },
+    /// Stands beside an endpoint.
+    Agent {
+        /// Where the endpoint sends its heartbeats.
+        heartbeats: SocketAddr,
+        /// Link addresses of some entries.
+        seeds: Vec<SocketAddr>,
+    },
+}
+
+/// Times that the platform states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeasedTiming {
+    /// The shortest time after which a caller sends a job again.
+    pub resend: Duration,
+    /// The longest lease of a run.
+    pub hold_max: Duration,
+    /// The longest time that an endpoint takes to stop a run.
+    pub stop: Duration,
+    /// The interval of the endpoint's heartbeats.
+    pub heartbeat: Duration,
+    /// The time from the request to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// Settings of the daemon in leased mode.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LeasedSettings {
+    /// The role.
+    pub role: LeasedRole,
+    /// The host name.
+    pub name: String,
+    /// The availability zone.
+    pub zone: String,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// Times that the platform states.
+    pub timing: LeasedTiming,
+    /// How many times as long a task takes away from its data.
+    pub far: f64,
+    /// The least severe lines that are written.
+    pub level: LogLevel,
+    /// The most log lines a second.
+    pub lines: u32,
+}
+
+impl LeasedSettings {
+    /// Returns whether a document asks for leased mode.
+    pub fn is_leased(document: &Document) -> bool {
+        document
+            .get("daemon", "mode")
+            .is_some_and(|entry| entry.value == MODE)
+    }
+}
+
+impl TryFrom<&Document> for LeasedSettings {
+    type Error = crate::SettingsErrors;
+
+    fn try_from(document: &Document) -> Result<Self> {
+        let mut reader = Reader::new(document);
+        check(document, &mut reader);
+        let settings = read(&mut reader);
+        reader.finish(settings)
+    }
+}
+
+fn read(reader: &mut Reader<'_>) -> Option<LeasedSettings> {
+    let role = reader.required("daemon", "role", |text| match text {
+        "entry" | "agent" => Ok(text.to_owned()),
+        _ => Err(format!("expected `entry` or `agent`, got `{text}`")),
+    });
+    let name = reader.required("daemon", "name", name);
+    let zone = reader.required("daemon", "zone", |text| Ok(text.to_owned()));
+    let metrics = reader.optional("listen", "metrics", parse);
+    let timing = timing(reader);
+    let far = reader.optional("placement", "far", parse).unwrap_or(1.0);
+    let level = reader.optional("log", "level", parse::<LogLevel>);
+    let lines = reader.optional("log", "lines", parse);
+    let role = match role?.as_str() {
+        "entry" => entry(reader),
+        _ => agent(reader),
+    };
+    Some(LeasedSettings {
+        role: role?,
+        name: name?,
+        zone: zone?,
+        metrics,
+        timing: timing?,
+        far,
+        level: level.unwrap_or(LogLevel::Info),
+        lines: lines.unwrap_or(DEFAULT_LINES),
+    })
+}
+
+fn entry(reader: &mut Reader<'_>) -> Option<LeasedRole> {
+    let callers = reader.required("listen", "callers", parse);
+    let readiness = reader.required("listen", "readiness", parse);
+    let link = reader.required("listen", "link", parse);
+    let store = reader.required("store", "addr", parse);
+    Some(LeasedRole::Entry {
+        callers: callers?,
+        readiness: readiness?,
+        link: link?,
+        store: store?,
+    })
+}
+
+fn agent(reader: &mut Reader<'_>) -> Option<LeasedRole> {
+    let heartbeats = reader.required("listen", "heartbeats", parse);
+    let port = reader.required("cluster", "link_port", parse::<u16>)?;
+    let seeds = reader.required("cluster", "seeds", |text| seeds(text, port));
+    Some(LeasedRole::Agent {
+        heartbeats: heartbeats?,
+        seeds: seeds?,
+    })
+}
+
+/// Reads a list of addresses, and replaces their ports with the one of the links.
+fn seeds(text: &str, port: u16) -> Result<Vec<SocketAddr>, String> {
+    let parts = text.split(',').map(str::trim);
+    let addrs = parts.filter(|part| !part.is_empty()).map(|part| {
+        let mut addr: SocketAddr = parse(part)?;
+        addr.set_port(port);
+        Ok(addr)
+    });
+    addrs.collect()
+}
+
+fn timing(reader: &mut Reader<'_>) -> Option<LeasedTiming> {
+    let resend = reader.required("timing", "resend", duration);
+    let hold_max = reader.required("timing", "hold_max", duration);
+    let stop = reader.required("timing", "stop", duration);
+    let heartbeat = reader.required("timing", "heartbeat", duration);
+    let grace = reader.required("timing", "grace", duration);
+    Some(LeasedTiming {
+        resend: resend?,
+        hold_max: hold_max?,
+        stop: stop?,
+        heartbeat: heartbeat?,
+        grace: grace?,
+    })
+}
+
+fn parse<T: FromStr>(text: &str) -> Result<T, String>
+where
+    T::Err: std::fmt::Display,
+{
+    text.parse().map_err(|error| format!("`{text}`: {error}"))
+}
+
+fn check(document: &Document, reader: &mut Reader<'_>) {
+    reader.duplicates();
+    for header in document.sections() {
+        if !SCHEMA.iter().any(|(section, _)| *section == header.name) {
+            let hint = hint(&header.name, SCHEMA.iter().map(|(section, _)| *section));
+            reader.at_header(header, format!("unknown section [{}]{hint}", header.name));
+        }
+    }
+    for entry in document.entries() {
+        let Some((_, keys)) = SCHEMA.iter().find(|(section, _)| *section == entry.section) else {
+            continue;
+        };
+        if !keys.contains(&entry.key.as_str()) {
+            let hint = hint(&entry.key, keys.iter().copied());
+            reader.at(entry, format!("unknown key `{}`{hint}", entry.key));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-settings/src/leased/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of the daemon in leased mode.
+
+mod leased_settings;
+
+pub use leased_settings::{LeasedRole, LeasedSettings, LeasedTiming};
--- a/crates/fulmarpond-settings/src/lib.rs
+++ b/crates/fulmarpond-settings/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod daemon;
 mod document;
+mod leased;
 mod patch;
 mod reader;
 mod token;
@@ -17,6 +18,7 @@
     LogLevel, LogSettings, Role, TimingSettings,
 };
 pub use document::{Document, Entry, Section, SettingsError, SettingsErrors};
+pub use leased::{LeasedRole, LeasedSettings, LeasedTiming};
 pub use patch::{Change, PatchFile, Unrepresentable, diff, render};
 pub use token::{Token, TokenFile};
 
--- /dev/null
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -0,0 +1,347 @@
+//! An entry: callers, readiness, links of agents and the store.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use fulmarpond_core::Time;
+use fulmarpond_dispatch::directory::{self, Directory, Duty, StoreCall};
+use fulmarpond_dispatch::entry::{Action, CallerLimits, Entry, EntryOptions, RequestNo};
+use fulmarpond_dispatch::{AgentFrame, LinkNo, Refusal, decode, encode};
+use fulmarpond_platform::caller::{self, Ask};
+use fulmarpond_platform::store::{self, Announcer};
+use fulmarpond_reactor::http::{Request, Response};
+use fulmarpond_reactor::{CallId, Event, Limits, LinkId, ListenerId, Reactor, RequestId};
+use fulmarpond_settings::{LeasedRole, LeasedSettings};
+use tracing::{debug, info, warn};
+
+use super::clock::BootClock;
+use super::log::Log;
+use super::metrics::Metrics;
+use super::reload::Reload;
+use super::signals::Signals;
+use super::{Result, bounds};
+
+/// How long a stopping entry serves new connections: the load balancer notices it after two looks
+/// at its readiness, one a second.
+const NOTICE_MS: u64 = 2_700;
+
+/// How long before the end of the grace period the last jobs are given up, in milliseconds.
+const LAST_MS: u64 = 700;
+
+/// The most connections to the store: one for each duty.
+const STORE_CONNECTIONS: usize = 3;
+
+/// The process of an entry.
+pub(super) struct EntryProcess {
+    entry: Entry,
+    directory: Directory,
+    reactor: Reactor,
+    announcer: Announcer,
+    store: SocketAddr,
+    callers: ListenerId,
+    readiness: ListenerId,
+    calls: HashMap<CallId, (Duty, StoreCall)>,
+    signals: Signals,
+    reload: Reload,
+    metrics: Metrics,
+    log: Log,
+    next_flush: Instant,
+    grace_ms: u64,
+    stopping: Option<Time>,
+    actions: Vec<Action>,
+    tasks: Vec<directory::Action>,
+}
+
+impl EntryProcess {
+    pub(super) fn new(settings: &LeasedSettings, path: &Path, log: Log) -> Result<Self> {
+        let LeasedRole::Entry {
+            callers,
+            readiness,
+            link,
+            store,
+        } = settings.role
+        else {
+            return Err(io::Error::other("the role is not that of an entry").into());
+        };
+        let now = BootClock::now();
+        let options = EntryOptions {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            bounds: bounds(&settings.timing)?,
+            far: settings.far,
+        };
+        let mut reactor = Reactor::new(Limits::default())?;
+        let (callers, _) = reactor.listen_http(callers)?;
+        let (readiness, _) = reactor.listen_http(readiness)?;
+        reactor.listen_links(link)?;
+        if let Some(addr) = settings.metrics {
+            reactor.listen_http(addr)?;
+        }
+        Ok(Self {
+            entry: Entry::new(options, now),
+            directory: Directory::new(now),
+            reactor,
+            announcer: Announcer {
+                name: settings.name.clone(),
+                link,
+            },
+            store,
+            callers,
+            readiness,
+            calls: HashMap::new(),
+            signals: Signals::new()?,
+            reload: Reload::new(path, now),
+            metrics: Metrics::new(),
+            log,
+            next_flush: Instant::now(),
+            grace_ms: settings.timing.grace.as_millis() as u64,
+            stopping: None,
+            actions: Vec::new(),
+            tasks: Vec::new(),
+        })
+    }
+
+    /// Runs until the process is asked to stop and has finished its jobs.
+    pub(super) fn run(mut self) -> Result<()> {
+        let mut events = Vec::new();
+        loop {
+            let now = BootClock::now();
+            let wake = self.entry.wake().min(self.directory.wake());
+            let until = BootClock::instant(wake, now).min(self.next_flush);
+            self.reactor.poll(until, &mut events)?;
+            let now = BootClock::now();
+            // After a pause, callers that have left come before anything that their jobs would do.
+            events.sort_by_key(|event| !matches!(event, Event::Abandoned { .. }));
+            for event in events.drain(..) {
+                self.event(event, now);
+            }
+            self.entry.tick(now, &mut self.actions);
+            self.directory.tick(now, &mut self.tasks);
+            self.carry_out(now);
+            self.check_signals(now);
+            if self.is_finished(now) {
+                break;
+            }
+            if Instant::now() >= self.next_flush {
+                self.next_flush = Instant::now() + Log::interval();
+                self.log.flush();
+            }
+        }
+        self.reactor.flush_dirty();
+        info!("stop");
+        self.log.finish();
+        Ok(())
+    }
+
+    fn check_signals(&mut self, now: Time) {
+        let asked = self.signals.take_reload();
+        // The addresses of an entry are bound once; nothing else in its settings may change.
+        let _ = self.reload.check(asked, now);
+        if self.signals.stop() && self.stopping.is_none() {
+            info!(jobs = self.entry.jobs(), "stopping gracefully");
+            self.stopping = Some(now);
+            self.reactor.drain();
+            self.directory.leave(now);
+        }
+    }
+
+    fn is_finished(&mut self, now: Time) -> bool {
+        let Some(since) = self.stopping else {
+            return false;
+        };
+        let elapsed = now.millis_since(since);
+        if elapsed + LAST_MS >= self.grace_ms {
+            self.entry.give_up_all(now, &mut self.actions);
+            self.carry_out(now);
+            return true;
+        }
+        elapsed >= NOTICE_MS.min(self.grace_ms / 2) && self.entry.jobs() == 0
+    }
+
+    fn event(&mut self, event: Event, now: Time) {
+        match event {
+            Event::Request {
+                listener,
+                id,
+                request,
+            } => self.request(listener, id, &request, now),
+            Event::Abandoned { id } => {
+                self.entry
+                    .abandoned(RequestNo(id.0), now, &mut self.actions);
+            }
+            Event::Replied { call, outcome } => self.replied(call, outcome, now),
+            Event::LinkUp { link, .. } => self.entry.link_up(LinkNo(link.0), &mut self.actions),
+            Event::Frame { link, bytes } => match decode::<AgentFrame>(&bytes) {
+                Ok(frame) => self
+                    .entry
+                    .frame(LinkNo(link.0), frame, now, &mut self.actions),
+                Err(error) => {
+                    warn!(%error, "closing a link");
+                    self.reactor.close_link(link);
+                    self.entry.link_down(LinkNo(link.0), now, &mut self.actions);
+                }
+            },
+            Event::LinkDown { link } => {
+                self.entry.link_down(LinkNo(link.0), now, &mut self.actions);
+            }
+        }
+        self.carry_out(now);
+    }
+
+    fn request(&mut self, listener: ListenerId, id: RequestId, request: &Request, now: Time) {
+        if listener == self.callers {
+            self.caller(id, request, now);
+        } else if listener == self.readiness {
+            let response = self.readiness(request);
+            self.reactor.respond(id, &response);
+        } else {
+            let levels = [
+                ("jobs", self.entry.jobs() as u64),
+                ("agents", self.entry.agents() as u64),
+                ("configuration_version", self.entry.version()),
+                ("store_age_ms", self.directory.age(now)),
+                ("log_lines_dropped", self.log.dropped()),
+            ];
+            let response = self.metrics.render(&self.entry.counters, &levels);
+            self.reactor.respond(id, &response);
+        }
+    }
+
+    fn readiness(&self, request: &Request) -> Response {
+        if request.path != caller::READY_PATH {
+            return Response::empty(404);
+        }
+        if self.entry.is_ready() && self.stopping.is_none() {
+            Response::empty(200)
+        } else {
+            Response::empty(503)
+        }
+    }
+
+    fn caller(&mut self, id: RequestId, request: &Request, now: Time) {
+        let number = RequestNo(id.0);
+        let Some(configuration) = self.entry.configuration() else {
+            self.entry
+                .refuse(number, Refusal::NoConfiguration, &mut self.actions);
+            return;
+        };
+        let host = request.header("host").unwrap_or_default();
+        let Some((route, rest)) = configuration.route(host, &request.path) else {
+            self.entry
+                .refuse(number, Refusal::NoRoute, &mut self.actions);
+            return;
+        };
+        match Ask::new(request.method, rest) {
+            Ask::Submit(job) => match caller::submission(request) {
+                Ok(submission) => {
+                    self.entry
+                        .submit(number, job, &route, submission, now, &mut self.actions);
+                }
+                Err(error) => {
+                    info!(%job, %error, "submission refused");
+                    self.entry
+                        .refuse(number, error.refusal(), &mut self.actions);
+                }
+            },
+            Ask::State(_) | Ask::Cancel(_) => {
+                self.reactor.respond(id, &caller::unknown_job());
+            }
+            Ask::Waiting => {
+                let waiting = self.entry.waiting(&route);
+                self.reactor.respond(id, &caller::waiting(waiting));
+            }
+            Ask::Unknown => {
+                self.reactor.respond(id, &Response::empty(405));
+            }
+        }
+    }
+
+    fn replied(
+        &mut self,
+        call: CallId,
+        outcome: Result<fulmarpond_reactor::Reply, fulmarpond_reactor::CallError>,
+        now: Time,
+    ) {
+        let Some((duty, call)) = self.calls.remove(&call) else {
+            return;
+        };
+        let reply = match store::reply(&call, outcome) {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                debug!(?call, %error, "call to the store failed");
+                None
+            }
+        };
+        self.directory.answered(duty, reply, now, &mut self.tasks);
+        self.directory.tick(now, &mut self.tasks);
+    }
+
+    fn carry_out(&mut self, now: Time) {
+        for action in std::mem::take(&mut self.tasks) {
+            self.carry_out_directory(action);
+        }
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Close { link } => self.reactor.close_link(LinkId(link.0)),
+                Action::Send { link, frame } => {
+                    self.reactor.send(LinkId(link.0), &encode(&frame));
+                }
+                Action::Answer {
+                    request,
+                    answer,
+                    age,
+                } => {
+                    self.metrics.job_seconds.observe(age as f64 / 1_000.0);
+                    let response = caller::response(answer);
+                    let open = self.reactor.respond(RequestId(request.0), &response);
+                    if !open {
+                        debug!(
+                            request = request.0,
+                            age_ms = now.as_millis(),
+                            "caller is gone"
+                        );
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_out_directory(&mut self, action: directory::Action) {
+        match action {
+            directory::Action::Call {
+                duty,
+                call,
+                timeout,
+            } => {
+                let deadline = Instant::now() + Duration::from_millis(timeout);
+                let request = store::call(&call, &self.announcer, deadline);
+                let id = self
+                    .reactor
+                    .call(self.store, 0, STORE_CONNECTIONS, &request);
+                self.calls.insert(id, (duty, call));
+            }
+            directory::Action::Configured(configuration) => {
+                if let Some(limits) = configuration.limits {
+                    self.reactor.set_limits(reactor_limits(limits));
+                }
+                self.entry.configure(configuration);
+            }
+            directory::Action::Listed(addrs) => {
+                self.entry.set_entries(addrs, &mut self.actions);
+            }
+        }
+    }
+}
+
+fn reactor_limits(limits: CallerLimits) -> Limits {
+    Limits {
+        header_bytes: limits.header_bytes,
+        body_bytes: limits.body_bytes,
+        header_timeout: Duration::from_millis(limits.header_ms),
+        idle_timeout: Duration::from_millis(limits.idle_ms),
+        ..Limits::default()
+    }
+}
--- /dev/null
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -0,0 +1,67 @@
+//! The daemon in leased mode.
+//!
+//! One thread serves, calls and decides; a second one writes the log. A process keeps nothing
+//! beyond its own life, so there is nothing to load at its start.
+
+mod agent_process;
+mod clock;
+mod entry_process;
+mod log;
+mod metrics;
+mod reload;
+mod signals;
+
+use std::io;
+use std::path::Path;
+
+use fulmarpond_settings::{LeasedRole, LeasedSettings, LeasedTiming};
+use thiserror::Error;
+use tracing::info;
+
+use agent_process::AgentProcess;
+use entry_process::EntryProcess;
+
+/// Why a process in leased mode can't go on.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The system refused something.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The times of the platform leave no room for leases.
+    #[error(transparent)]
+    Bounds(#[from] fulmarpond_dispatch::InvalidBounds),
+}
+
+/// Result of running a process in leased mode.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Runs a role until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound, or if the event queue of the system fails.
+pub fn run(settings: &LeasedSettings, path: &Path) -> Result<()> {
+    let log = log::init(settings.level, settings.lines)?;
+    info!(
+        name = settings.name,
+        zone = settings.zone,
+        version = env!("CARGO_PKG_VERSION"),
+        "start"
+    );
+    match &settings.role {
+        LeasedRole::Entry { .. } => EntryProcess::new(settings, path, log)?.run()?,
+        LeasedRole::Agent { .. } => AgentProcess::new(settings, path, log)?.run()?,
+    }
+    Ok(())
+}
+
+fn bounds(timing: &LeasedTiming) -> Result<fulmarpond_dispatch::Bounds> {
+    let millis = |duration: std::time::Duration| duration.as_millis() as u64;
+    let bounds = fulmarpond_dispatch::Bounds::new(
+        millis(timing.resend),
+        millis(timing.hold_max),
+        millis(timing.stop),
+    )?;
+    info!(link_ms = bounds.link_ms, run_ms = bounds.run_ms, "leases");
+    Ok(bounds)
+}
--- a/crates/fulmarpondd/src/lib.rs
+++ b/crates/fulmarpondd/src/lib.rs
@@ -11,6 +11,7 @@
 mod driver;
 mod error;
 mod http;
+pub mod leased;
 mod logs;
 mod metrics;
 mod ring;
--- a/crates/fulmarpondd/src/main.rs
+++ b/crates/fulmarpondd/src/main.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use fulmarpond_settings::{DaemonSettings, Document};
-use fulmarpondd::{Daemon, init_logs};
+use fulmarpond_settings::{DaemonSettings, Document, LeasedSettings};
+use fulmarpondd::{Daemon, init_logs, leased};
 use miette::{IntoDiagnostic, Result, WrapErr};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -16,7 +16,7 @@
 #[command(version, about)]
 struct Options {
     /// The settings file.
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = "FULMARPOND_SETTINGS")]
     settings: PathBuf,
     /// Check the settings file and exit.
     #[arg(long)]
@@ -30,6 +30,9 @@
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot read {name}"))?;
     let document = Document::parse(&name, &text)?;
+    if LeasedSettings::is_leased(&document) {
+        return run_leased(&options, &document);
+    }
     let settings = DaemonSettings::try_from(&document)?;
     if options.check {
         println!("{name}: ok, role {}", settings.role.as_str());
@@ -48,3 +51,13 @@
     warn!(limit = ?settings.timing.drain, "stopped with work in flight");
     Ok(ExitCode::FAILURE)
 }
+
+fn run_leased(options: &Options, document: &Document) -> Result<ExitCode> {
+    let settings = LeasedSettings::try_from(document)?;
+    if options.check {
+        println!("{}: ok, leased mode", options.settings.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    leased::run(&settings, &options.settings).into_diagnostic()?;
+    Ok(ExitCode::SUCCESS)
+}
