fix(dispatch): try an unanswered start again after 40 ms

Cause: a start without a reply was given up after 150 ms and its task went back to the entry after another 80 ms, so a job of eight tasks of 60 ms missed its objective whenever one of its orders was carried out late. Ruled out: waiting for the late order itself (2 to 12 s).

Change: the run is stopped after 40 ms, one look at the endpoint's lists shows that it is over, and the same agent starts the next run. The reactor wakes for the next deadline instead of every 50 ms.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -10,7 +10,7 @@
 use super::health::Health;
 use super::links::Links;
 use super::queue::Queue;
-use super::run::{Phase, Run};
+use super::run::{Phase, Run, Then};
 use super::{
     Action, CallFailure, CallNo, EndEntry, EndHow, EndpointCall, EndpointReply, RunEntry,
     StartRefusal,
@@ -20,8 +20,12 @@
     Order, Outcome, Registration, TaskEnd, TaskKey,
 };
 
-/// How long a start or a stop may go without a reply, in milliseconds.
-const CALL_TIMEOUT_MS: u64 = 150;
+/// How long a start or a stop may go without a reply, in milliseconds. The endpoint is on the same
+/// host and answers within a few.
+const ORDER_TIMEOUT_MS: u64 = 40;
+
+/// How long a hold may go without a reply beyond its wait, in milliseconds.
+const HOLD_TIMEOUT_MS: u64 = 150;
 
 /// How long a hold waits for an end at the endpoint, in milliseconds.
 const HOLD_WAIT_MS: u64 = 200;
@@ -75,6 +79,8 @@
     /// Stops a run that this process did not start.
     StopOrphan,
     Hold,
+    /// Looks whether a run that was stopped is over.
+    Look(TaskKey, u32),
     /// Asks whether a registration speaks for the present incarnation.
     Probe(Registration),
 }
@@ -179,7 +185,7 @@
     pub fn stop_runs(&mut self, now: Time, out: &mut Vec<Action>) {
         let tasks: Vec<TaskKey> = self.runs.keys().cloned().collect();
         for task in tasks {
-            self.end_run(&task, Some(Outcome::Aborted), now, out);
+            self.end_run(&task, Then::Report(Outcome::Aborted), now, out);
         }
         self.send_ends(out);
     }
@@ -220,7 +226,7 @@
             "link to entry lost"
         );
         for task in tasks {
-            self.end_run(&task, None, now, out);
+            self.end_run(&task, Then::Forget, now, out);
         }
         self.ends.remove(&link);
         self.fill(now, out);
@@ -291,7 +297,7 @@
             if let Some(outcome) = outcome {
                 debug!(%task, ?outcome, "task refused");
                 if self.runs.get(&task).is_some_and(|run| run.link != link) {
-                    self.end_run(&task, None, now, out);
+                    self.end_run(&task, Then::Forget, now, out);
                 }
                 self.report(link, task, outcome, 0);
                 continue;
@@ -377,7 +383,7 @@
             fence: self.fence,
         };
         let purpose = Purpose::Start(task.clone(), run);
-        self.call(purpose, call, CALL_TIMEOUT_MS, now, out);
+        self.call(purpose, call, ORDER_TIMEOUT_MS, now, out);
         self.hold(now, out);
     }
 
@@ -413,7 +419,7 @@
         };
         for task in listed {
             if self.runs.get(&task).is_some_and(|run| run.link == link) {
-                self.end_run(&task, None, now, out);
+                self.end_run(&task, Then::Forget, now, out);
             }
         }
         self.fill(now, out);
@@ -429,7 +435,7 @@
     fn end_run(
         &mut self,
         task: &TaskKey,
-        report: Option<Outcome>,
+        then: Then,
         now: Time,
         out: &mut Vec<Action>,
     ) {
@@ -439,14 +445,19 @@
         match &mut run.phase {
             Phase::Queued => {
                 self.queue.remove(run.start_by, task);
-                self.finish(task, report.map(|_| Outcome::Unavailable), 0);
+                let report = (then != Then::Forget).then_some(Outcome::Unavailable);
+                self.finish(task, report, 0);
+            }
+            Phase::Stopping { then: planned, .. } => {
+                if *planned != Then::Forget {
+                    *planned = then;
+                }
             }
-            Phase::Stopping { report: wanted, .. } => *wanted = report.or(*wanted),
             Phase::Starting | Phase::Running { .. } => {
                 self.counters.stopped += 1;
                 run.phase = Phase::Stopping {
-                    report,
-                    resend: now.after_millis(CALL_TIMEOUT_MS + HOLD_RETRY_MS),
+                    then,
+                    resend: now.after_millis(ORDER_TIMEOUT_MS + HOLD_RETRY_MS),
                     over: Time::MAX,
                 };
                 let number = run.number;
@@ -462,7 +473,7 @@
             fence: self.fence,
         };
         let purpose = Purpose::Stop(task.clone(), run);
-        self.call(purpose, call, CALL_TIMEOUT_MS, now, out);
+        self.call(purpose, call, ORDER_TIMEOUT_MS, now, out);
     }
 
     /// Forgets a task, and reports its end if `outcome` says so.
@@ -506,7 +517,7 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in waiting {
-            self.end_run(&task, Some(Outcome::Unavailable), now, &mut Vec::new());
+            self.end_run(&task, Then::Report(Outcome::Unavailable), now, &mut Vec::new());
         }
     }
 
@@ -585,7 +596,7 @@
             to: about.id.clone(),
             addr: about.addr,
             call,
-            timeout: CALL_TIMEOUT_MS,
+            timeout: HOLD_TIMEOUT_MS,
         });
         self.calls.insert(number, Purpose::Probe(about));
     }
@@ -611,7 +622,9 @@
         let tasks: Vec<TaskKey> = self.runs.keys().cloned().collect();
         for task in tasks {
             let report = match self.runs[&task].phase {
-                Phase::Stopping { report, .. } => report,
+                Phase::Stopping {
+                    then: Then::Forget, ..
+                } => None,
                 _ => Some(Outcome::Aborted),
             };
             self.finish(&task, report, 0);
@@ -674,7 +687,7 @@
             lease,
             wait,
         };
-        self.call(Purpose::Hold, call, wait + CALL_TIMEOUT_MS, now, out);
+        self.call(Purpose::Hold, call, wait + HOLD_TIMEOUT_MS, now, out);
     }
 
     /// Takes the outcome of a call.
@@ -777,10 +790,14 @@
                 self.not_started(&task, run, Outcome::Failed);
             }
             (Purpose::Stop(task, run), EndpointReply::Done { .. }) => {
-                self.stop_confirmed(&task, run, now);
+                self.stop_confirmed(&task, run, now, out);
+            }
+            (Purpose::Look(task, run), EndpointReply::Held { running, ended, .. }) => {
+                self.ended(&ended, now);
+                self.looked(&task, run, &running, now);
             }
             (Purpose::Stop(..), EndpointReply::Refused { .. }) => self.raise_fence(now),
-            (Purpose::Stop(..) | Purpose::StopOrphan | Purpose::Probe(_), _) => {}
+            (Purpose::Stop(..) | Purpose::Look(..) | Purpose::StopOrphan | Purpose::Probe(_), _) => {}
         }
     }
 
@@ -803,9 +820,17 @@
                     return;
                 }
                 info!(%task, run, %failure, "start unanswered, stopping the run");
-                self.end_run(&task, Some(Outcome::Aborted), now, out);
+                self.end_run(&task, Then::Restart, now, out);
             }
-            Purpose::Stop(..) | Purpose::StopOrphan | Purpose::Probe(_) => {}
+            Purpose::Stop(task, run) => {
+                let stopping = self.runs.get(&task).is_some_and(|known| {
+                    known.number == run && matches!(known.phase, Phase::Stopping { .. })
+                });
+                if stopping {
+                    self.send_stop(&task, run, now, out);
+                }
+            }
+            Purpose::Look(..) | Purpose::StopOrphan | Purpose::Probe(_) => {}
         }
     }
 
@@ -890,23 +915,69 @@
         if known.number != run {
             return;
         }
-        let outcome = match known.phase {
-            Phase::Stopping { report, .. } => report,
-            _ => Some(outcome),
-        };
-        self.finish(task, outcome, 0);
+        match known.phase {
+            Phase::Stopping { then, .. } => self.stopped(task, then),
+            _ => self.finish(task, Some(outcome), 0),
+        }
     }
 
-    fn stop_confirmed(&mut self, task: &TaskKey, run: u32, now: Time) {
+    fn stop_confirmed(&mut self, task: &TaskKey, run: u32, now: Time, out: &mut Vec<Action>) {
         let stop_ms = self.options.bounds.stop_ms;
-        if let Some(known) = self.runs.get_mut(task)
-            && known.number == run
-            && let Phase::Stopping { resend, over, .. } = &mut known.phase
-        {
-            *resend = Time::MAX;
-            // The end is listed by then; a run that never began has none.
-            *over = now.after_millis(stop_ms + Self::STOP_SLACK_MS);
-            self.next_check = self.next_check.min(*over);
+        let Some(known) = self.runs.get_mut(task) else {
+            return;
+        };
+        let Phase::Stopping { resend, over, .. } = &mut known.phase else {
+            return;
+        };
+        if known.number != run || *resend == Time::MAX {
+            return;
+        }
+        *resend = Time::MAX;
+        // The end is listed by then; a run that never began has none.
+        *over = now.after_millis(stop_ms + Self::STOP_SLACK_MS);
+        self.next_check = self.next_check.min(*over);
+        // A run that never began is missing in the lists at once.
+        let Some(endpoint) = &self.endpoint else {
+            return;
+        };
+        let call = EndpointCall::Hold {
+            fence: self.fence,
+            acked: endpoint.acked,
+            lease: None,
+            wait: 0,
+        };
+        let purpose = Purpose::Look(task.clone(), run);
+        self.call(purpose, call, HOLD_TIMEOUT_MS, now, out);
+    }
+
+    /// Takes note that a stopped run is over if it is not among those that run.
+    fn looked(&mut self, task: &TaskKey, run: u32, running: &[RunEntry], now: Time) {
+        let goes_on = running
+            .iter()
+            .any(|entry| entry.run == run && entry.task == *task);
+        let Some(known) = self.runs.get(task) else {
+            return;
+        };
+        if goes_on || known.number != run {
+            return;
+        }
+        if let Phase::Stopping { then, .. } = known.phase {
+            debug!(%task, run, "stopped run is over");
+            self.numbers.insert(task.clone(), (run, now));
+            self.stopped(task, then);
+        }
+    }
+
+    /// Does what follows a stopped run that is over.
+    fn stopped(&mut self, task: &TaskKey, then: Then) {
+        match then {
+            Then::Forget => self.finish(task, None, 0),
+            Then::Report(outcome) => self.finish(task, Some(outcome), 0),
+            Then::Restart if self.leaving => self.finish(task, Some(Outcome::Aborted), 0),
+            Then::Restart => {
+                self.counters.retried += 1;
+                self.requeue(task);
+            }
         }
     }
 
@@ -936,26 +1007,31 @@
             };
             let elapsed = now.millis_since(since);
             let expected = run.expected;
-            let stopping = match run.phase {
-                Phase::Stopping { report, .. } => Some(report),
-                _ => None,
-            };
             let outcome = match end.how {
                 EndHow::Done => Outcome::Done,
                 EndHow::Failed => Outcome::Failed,
                 EndHow::Cut => Outcome::Aborted,
             };
-            match outcome {
-                Outcome::Done if stopping.is_none() => self.health.done(elapsed, expected),
-                Outcome::Failed => self.health.failed(),
+            debug!(%task, run = end.run, ?outcome, elapsed, "run ended");
+            match (run.phase, outcome) {
+                (Phase::Stopping { then, .. }, Outcome::Aborted) => {
+                    self.stopped(&task, then);
+                    continue;
+                }
+                (
+                    Phase::Stopping {
+                        then: Then::Forget, ..
+                    },
+                    _,
+                ) => {
+                    self.finish(&task, None, 0);
+                    continue;
+                }
+                (Phase::Running { .. }, Outcome::Done) => self.health.done(elapsed, expected),
+                (_, Outcome::Failed) => self.health.failed(),
                 _ => {}
             }
-            debug!(%task, run = end.run, ?outcome, elapsed, "run ended");
-            let report = match stopping {
-                Some(None) => None,
-                _ => Some(outcome),
-            };
-            self.finish(&task, report, elapsed);
+            self.finish(&task, Some(outcome), elapsed);
         }
     }
 
@@ -978,7 +1054,7 @@
                 run: entry.run,
                 fence: self.fence,
             };
-            self.call(Purpose::StopOrphan, call, CALL_TIMEOUT_MS, now, out);
+            self.call(Purpose::StopOrphan, call, ORDER_TIMEOUT_MS, now, out);
         }
         let Some(endpoint) = &mut self.endpoint else {
             return;
@@ -1055,19 +1131,19 @@
             return;
         };
         match &mut run.phase {
-            Phase::Stopping { report, over, .. } if now >= *over => {
-                let report = *report;
-                self.finish(task, report, 0);
+            Phase::Stopping { then, over, .. } if now >= *over => {
+                let then = *then;
+                self.stopped(task, then);
             }
             Phase::Stopping { resend, .. } if now >= *resend => {
-                *resend = now.after_millis(CALL_TIMEOUT_MS);
+                *resend = now.after_millis(ORDER_TIMEOUT_MS);
                 let number = run.number;
                 self.send_stop(task, number, now, out);
             }
             Phase::Stopping { .. } | Phase::Starting => {}
             Phase::Queued => {
                 if now >= run.deadline {
-                    self.end_run(task, Some(Outcome::Unavailable), now, out);
+                    self.end_run(task, Then::Report(Outcome::Unavailable), now, out);
                 }
             }
             Phase::Running { since } => {
@@ -1076,7 +1152,7 @@
                 if now >= run.deadline || elapsed > STUCK_FACTOR * expected + STUCK_MS {
                     warn!(%task, elapsed, expected, "run takes too long, stopping it");
                     self.health.failed();
-                    self.end_run(task, Some(Outcome::Aborted), now, out);
+                    self.end_run(task, Then::Report(Outcome::Aborted), now, out);
                 } else if elapsed > OVERDUE_FACTOR * expected + OVERDUE_MS {
                     let expected = run.expected;
                     self.health.overdue(elapsed, expected);
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -36,8 +36,8 @@
     },
     /// Its run is being ended.
     Stopping {
-        /// What the entry is told at the end; nothing if it does not want to know.
-        report: Option<Outcome>,
+        /// What follows.
+        then: Then,
         /// When the stop is sent again; `Time::MAX` once it is confirmed.
         resend: Time,
         /// When the run is surely over.
@@ -45,6 +45,17 @@
     },
 }
 
+/// What follows when a run is over that was stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Then {
+    /// Nothing: the entry does not want to know.
+    Forget,
+    /// The entry is told.
+    Report(Outcome),
+    /// The task is started again.
+    Restart,
+}
+
 impl Phase {
     /// Returns whether the task takes room at the endpoint.
     pub(super) const fn uses_room(self) -> bool {
--- a/crates/fulmarpond-reactor/src/reactor.rs
+++ b/crates/fulmarpond-reactor/src/reactor.rs
@@ -1,6 +1,6 @@
 //! The event loop.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -20,8 +20,8 @@
 /// How long a connect of a link may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// How often connections without progress are looked for.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// The longest time between two looks for connections without progress.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The most bytes that wait to be sent on a link before it counts as broken.
 const LINK_BACKLOG: usize = 8 * 1024 * 1024;
@@ -162,11 +162,13 @@
     /// Opens a link. [`Event::LinkUp`] or [`Event::LinkDown`] follows.
     pub fn dial(&mut self, addr: SocketAddr) -> LinkId {
         let id = LinkId(self.fresh_id());
+        let deadline = Instant::now() + CONNECT_TIMEOUT;
+        self.next_sweep = self.next_sweep.min(deadline);
         let conn = Channel::connect(addr).map(|channel| {
             Conn::Link(LinkConn {
                 channel,
                 id,
-                deadline: Instant::now() + CONNECT_TIMEOUT,
+                deadline,
             })
         });
         match conn.and_then(|conn| self.insert(conn)) {
@@ -225,6 +227,7 @@
     pub fn call(&mut self, addr: SocketAddr, lane: u8, limit: usize, call: &Call) -> CallId {
         let id = CallId(self.fresh_id());
         let pool = self.pool(addr, lane, limit);
+        self.next_sweep = self.next_sweep.min(call.deadline);
         let pending = PendingCall {
             id,
             bytes: encode_call(addr, call),
@@ -623,7 +626,7 @@
             limit,
             open: 0,
             idle: Vec::new(),
-            waiting: std::collections::VecDeque::new(),
+            waiting: VecDeque::new(),
         });
         let pool = self.pools.len() - 1;
         self.pool_index.insert((addr, lane), pool);
@@ -735,14 +738,18 @@
         self.next_sweep = now + SWEEP_INTERVAL;
         let mut late = Vec::new();
         for (key, conn) in &self.conns {
-            let is_late = match conn {
-                Conn::Server(conn) => conn.open.is_none() && now >= conn.deadline,
-                Conn::Client(conn) => conn.call.as_ref().is_some_and(|call| now >= call.deadline),
-                Conn::Link(conn) => !conn.channel.is_connected() && now >= conn.deadline,
-                Conn::HttpListener(..) | Conn::LinkListener(_) => false,
+            let deadline = match conn {
+                Conn::Server(conn) if conn.open.is_none() => conn.deadline,
+                Conn::Link(conn) if !conn.channel.is_connected() => conn.deadline,
+                Conn::Client(ClientConn {
+                    call: Some(call), ..
+                }) => call.deadline,
+                _ => continue,
             };
-            if is_late {
+            if now >= deadline {
                 late.push(key);
+            } else if !matches!(conn, Conn::Server(_)) {
+                self.next_sweep = self.next_sweep.min(deadline);
             }
         }
         for key in late {
@@ -761,17 +768,18 @@
 
     fn expire_waiting(&mut self, now: Instant) {
         for pool in &mut self.pools {
-            while pool
-                .waiting
-                .front()
-                .is_some_and(|call| now >= call.deadline)
-            {
-                if let Some(call) = pool.waiting.pop_front() {
-                    self.events.push(Event::Replied {
-                        call: call.id,
-                        outcome: Err(CallError::NotConnected),
-                    });
-                }
+            let (late, waiting): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut pool.waiting)
+                .into_iter()
+                .partition(|call| now >= call.deadline);
+            pool.waiting = waiting;
+            for call in late {
+                self.events.push(Event::Replied {
+                    call: call.id,
+                    outcome: Err(CallError::NotConnected),
+                });
+            }
+            for call in &pool.waiting {
+                self.next_sweep = self.next_sweep.min(call.deadline);
             }
         }
     }
