perf(dispatch): hold for no longer than the next end is expected; admit by the whole job's wait

Ruled out: overload alone (the same load is served on time without lost orders). Admission looked at one task only, and took a run that was past its expected time for one that ends within 5 ms.

Change: a hold waits 1.5 times the expected time until the next end. Agents report waiting work by urgency and the tasks that began; the entry plans a whole job, refuses it if the wait would take its slack, calls a job back that missed its objective unbegun, and finishes jobs first that have begun.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -16,8 +16,8 @@
     StartRefusal,
 };
 use crate::{
-    AgentFrame, Bounds, Counters, EndpointState, EndpointStatus, EntryFrame, JobId, LinkNo, Needs,
-    Order, Outcome, Registration, TaskEnd, TaskKey,
+    AgentFrame, Backlog, Bounds, Counters, EndpointState, EndpointStatus, EntryFrame, JobId,
+    LinkNo, Needs, Order, Outcome, Registration, TaskEnd, TaskKey,
 };
 
 /// How long a start or a stop may go without a reply, in milliseconds. The endpoint is on the same
@@ -25,16 +25,20 @@
 const ORDER_TIMEOUT_MS: u64 = 40;
 
 /// How long a hold may go without a reply beyond its wait, in milliseconds.
-const HOLD_TIMEOUT_MS: u64 = 150;
+const HOLD_TIMEOUT_MS: u64 = 40;
 
-/// How long a hold waits for an end at the endpoint, in milliseconds.
-const HOLD_WAIT_MS: u64 = 200;
+/// The shortest and the longest wait of a hold for an end at the endpoint, in milliseconds.
+const HOLD_WAIT_MS: (u64, u64) = (15, 200);
+
+/// The wait of a hold as a multiple of the expected time until the next end, in percent. A hold
+/// without a reply hides all ends until it times out, so its wait follows the rate of ends.
+const HOLD_WAIT_PERCENT: u64 = 150;
 
 /// An endpoint that answers no call for so long counts as unreachable, in milliseconds.
 const SILENCE_MS: u64 = 500;
 
 /// The shortest and the longest time between two statuses on a link, in milliseconds.
-const STATUS_MS: (u64, u64) = (20, 120);
+const STATUS_MS: (u64, u64) = (5, 120);
 
 /// The pause after a hold without a reply, in milliseconds.
 const HOLD_RETRY_MS: u64 = 40;
@@ -103,6 +107,7 @@
     used: Needs,
     health: Health,
     ends: HashMap<LinkNo, Vec<TaskEnd>>,
+    starts: HashMap<LinkNo, Vec<TaskKey>>,
     changed: bool,
     last_status: Time,
     next_check: Time,
@@ -130,6 +135,7 @@
             used: Needs::default(),
             health: Health::new(now),
             ends: HashMap::new(),
+            starts: HashMap::new(),
             changed: true,
             last_status: Time::default(),
             next_check: now,
@@ -187,7 +193,7 @@
         for task in tasks {
             self.end_run(&task, Then::Report(Outcome::Aborted), now, out);
         }
-        self.send_ends(out);
+        self.send_news(out);
     }
 
     // Links.
@@ -229,6 +235,7 @@
             self.end_run(&task, Then::Forget, now, out);
         }
         self.ends.remove(&link);
+        self.starts.remove(&link);
         self.fill(now, out);
     }
 
@@ -252,6 +259,7 @@
                 self.order(link, &order, now, out);
             }
             EntryFrame::Stop { job, tasks } => self.stop_tasks(link, &job, &tasks, now, out),
+            EntryFrame::Withdraw(job) => self.withdraw(link, &job, now, out),
             EntryFrame::Entries(addrs) => self.links.learn(&addrs, now),
         }
     }
@@ -311,6 +319,7 @@
                 expected: order.expected,
                 start_by,
                 deadline: now.after_millis(u64::from(order.remaining)),
+                fresh: order.slack > 0,
                 phase: Phase::Queued,
             };
             self.queue.push(start_by, task.clone());
@@ -318,7 +327,7 @@
         }
         self.changed = true;
         self.fill(now, out);
-        self.send_ends(out);
+        self.send_news(out);
     }
 
     fn refusal(&self, order: &Order, now: Time) -> Option<Outcome> {
@@ -346,7 +355,7 @@
                 let run = self.runs.get(task);
                 run.is_some_and(|run| run.needs.fits(free))
             };
-            let Some(task) = self.queue.first(now, fits) else {
+            let Some(task) = self.queue.first(fits) else {
                 return;
             };
             self.start(&task, now, out);
@@ -361,6 +370,7 @@
         self.used = self.used.plus(run.needs);
         run.number += 1;
         run.phase = Phase::Starting;
+        self.starts.entry(run.link).or_default().push(task.clone());
         let (number, spec) = (run.number, run.spec.clone());
         self.counters.started += 1;
         self.send_start(task, number, spec, now, out);
@@ -423,7 +433,18 @@
             }
         }
         self.fill(now, out);
-        self.send_ends(out);
+        self.send_news(out);
+    }
+
+    fn withdraw(&mut self, link: LinkNo, job: &JobId, now: Time, out: &mut Vec<Action>) {
+        let of_job = self.runs.iter().filter(|(task, run)| {
+            run.link == link && task.job == *job && run.phase == Phase::Queued
+        });
+        let waiting: Vec<TaskKey> = of_job.map(|(task, _)| task.clone()).collect();
+        for task in waiting {
+            self.end_run(&task, Then::Report(Outcome::Unavailable), now, out);
+        }
+        self.send_news(out);
     }
 
     fn tasks_of(&self, link: LinkNo) -> Vec<TaskKey> {
@@ -432,13 +453,7 @@
     }
 
     /// Ends a task: a waiting one at once, a running one by a stop.
-    fn end_run(
-        &mut self,
-        task: &TaskKey,
-        then: Then,
-        now: Time,
-        out: &mut Vec<Action>,
-    ) {
+    fn end_run(&mut self, task: &TaskKey, then: Then, now: Time, out: &mut Vec<Action>) {
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
@@ -500,7 +515,13 @@
         self.ends.entry(link).or_default().push(end);
     }
 
-    fn send_ends(&mut self, out: &mut Vec<Action>) {
+    fn send_news(&mut self, out: &mut Vec<Action>) {
+        for (link, starts) in self.starts.drain() {
+            out.push(Action::Send {
+                link,
+                frame: AgentFrame::Started(starts),
+            });
+        }
         for (link, ends) in self.ends.drain() {
             out.push(Action::Send {
                 link,
@@ -517,7 +538,12 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in waiting {
-            self.end_run(&task, Then::Report(Outcome::Unavailable), now, &mut Vec::new());
+            self.end_run(
+                &task,
+                Then::Report(Outcome::Unavailable),
+                now,
+                &mut Vec::new(),
+            );
         }
     }
 
@@ -556,7 +582,7 @@
             self.hold(now, out);
         }
         self.send_status(now, out);
-        self.send_ends(out);
+        self.send_news(out);
     }
 
     /// Notes that an endpoint has ended.
@@ -613,7 +639,7 @@
         self.end_everything(now);
         self.describe_to_all(out);
         self.send_status(now, out);
-        self.send_ends(out);
+        self.send_news(out);
     }
 
     /// Reports the end of all tasks, when nothing can run at the endpoint any more.
@@ -680,7 +706,12 @@
         // answer: their lease is not extended.
         let extends = endpoint.settled && endpoint.reachable;
         let lease = extends.then(|| self.extend(now));
-        let wait = if extends { HOLD_WAIT_MS } else { 0 };
+        let wait = self.next_end() * HOLD_WAIT_PERCENT / 100;
+        let wait = if extends {
+            wait.clamp(HOLD_WAIT_MS.0, HOLD_WAIT_MS.1)
+        } else {
+            0
+        };
         let call = EndpointCall::Hold {
             fence: self.fence,
             acked,
@@ -719,7 +750,7 @@
         }
         self.fill(now, out);
         self.hold(now, out);
-        self.send_ends(out);
+        self.send_news(out);
     }
 
     fn probed(
@@ -797,7 +828,10 @@
                 self.looked(&task, run, &running, now);
             }
             (Purpose::Stop(..), EndpointReply::Refused { .. }) => self.raise_fence(now),
-            (Purpose::Stop(..) | Purpose::Look(..) | Purpose::StopOrphan | Purpose::Probe(_), _) => {}
+            (
+                Purpose::Stop(..) | Purpose::Look(..) | Purpose::StopOrphan | Purpose::Probe(_),
+                _,
+            ) => {}
         }
     }
 
@@ -1104,7 +1138,7 @@
         self.numbers
             .retain(|_, (_, at)| now.millis_since(*at) < NUMBER_MEMORY_MS);
         self.fill(now, out);
-        self.send_ends(out);
+        self.send_news(out);
     }
 
     fn check_endpoint(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -1142,7 +1176,8 @@
             }
             Phase::Stopping { .. } | Phase::Starting => {}
             Phase::Queued => {
-                if now >= run.deadline {
+                // The entry decides whether a task that missed its time is still of use.
+                if now >= run.deadline || (now >= run.start_by && run.fresh) {
                     self.end_run(task, Then::Report(Outcome::Unavailable), now, out);
                 }
             }
@@ -1177,31 +1212,43 @@
         }
     }
 
+    /// Returns the expected time until the next end of a run, in milliseconds.
+    ///
+    /// Run times vary so much that the time a run has taken says little about what is left.
+    fn next_end(&self) -> u64 {
+        let at_endpoint = self.runs.values().filter(|run| run.phase.uses_room());
+        let (count, work) = at_endpoint.fold((0_u64, 0_u64), |(count, work), run| {
+            (count + 1, work + u64::from(run.expected))
+        });
+        work / (count * count).max(1)
+    }
+
     fn status(&self, now: Time) -> EndpointStatus {
         let Some(endpoint) = &self.endpoint else {
             return EndpointStatus::default();
         };
-        let mut backlog: u64 = 0;
-        let mut next_end = u64::from(u32::MAX);
+        let mut backlog = Backlog::default();
         let (mut running, mut overdue) = (0_u32, 0_u32);
         for run in self.runs.values() {
             let expected = u64::from(run.expected);
             match run.phase {
-                Phase::Queued => backlog += expected * u64::from(run.needs.cpu) / 1_000,
+                Phase::Queued => {
+                    let work = expected * u64::from(run.needs.cpu) / 1_000;
+                    backlog.add(run.start_by.remaining_millis(now), work);
+                }
                 Phase::Running { since } => {
                     let elapsed = now.millis_since(since);
                     running += 1;
                     overdue += u32::from(elapsed > OVERDUE_FACTOR * expected + OVERDUE_MS);
-                    next_end = next_end.min(expected.saturating_sub(elapsed).max(5));
                 }
-                Phase::Starting => next_end = next_end.min(expected),
-                Phase::Stopping { .. } => next_end = next_end.min(self.options.bounds.stop_ms),
+                Phase::Starting | Phase::Stopping { .. } => {}
             }
         }
+        let next_end = self.next_end();
         EndpointStatus {
             ready: endpoint.takes_tasks(now) && !self.leaving,
             free: endpoint.about.capacity.minus(self.used),
-            backlog: u32::try_from(backlog).unwrap_or(u32::MAX),
+            backlog,
             next_end: u32::try_from(next_end).unwrap_or(u32::MAX),
             slowness: self.health.slowness_percent(),
             failures: self.health.failure_percent(),
--- a/crates/fulmarpond-dispatch/src/agent/queue.rs
+++ b/crates/fulmarpond-dispatch/src/agent/queue.rs
@@ -10,9 +10,6 @@
 const LOOKAHEAD: usize = 6;
 
 /// The waiting tasks, in the order of the times until which they have to start.
-///
-/// Tasks that have missed their time come after all others: they can no longer meet their
-/// objective, and would make the next ones miss theirs.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     waiting: BTreeSet<(Time, TaskKey)>,
@@ -28,11 +25,9 @@
     }
 
     /// Returns the first task in order that `fits` accepts, among the next few.
-    pub(super) fn first(&self, now: Time, fits: impl Fn(&TaskKey) -> bool) -> Option<TaskKey> {
-        let in_time = self.waiting.iter().filter(|(by, _)| *by >= now);
-        let late = self.waiting.iter().take_while(|(by, _)| *by < now);
-        let order = in_time.chain(late).take(LOOKAHEAD);
-        order.map(|(_, task)| task).find(|task| fits(task)).cloned()
+    pub(super) fn first(&self, fits: impl Fn(&TaskKey) -> bool) -> Option<TaskKey> {
+        let mut order = self.waiting.iter().take(LOOKAHEAD).map(|(_, task)| task);
+        order.find(|task| fits(task)).cloned()
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -19,6 +19,8 @@
     pub(super) start_by: Time,
     /// When the caller leaves.
     pub(super) deadline: Time,
+    /// Whether its objective could be met when it was ordered.
+    pub(super) fresh: bool,
     pub(super) phase: Phase,
 }
 
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -39,6 +39,20 @@
 /// A longer time between two checks means that the process stood still, in milliseconds.
 const PAUSE_MS: u64 = 400;
 
+/// The share of its slack that a job may be expected to wait, by the rank of its queue.
+const PATIENCE: [f64; 3] = [1.0, 0.7, 0.5];
+
+/// The choices for the tasks of a job.
+#[derive(Debug, Default)]
+struct Plan {
+    /// Positions of tasks with the links to send them to.
+    choices: Vec<(usize, LinkNo)>,
+    /// The longest wait for room, in milliseconds.
+    wait: f64,
+    /// Whether no agent was found for some task.
+    left: bool,
+}
+
 /// How an entry is set up.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EntryOptions {
@@ -204,16 +218,23 @@
             self.requests.insert(request, id);
             return;
         }
-        let job = self.job(request, route, submission, now);
-        if let Err(reason) = self.admit(&job, now) {
+        let mut job = self.job(request, route, submission, now);
+        if let Err(reason) = self.admit(&job) {
             self.refuse_job(&id, &job, reason, now, out);
             return;
         }
+        let plan = self.plan(&job, now);
+        if plan.wait > Self::patience(&job, now) {
+            self.drop_plan(&plan);
+            self.refuse_job(&id, &job, Refusal::Overloaded, now, out);
+            return;
+        }
+        job.wait = plan.wait as u64;
         self.counters.accepted += 1;
         debug!(job = %id, route = route.name, tasks = job.tasks.len(), "job accepted");
         self.requests.insert(request, id.clone());
-        self.jobs.insert(id.clone(), job);
-        self.place(&id, now, out);
+        self.carry_out(&id, &mut job, plan, now, out);
+        self.jobs.insert(id, job);
     }
 
     fn job(&self, request: RequestNo, route: &Rc<Route>, submission: Submission, now: Time) -> Job {
@@ -230,7 +251,10 @@
             start_by: now.after_millis(slack),
             useful_until: now.after_millis(objective * USEFUL_FACTOR),
             deadline: now.after_millis(patience),
+            wait: 0,
+            last_start: now,
             begun: false,
+            withdrawn: false,
             avoided: Vec::new(),
         }
     }
@@ -250,8 +274,8 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Decides whether a job can be served in time.
-    fn admit(&self, job: &Job, now: Time) -> Result<(), Refusal> {
+    /// Decides whether a job can be served at all.
+    fn admit(&self, job: &Job) -> Result<(), Refusal> {
         let service = &job.route.service;
         if !self.fleet.has_service(service) {
             return Err(Refusal::NoEndpoint);
@@ -263,17 +287,25 @@
         {
             return Err(Refusal::NeverFits);
         }
-        let Some(choice) = self.choose(job, 0, &[]) else {
-            return Err(Refusal::NoEndpoint);
-        };
-        let slack = job.start_by.millis_since(now) as f64;
-        if choice.wait > slack {
-            return Err(Refusal::Overloaded);
-        }
         Ok(())
     }
 
-    fn choose(&self, job: &Job, position: usize, taken: &[(LinkNo, u16)]) -> Option<Choice> {
+    /// Returns how long a job may wait for room, in milliseconds.
+    ///
+    /// Under load, queues of lower rank are refused first, so that room is left for the others.
+    fn patience(job: &Job, now: Time) -> f64 {
+        let slack = job.start_by.remaining_millis(now) as f64;
+        let rank = usize::from(job.route.priority).min(PATIENCE.len() - 1);
+        slack * PATIENCE[rank]
+    }
+
+    fn choose(
+        &self,
+        job: &Job,
+        position: usize,
+        taken: &[(LinkNo, u16)],
+        now: Time,
+    ) -> Option<Choice> {
         let task = &job.tasks[position];
         let step = &job.submission.steps[usize::from(task.step)];
         let demand = Demand {
@@ -281,6 +313,7 @@
             zone: &self.options.zone,
             step,
             expected: self.estimates.expect(&job.route.name, step.estimate),
+            slack: job.start_by.remaining_millis(now),
             far: self.options.far,
         };
         let spread = step.spread.map(|most| (most, job.spread(task.step)));
@@ -340,38 +373,68 @@
         let Some(mut job) = self.jobs.remove(id) else {
             return;
         };
-        let mut orders: Vec<(LinkNo, u16, Vec<u16>)> = Vec::new();
+        let plan = self.plan(&job, now);
+        self.carry_out(id, &mut job, plan, now, out);
+        self.jobs.insert(id.clone(), job);
+    }
+
+    /// Chooses agents for the tasks of a job that can be placed, and reserves their room.
+    fn plan(&mut self, job: &Job, now: Time) -> Plan {
+        let mut plan = Plan::default();
         let mut taken: Vec<(LinkNo, u16)> = Vec::new();
-        let mut left = false;
         for position in job.ready() {
-            let Some(choice) = self.choose(&job, position, &taken) else {
-                left = true;
+            let Some(choice) = self.choose(job, position, &taken, now) else {
+                plan.left = true;
                 continue;
             };
-            let task = &mut job.tasks[position];
-            let (step, index) = (task.step, task.index);
-            task.state = TaskState::Sent(choice.link);
-            let about = &job.submission.steps[usize::from(step)];
+            let task = &job.tasks[position];
+            let about = &job.submission.steps[usize::from(task.step)];
             let expected = self.estimates.expect(&job.route.name, about.estimate);
             if let Some(view) = self.fleet.views.get_mut(&choice.link) {
                 view.planned(about.needs, expected);
             }
-            taken.push((choice.link, step));
+            plan.wait = plan.wait.max(choice.wait);
+            taken.push((choice.link, task.step));
+            plan.choices.push((position, choice.link));
+        }
+        plan
+    }
+
+    fn drop_plan(&mut self, plan: &Plan) {
+        for (_, link) in &plan.choices {
+            if let Some(view) = self.fleet.views.get_mut(link) {
+                view.forget_plan();
+            }
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        id: &JobId,
+        job: &mut Job,
+        plan: Plan,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let mut orders: Vec<(LinkNo, u16, Vec<u16>)> = Vec::new();
+        for (position, link) in plan.choices {
+            let task = &mut job.tasks[position];
+            let (step, index) = (task.step, task.index);
+            task.state = TaskState::Sent(link);
             let mut known = orders.iter_mut();
-            match known.find(|(link, of, _)| *link == choice.link && *of == step) {
+            match known.find(|(to, of, _)| *to == link && *of == step) {
                 Some((_, _, indexes)) => indexes.push(index),
-                None => orders.push((choice.link, step, vec![index])),
+                None => orders.push((link, step, vec![index])),
             }
         }
         for (link, step, indexes) in orders {
-            self.send_order(id, &job, link, step, indexes, now, out);
+            self.send_order(id, job, link, step, indexes, now, out);
         }
-        if left {
+        if plan.left {
             self.unplaced.insert(id.clone());
         } else {
             self.unplaced.remove(id);
         }
-        self.jobs.insert(id.clone(), job);
     }
 
     #[expect(clippy::too_many_arguments, reason = "the parts of one order")]
@@ -392,7 +455,12 @@
             debug!(job = %id, step, tasks = indexes.len(), agent = view.name, "tasks sent");
             view.ordered();
         }
-        let slack = job.start_by.remaining_millis(now);
+        // A job that has begun is finished first, as long as its answer is of use.
+        let slack = if now < job.useful_until {
+            job.start_by.remaining_millis(now)
+        } else {
+            u64::MAX
+        };
         let remaining = job.deadline.remaining_millis(now);
         let order = Order {
             job: id.clone(),
@@ -446,8 +514,16 @@
         match answer {
             Answer::Completed => {
                 self.counters.completed += 1;
-                let route = &job.route.name;
-                info!(job = %id, route, age_ms = age, tasks = job.tasks.len(), "job completed");
+                info!(
+                    job = %id,
+                    route = job.route.name,
+                    age_ms = age,
+                    tasks = job.tasks.len(),
+                    planned_wait_ms = job.wait,
+                    wait_ms = job.last_start.millis_since(job.arrived),
+                    slack_ms = job.start_by.millis_since(job.arrived),
+                    "job completed"
+                );
             }
             Answer::Failed => {
                 self.counters.failed += 1;
@@ -600,6 +676,14 @@
                 });
                 self.status(link, orders, load, now, out);
             }
+            AgentFrame::Started(tasks) => {
+                for task in tasks {
+                    if let Some(job) = self.jobs.get_mut(&task.job) {
+                        job.begun = true;
+                        job.last_start = now;
+                    }
+                }
+            }
             AgentFrame::Ended(ends) => {
                 for end in ends {
                     self.ended(link, &end, now, out);
@@ -690,11 +774,39 @@
                 self.finish(id, Answer::Failed, now, out);
                 return;
             }
+            if self.withdraw(id, now, out) {
+                return;
+            }
         }
         let id = id.clone();
         self.place(&id, now, out);
     }
 
+    /// Calls a job back that missed its objective before any of its tasks began: its room is of
+    /// more use to jobs that can still meet theirs. Returns whether the job is called back.
+    fn withdraw(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return false;
+        };
+        if job.begun || now < job.start_by {
+            return false;
+        }
+        let links = job.links();
+        if links.is_empty() {
+            let id = id.clone();
+            self.give_up(&id, Refusal::Overloaded, now, out);
+            return true;
+        }
+        if !job.withdrawn {
+            job.withdrawn = true;
+            for link in links {
+                let frame = EntryFrame::Withdraw(id.clone());
+                out.push(Action::Send { link, frame });
+            }
+        }
+        true
+    }
+
     // Time.
 
     /// Does what is due.
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -61,17 +61,24 @@
         free
     }
 
-    /// Returns how long a task would wait for room, in milliseconds.
-    pub(super) fn wait(&self, needs: Needs) -> f64 {
+    /// Returns how long a task with `slack` milliseconds left would wait for room, in
+    /// milliseconds.
+    pub(super) fn wait(&self, needs: Needs, slack: u64) -> f64 {
         let free = self.free();
-        if self.load.backlog == 0 && needs.fits(free) {
+        if self.load.backlog.is_clear() && needs.fits(free) {
             return 0.0;
         }
         let cores = f64::from(self.capacity.cpu.max(1)) / 1_000.0;
         let unseen: u64 = self.unseen.iter().map(|unseen| unseen.work).sum();
-        let ahead = f64::from(self.load.backlog) + unseen as f64;
+        let ahead = self.load.backlog.ahead(slack) + unseen;
         let next = f64::from(self.load.next_end.min(10_000));
-        next + ahead / cores
+        next + ahead as f64 / cores
+    }
+
+    /// Takes back what was planned since the last order.
+    pub(super) fn forget_plan(&mut self) {
+        let next = self.sent + 1;
+        self.unseen.retain(|unseen| unseen.order < next);
     }
 
     /// Returns the share of the processor that is in use, from 0 to 1.
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -46,8 +46,14 @@
     pub(super) useful_until: Time,
     /// When the caller leaves.
     pub(super) deadline: Time,
+    /// How long its tasks were expected to wait for room when it was admitted, in milliseconds.
+    pub(super) wait: u64,
+    /// When its last task began, as far as the agents have said.
+    pub(super) last_start: Time,
     /// Whether some task may have started.
     pub(super) begun: bool,
+    /// Whether its tasks were called back since it missed its objective.
+    pub(super) withdrawn: bool,
     /// Agents where its tasks met trouble.
     pub(super) avoided: Vec<LinkNo>,
 }
--- a/crates/fulmarpond-dispatch/src/entry/placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placement.rs
@@ -33,6 +33,8 @@
     pub(super) step: &'a Step,
     /// The expected run time, in milliseconds.
     pub(super) expected: u32,
+    /// How long it may wait without missing its objective, in milliseconds.
+    pub(super) slack: u64,
     /// How many times as long a task takes away from its data.
     pub(super) far: f64,
 }
@@ -60,7 +62,7 @@
         if !suits(view, demand) || full(link) {
             continue;
         }
-        let wait = view.wait(demand.step.needs);
+        let wait = view.wait(demand.step.needs, demand.slack);
         let finish = wait + run_time(view, demand, usual);
         let mut cost = finish + unease(view, demand);
         if avoided.contains(&link) {
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -59,6 +59,8 @@
         /// The load.
         load: EndpointStatus,
     },
+    /// Tasks of this entry may have begun.
+    Started(Vec<TaskKey>),
     /// Tasks of this entry ended.
     Ended(Vec<TaskEnd>),
 }
@@ -71,8 +73,8 @@
     pub ready: bool,
     /// The room that is not in use.
     pub free: Needs,
-    /// The work that waits at the agent, in core-milliseconds.
-    pub backlog: u32,
+    /// The work that waits at the agent.
+    pub backlog: Backlog,
     /// The expected time until the next end of a run, in milliseconds.
     pub next_end: u32,
     /// Observed over expected run time, in percent.
@@ -83,6 +85,36 @@
     pub stalled: bool,
 }
 
+/// Waiting work by the time that is left until it has to start, in core-milliseconds.
+#[message]
+#[derive(Copy, Default)]
+pub struct Backlog([u32; SLACK_BOUNDS.len()]);
+
+/// The upper bounds of the classes of a [`Backlog`], in milliseconds.
+const SLACK_BOUNDS: [u64; 7] = [0, 30, 60, 120, 240, 480, u64::MAX];
+
+impl Backlog {
+    /// Adds work that has to start within `slack` milliseconds.
+    pub fn add(&mut self, slack: u64, work: u64) {
+        let class = SLACK_BOUNDS.iter().position(|&bound| slack <= bound);
+        let class = class.unwrap_or(SLACK_BOUNDS.len() - 1);
+        let work = u32::try_from(work).unwrap_or(u32::MAX);
+        self.0[class] = self.0[class].saturating_add(work);
+    }
+
+    /// Returns the work that goes before a task with `slack` milliseconds left.
+    pub fn ahead(&self, slack: u64) -> u64 {
+        let classes = SLACK_BOUNDS.iter().zip(self.0);
+        let earlier = classes.take_while(|(bound, _)| **bound <= slack.max(SLACK_BOUNDS[1]));
+        earlier.map(|(_, work)| u64::from(work)).sum()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_clear(&self) -> bool {
+        self.0.iter().all(|&work| work == 0)
+    }
+}
+
 /// What an entry tells an agent.
 #[message]
 pub enum EntryFrame {
@@ -105,6 +137,8 @@
         /// The steps and numbers of the tasks; empty for all of the job.
         tasks: Vec<(u16, u16)>,
     },
+    /// Returns the tasks of a job that have not begun.
+    Withdraw(JobId),
     /// The link addresses of all entries.
     Entries(Vec<SocketAddr>),
 }
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -25,7 +25,8 @@
 pub use clock::RemoteClock;
 pub use counters::{Counters, Refusal};
 pub use frame::{
-    AgentFrame, EndpointStatus, EntryFrame, FrameError, Order, Outcome, TaskEnd, decode, encode,
+    AgentFrame, Backlog, EndpointStatus, EntryFrame, FrameError, Order, Outcome, TaskEnd, decode,
+    encode,
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use needs::Needs;
