--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -25,14 +25,14 @@
 const ORDER_TIMEOUT_MS: u64 = 40;
 
 /// How long a hold may go without a reply beyond its wait, in milliseconds.
-const HOLD_TIMEOUT_MS: u64 = 40;
+const HOLD_TIMEOUT_MS: u64 = 15;
 
 /// The shortest and the longest wait of a hold for an end at the endpoint, in milliseconds.
 const HOLD_WAIT_MS: (u64, u64) = (15, 200);
 
 /// The wait of a hold as a multiple of the expected time until the next end, in percent. A hold
 /// without a reply hides all ends until it times out, so its wait follows the rate of ends.
-const HOLD_WAIT_PERCENT: u64 = 150;
+const HOLD_WAIT_PERCENT: u64 = 100;
 
 /// An endpoint that answers no call for so long counts as unreachable, in milliseconds.
 const SILENCE_MS: u64 = 500;
