feat(dispatch): agents keep the configuration for entries that cannot reach the store

Cause: after a loss of power, agents waited up to 700 ms for connects to entries that were still down, and an entry that the store turned away had no configuration and refused everything for up to 9 s.

Change: a connect of a link ends after 150 ms and is tried again after 50 ms. Entries give the configuration to agents of their zone, and an agent hands it to an entry whose version is older. Starts time out after 20 ms.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -15,6 +15,7 @@
     Action, CallFailure, CallNo, EndEntry, EndHow, EndpointCall, EndpointReply, RunEntry,
     StartRefusal,
 };
+use crate::entry::Configuration;
 use crate::{
     AgentFrame, Backlog, Bounds, Counters, EndpointState, EndpointStatus, EntryFrame, JobId,
     LinkNo, Needs, Order, Outcome, Registration, TaskEnd, TaskKey,
@@ -22,7 +23,7 @@
 
 /// How long a start or a stop may go without a reply, in milliseconds. The endpoint is on the same
 /// host and answers within a few.
-const ORDER_TIMEOUT_MS: u64 = 40;
+const ORDER_TIMEOUT_MS: u64 = 20;
 
 /// How long a hold may go without a reply beyond its wait, in milliseconds.
 const HOLD_TIMEOUT_MS: u64 = 15;
@@ -112,6 +113,8 @@
     last_status: Time,
     next_check: Time,
     leaving: bool,
+    /// The newest configuration that entries have given; the agent itself does not use it.
+    configuration: Option<Configuration>,
     /// The decisions since the start.
     pub counters: Counters,
 }
@@ -140,6 +143,7 @@
             last_status: Time::default(),
             next_check: now,
             leaving: false,
+            configuration: None,
             counters: Counters::default(),
         }
     }
@@ -210,6 +214,7 @@
         let hello = AgentFrame::Hello {
             name: self.options.name.clone(),
             zone: self.options.zone.clone(),
+            version: self.version(),
         };
         out.push(Action::Send { link, frame: hello });
         out.push(Action::Send {
@@ -245,11 +250,12 @@
             return;
         };
         match frame {
-            EntryFrame::Hello { name } => {
+            EntryFrame::Hello { name, version } => {
                 info!(entry = name, "link to entry established");
                 state.entry = name;
-                state.greeted = true;
+                self.hand_on(link, version, out);
             }
+            EntryFrame::Configuration(configuration) => self.keep(configuration),
             EntryFrame::Renew { sent } => {
                 let lease = Time::from_micros(sent).after_millis(self.options.bounds.link_ms);
                 state.lease = state.lease.max(lease);
@@ -264,6 +270,31 @@
         }
     }
 
+    /// Returns the version of the configuration that is kept; 0 for none.
+    fn version(&self) -> u64 {
+        let kept = self.configuration.as_ref();
+        kept.map_or(0, |configuration| configuration.version)
+    }
+
+    fn keep(&mut self, configuration: Configuration) {
+        if configuration.version > self.version() {
+            debug!(version = configuration.version, "configuration kept");
+            self.configuration = Some(configuration);
+        }
+    }
+
+    /// Gives an entry the configuration that is kept here if the entry's is older.
+    fn hand_on(&self, link: LinkNo, version: u64, out: &mut Vec<Action>) {
+        if let Some(configuration) = &self.configuration
+            && configuration.version > version
+        {
+            out.push(Action::Send {
+                link,
+                frame: AgentFrame::Configuration(configuration.clone()),
+            });
+        }
+    }
+
     fn describe(&self) -> AgentFrame {
         match &self.endpoint {
             Some(endpoint) => AgentFrame::Endpoint {
--- a/crates/fulmarpond-dispatch/src/agent/links.rs
+++ b/crates/fulmarpond-dispatch/src/agent/links.rs
@@ -8,10 +8,10 @@
 use crate::LinkNo;
 
 /// The pause before the first new attempt to reach an entry, in milliseconds.
-const REDIAL_MS: u64 = 100;
+const REDIAL_MS: u64 = 50;
 
 /// The longest pause between attempts to reach an entry, in milliseconds.
-const MAX_REDIAL_MS: u64 = 1_000;
+const MAX_REDIAL_MS: u64 = 400;
 
 /// After this time without a link and without being named, an address is forgotten.
 const FORGET_MS: u64 = 30_000;
@@ -25,7 +25,6 @@
     pub(super) lease: Time,
     /// How many orders arrived.
     pub(super) orders: u64,
-    pub(super) greeted: bool,
 }
 
 #[derive(Debug)]
@@ -84,7 +83,6 @@
             entry: String::new(),
             lease,
             orders: 0,
-            greeted: false,
         };
         self.up.insert(number, link);
         for target in self.targets.values_mut() {
--- a/crates/fulmarpond-dispatch/src/entry/configuration.rs
+++ b/crates/fulmarpond-dispatch/src/entry/configuration.rs
@@ -2,8 +2,11 @@
 
 use std::rc::Rc;
 
+use fulmarpond_derive::message;
+
 /// Limits on what callers send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[message]
+#[derive(Copy, Eq)]
 pub struct CallerLimits {
     /// The largest header section, in bytes.
     pub header_bytes: usize,
@@ -16,7 +19,7 @@
 }
 
 /// A queue that callers send jobs to.
-#[derive(Debug, Clone, PartialEq)]
+#[message]
 pub struct Route {
     /// The name.
     pub name: String,
@@ -37,7 +40,7 @@
 }
 
 /// A version of the configuration.
-#[derive(Debug, Clone, PartialEq)]
+#[message]
 pub struct Configuration {
     /// The version; a higher one replaces a lower one.
     pub version: u64,
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -137,10 +137,14 @@
     }
 
     /// Takes a version of the configuration; an older one changes nothing.
-    pub fn configure(&mut self, configuration: Configuration) {
+    pub fn configure(&mut self, configuration: Configuration, out: &mut Vec<Action>) {
         if configuration.version > self.version() {
             info!(version = configuration.version, "configuration in force");
             self.configuration = Some(configuration);
+            let links: Vec<LinkNo> = self.fleet.views.keys().copied().collect();
+            for link in links {
+                self.give_configuration(link, out);
+            }
         } else if configuration.version < self.version() {
             debug!(
                 version = configuration.version,
@@ -149,6 +153,24 @@
         }
     }
 
+    /// Gives the configuration to an agent of the own zone that has an older one.
+    fn give_configuration(&mut self, link: LinkNo, out: &mut Vec<Action>) {
+        let Some(configuration) = &self.configuration else {
+            return;
+        };
+        let Some(view) = self.fleet.views.get_mut(&link) else {
+            return;
+        };
+        if view.zone != self.options.zone || view.version >= configuration.version {
+            return;
+        }
+        view.version = configuration.version;
+        out.push(Action::Send {
+            link,
+            frame: EntryFrame::Configuration(configuration.clone()),
+        });
+    }
+
     /// Takes the link addresses of all entries.
     pub fn set_entries(&mut self, entries: Vec<SocketAddr>, out: &mut Vec<Action>) {
         if entries == self.entries {
@@ -588,6 +610,7 @@
             link,
             frame: EntryFrame::Hello {
                 name: self.options.name.clone(),
+                version: self.version(),
             },
         });
         if !self.entries.is_empty() {
@@ -648,10 +671,16 @@
     /// Takes a frame of an agent.
     pub fn frame(&mut self, link: LinkNo, frame: AgentFrame, now: Time, out: &mut Vec<Action>) {
         match frame {
-            AgentFrame::Hello { name, zone } => {
+            AgentFrame::Hello {
+                name,
+                zone,
+                version,
+            } => {
                 info!(agent = name, zone, "link to agent established");
-                self.fleet.joined(link, name, zone, now);
+                self.fleet.joined(link, name, zone, version, now);
+                self.give_configuration(link, out);
             }
+            AgentFrame::Configuration(configuration) => self.configure(configuration, out),
             AgentFrame::Endpoint {
                 service,
                 capacity,
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -20,6 +20,8 @@
 pub(super) struct View {
     pub(super) name: String,
     pub(super) zone: String,
+    /// The version of the configuration that it keeps.
+    pub(super) version: u64,
     pub(super) service: String,
     pub(super) capacity: Needs,
     pub(super) labels: Vec<String>,
@@ -99,10 +101,18 @@
 }
 
 impl Fleet {
-    pub(super) fn joined(&mut self, link: LinkNo, name: String, zone: String, now: Time) {
+    pub(super) fn joined(
+        &mut self,
+        link: LinkNo,
+        name: String,
+        zone: String,
+        version: u64,
+        now: Time,
+    ) {
         let view = View {
             name,
             zone,
+            version,
             service: String::new(),
             capacity: Needs::default(),
             labels: Vec::new(),
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::entry::Configuration;
 use crate::{JobId, Needs, TaskKey};
 
 /// A frame that can't be read.
@@ -40,7 +41,11 @@
         name: String,
         /// The availability zone.
         zone: String,
+        /// The version of the configuration that the agent keeps; 0 for none.
+        version: u64,
     },
+    /// A configuration that is newer than the entry's.
+    Configuration(Configuration),
     /// The endpoint changed, or there is none.
     Endpoint {
         /// The service; empty without an endpoint.
@@ -118,11 +123,16 @@
 /// What an entry tells an agent.
 #[message]
 pub enum EntryFrame {
-    /// The first frame on a link: the name of the entry.
+    /// The first frame on a link.
     Hello {
         /// The host name.
         name: String,
+        /// The version of the configuration in force; 0 for none.
+        version: u64,
     },
+    /// The configuration in force, to be kept for entries that start while they can't reach the
+    /// store.
+    Configuration(Configuration),
     /// Renews the lease of this entry's runs.
     Renew {
         /// The agent's own time of its latest status, in microseconds.
--- a/crates/fulmarpond-reactor/src/reactor.rs
+++ b/crates/fulmarpond-reactor/src/reactor.rs
@@ -17,8 +17,9 @@
 use crate::pool::{ClientConn, PendingCall, Pool};
 use crate::server::ServerConn;
 
-/// How long a connect of a link may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long a connect of a link may take. A host without power answers nothing, and the system
+/// would try for seconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The longest time between two looks for connections without progress.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -327,7 +327,7 @@
                 if let Some(limits) = configuration.limits {
                     self.reactor.set_limits(reactor_limits(limits));
                 }
-                self.entry.configure(configuration);
+                self.entry.configure(configuration, &mut self.actions);
             }
             directory::Action::Listed(addrs) => {
                 self.entry.set_entries(addrs, &mut self.actions);
