--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -40,7 +40,7 @@
 const PAUSE_MS: u64 = 400;
 
 /// The share of its slack that a job may be expected to wait, by the rank of its queue.
-const PATIENCE: [f64; 3] = [1.0, 0.7, 0.5];
+const PATIENCE: [f64; 3] = [0.9, 0.5, 0.4];
 
 /// The choices for the tasks of a job.
 #[derive(Debug, Default)]
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -111,7 +111,8 @@
     /// class that the task belongs to counts.
     pub fn ahead(&self, slack: u64) -> u64 {
         let classes = self.0.iter().enumerate();
-        let earlier = classes.take_while(|(class, _)| *class == 0 || SLACK_BOUNDS[class - 1] < slack);
+        let earlier =
+            classes.take_while(|(class, _)| *class == 0 || SLACK_BOUNDS[class - 1] < slack);
         earlier.map(|(_, work)| u64::from(*work)).sum()
     }
 
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -38,7 +38,9 @@
     for agent in 0..4 {
         world.fault_at(0, Fault::Endpoint(agent, Trouble::LateOrders(20), 60_000));
     }
-    let jobs: Vec<_> = (0..40).map(|n| world.submit_at(10 + n * 100, LONG)).collect();
+    let jobs: Vec<_> = (0..40)
+        .map(|n| world.submit_at(10 + n * 100, LONG))
+        .collect();
     world.run_ms(9_000);
     assert!(world.on_time(&jobs) >= 0.95, "{}", world.on_time(&jobs));
     assert_eq!(world.history.broken, Vec::<String>::new());
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -73,7 +73,9 @@
 /// Reads a number from the environment.
 fn number(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
-    value.and_then(|value| value.parse().ok()).unwrap_or(default)
+    value
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
 }
 
 /// `FULMARPOND_CASES` multiplies the cases, `FULMARPOND_SEED` replaces the seed.
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 
 use fulmarpond_core::Time;
-use fulmarpond_dispatch::agent::{EndEntry, EndHow, EndpointCall, EndpointReply, RunEntry, StartRefusal};
+use fulmarpond_dispatch::agent::{
+    EndEntry, EndHow, EndpointCall, EndpointReply, RunEntry, StartRefusal,
+};
 use fulmarpond_dispatch::{EndpointId, EndpointState, Needs, Registration, TaskKey};
 
 /// What goes wrong at an endpoint.
@@ -110,7 +112,10 @@
     }
 
     fn free(&self) -> Needs {
-        let used = self.runs.values().fold(Needs::default(), |sum, run| sum.plus(run.needs));
+        let used = self
+            .runs
+            .values()
+            .fold(Needs::default(), |sum, run| sum.plus(run.needs));
         self.capacity.minus(used)
     }
 
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -26,7 +26,8 @@
     pub fn started(&mut self, task: &TaskKey, endpoint: usize, at_ms: u64) {
         let live = self.live.entry(task.clone()).or_default();
         if !live.is_empty() {
-            let text = format!("{task} started at {endpoint} while it runs at {live:?}, {at_ms} ms");
+            let text =
+                format!("{task} started at {endpoint} while it runs at {live:?}, {at_ms} ms");
             self.broken.push(text);
         }
         live.push(endpoint);
@@ -69,7 +70,8 @@
             Answer::Failed => {
                 let failed = self.failed.iter().any(|(task, _)| task.job == *job);
                 if !failed {
-                    self.broken.push(format!("{job} failed without a failed run"));
+                    self.broken
+                        .push(format!("{job} failed without a failed run"));
                 }
             }
             Answer::NotRun { .. } => {
@@ -84,7 +86,8 @@
     pub fn check_refusals(&mut self) {
         for (job, starts) in &self.starts {
             if self.open.get(job).is_none_or(|&open| open <= 0) {
-                self.broken.push(format!("{job} was refused and has {starts} starts"));
+                self.broken
+                    .push(format!("{job} was refused and has {starts} starts"));
             }
         }
     }
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -1,6 +1,10 @@
 //! A stand-in of the platform in virtual time: callers, entries, agents and endpoints.
 
-#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of it")]
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of it"
+)]
 
 mod caller;
 mod endpoint;
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -165,7 +165,9 @@
         }
         for number in 0..options.agents {
             let rate = 1.0 - 0.02 * world.rng.random::<f64>();
-            world.endpoints.push(Endpoint::new(number, 0, options.cpu, rate));
+            world
+                .endpoints
+                .push(Endpoint::new(number, 0, options.cpu, rate));
             world.agents.push(Node::new());
             world.start_agent(number);
             world.after_ms(20, Event::Beat(number, 0));
@@ -252,7 +254,10 @@
     }
 
     pub fn is_ready(&self, entry: usize) -> bool {
-        self.entries[entry].core.as_ref().is_some_and(Entry::is_ready)
+        self.entries[entry]
+            .core
+            .as_ref()
+            .is_some_and(Entry::is_ready)
     }
 
     // Nodes.
@@ -301,7 +306,11 @@
         true
     }
 
-    fn with_entry(&mut self, entry: usize, act: impl FnOnce(&mut Entry, Time, &mut Vec<entry::Action>)) {
+    fn with_entry(
+        &mut self,
+        entry: usize,
+        act: impl FnOnce(&mut Entry, Time, &mut Vec<entry::Action>),
+    ) {
         let now = self.now;
         let mut out = Vec::new();
         if let Some(core) = &mut self.entries[entry].core {
@@ -327,7 +336,11 @@
         }
     }
 
-    fn with_agent(&mut self, agent: usize, act: impl FnOnce(&mut Agent, Time, &mut Vec<agent::Action>)) {
+    fn with_agent(
+        &mut self,
+        agent: usize,
+        act: impl FnOnce(&mut Agent, Time, &mut Vec<agent::Action>),
+    ) {
         let now = self.now;
         let mut out = Vec::new();
         if let Some(core) = &mut self.agents[agent].core {
@@ -424,7 +437,9 @@
         if !state.open || state.silent {
             return;
         }
-        let arrival = now.after_micros(DELAY_US).max(state.last[direction].after_micros(1));
+        let arrival = now
+            .after_micros(DELAY_US)
+            .max(state.last[direction].after_micros(1));
         state.last[direction] = arrival;
         let event = if direction == 0 {
             Event::ToEntry(number, bytes)
@@ -524,7 +539,10 @@
             Event::StopEnds(agent, incarnation, task, run) => {
                 let endpoint = &self.endpoints[agent];
                 let same = endpoint.incarnation == incarnation
-                    && endpoint.runs.get(&task).is_some_and(|live| live.number == run);
+                    && endpoint
+                        .runs
+                        .get(&task)
+                        .is_some_and(|live| live.number == run);
                 if same {
                     self.end_run(agent, &task, EndHow::Cut);
                 }
@@ -562,7 +580,12 @@
             let link = &self.links[number];
             (link.entry, link.open && !link.silent)
         };
-        if !usable || self.put_off(self.entries[entry].paused, &Event::ToEntry(number, bytes.clone())) {
+        if !usable
+            || self.put_off(
+                self.entries[entry].paused,
+                &Event::ToEntry(number, bytes.clone()),
+            )
+        {
             return;
         }
         let frame: AgentFrame = decode(&bytes).expect("a frame of an agent");
@@ -575,7 +598,12 @@
             let link = &self.links[number];
             (link.agent, link.open && !link.silent)
         };
-        if !usable || self.put_off(self.agents[agent].paused, &Event::ToAgent(number, bytes.clone())) {
+        if !usable
+            || self.put_off(
+                self.agents[agent].paused,
+                &Event::ToAgent(number, bytes.clone()),
+            )
+        {
             return;
         }
         let frame: EntryFrame = decode(&bytes).expect("a frame of an entry");
@@ -642,7 +670,9 @@
             let hold = self.next;
             self.holds.insert(hold, (agent, life, number));
             let until = self.now.after_millis(wait);
-            self.endpoints[agent].waiting.push(Waiting { call: hold, until });
+            self.endpoints[agent]
+                .waiting
+                .push(Waiting { call: hold, until });
             self.at(until, Event::HoldEnds(agent, incarnation, hold));
             return;
         }
@@ -680,8 +710,11 @@
         self.history.started(task, agent, at);
         if let Some(&drained) = self.drained.get(&agent) {
             let restarted = self.restarted[&agent];
-            if self.now > drained.after_millis(DRAIN_MS) && self.now > restarted.after_millis(3_000) {
-                self.history.broken.push(format!("{task} started at draining {agent}, {at} ms"));
+            if self.now > drained.after_millis(DRAIN_MS) && self.now > restarted.after_millis(3_000)
+            {
+                self.history
+                    .broken
+                    .push(format!("{task} started at draining {agent}, {at} ms"));
             }
         }
         if ends < Time::MAX {
@@ -725,7 +758,8 @@
         if !self.endpoints[agent].end(task, how) {
             return;
         }
-        self.history.ended(task, agent, how == EndHow::Done, how == EndHow::Failed);
+        self.history
+            .ended(task, agent, how == EndHow::Done, how == EndHow::Failed);
         let waiting = std::mem::take(&mut self.endpoints[agent].waiting);
         for hold in waiting {
             self.answer_hold(agent, hold.call);
@@ -734,7 +768,9 @@
 
     fn hold_ends(&mut self, agent: usize, incarnation: u32, call: u64) {
         if self.endpoints[agent].incarnation == incarnation {
-            self.endpoints[agent].waiting.retain(|hold| hold.call != call);
+            self.endpoints[agent]
+                .waiting
+                .retain(|hold| hold.call != call);
             self.answer_hold(agent, call);
         }
     }
@@ -762,7 +798,9 @@
         }
         // Only the first outcome of a call counts: its reply or its time-out.
         if self.answered.insert((agent, life, number)) {
-            self.with_agent(agent, |core, now, out| core.answered(number, outcome, now, out));
+            self.with_agent(agent, |core, now, out| {
+                core.answered(number, outcome, now, out)
+            });
         }
     }
 
@@ -771,7 +809,10 @@
             return;
         }
         self.after_ms(BEAT_MS, Event::Beat(agent, incarnation));
-        if matches!(self.endpoints[agent].trouble, Trouble::Gone | Trouble::Silent) {
+        if matches!(
+            self.endpoints[agent].trouble,
+            Trouble::Gone | Trouble::Silent
+        ) {
             return;
         }
         let node = &self.agents[agent];
@@ -805,7 +846,8 @@
         job.attempt = attempt;
         job.at = Some((entry, life, request));
         let demand = job.demand;
-        self.requests.insert((entry, life, request), (id.clone(), attempt));
+        self.requests
+            .insert((entry, life, request), (id.clone(), attempt));
         self.history.sent(id);
         let patience = self.options.patience_ms;
         self.after_ms(patience, Event::Left(id.clone(), attempt));
@@ -941,7 +983,8 @@
             .filter(|((at, of, _), _)| *at == entry && *of == life)
             .map(|(_, lost)| lost.clone())
             .collect();
-        self.requests.retain(|(at, of, _), _| *at != entry || *of != life);
+        self.requests
+            .retain(|(at, of, _), _| *at != entry || *of != life);
         if told {
             let resend = self.options.resend_ms;
             for (id, attempt) in lost {
