test(daemon): leased mode with real processes beside an emulator of the platform

The first run of the new tests left an agent without a link to one of two entries: an entry told its agents of other entries when a link opened and when the list changed, but an agent that had not said its name yet was not in the list of those to tell. Ruled out: the store (both entries had read both addresses).

The emulator serves the store, the executors and the operator over sockets by the published protocol.

--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -613,12 +613,6 @@
                 version: self.version(),
             },
         });
-        if !self.entries.is_empty() {
-            out.push(Action::Send {
-                link,
-                frame: EntryFrame::Entries(self.entries.clone()),
-            });
-        }
     }
 
     /// Notes that a link is closed: what was sent there may run until its lease has lapsed.
@@ -679,6 +673,12 @@
                 info!(agent = name, zone, "link to agent established");
                 self.fleet.joined(link, name, zone, version, now);
                 self.give_configuration(link, out);
+                if !self.entries.is_empty() {
+                    out.push(Action::Send {
+                        link,
+                        frame: EntryFrame::Entries(self.entries.clone()),
+                    });
+                }
             }
             AgentFrame::Configuration(configuration) => self.configure(configuration, out),
             AgentFrame::Endpoint {
--- /dev/null
+++ b/crates/fulmarpondd/tests/leased_system/mod.rs
@@ -0,0 +1,275 @@
+//! Real processes in leased mode beside the emulator of the platform.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of it"
+)]
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use fulmarpond_standins::{Emulator, EmulatorOptions, ExecutorOptions};
+
+/// How long anything may take that is expected to happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+static NEXT: AtomicU32 = AtomicU32::new(1);
+
+/// Returns an address that nothing listens at: each has a loopback address of its own, which no
+/// outgoing connection takes.
+pub fn free_addr() -> SocketAddr {
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = 1 + std::process::id() % 250;
+    let [_, _, high, low] = number.to_be_bytes();
+    ([127, process as u8, high, low], 7_000).into()
+}
+
+/// The configuration of the operator: a version with one route, `/jobs/` at host `desk`.
+pub fn configuration(version: u64, prefix: &str) -> String {
+    format!(
+        r#"{{"Version":{version},"Routes":[{{"Name":"r","Host":"desk","Prefix":"{prefix}",
+        "Type":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":60,"Priority":0,
+        "Service":"service","MaxAttempts":3,"Stretch":1.6}}],"Services":[],"Limits":
+        {{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#
+    )
+}
+
+/// A process in leased mode.
+pub struct Process {
+    child: Child,
+    settings: PathBuf,
+    pub log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    fn start(name: &str, settings: &str, reads_log: bool) -> Self {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let file = format!("fulmarpond-{}-{number}-{name}.ini", std::process::id());
+        let path = std::env::temp_dir().join(file);
+        fs::write(&path, settings).expect("a settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fulmarpondd"))
+            .env("FULMARPOND_SETTINGS", &path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        if reads_log && let Some(out) = child.stdout.take() {
+            let lines = Arc::clone(&log);
+            std::thread::spawn(move || {
+                for line in BufReader::new(out).lines().map_while(Result::ok) {
+                    lines.lock().expect("the log").push(line);
+                }
+            });
+        }
+        Self {
+            child,
+            settings: path,
+            log,
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process is killed");
+        self.child.wait().expect("the process has ended");
+    }
+
+    /// Waits for the end of the process, and returns whether it succeeded.
+    pub fn wait(&mut self) -> bool {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().expect("a status") {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the process did not end");
+    }
+
+    pub fn has_line(&self, parts: &[&str]) -> bool {
+        let log = self.log.lock().expect("the log");
+        log.iter()
+            .any(|line| parts.iter().all(|part| line.contains(part)))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let log = self.log.lock().expect("the log");
+            eprintln!("{}:\n{}", self.settings.display(), log.join("\n"));
+        }
+        // The process may have ended before.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Entries and agents beside an emulator.
+pub struct System {
+    pub emulator: Emulator,
+    pub entries: Vec<Process>,
+    pub agents: Vec<Process>,
+    pub callers: Vec<SocketAddr>,
+    pub readiness: Vec<SocketAddr>,
+    pub metrics: Vec<SocketAddr>,
+    controls: Vec<SocketAddr>,
+    links: Vec<SocketAddr>,
+    reads_log: bool,
+}
+
+impl System {
+    pub fn start(entries: usize, agents: usize) -> Self {
+        Self::start_with(entries, agents, true)
+    }
+
+    /// `reads_log` is whether anything reads the standard output of the processes.
+    pub fn start_with(entries: usize, agents: usize, reads_log: bool) -> Self {
+        let controls: Vec<SocketAddr> = (0..agents).map(|_| free_addr()).collect();
+        let executors = controls.iter().map(|&control| ExecutorOptions {
+            listen: free_addr(),
+            control,
+            zone: "Saga".to_owned(),
+            cpu: 8_000,
+        });
+        let emulator = Emulator::start(EmulatorOptions {
+            store: free_addr(),
+            executors: executors.collect(),
+            heartbeat: Duration::from_millis(300),
+            configuration: configuration(1, "/jobs/"),
+        })
+        .expect("the emulator starts");
+        let mut system = Self {
+            emulator,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            callers: (0..entries).map(|_| free_addr()).collect(),
+            readiness: (0..entries).map(|_| free_addr()).collect(),
+            metrics: (0..entries).map(|_| free_addr()).collect(),
+            controls,
+            links: (0..entries).map(|_| free_addr()).collect(),
+            reads_log,
+        };
+        for entry in 0..entries {
+            let process = system.entry(entry);
+            system.entries.push(process);
+        }
+        for agent in 0..agents {
+            let process = system.agent(agent);
+            system.agents.push(process);
+        }
+        for entry in 0..entries {
+            system.await_ready(entry, agents);
+        }
+        system
+    }
+
+    fn timing() -> &'static str {
+        "[timing]\nresend = 1300ms\nhold_max = 1s\nstop = 50ms\nheartbeat = 300ms\ngrace = 6s\n"
+    }
+
+    pub fn entry(&self, entry: usize) -> Process {
+        let settings = format!(
+            "[daemon]\nmode = leased\nrole = entry\nname = entry-{entry}\nzone = Saga\n[listen]\n\
+             callers = {}\nreadiness = {}\nlink = {}\nmetrics = {}\n[store]\naddr = {}\n{}",
+            self.callers[entry],
+            self.readiness[entry],
+            self.links[entry],
+            self.metrics[entry],
+            self.emulator.store_addr(),
+            Self::timing(),
+        );
+        Process::start("entry", &settings, self.reads_log)
+    }
+
+    /// The seeds name the first entry only; agents learn the others from it.
+    pub fn agent(&self, agent: usize) -> Process {
+        let seed = self.links[0];
+        let settings = format!(
+            "[daemon]\nmode = leased\nrole = agent\nname = agent-{agent}\nzone = Saga\n[listen]\n\
+             heartbeats = {}\n[cluster]\nseeds = {seed}\nlink_port = {}\n{}",
+            self.controls[agent],
+            seed.port(),
+            Self::timing(),
+        );
+        Process::start("agent", &settings, self.reads_log)
+    }
+
+    /// Waits until an entry is ready and linked to `agents` agents.
+    pub fn await_ready(&self, entry: usize, agents: usize) {
+        let level = format!(r#"fulmarpond_level{{name="agents"}} {agents}"#);
+        await_that(&format!("entry {entry} is ready"), || {
+            let ready =
+                get(self.readiness[entry], "/v1/ready").is_some_and(|(status, _)| status == 200);
+            let linked =
+                get(self.metrics[entry], "/metrics").is_some_and(|(_, text)| text.contains(&level));
+            ready && linked
+        });
+    }
+
+    /// Submits a job of some tasks, and returns the status and the body.
+    ///
+    /// The estimate is long, so that no slow machine makes the entry refuse the job for load.
+    pub fn submit(&self, entry: usize, id: &str, count: u32, spec: &str) -> Option<(u16, String)> {
+        let body = format!(
+            r#"{{"Spec":"{spec}","Steps":[{{"Count":{count},"Cpu":1000,"MemMb":64,"EstimatedMs":2000}}],"BestEffort":true}}"#
+        );
+        self.post(entry, &format!("/jobs/{id}"), &body)
+    }
+
+    pub fn post(&self, entry: usize, path: &str, body: &str) -> Option<(u16, String)> {
+        request(self.callers[entry], "POST", path, body)
+    }
+
+    /// Returns how often each task of a job was started.
+    pub fn starts(&self, id: &str) -> Vec<String> {
+        let prefix = format!("{id}.");
+        let ledger = self.emulator.ledger().into_iter();
+        let of_job = ledger.filter(|row| row.task.starts_with(&prefix));
+        of_job.map(|row| row.task).collect()
+    }
+}
+
+/// Waits until something holds.
+pub fn await_that(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+pub fn get(addr: SocketAddr, path: &str) -> Option<(u16, String)> {
+    request(addr, "GET", path, "")
+}
+
+/// Sends a request, and returns the status and the body; nothing if there was no answer.
+pub fn request(addr: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect_timeout(&addr, Duration::from_secs(2)).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: desk\r\nX-Deadline-Ms: 6000\r\nConnection: close\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    let body = text.split_once("\r\n\r\n")?.1.to_owned();
+    Some((status, body))
+}
