--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -59,6 +59,9 @@
 /// See [`STUCK_FACTOR`], in milliseconds.
 const STUCK_MS: u64 = 400;
 
+/// The target of log lines about tasks that go well.
+const ROUTINE: &str = "routine";
+
 /// How an agent is set up.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AgentOptions {
@@ -334,7 +337,7 @@
                 known.then_some(Outcome::Unavailable)
             });
             if let Some(outcome) = outcome {
-                debug!(%task, ?outcome, "task refused");
+                info!(job = %task.job, %task, ?outcome, ready = self.is_ready(now), "task refused");
                 if self.runs.get(&task).is_some_and(|run| run.link != link) {
                     self.end_run(&task, Then::Forget, now, out);
                 }
@@ -372,6 +375,11 @@
         (!fits).then_some(Outcome::NoRoom)
     }
 
+    fn is_ready(&self, now: Time) -> bool {
+        let endpoint = self.endpoint.as_ref();
+        !self.leaving && endpoint.is_some_and(|endpoint| endpoint.takes_tasks(now))
+    }
+
     /// Starts waiting tasks while there is room.
     fn fill(&mut self, now: Time, out: &mut Vec<Action>) {
         loop {
@@ -884,7 +892,7 @@
                 if known.number != run || known.phase != Phase::Starting {
                     return;
                 }
-                info!(%task, run, %failure, "start unanswered, stopping the run");
+                info!(job = %task.job, %task, run, %failure, "start unanswered, stopping the run");
                 self.end_run(&task, Then::Restart, now, out);
             }
             Purpose::Stop(task, run) => {
@@ -935,7 +943,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        debug!(%task, run, ?reason, "start refused");
+        info!(job = %task.job, %task, run, ?reason, "start refused");
         let Some(known) = self.runs.get_mut(task) else {
             return;
         };
@@ -1077,7 +1085,17 @@
                 EndHow::Failed => Outcome::Failed,
                 EndHow::Cut => Outcome::Aborted,
             };
-            debug!(%task, run = end.run, ?outcome, elapsed, "run ended");
+            info!(
+                target: ROUTINE,
+                job = %task.job,
+                %task,
+                run = end.run,
+                ?outcome,
+                phase = run.phase.as_str(),
+                elapsed_ms = elapsed,
+                expected_ms = expected,
+                "run ended"
+            );
             match (run.phase, outcome) {
                 (Phase::Stopping { then, .. }, Outcome::Aborted) => {
                     self.stopped(&task, then);
@@ -1113,7 +1131,7 @@
                 continue;
             }
             orphans += 1;
-            info!(%task, run = entry.run, "stopping a run of an earlier process");
+            info!(job = %task.job, %task, run = entry.run, "stopping a run of an earlier process");
             let call = EndpointCall::Stop {
                 task,
                 run: entry.run,
@@ -1216,7 +1234,7 @@
                 let elapsed = now.millis_since(*since);
                 let expected = u64::from(run.expected);
                 if now >= run.deadline || elapsed > STUCK_FACTOR * expected + STUCK_MS {
-                    warn!(%task, elapsed, expected, "run takes too long, stopping it");
+                    warn!(job = %task.job, %task, elapsed_ms = elapsed, expected_ms = expected, "run takes too long, stopping it");
                     self.health.failed();
                     self.end_run(task, Then::Report(Outcome::Aborted), now, out);
                 } else if elapsed > OVERDUE_FACTOR * expected + OVERDUE_MS {
@@ -1277,7 +1295,7 @@
         }
         let next_end = self.next_end();
         EndpointStatus {
-            ready: endpoint.takes_tasks(now) && !self.leaving,
+            ready: self.is_ready(now),
             free: endpoint.about.capacity.minus(self.used),
             backlog,
             next_end: u32::try_from(next_end).unwrap_or(u32::MAX),
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -59,6 +59,16 @@
 }
 
 impl Phase {
+    /// Returns the name of the phase in logs.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Starting => "starting",
+            Self::Running { .. } => "running",
+            Self::Stopping { .. } => "stopping",
+        }
+    }
+
     /// Returns whether the task takes room at the endpoint.
     pub(super) const fn uses_room(self) -> bool {
         !matches!(self, Self::Queued)
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -18,6 +18,9 @@
     AgentFrame, Bounds, Counters, EntryFrame, JobId, LinkNo, Order, Outcome, Refusal, TaskEnd,
 };
 
+/// The target of log lines about requests that go well.
+const ROUTINE: &str = "routine";
+
 /// When a refused caller may come back, in seconds.
 const RETRY_S: u32 = 1;
 
@@ -246,14 +249,24 @@
             return;
         }
         let plan = self.plan(&job, now);
+        job.wait = plan.wait as u64;
         if plan.wait > Self::patience(&job, now) {
             self.drop_plan(&plan);
             self.refuse_job(&id, &job, Refusal::Overloaded, now, out);
             return;
         }
-        job.wait = plan.wait as u64;
         self.counters.accepted += 1;
-        debug!(job = %id, route = route.name, tasks = job.tasks.len(), "job accepted");
+        info!(
+            target: ROUTINE,
+            job = %id,
+            request = request.0,
+            route = route.name,
+            tasks = job.tasks.len(),
+            planned_wait_ms = job.wait,
+            slack_ms = job.start_by.millis_since(now),
+            version = self.version(),
+            "job accepted"
+        );
         self.requests.insert(request, id.clone());
         self.carry_out(&id, &mut job, plan, now, out);
         self.jobs.insert(id, job);
@@ -366,6 +379,7 @@
             version = self.version(),
             agents = self.fleet.views.len(),
             view_age_ms = age,
+            planned_wait_ms = job.wait,
             slack_ms = job.start_by.millis_since(now),
             "job refused"
         );
@@ -474,7 +488,16 @@
         let expected = self.estimates.expect(&job.route.name, about.estimate);
         self.counters.started += indexes.len() as u64;
         if let Some(view) = self.fleet.views.get_mut(&link) {
-            debug!(job = %id, step, tasks = indexes.len(), agent = view.name, "tasks sent");
+            info!(
+                target: ROUTINE,
+                job = %id,
+                step,
+                ?indexes,
+                agent = view.name,
+                view_age_ms = now.millis_since(view.heard),
+                free_cpu = view.load.free.cpu,
+                "tasks sent"
+            );
             view.ordered();
         }
         // A job that has begun is finished first, as long as its answer is of use.
@@ -537,6 +560,7 @@
             Answer::Completed => {
                 self.counters.completed += 1;
                 info!(
+                    target: ROUTINE,
                     job = %id,
                     route = job.route.name,
                     age_ms = age,
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -511,8 +511,8 @@
                     self.with_agent(agent, |_, _, _| {});
                 }
             }
-            Event::ToEntry(link, bytes) => self.to_entry(link, bytes),
-            Event::ToAgent(link, bytes) => self.to_agent(link, bytes),
+            Event::ToEntry(link, bytes) => self.deliver_to_entry(link, &bytes),
+            Event::ToAgent(link, bytes) => self.deliver_to_agent(link, &bytes),
             Event::LinkUp(link, at_entry) => self.link_up(link, at_entry),
             Event::LinkDownAtAgent(agent, life, link) => {
                 let paused = self.agents[agent].paused;
@@ -575,7 +575,7 @@
         }
     }
 
-    fn to_entry(&mut self, number: usize, bytes: Vec<u8>) {
+    fn deliver_to_entry(&mut self, number: usize, bytes: &[u8]) {
         let (entry, usable) = {
             let link = &self.links[number];
             (link.entry, link.open && !link.silent)
@@ -583,17 +583,17 @@
         if !usable
             || self.put_off(
                 self.entries[entry].paused,
-                &Event::ToEntry(number, bytes.clone()),
+                &Event::ToEntry(number, bytes.to_vec()),
             )
         {
             return;
         }
-        let frame: AgentFrame = decode(&bytes).expect("a frame of an agent");
+        let frame: AgentFrame = decode(bytes).expect("a frame of an agent");
         let link = LinkNo(number as u64);
         self.with_entry(entry, |core, now, out| core.frame(link, frame, now, out));
     }
 
-    fn to_agent(&mut self, number: usize, bytes: Vec<u8>) {
+    fn deliver_to_agent(&mut self, number: usize, bytes: &[u8]) {
         let (agent, usable) = {
             let link = &self.links[number];
             (link.agent, link.open && !link.silent)
@@ -601,12 +601,12 @@
         if !usable
             || self.put_off(
                 self.agents[agent].paused,
-                &Event::ToAgent(number, bytes.clone()),
+                &Event::ToAgent(number, bytes.to_vec()),
             )
         {
             return;
         }
-        let frame: EntryFrame = decode(&bytes).expect("a frame of an entry");
+        let frame: EntryFrame = decode(bytes).expect("a frame of an entry");
         let link = LinkNo(number as u64);
         self.with_agent(agent, |core, now, out| core.frame(link, frame, now, out));
     }
@@ -799,7 +799,7 @@
         // Only the first outcome of a call counts: its reply or its time-out.
         if self.answered.insert((agent, life, number)) {
             self.with_agent(agent, |core, now, out| {
-                core.answered(number, outcome, now, out)
+                core.answered(number, outcome, now, out);
             });
         }
     }
--- a/crates/fulmarpond-settings/src/leased/leased_settings.rs
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -30,7 +30,7 @@
 const MODE: &str = "leased";
 
 /// The most log lines a second, if the settings do not say.
-const DEFAULT_LINES: u32 = 300;
+const DEFAULT_LINES: u32 = 1_000;
 
 /// The settings that only one role has.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/fulmarpond/src/lib.rs
+++ b/crates/fulmarpond/src/lib.rs
@@ -13,6 +13,7 @@
 mod output;
 mod patch_file;
 mod progress;
+pub mod story;
 mod table;
 mod verbs;
 
--- a/crates/fulmarpond/src/verbs/why.rs
+++ b/crates/fulmarpond/src/verbs/why.rs
@@ -1,17 +1,20 @@
 //! `why`: all decisions about a job.
 
+use std::io::Read;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use clap::Args;
 use serde_json::Value;
 
 use super::job_id;
-use crate::Result;
 use crate::cli::Options;
 use crate::client::Client;
 use crate::events::Page;
 use crate::output;
+use crate::story::Story;
 use crate::table::Table;
+use crate::{Failure, Result};
 
 /// Arguments of `why`.
 #[derive(Debug, Args)]
@@ -19,10 +22,22 @@
     /// Id of the job
     #[arg(value_parser = job_id)]
     id: String,
+    /// Read logs of processes in leased mode instead of asking an entry; `-` is standard input
+    #[arg(long, value_name = "FILE", num_args = 1..)]
+    logs: Vec<PathBuf>,
 }
 
 impl Why {
     pub(super) fn run(&self, options: &Options) -> Result<()> {
+        if self.logs.is_empty() {
+            self.ask(options)
+        } else {
+            self.read(options)
+        }
+    }
+
+    /// Asks an entry for the events of the job.
+    fn ask(&self, options: &Options) -> Result<()> {
         let client = Client::new(options, 1)?;
         let mut raw: Vec<Value> = Vec::new();
         let mut table = Table::new(["NUMBER", "AT MS", "KIND", "TASK", "AGENT", "DETAIL"]);
@@ -53,4 +68,47 @@
             output::print(&table.to_string())
         }
     }
+
+    /// Reads what logs tell about the job.
+    fn read(&self, options: &Options) -> Result<()> {
+        let mut story = Story::default();
+        for path in &self.logs {
+            let text = read_log(path)?;
+            let name = path.file_stem().unwrap_or_default().to_string_lossy();
+            story.read(&self.id, &name, &text);
+        }
+        story.sort();
+        if options.json {
+            let lines = story.lines.into_iter().map(|line| line.raw);
+            return output::print_json(&lines.collect());
+        }
+        let mut table = Table::new(["TIME", "PROCESS", "WHAT", "TASK", "DETAIL"]);
+        for line in &story.lines {
+            table.row([
+                line.time.clone(),
+                line.process.clone(),
+                line.message.clone(),
+                line.task.clone(),
+                line.detail.clone(),
+            ]);
+        }
+        let gaps = story.gaps();
+        let missing = gaps.iter().map(|gap| format!("missing: {gap}\n"));
+        output::print(&format!("{table}{}", missing.collect::<String>()))
+    }
+}
+
+fn read_log(path: &Path) -> Result<String> {
+    let result = if path == Path::new("-") {
+        let mut bytes = Vec::new();
+        std::io::stdin()
+            .lock()
+            .read_to_end(&mut bytes)
+            .map(|_| bytes)
+    } else {
+        std::fs::read(path)
+    };
+    // A log that was cut off within a character is still of use.
+    let text = result.map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+    text.map_err(|error| Failure::usage(format!("{} can't be read: {error}", path.display())))
 }
--- /dev/null
+++ b/crates/fulmarpond/tests/story.rs
@@ -0,0 +1,79 @@
+//! The story of a job, told by logs.
+
+use expect_test::{Expect, expect};
+use fulmarpond::story::Story;
+
+const ENTRY: &str = r#"{"timestamp":"10:00:00.001","level":"INFO","message":"job accepted","job":"a1","route":"r","target":"routine"}
+{"timestamp":"10:00:00.002","level":"INFO","message":"tasks sent","job":"a1","step":0,"indexes":"[0, 1]","agent":"side-1","target":"routine"}
+{"timestamp":"10:00:00.002","level":"INFO","message":"job accepted","job":"a2","route":"r","target":"routine"}
+{"timestamp":"10:00:00.200","level":"INFO","message":"job given up","job":"a1","reason":"runs_lost","target":"x"}
+"#;
+
+const AGENT: &str = r#"   12.1 side-1 {"timestamp":"10:00:00.100","level":"INFO","message":"run ended","job":"a1","task":"a1.0.0","run":1,"outcome":"Done","target":"routine"}
+not a log line about a1
+"#;
+
+struct Case {
+    name: &'static str,
+    id: &'static str,
+    logs: &'static [(&'static str, &'static str)],
+    told: Expect,
+}
+
+fn tell(case: &Case) -> String {
+    let mut story = Story::default();
+    for (log, text) in case.logs {
+        story.read(case.id, log, text);
+    }
+    story.sort();
+    let lines = story.lines.iter().map(|line| {
+        format!(
+            "{} {} {} {} {}\n",
+            line.time, line.process, line.message, line.task, line.detail
+        )
+    });
+    let gaps = story.gaps();
+    let gaps = gaps.iter().map(|gap| format!("missing: {gap}\n"));
+    lines.chain(gaps).collect()
+}
+
+/// Guards against a story that leaves out lines, mixes jobs up or hides what is missing.
+#[test]
+fn story_is_in_order_and_says_what_is_missing() {
+    let cases = [
+        Case {
+            name: "entry and agent",
+            id: "a1",
+            logs: &[("side-1", AGENT), ("entry-1", ENTRY)],
+            told: expect![[r#"
+                10:00:00.001 entry-1 job accepted  route=r
+                10:00:00.002 entry-1 tasks sent  agent=side-1 indexes=[0, 1] step=0
+                10:00:00.100 side-1 run ended a1.0.0 outcome=Done run=1
+                10:00:00.200 entry-1 job given up  reason=runs_lost
+                missing: task 0.1 was sent, and no line tells its end: its agent was lost, or its log is missing
+            "#]],
+        },
+        Case {
+            name: "agent only",
+            id: "a1",
+            logs: &[("side-1", AGENT)],
+            told: expect![[r#"
+                10:00:00.100 side-1 run ended a1.0.0 outcome=Done run=1
+                missing: no line about the job's arrival: the log of its entry is missing
+                missing: no line about the job's end: its entry was lost, or its log ends before
+            "#]],
+        },
+        Case {
+            name: "unknown job",
+            id: "a9",
+            logs: &[("entry-1", ENTRY)],
+            told: expect![[r#"
+                missing: no line names this job: the logs of its entry are missing
+            "#]],
+        },
+    ];
+    for case in cases {
+        println!("{}", case.name);
+        case.told.assert_eq(&tell(&case));
+    }
+}
--- a/crates/fulmarpondd/src/leased/log.rs
+++ b/crates/fulmarpondd/src/leased/log.rs
@@ -25,8 +25,41 @@
 /// The stack of the writer thread, in bytes.
 const STACK: usize = 64 * 1024;
 
-/// Lines of this share of the limit are kept for warnings and errors.
-const RESERVED_SHARE: u32 = 4;
+/// The target of lines about requests that went well. They are the first to be left out.
+const ROUTINE: &str = "routine";
+
+/// How important a line is when the limit is near.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Class {
+    /// A request that went well; half of the lines of a second.
+    Routine,
+    /// A refusal, a failure or a change; seven eighths of the lines of a second.
+    Decision,
+    /// A warning or an error.
+    Severe,
+}
+
+impl Class {
+    const fn limit(self, lines: u32) -> u32 {
+        match self {
+            Self::Routine => lines / 2,
+            Self::Decision => lines - lines / 8,
+            Self::Severe => lines,
+        }
+    }
+}
+
+impl From<&Metadata<'_>> for Class {
+    fn from(metadata: &Metadata<'_>) -> Self {
+        if *metadata.level() <= Level::WARN {
+            Self::Severe
+        } else if metadata.target() == ROUTINE {
+            Self::Routine
+        } else {
+            Self::Decision
+        }
+    }
+}
 
 #[derive(Debug)]
 struct Shared {
@@ -118,18 +151,14 @@
 
 impl Shared {
     /// Takes a line into account; returns whether it is within the limit.
-    fn admit(&mut self, severe: bool) -> bool {
+    fn admit(&mut self, class: Class) -> bool {
         let now = Instant::now();
         if now.duration_since(self.window) >= Duration::from_secs(1) {
             self.window = now;
             self.lines = 0;
         }
-        let limit = if severe {
-            self.limit
-        } else {
-            self.limit - self.limit / RESERVED_SHARE
-        };
-        let admitted = self.lines < limit && self.batch.len() < BATCH_BYTES;
+        let within = self.lines < class.limit(self.limit);
+        let admitted = within && self.batch.len() < BATCH_BYTES;
         self.lines += u32::from(admitted);
         self.dropped += u64::from(!admitted);
         admitted
@@ -158,13 +187,13 @@
 
     fn make_writer(&'a self) -> Self::Writer {
         let mut shared = self.lock();
-        let admitted = shared.admit(true);
+        let admitted = shared.admit(Class::Severe);
         LineWriter(admitted.then_some(shared))
     }
 
     fn make_writer_for(&'a self, metadata: &Metadata<'_>) -> Self::Writer {
         let mut shared = self.lock();
-        let admitted = shared.admit(*metadata.level() <= Level::WARN);
+        let admitted = shared.admit(Class::from(metadata));
         LineWriter(admitted.then_some(shared))
     }
 }
