feat(daemon): metrics of the stages of a job, of calls and of ages

Histograms of answer, wait, run and call times, counters of calls by target, kind and outcome, and the age of the oldest view of an agent.

--- a/crates/fulmarpond-dispatch/src/agent/action.rs
+++ b/crates/fulmarpond-dispatch/src/agent/action.rs
@@ -24,6 +24,11 @@
         /// The link.
         link: LinkNo,
     },
+    /// Note the run time of a task that ended.
+    Observe {
+        /// The time, in milliseconds.
+        elapsed: u64,
+    },
     /// Send a frame.
     Send {
         /// The link.
--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -836,7 +836,7 @@
         }
         match (purpose, reply) {
             (Purpose::Hold, EndpointReply::Held { running, ended, .. }) => {
-                self.ended(&ended, now);
+                self.ended(&ended, now, out);
                 self.running(&running, now, out);
             }
             (Purpose::Hold, EndpointReply::Refused { .. }) => self.raise_fence(now),
@@ -863,7 +863,7 @@
                 self.stop_confirmed(&task, run, now, out);
             }
             (Purpose::Look(task, run), EndpointReply::Held { running, ended, .. }) => {
-                self.ended(&ended, now);
+                self.ended(&ended, now, out);
                 self.looked(&task, run, &running, now);
             }
             (Purpose::Stop(..), EndpointReply::Refused { .. }) => self.raise_fence(now),
@@ -1057,7 +1057,7 @@
     /// Time for the list of ends to arrive after a stop, in milliseconds.
     const STOP_SLACK_MS: u64 = 30;
 
-    fn ended(&mut self, ended: &[EndEntry], now: Time) {
+    fn ended(&mut self, ended: &[EndEntry], now: Time, out: &mut Vec<Action>) {
         for end in ended {
             let Some(endpoint) = &mut self.endpoint else {
                 return;
@@ -1096,6 +1096,7 @@
                 expected_ms = expected,
                 "run ended"
             );
+            out.push(Action::Observe { elapsed });
             match (run.phase, outcome) {
                 (Phase::Stopping { then, .. }, Outcome::Aborted) => {
                     self.stopped(&task, then);
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
@@ -42,6 +42,17 @@
     },
 }
 
+impl EndpointCall {
+    /// Returns the name of the call in metrics.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Start { .. } => "start",
+            Self::Stop { .. } => "stop",
+            Self::Hold { .. } => "hold",
+        }
+    }
+}
+
 /// Why an endpoint did not start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartRefusal {
--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -72,6 +72,22 @@
     },
 }
 
+impl StoreCall {
+    /// Returns the name of the call in metrics.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::ReadConfiguration => "read_configuration",
+            Self::WatchConfiguration { .. } => "watch_configuration",
+            Self::ListEntries => "list_entries",
+            Self::WatchEntries { .. } => "watch_entries",
+            Self::Grant { .. } => "grant",
+            Self::Renew { .. } => "renew",
+            Self::Announce { .. } => "announce",
+            Self::End { .. } => "end",
+        }
+    }
+}
+
 /// The reply of the store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreReply {
--- a/crates/fulmarpond-dispatch/src/entry/action.rs
+++ b/crates/fulmarpond-dispatch/src/entry/action.rs
@@ -52,5 +52,7 @@
         answer: Answer,
         /// How long the job was in progress, in milliseconds.
         age: u64,
+        /// How long it took until its last task began, in milliseconds.
+        wait: u64,
     },
 }
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -134,6 +134,16 @@
         version.unwrap_or_default()
     }
 
+    /// Returns the age of the oldest view of an agent, in milliseconds.
+    pub fn oldest_view(&self, now: Time) -> u64 {
+        let ages = self
+            .fleet
+            .views
+            .values()
+            .map(|view| now.millis_since(view.heard));
+        ages.max().unwrap_or_default()
+    }
+
     /// Returns the configuration in force.
     pub const fn configuration(&self) -> Option<&Configuration> {
         self.configuration.as_ref()
@@ -214,6 +224,7 @@
             request,
             answer: Answer::NotRun { reason, retry },
             age: 0,
+            wait: 0,
         });
     }
 
@@ -233,6 +244,7 @@
                 request,
                 answer: *answer,
                 age: 0,
+                wait: 0,
             });
             return;
         }
@@ -390,6 +402,7 @@
                 retry: RETRY_S,
             },
             age: 0,
+            wait: 0,
         });
     }
 
@@ -601,6 +614,7 @@
             request: job.request,
             answer,
             age,
+            wait: job.last_start.millis_since(job.arrived),
         });
     }
 
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -377,6 +377,7 @@
     fn agent_action(&mut self, agent: usize, action: agent::Action) {
         match action {
             agent::Action::Dial { addr } => self.dial(agent, addr),
+            agent::Action::Observe { .. } => {}
             agent::Action::Close { link } => self.close(link, true),
             agent::Action::Send { link, frame } => self.send(link, 0, encode(&frame)),
             agent::Action::Call {
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fulmarpond_core::Time;
-use fulmarpond_dispatch::agent::{Action, Agent, AgentOptions, CallNo, EndpointCall};
+use fulmarpond_dispatch::agent::{
+    Action, Agent, AgentOptions, CallFailure, CallNo, EndpointCall, EndpointReply,
+};
 use fulmarpond_dispatch::{EntryFrame, LinkNo, decode, encode};
 use fulmarpond_platform::endpoint;
 use fulmarpond_platform::heartbeat::{Heartbeat, heartbeat};
@@ -39,7 +41,7 @@
     agent: Agent,
     reactor: Reactor,
     heartbeats: ListenerId,
-    calls: HashMap<CallId, (CallNo, EndpointCall)>,
+    calls: HashMap<CallId, (CallNo, EndpointCall, Instant)>,
     signals: Signals,
     reload: Reload,
     metrics: Metrics,
@@ -155,8 +157,9 @@
             } => self.request(listener, id, &request, now),
             Event::Abandoned { .. } => {}
             Event::Replied { call, outcome } => {
-                if let Some((number, call)) = self.calls.remove(&call) {
+                if let Some((number, call, sent)) = self.calls.remove(&call) {
                     let outcome = endpoint::reply(&call, outcome);
+                    self.observe_call(&call, &outcome, sent);
                     self.agent.answered(number, outcome, now, &mut self.actions);
                 }
             }
@@ -210,6 +213,28 @@
         self.reactor.respond(id, &response);
     }
 
+    fn observe_call(
+        &self,
+        call: &EndpointCall,
+        outcome: &Result<EndpointReply, CallFailure>,
+        sent: Instant,
+    ) {
+        let name = match outcome {
+            Ok(EndpointReply::Done { .. } | EndpointReply::Held { .. }) => "done",
+            Ok(EndpointReply::Refused { .. }) => "refused",
+            Ok(EndpointReply::Unhealthy) => "unhealthy",
+            Ok(EndpointReply::OtherIncarnation) => "other_incarnation",
+            Ok(EndpointReply::Invalid) => "invalid",
+            Err(_) => "unanswered",
+        };
+        self.metrics.call("endpoint", call.as_str(), name);
+        if outcome.is_ok() && !matches!(call, EndpointCall::Hold { .. }) {
+            self.metrics
+                .call_seconds
+                .observe(sent.elapsed().as_secs_f64());
+        }
+    }
+
     fn carry_out(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
@@ -217,6 +242,9 @@
                     let link = self.reactor.dial(addr);
                     self.agent.dialed(addr, LinkNo(link.0));
                 }
+                Action::Observe { elapsed } => {
+                    self.metrics.run_seconds.observe(elapsed as f64 / 1_000.0);
+                }
                 Action::Close { link } => self.reactor.close_link(LinkId(link.0)),
                 Action::Send { link, frame } => {
                     self.reactor.send(LinkId(link.0), &encode(&frame));
@@ -235,7 +263,7 @@
                         EndpointCall::Start { .. } | EndpointCall::Stop { .. } => ORDER_LANE,
                     };
                     let id = self.reactor.call(addr, lane, limit, &request);
-                    self.calls.insert(id, (number, call));
+                    self.calls.insert(id, (number, call, Instant::now()));
                 }
             }
         }
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -8,7 +8,7 @@
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::directory::{self, Directory, Duty, StoreCall};
-use fulmarpond_dispatch::entry::{Action, CallerLimits, Entry, EntryOptions, RequestNo};
+use fulmarpond_dispatch::entry::{Action, Answer, CallerLimits, Entry, EntryOptions, RequestNo};
 use fulmarpond_dispatch::{AgentFrame, LinkNo, Refusal, decode, encode};
 use fulmarpond_platform::caller::{self, Ask};
 use fulmarpond_platform::store::{self, Announcer};
@@ -203,6 +203,7 @@
                 ("agents", self.entry.agents() as u64),
                 ("configuration_version", self.entry.version()),
                 ("store_age_ms", self.directory.age(now)),
+                ("oldest_view_ms", self.entry.oldest_view(now)),
                 ("log_lines_dropped", self.log.dropped()),
             ];
             let response = self.metrics.render(&self.entry.counters, &levels);
@@ -269,8 +270,12 @@
             return;
         };
         let reply = match store::reply(&call, outcome) {
-            Ok(reply) => Some(reply),
+            Ok(reply) => {
+                self.metrics.call("store", call.as_str(), "answered");
+                Some(reply)
+            }
             Err(error) => {
+                self.metrics.call("store", call.as_str(), "failed");
                 debug!(?call, %error, "call to the store failed");
                 None
             }
@@ -293,8 +298,12 @@
                     request,
                     answer,
                     age,
+                    wait,
                 } => {
-                    self.metrics.job_seconds.observe(age as f64 / 1_000.0);
+                    if matches!(answer, Answer::Completed | Answer::Failed) {
+                        self.metrics.job_seconds.observe(age as f64 / 1_000.0);
+                        self.metrics.wait_seconds.observe(wait as f64 / 1_000.0);
+                    }
                     let response = caller::response(answer);
                     let open = self.reactor.respond(RequestId(request.0), &response);
                     if !open {
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -20,8 +20,15 @@
     refusals: Family<Labels, Counter>,
     counts: Family<Labels, Counter>,
     levels: Family<Labels, Gauge<i64, AtomicI64>>,
+    calls: Family<[(&'static str, &'static str); 3], Counter>,
     /// Time from the arrival of a job to its answer, in seconds.
     pub(super) job_seconds: Histogram,
+    /// Time from the arrival of a job until its last task began, in seconds.
+    pub(super) wait_seconds: Histogram,
+    /// Run time of tasks at the endpoint, in seconds.
+    pub(super) run_seconds: Histogram,
+    /// Time from the sending of a call to its reply, in seconds.
+    pub(super) call_seconds: Histogram,
 }
 
 impl Metrics {
@@ -31,7 +38,11 @@
             refusals: Family::default(),
             counts: Family::default(),
             levels: Family::default(),
+            calls: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(0.01, 1.6, 16)),
+            wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
+            run_seconds: Histogram::new(exponential_buckets(0.01, 1.6, 16)),
+            call_seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 14)),
             registry: Registry::default(),
         };
         registry.register(
@@ -46,12 +57,38 @@
             "Time from the arrival of a job to its answer",
             metrics.job_seconds.clone(),
         );
+        registry.register(
+            "calls",
+            "Calls to the store or the endpoint, by target, kind and outcome",
+            metrics.calls.clone(),
+        );
+        registry.register(
+            "wait_seconds",
+            "Time from the arrival of a job until its last task began",
+            metrics.wait_seconds.clone(),
+        );
+        registry.register(
+            "run_seconds",
+            "Run time of tasks at the endpoint",
+            metrics.run_seconds.clone(),
+        );
+        registry.register(
+            "call_seconds",
+            "Time from the sending of a call to its reply, but for calls that wait",
+            metrics.call_seconds.clone(),
+        );
         Self {
             registry,
             ..metrics
         }
     }
 
+    /// Counts a call to the store or the endpoint.
+    pub(super) fn call(&self, target: &'static str, kind: &'static str, outcome: &'static str) {
+        let labels = [("target", target), ("kind", kind), ("outcome", outcome)];
+        self.calls.get_or_create_owned(&labels).inc();
+    }
+
     /// Renders all metrics.
     pub(super) fn render(&self, counters: &Counters, levels: &[(&'static str, u64)]) -> Response {
         for reason in Refusal::ALL {
