--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -29,7 +29,7 @@
 const HOLD_TIMEOUT_MS: u64 = 15;
 
 /// The shortest and the longest wait of a hold for an end at the endpoint, in milliseconds.
-const HOLD_WAIT_MS: (u64, u64) = (15, 200);
+const HOLD_WAIT_MS: (u64, u64) = (15, 80);
 
 /// The wait of a hold as a multiple of the expected time until the next end, in percent. A hold
 /// without a reply hides all ends until it times out, so its wait follows the rate of ends.
@@ -42,7 +42,10 @@
 const STATUS_MS: (u64, u64) = (5, 120);
 
 /// The pause after a hold without a reply, in milliseconds.
-const HOLD_RETRY_MS: u64 = 40;
+const HOLD_RETRY_MS: u64 = 10;
+
+/// The pause after a hold that listed only ends that are held, in milliseconds.
+const HELD_PAUSE_MS: u64 = 10;
 
 /// How long run numbers of ended tasks are remembered, in milliseconds.
 const NUMBER_MEMORY_MS: u64 = 20_000;
@@ -53,12 +56,6 @@
 /// See [`OVERDUE_FACTOR`], in milliseconds.
 const OVERDUE_MS: u64 = 100;
 
-/// A run is given up at this multiple of its expected time, plus [`STUCK_MS`].
-const STUCK_FACTOR: u64 = 6;
-
-/// See [`STUCK_FACTOR`], in milliseconds.
-const STUCK_MS: u64 = 400;
-
 /// The target of log lines about tasks that go well.
 const ROUTINE: &str = "routine";
 
@@ -268,6 +265,17 @@
                 self.order(link, &order, now, out);
             }
             EntryFrame::Stop { job, tasks } => self.stop_tasks(link, &job, &tasks, now, out),
+            EntryFrame::Noted(runs) => {
+                if let Some(endpoint) = &mut self.endpoint {
+                    endpoint.held.noted(&runs);
+                }
+                self.hold(now, out);
+            }
+            EntryFrame::Obsolete(runs) => {
+                if let Some(endpoint) = &mut self.endpoint {
+                    endpoint.held.obsolete(&runs, now);
+                }
+            }
             EntryFrame::Withdraw(job) => self.withdraw(link, &job, now, out),
             EntryFrame::Entries(addrs) => self.links.learn(&addrs, now),
         }
@@ -341,7 +349,7 @@
                 if self.runs.get(&task).is_some_and(|run| run.link != link) {
                     self.end_run(&task, Then::Forget, now, out);
                 }
-                self.report(link, task, outcome, 0);
+                self.report(link, task, outcome, 0, 0);
                 continue;
             }
             let start_by = now.after_millis(u64::from(order.slack));
@@ -352,8 +360,13 @@
                 needs: order.needs,
                 expected: order.expected,
                 start_by,
-                deadline: now.after_millis(u64::from(order.remaining)),
-                fresh: order.slack > 0,
+                deadline: match order.remaining {
+                    u32::MAX => Time::MAX,
+                    remaining => now.after_millis(u64::from(remaining)),
+                },
+                limit: order.limit,
+                kept: order.kept,
+                fresh: order.slack > 0 && !order.kept,
                 phase: Phase::Queued,
             };
             self.queue.push(start_by, task.clone());
@@ -540,15 +553,16 @@
         }
         if let Some(outcome) = outcome {
             let elapsed = u32::try_from(elapsed).unwrap_or(u32::MAX);
-            self.report(run.link, task.clone(), outcome, elapsed);
+            self.report(run.link, task.clone(), outcome, run.number, elapsed);
         }
         self.changed = true;
     }
 
-    fn report(&mut self, link: LinkNo, task: TaskKey, outcome: Outcome, elapsed: u32) {
+    fn report(&mut self, link: LinkNo, task: TaskKey, outcome: Outcome, run: u32, elapsed: u32) {
         let end = TaskEnd {
             task,
             outcome,
+            run,
             elapsed,
         };
         self.ends.entry(link).or_default().push(end);
@@ -736,11 +750,14 @@
         let needed = self.used != Needs::default()
             || !self.runs.is_empty()
             || !endpoint.settled
+            || !endpoint.held.is_empty()
+            || endpoint.held_before
             || !endpoint.reachable;
         if endpoint.hold.is_some() || !needed || now < endpoint.next_hold {
             return;
         }
-        let acked = endpoint.acked;
+        let holds_ends = !endpoint.held.is_empty();
+        let acked = endpoint.acked();
         // Runs of an earlier process must lapse, and so must those at an endpoint that does not
         // answer: their lease is not extended.
         let extends = endpoint.settled && endpoint.reachable;
@@ -758,6 +775,10 @@
             wait,
         };
         self.call(Purpose::Hold, call, wait + HOLD_TIMEOUT_MS, now, out);
+        if let Some(endpoint) = &mut self.endpoint {
+            // One more hold takes note of ends that were held until now.
+            endpoint.held_before = holds_ends;
+        }
     }
 
     /// Takes the outcome of a call.
@@ -836,6 +857,7 @@
         }
         match (purpose, reply) {
             (Purpose::Hold, EndpointReply::Held { running, ended, .. }) => {
+                self.pause_hold(&ended, now);
                 self.ended(&ended, now, out);
                 self.running(&running, now, out);
             }
@@ -896,14 +918,28 @@
                 self.end_run(&task, Then::Restart, now, out);
             }
             Purpose::Stop(task, run) => {
-                let stopping = self.runs.get(&task).is_some_and(|known| {
-                    known.number == run && matches!(known.phase, Phase::Stopping { .. })
-                });
-                if stopping {
+                if self.is_stopping(&task, run) {
                     self.send_stop(&task, run, now, out);
                 }
             }
-            Purpose::Look(..) | Purpose::StopOrphan | Purpose::Probe(_) => {}
+            Purpose::Look(task, run) => {
+                if self.is_stopping(&task, run) {
+                    self.look(&task, run, now, out);
+                }
+            }
+            Purpose::StopOrphan | Purpose::Probe(_) => {}
+        }
+    }
+
+    /// Puts the next hold off if this one only listed ends that are held.
+    fn pause_hold(&mut self, ended: &[EndEntry], now: Time) {
+        let Some(endpoint) = &mut self.endpoint else {
+            return;
+        };
+        let news = ended.iter().any(|end| end.number > endpoint.seen);
+        if !news && !ended.is_empty() {
+            endpoint.next_hold = now.after_millis(HELD_PAUSE_MS);
+            self.next_check = self.next_check.min(endpoint.next_hold);
         }
     }
 
@@ -1006,16 +1042,27 @@
             return;
         }
         *resend = Time::MAX;
-        // The end is listed by then; a run that never began has none.
-        *over = now.after_millis(stop_ms + Self::STOP_SLACK_MS);
+        // The end is listed by then.
+        *over = now.after_millis(stop_ms);
         self.next_check = self.next_check.min(*over);
         // A run that never began is missing in the lists at once.
+        self.look(task, run, now, out);
+    }
+
+    fn is_stopping(&self, task: &TaskKey, run: u32) -> bool {
+        self.runs.get(task).is_some_and(|known| {
+            known.number == run && matches!(known.phase, Phase::Stopping { .. })
+        })
+    }
+
+    /// Looks whether a run that was stopped is over.
+    fn look(&mut self, task: &TaskKey, run: u32, now: Time, out: &mut Vec<Action>) {
         let Some(endpoint) = &self.endpoint else {
             return;
         };
         let call = EndpointCall::Hold {
             fence: self.fence,
-            acked: endpoint.acked,
+            acked: endpoint.acked(),
             lease: None,
             wait: 0,
         };
@@ -1054,26 +1101,28 @@
         }
     }
 
-    /// Time for the list of ends to arrive after a stop, in milliseconds.
-    const STOP_SLACK_MS: u64 = 30;
-
     fn ended(&mut self, ended: &[EndEntry], now: Time, out: &mut Vec<Action>) {
         for end in ended {
             let Some(endpoint) = &mut self.endpoint else {
                 return;
             };
-            if end.number <= endpoint.acked {
+            if end.number <= endpoint.seen {
                 continue;
             }
-            endpoint.acked = end.number;
+            endpoint.seen = end.number;
             let task = end.task.clone();
             self.numbers.insert(task.clone(), (end.run, now));
-            let Some(run) = self.runs.get(&task) else {
+            let own = self
+                .runs
+                .get(&task)
+                .filter(|run| run.number == end.run && run.phase != Phase::Queued);
+            // An end of an earlier process may be that of a job that is kept.
+            if own.is_none_or(|run| run.kept) {
+                Self::hold_end(endpoint, end, own, now);
+            }
+            let Some(run) = own else {
                 continue;
             };
-            if run.number != end.run || run.phase == Phase::Queued {
-                continue;
-            }
             let since = match run.phase {
                 Phase::Running { since } => since,
                 _ => now,
@@ -1119,6 +1168,41 @@
         }
     }
 
+    /// Holds the end of a run that has ended by itself.
+    fn hold_end(endpoint: &mut Endpoint, end: &EndEntry, run: Option<&Run>, now: Time) {
+        let outcome = match end.how {
+            EndHow::Done => Outcome::Done,
+            EndHow::Failed => Outcome::Failed,
+            EndHow::Cut => return,
+        };
+        let elapsed = match run.map(|run| run.phase) {
+            Some(Phase::Running { since }) => now.millis_since(since),
+            _ => 0,
+        };
+        let held = TaskEnd {
+            task: end.task.clone(),
+            outcome,
+            run: end.run,
+            elapsed: u32::try_from(elapsed).unwrap_or(u32::MAX),
+        };
+        endpoint.held.hold(end.number, held, now);
+    }
+
+    /// Tells all entries the ends that none has taken note of.
+    fn repeat_held(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(endpoint) = &mut self.endpoint else {
+            return;
+        };
+        let ends = endpoint.held.due(now);
+        if ends.is_empty() {
+            return;
+        }
+        for &link in self.links.up.keys() {
+            let frame = AgentFrame::Held(ends.clone());
+            out.push(Action::Send { link, frame });
+        }
+    }
+
     /// Compares what runs with what was started here.
     fn running(&mut self, running: &[RunEntry], now: Time, out: &mut Vec<Action>) {
         let mut orphans = 0;
@@ -1187,6 +1271,7 @@
         }
         self.numbers
             .retain(|_, (_, at)| now.millis_since(*at) < NUMBER_MEMORY_MS);
+        self.repeat_held(now, out);
         self.fill(now, out);
         self.send_news(out);
     }
@@ -1215,9 +1300,11 @@
             return;
         };
         match &mut run.phase {
-            Phase::Stopping { then, over, .. } if now >= *over => {
-                let then = *then;
-                self.stopped(task, then);
+            Phase::Stopping { over, .. } if now >= *over => {
+                // The look was lost: without it, an end may be taken for none.
+                *over = now.after_millis(HOLD_RETRY_MS);
+                let number = run.number;
+                self.look(task, number, now, out);
             }
             Phase::Stopping { resend, .. } if now >= *resend => {
                 *resend = now.after_millis(ORDER_TIMEOUT_MS);
@@ -1234,7 +1321,8 @@
             Phase::Running { since } => {
                 let elapsed = now.millis_since(*since);
                 let expected = u64::from(run.expected);
-                if now >= run.deadline || elapsed > STUCK_FACTOR * expected + STUCK_MS {
+                let stuck = elapsed > u64::from(run.limit);
+                if now >= run.deadline || stuck {
                     warn!(job = %task.job, %task, elapsed_ms = elapsed, expected_ms = expected, "run takes too long, stopping it");
                     self.health.failed();
                     self.end_run(task, Then::Report(Outcome::Aborted), now, out);
--- a/crates/fulmarpond-dispatch/src/agent/endpoint.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint.rs
@@ -3,6 +3,7 @@
 use fulmarpond_core::Time;
 
 use super::CallNo;
+use super::held::HeldEnds;
 use crate::{EndpointState, Registration, RemoteClock};
 
 /// After this many heartbeat intervals without a heartbeat an idle endpoint counts as gone.
@@ -16,8 +17,12 @@
 pub(super) struct Endpoint {
     pub(super) about: Registration,
     pub(super) clock: RemoteClock,
-    /// The number of the last end that was taken note of.
-    pub(super) acked: u64,
+    /// The number of the last end that was seen.
+    pub(super) seen: u64,
+    /// Ends that are not taken note of yet.
+    pub(super) held: HeldEnds,
+    /// Whether ends were held when the last hold was sent.
+    pub(super) held_before: bool,
     /// The hold that has no reply yet.
     pub(super) hold: Option<CallNo>,
     /// When the next hold may be sent after one that failed.
@@ -41,7 +46,9 @@
         Self {
             about,
             clock: RemoteClock::default(),
-            acked: 0,
+            seen: 0,
+            held: HeldEnds::default(),
+            held_before: false,
             hold: None,
             next_hold: now,
             settled: false,
@@ -72,6 +79,11 @@
             && now < self.beat_by
     }
 
+    /// Returns the number of the last end to take note of.
+    pub(super) fn acked(&self) -> u64 {
+        self.held.acked(self.seen)
+    }
+
     pub(super) const fn called_unhealthy(&mut self, now: Time) {
         self.unhealthy = now.after_millis(UNHEALTHY_MS);
     }
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint;
 mod endpoint_call;
 mod health;
+mod held;
 mod links;
 mod queue;
 mod run;
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -15,10 +15,14 @@
     pub(super) needs: Needs,
     /// The expected run time, in milliseconds.
     pub(super) expected: u32,
+    /// The run time after which it is given up, in milliseconds.
+    pub(super) limit: u32,
     /// Until when it has to start to meet its objective.
     pub(super) start_by: Time,
     /// When the caller leaves.
     pub(super) deadline: Time,
+    /// Whether its end is held until it is in the store.
+    pub(super) kept: bool,
     /// Whether its objective could be met when it was ordered.
     pub(super) fresh: bool,
     pub(super) phase: Phase,
--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -25,11 +25,13 @@
     RunsLost,
     /// The process stops.
     Stopping,
+    /// The store can't be written or read.
+    NoStore,
 }
 
 impl Refusal {
     /// All reasons.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::Invalid,
@@ -40,6 +42,7 @@
         Self::DeadlinePassed,
         Self::RunsLost,
         Self::Stopping,
+        Self::NoStore,
     ];
 
     /// Returns the name of the reason in logs and metrics.
@@ -55,6 +58,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::RunsLost => "runs_lost",
             Self::Stopping => "stopping",
+            Self::NoStore => "no_store",
         }
     }
 }
--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -9,6 +9,7 @@
 use fulmarpond_core::Time;
 use tracing::{debug, info, warn};
 
+use crate::JobId;
 use crate::entry::Configuration;
 
 /// How long a watch of the configuration waits, in milliseconds.
@@ -24,10 +25,14 @@
 const PAUSE_MS: (u64, u64) = (60, 800);
 
 /// The time to live of an announcement, in milliseconds.
-const LEASE_MS: u64 = 9_000;
+pub const LEASE_MS: u64 = 6_000;
 
 /// The interval of renewals, in milliseconds.
-const RENEW_MS: u64 = 3_000;
+const RENEW_MS: u64 = 1_500;
+
+/// How long before its end a lease no longer counts, in milliseconds: the store's clock may be
+/// faster, and what the lease allows takes time to end.
+const LEASE_MARGIN_MS: u64 = 500;
 
 /// A call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -70,6 +75,61 @@
         /// The lease.
         lease: u64,
     },
+    /// Lists the states of jobs after the given one.
+    ListJobs {
+        /// The last job of the page before.
+        after: Option<JobId>,
+    },
+    /// Waits for changes of jobs after a revision.
+    WatchJobs {
+        /// The revision.
+        after: u64,
+        /// How long to wait, in milliseconds.
+        wait: u64,
+    },
+    /// Reads what was submitted as a job.
+    ReadJob {
+        /// The job.
+        job: JobId,
+    },
+    /// Writes or removes jobs, all or none of them.
+    CommitJobs {
+        /// The jobs.
+        rows: Vec<CommitRow>,
+    },
+}
+
+/// A change of a job in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommitRow {
+    /// The job.
+    pub job: JobId,
+    /// The revision that its state must have; 0 if the job must be new.
+    pub expected: u64,
+    /// What was submitted, if the job is new.
+    pub spec: Option<Vec<u8>>,
+    /// Its state; nothing removes the job.
+    pub state: Option<Vec<u8>>,
+}
+
+/// The state of a job in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobItem {
+    /// The job.
+    pub job: JobId,
+    /// Its state as written.
+    pub state: Vec<u8>,
+    /// The revision of the state.
+    pub revision: u64,
+}
+
+/// An entry that has announced itself.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Announced {
+    /// The host name.
+    pub name: String,
+    /// Where agents link to it.
+    pub addr: SocketAddr,
 }
 
 impl StoreCall {
@@ -84,6 +144,10 @@
             Self::Renew { .. } => "renew",
             Self::Announce { .. } => "announce",
             Self::End { .. } => "end",
+            Self::ListJobs { .. } => "list_jobs",
+            Self::WatchJobs { .. } => "watch_jobs",
+            Self::ReadJob { .. } => "read_job",
+            Self::CommitJobs { .. } => "commit_jobs",
         }
     }
 }
@@ -98,10 +162,10 @@
         /// The revision of the store.
         at: u64,
     },
-    /// The addresses of all entries at a revision.
+    /// All announced entries at a revision.
     Entries {
-        /// The addresses.
-        addrs: Vec<SocketAddr>,
+        /// The entries.
+        entries: Vec<Announced>,
         /// The revision of the store.
         at: u64,
     },
@@ -123,6 +187,39 @@
     NoLease,
     /// A write was done.
     Written,
+    /// A page of jobs.
+    JobPage {
+        /// The jobs.
+        items: Vec<JobItem>,
+        /// Whether there are more.
+        more: bool,
+        /// The revision of the store.
+        at: u64,
+    },
+    /// Changes of jobs.
+    JobChanges {
+        /// The jobs with their new states.
+        items: Vec<JobItem>,
+        /// The jobs that were removed.
+        removed: Vec<JobId>,
+        /// The revision to go on from.
+        at: u64,
+    },
+    /// What was submitted as a job; nothing if it is gone.
+    Job {
+        /// The job as written.
+        spec: Option<Vec<u8>>,
+    },
+    /// Jobs were written.
+    Committed {
+        /// The revision of the change.
+        revision: u64,
+    },
+    /// No job was written, since some state has another revision.
+    Conflict {
+        /// The present states of the jobs in the change.
+        items: Vec<JobItem>,
+    },
 }
 
 /// A duty of the directory; each has at most one call under way.
@@ -134,11 +231,17 @@
     Entries,
     /// Keeps the own announcement.
     Announcement,
+    /// Follows the jobs in the store.
+    Jobs,
+    /// Writes jobs.
+    Commit,
+    /// Reads jobs that are taken over.
+    Job,
 }
 
 impl Duty {
-    /// All duties.
-    pub const ALL: [Self; 3] = [Self::Configuration, Self::Entries, Self::Announcement];
+    /// The duties that the directory does itself.
+    const OWN: [Self; 3] = [Self::Configuration, Self::Entries, Self::Announcement];
 }
 
 /// What the directory wants done, or has learned.
@@ -156,7 +259,7 @@
     /// The configuration was read.
     Configured(Configuration),
     /// The entries were listed.
-    Listed(Vec<SocketAddr>),
+    Listed(Vec<Announced>),
 }
 
 #[derive(Debug)]
@@ -196,6 +299,10 @@
     entries: Progress,
     announcement: Progress,
     lease: Option<u64>,
+    /// When the last grant or renewal was sent.
+    asked: Time,
+    /// Until when the lease surely lasts.
+    lease_end: Time,
     announced: bool,
     leaving: bool,
     reachable: bool,
@@ -211,6 +318,8 @@
             entries: Progress::new(now),
             announcement: Progress::new(now),
             lease: None,
+            asked: now,
+            lease_end: Time::from_micros(0),
             announced: false,
             leaving: false,
             reachable: true,
@@ -237,6 +346,12 @@
         now.millis_since(self.confirmed)
     }
 
+    /// Returns until when no other entry can take this one's jobs over; nothing if it is not
+    /// announced.
+    pub fn lease_end(&self) -> Option<Time> {
+        (self.announced && !self.leaving).then_some(self.lease_end)
+    }
+
     /// Withdraws the announcement.
     pub const fn leave(&mut self, now: Time) {
         self.leaving = true;
@@ -245,7 +360,7 @@
 
     /// Makes the calls that are due.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        for duty in Duty::ALL {
+        for duty in Duty::OWN {
             let progress = self.progress(duty);
             if progress.busy || now < progress.due {
                 continue;
@@ -255,6 +370,9 @@
                 continue;
             };
             self.progress(duty).busy = true;
+            if matches!(call, StoreCall::Grant { .. } | StoreCall::Renew { .. }) {
+                self.asked = now;
+            }
             out.push(Action::Call {
                 duty,
                 call,
@@ -267,7 +385,7 @@
         match duty {
             Duty::Configuration => &mut self.configuration,
             Duty::Entries => &mut self.entries,
-            Duty::Announcement => &mut self.announcement,
+            Duty::Announcement | Duty::Jobs | Duty::Commit | Duty::Job => &mut self.announcement,
         }
     }
 
@@ -284,6 +402,7 @@
                 Some((StoreCall::WatchEntries { after, wait }, wait))
             }
             (Duty::Announcement, _, _) => self.next_announcement().map(|call| (call, 0)),
+            (Duty::Jobs | Duty::Commit | Duty::Job, _, _) => None,
         }
     }
 
@@ -337,9 +456,9 @@
                     None => warn!(at, "no readable configuration in the store"),
                 }
             }
-            (Duty::Entries, StoreReply::Entries { addrs, at }) => {
+            (Duty::Entries, StoreReply::Entries { entries, at }) => {
                 self.entries.at = Some(at);
-                out.push(Action::Listed(addrs));
+                out.push(Action::Listed(entries));
             }
             (Duty::Configuration | Duty::Entries, StoreReply::Changed { any, at }) => {
                 // Both values are small, so a change is read in full.
@@ -351,6 +470,8 @@
             }
             (Duty::Announcement, StoreReply::Leased { lease }) => {
                 self.lease = Some(lease);
+                // The store counts from the arrival of the call, which is after its sending.
+                self.lease_end = self.asked.after_millis(LEASE_MS - LEASE_MARGIN_MS);
                 if self.announced {
                     self.announcement.due = now.after_millis(RENEW_MS);
                 }
--- a/crates/fulmarpond-dispatch/src/entry/action.rs
+++ b/crates/fulmarpond-dispatch/src/entry/action.rs
@@ -2,6 +2,7 @@
 
 use fulmarpond_derive::value;
 
+use crate::directory::{Duty, StoreCall};
 use crate::{EntryFrame, LinkNo, Refusal};
 
 /// Names a request of a caller.
@@ -11,6 +12,12 @@
 /// The final answer to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
+    /// The job is kept and will run.
+    Accepted,
+    /// The job is cancelled, or has ended before.
+    Cancelled,
+    /// The job is not known.
+    Unknown,
     /// All tasks of the job are done.
     Completed,
     /// A task has failed as often as it may.
@@ -44,6 +51,16 @@
         /// The frame.
         frame: EntryFrame,
     },
+    /// Call the store for a job that is kept, and report the outcome with
+    /// [`Entry::store_answered`](super::Entry::store_answered).
+    Store {
+        /// For which duty.
+        duty: Duty,
+        /// The call.
+        call: StoreCall,
+        /// How long to wait for a reply, in milliseconds.
+        timeout: u64,
+    },
     /// Answer a request.
     Answer {
         /// The request.
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -11,9 +11,12 @@
 use super::estimates::Estimates;
 use super::fleet::Fleet;
 use super::job::{Job, TaskState};
+use super::kept::Kept;
 use super::placement::{Choice, Demand, choose, ever_fits};
 use super::submission::Submission;
 use super::{Action, Answer, RequestNo};
+use crate::directory::Announced;
+use crate::ledger::{Ledger, LedgerOptions, Owner};
 use crate::{
     AgentFrame, Bounds, Counters, EntryFrame, JobId, LinkNo, Order, Outcome, Refusal, TaskEnd,
 };
@@ -45,6 +48,32 @@
 /// The share of its slack that a job may be expected to wait, by the rank of its queue.
 const PATIENCE: [f64; 3] = [0.9, 0.5, 0.4];
 
+/// Time for messages before the jobs of another entry are taken over, in milliseconds.
+const TAKEOVER_MS: u64 = 500;
+
+/// How long an entry waits for ends at an agent that it has lost, in milliseconds.
+const MERGE_MS: u64 = 1_000;
+
+/// How long a task of a job that is kept may be expected to wait at an agent, in milliseconds. It
+/// waits at the entry instead, where it can still go elsewhere.
+const KEPT_WAIT_MS: f64 = 40.0;
+
+/// The pause between two attempts to place waiting tasks, in milliseconds.
+const PUMP_MS: u64 = 5;
+
+/// After how many jobs without a place the others are not tried.
+const PUMP_MISSES: u32 = 24;
+
+/// A run is given up at this multiple of its expected time.
+const LIMIT_FACTOR: u32 = 6;
+
+/// What is added to the limit of a run, in milliseconds, for a job that is not kept and for one
+/// that is.
+const LIMIT_MS: (u32, u32) = (400, 1_500);
+
+/// How often the limit of a run is doubled at most.
+const MOST_DOUBLINGS: u32 = 8;
+
 /// The choices for the tasks of a job.
 #[derive(Debug, Default)]
 struct Plan {
@@ -67,24 +96,35 @@
     pub bounds: Bounds,
     /// How many times as long a task takes away from its data.
     pub far: f64,
+    /// A number that differs from those of earlier processes on this host.
+    pub life: u64,
+    /// The writes a second that the store takes from all processes.
+    pub writes: u64,
+    /// How long the state of an ended job is kept, in milliseconds.
+    pub keep_ms: u64,
 }
 
 /// The process that callers talk to.
 #[derive(Debug)]
 pub struct Entry {
-    options: EntryOptions,
+    pub(super) options: EntryOptions,
     configuration: Option<Configuration>,
-    fleet: Fleet,
-    jobs: HashMap<JobId, Job>,
+    pub(super) fleet: Fleet,
+    pub(super) jobs: HashMap<JobId, Job>,
     requests: HashMap<RequestNo, JobId>,
-    /// Jobs with tasks that wait to be placed.
-    unplaced: BTreeSet<JobId>,
+    /// Jobs with tasks that wait to be placed, in the order of their ranks and objectives.
+    pub(super) unplaced: BTreeSet<(u8, Time, JobId)>,
     /// Tasks whose agent is lost, by the time until which they may run.
     lost: BTreeSet<(Time, JobId)>,
     answers: HashMap<JobId, (Answer, Time)>,
-    estimates: Estimates,
+    pub(super) estimates: Estimates,
     entries: Vec<SocketAddr>,
     next_check: Time,
+    /// When waiting tasks are placed again at the earliest.
+    next_pump: Time,
+    /// The jobs that are kept in the store.
+    pub(super) ledger: Ledger,
+    pub(super) kept: Kept,
     /// The decisions since the start.
     pub counters: Counters,
 }
@@ -92,6 +132,20 @@
 impl Entry {
     /// Creates an entry without configuration and agents.
     pub fn new(options: EntryOptions, now: Time) -> Self {
+        let owner = Owner {
+            name: options.name.clone(),
+            life: options.life,
+        };
+        let takeover = crate::directory::LEASE_MS + options.bounds.orphan_ms() + TAKEOVER_MS;
+        let ledger = Ledger::new(
+            LedgerOptions {
+                owner,
+                writes: options.writes,
+                keep_ms: options.keep_ms,
+                takeover_ms: takeover,
+            },
+            now,
+        );
         Self {
             options,
             configuration: None,
@@ -104,13 +158,16 @@
             estimates: Estimates::default(),
             entries: Vec::new(),
             next_check: now,
+            next_pump: now,
+            ledger,
+            kept: Kept::default(),
             counters: Counters::default(),
         }
     }
 
     /// Returns when [`tick`](Self::tick) is due at the latest.
-    pub const fn wake(&self) -> Time {
-        self.next_check
+    pub fn wake(&self) -> Time {
+        self.next_check.min(self.ledger.wake())
     }
 
     /// Returns whether requests can be served.
@@ -123,6 +180,16 @@
         self.jobs.len()
     }
 
+    /// Returns how many jobs in progress have a caller that waits for their end.
+    pub fn attended(&self) -> usize {
+        self.requests.len() + self.kept.attended()
+    }
+
+    /// Places no more tasks of jobs that are kept: another process of this entry will.
+    pub const fn stop(&mut self) {
+        self.kept.stopping = true;
+    }
+
     /// Returns how many agents are linked.
     pub fn agents(&self) -> usize {
         self.fleet.views.len()
@@ -184,8 +251,11 @@
         });
     }
 
-    /// Takes the link addresses of all entries.
-    pub fn set_entries(&mut self, entries: Vec<SocketAddr>, out: &mut Vec<Action>) {
+    /// Takes the announced entries.
+    pub fn set_entries(&mut self, announced: &[Announced], now: Time, out: &mut Vec<Action>) {
+        let names = announced.iter().map(|entry| entry.name.clone());
+        self.ledger.set_entries(names, now);
+        let entries: Vec<SocketAddr> = announced.iter().map(|entry| entry.addr).collect();
         if entries == self.entries {
             return;
         }
@@ -238,6 +308,10 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        if submission.kept {
+            self.submit_kept(request, id, route, submission, now, out);
+            return;
+        }
         if let Some((answer, _)) = self.answers.get(&id) {
             debug!(job = %id, "late copy of an answered request");
             out.push(Action::Answer {
@@ -250,12 +324,13 @@
         }
         if let Some(job) = self.jobs.get_mut(&id) {
             info!(job = %id, "request sent again, its job goes on");
-            self.requests.remove(&job.request);
-            job.request = request;
+            if let Some(earlier) = job.request.replace(request) {
+                self.requests.remove(&earlier);
+            }
             self.requests.insert(request, id);
             return;
         }
-        let mut job = self.job(request, route, submission, now);
+        let mut job = self.job(Some(request), route, submission, now);
         if let Err(reason) = self.admit(&job) {
             self.refuse_job(&id, &job, reason, now, out);
             return;
@@ -284,20 +359,33 @@
         self.jobs.insert(id, job);
     }
 
-    fn job(&self, request: RequestNo, route: &Rc<Route>, submission: Submission, now: Time) -> Job {
+    pub(super) fn job(
+        &self,
+        request: Option<RequestNo>,
+        route: &Rc<Route>,
+        submission: Submission,
+        now: Time,
+    ) -> Job {
         let chain = self.longest_chain(route, &submission);
         let objective = route.target_ms + (route.stretch * chain as f64) as u64;
         let slack = objective.saturating_sub(chain + OVERHEAD_MS);
         let patience = submission.patience.saturating_sub(GIVE_UP_MS);
+        let deadline = if submission.kept {
+            Time::MAX
+        } else {
+            now.after_millis(patience)
+        };
         Job {
             request,
+            state: None,
+            hold_until: now,
             route: Rc::clone(route),
             tasks: Job::tasks_of(&submission),
             submission,
             arrived: now,
             start_by: now.after_millis(slack),
             useful_until: now.after_millis(objective * USEFUL_FACTOR),
-            deadline: now.after_millis(patience),
+            deadline,
             wait: 0,
             last_start: now,
             begun: false,
@@ -395,15 +483,17 @@
             slack_ms = job.start_by.millis_since(now),
             "job refused"
         );
-        out.push(Action::Answer {
-            request: job.request,
-            answer: Answer::NotRun {
-                reason,
-                retry: RETRY_S,
-            },
-            age: 0,
-            wait: 0,
-        });
+        if let Some(request) = job.request {
+            out.push(Action::Answer {
+                request,
+                answer: Answer::NotRun {
+                    reason,
+                    retry: RETRY_S,
+                },
+                age: 0,
+                wait: 0,
+            });
+        }
     }
 
     /// Returns the age of the oldest status of a service's agents, in milliseconds.
@@ -418,13 +508,27 @@
     }
 
     /// Places the tasks of a job that can be placed.
-    fn place(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) {
+    /// Returns whether it has placed any.
+    pub(super) fn place(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> bool {
         let Some(mut job) = self.jobs.remove(id) else {
-            return;
+            return false;
         };
-        let plan = self.plan(&job, now);
+        let plan = if self.may_place(&job, now) {
+            self.plan(&job, now)
+        } else {
+            Plan {
+                left: true,
+                ..Plan::default()
+            }
+        };
+        let placed = !plan.choices.is_empty();
         self.carry_out(id, &mut job, plan, now, out);
         self.jobs.insert(id.clone(), job);
+        placed
+    }
+
+    fn may_place(&self, job: &Job, now: Time) -> bool {
+        now >= job.hold_until && (job.state.is_none() || self.kept.runs())
     }
 
     /// Chooses agents for the tasks of a job that can be placed, and reserves their room.
@@ -436,6 +540,10 @@
                 plan.left = true;
                 continue;
             };
+            if job.state.is_some() && choice.wait > KEPT_WAIT_MS {
+                plan.left = true;
+                break;
+            }
             let task = &job.tasks[position];
             let about = &job.submission.steps[usize::from(task.step)];
             let expected = self.estimates.expect(&job.route.name, about.estimate);
@@ -470,6 +578,7 @@
             let task = &mut job.tasks[position];
             let (step, index) = (task.step, task.index);
             task.state = TaskState::Sent(link);
+            task.last = Some(link);
             let mut known = orders.iter_mut();
             match known.find(|(to, of, _)| *to == link && *of == step) {
                 Some((_, _, indexes)) => indexes.push(index),
@@ -479,10 +588,11 @@
         for (link, step, indexes) in orders {
             self.send_order(id, job, link, step, indexes, now, out);
         }
+        let rank = (job.route.priority, job.start_by, id.clone());
         if plan.left {
-            self.unplaced.insert(id.clone());
+            self.unplaced.insert(rank);
         } else {
-            self.unplaced.remove(id);
+            self.unplaced.remove(&rank);
         }
     }
 
@@ -530,6 +640,8 @@
             expected,
             slack: u32::try_from(slack).unwrap_or(u32::MAX),
             remaining: u32::try_from(remaining).unwrap_or(u32::MAX),
+            limit: Self::limit(job, step, expected),
+            kept: job.state.is_some(),
         };
         out.push(Action::Send {
             link,
@@ -537,8 +649,23 @@
         });
     }
 
+    /// Returns the run time after which a run of a step is given up, in milliseconds: it grows with
+    /// each run that was given up, since the estimate may be far off.
+    fn limit(job: &Job, step: u16, expected: u32) -> u32 {
+        let extra = if job.state.is_some() {
+            LIMIT_MS.1
+        } else {
+            LIMIT_MS.0
+        };
+        let of_step = job.tasks.iter().filter(|task| task.step == step);
+        let aborts = of_step.map(|task| task.aborts).max().unwrap_or_default();
+        let limit = expected.saturating_mul(LIMIT_FACTOR).saturating_add(extra);
+        limit.saturating_mul(1 << aborts.min(MOST_DOUBLINGS))
+    }
+
     /// Notes that the caller of a request has left.
     pub fn abandoned(&mut self, request: RequestNo, now: Time, out: &mut Vec<Action>) {
+        self.kept.abandoned(request);
         if let Some(id) = self.requests.remove(&request) {
             self.counters.abandoned += 1;
             if let Some(job) = self.take_job(&id, out) {
@@ -548,10 +675,13 @@
     }
 
     /// Removes a job and stops what is left of it.
-    fn take_job(&mut self, id: &JobId, out: &mut Vec<Action>) -> Option<Job> {
+    pub(super) fn take_job(&mut self, id: &JobId, out: &mut Vec<Action>) -> Option<Job> {
         let job = self.jobs.remove(id)?;
-        self.requests.remove(&job.request);
-        self.unplaced.remove(id);
+        if let Some(request) = job.request {
+            self.requests.remove(&request);
+        }
+        self.unplaced
+            .remove(&(job.route.priority, job.start_by, id.clone()));
         for link in job.links() {
             out.push(Action::Send {
                 link,
@@ -564,7 +694,7 @@
         Some(job)
     }
 
-    fn finish(&mut self, id: &JobId, answer: Answer, now: Time, out: &mut Vec<Action>) {
+    pub(super) fn finish(&mut self, id: &JobId, answer: Answer, now: Time, out: &mut Vec<Action>) {
         let Some(job) = self.take_job(id, out) else {
             return;
         };
@@ -588,6 +718,9 @@
                 self.counters.failed += 1;
                 info!(job = %id, age_ms = age, "job failed");
             }
+            Answer::Accepted | Answer::Cancelled | Answer::Unknown => {
+                info!(job = %id, age_ms = age, "job cancelled");
+            }
             Answer::NotRun { reason, .. } | Answer::MayHaveRun { reason } => {
                 self.counters.refuse(reason);
                 let done = job
@@ -607,15 +740,21 @@
                 );
             }
         }
+        if job.state.is_some() {
+            self.end_kept(id, job, answer);
+            return;
+        }
         if matches!(answer, Answer::Completed | Answer::Failed) {
             self.answers.insert(id.clone(), (answer, now));
         }
-        out.push(Action::Answer {
-            request: job.request,
-            answer,
-            age,
-            wait: job.last_start.millis_since(job.arrived),
-        });
+        if let Some(request) = job.request {
+            out.push(Action::Answer {
+                request,
+                answer,
+                age,
+                wait: job.last_start.millis_since(job.arrived),
+            });
+        }
     }
 
     /// Gives a job up with an answer that is true.
@@ -636,7 +775,9 @@
     pub fn give_up_all(&mut self, now: Time, out: &mut Vec<Action>) {
         let jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in jobs {
-            self.give_up(&id, Refusal::Stopping, now, out);
+            if self.jobs.get(&id).is_some_and(|job| job.state.is_none()) {
+                self.give_up(&id, Refusal::Stopping, now, out);
+            }
         }
     }
 
@@ -661,17 +802,20 @@
         self.counters.links_lost += 1;
         let over = view.heard.after_millis(self.options.bounds.orphan_ms());
         let over = over.max(now);
+        // Another entry may note what has ended there.
+        let over_kept = over.after_millis(MERGE_MS);
         let mut hit = Vec::new();
         for (id, job) in &mut self.jobs {
             let mut any = false;
             for task in &mut job.tasks {
                 if task.state == TaskState::Sent(link) {
-                    task.state = TaskState::Lost(over);
+                    let kept = job.state.is_some();
+                    task.state = TaskState::Lost(if kept { over_kept } else { over });
                     any = true;
                 }
             }
             if any {
-                job.begun = true;
+                job.begun |= job.state.is_none();
                 hit.push(id.clone());
             }
         }
@@ -682,10 +826,17 @@
             "link to agent lost"
         );
         for id in hit {
+            let kept = self.jobs.get(&id).is_some_and(|job| job.state.is_some());
+            let over = if kept { over_kept } else { over };
             self.job_lost(&id, over, now, out);
         }
     }
 
+    /// Places the tasks of a job again when its lost runs are over.
+    pub(super) fn wait_for_lost(&mut self, over: Time, id: JobId) {
+        self.lost.insert((over, id));
+    }
+
     /// Waits for the lost runs of a job to be over, or gives it up if that takes too long.
     fn job_lost(&mut self, id: &JobId, over: Time, now: Time, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(id) else {
@@ -693,7 +844,8 @@
         };
         let chain = self.longest_chain(&job.route, &job.submission);
         let end = over.after_millis(chain);
-        if end > job.useful_until || end > job.deadline {
+        let late = end > job.useful_until || end > job.deadline;
+        if late && job.state.is_none() {
             self.give_up(id, Refusal::RunsLost, now, out);
         } else {
             self.lost.insert((over, id.clone()));
@@ -756,6 +908,7 @@
                     self.ended(link, &end, now, out);
                 }
             }
+            AgentFrame::Held(ends) => self.held(link, &ends, now, out),
         }
     }
 
@@ -787,17 +940,28 @@
     }
 
     fn place_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
-        for id in std::mem::take(&mut self.unplaced) {
-            self.place(&id, now, out);
+        if now < self.next_pump || self.unplaced.is_empty() {
+            return;
+        }
+        self.next_pump = now.after_millis(PUMP_MS);
+        let mut misses = 0;
+        for (_, _, id) in self.unplaced.clone() {
+            if !self.place(&id, now, out) {
+                misses += 1;
+            }
+            if misses > PUMP_MISSES {
+                return;
+            }
         }
     }
 
-    fn ended(&mut self, link: LinkNo, end: &TaskEnd, now: Time, out: &mut Vec<Action>) {
+    pub(super) fn ended(&mut self, link: LinkNo, end: &TaskEnd, now: Time, out: &mut Vec<Action>) {
         let id = &end.task.job;
         let slowness = self.fleet.views.get(&link).map(|view| view.load.slowness);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
+        let kept = job.state.is_some();
         let most = job.route.attempts;
         let Some(task) = job.task(end.task.step, end.task.index) else {
             return;
@@ -808,8 +972,12 @@
         task.state = TaskState::Waiting;
         match end.outcome {
             Outcome::Done => task.state = TaskState::Done,
-            Outcome::Failed => task.failures += 1,
-            Outcome::Aborted | Outcome::Unavailable | Outcome::NoRoom => {}
+            Outcome::Failed => {
+                task.failures += 1;
+                task.failed_run = end.run;
+            }
+            Outcome::Aborted => task.aborts += 1,
+            Outcome::Unavailable | Outcome::NoRoom => {}
         }
         let failures = task.failures;
         let started = matches!(
@@ -817,6 +985,9 @@
             Outcome::Done | Outcome::Failed | Outcome::Aborted
         );
         job.begun |= started;
+        if kept && matches!(end.outcome, Outcome::Done | Outcome::Failed) {
+            Self::note_end(&mut self.ledger, &mut self.kept, job, link, end);
+        }
         if end.outcome == Outcome::Done {
             let estimate = job.submission.steps[usize::from(end.task.step)].estimate;
             if slowness.is_some_and(|slowness| slowness < 200) {
@@ -841,7 +1012,7 @@
                 self.finish(id, Answer::Failed, now, out);
                 return;
             }
-            if self.withdraw(id, now, out) {
+            if !kept && self.withdraw(id, now, out) {
                 return;
             }
         }
@@ -878,6 +1049,7 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.tick_ledger(now, out);
         if now < self.next_check {
             return;
         }
@@ -887,6 +1059,7 @@
         }
         self.next_check = now.after_millis(CHECK_MS);
         self.close_silent(now, out);
+        self.check_lease(now, out);
         self.release_lost(now, out);
         self.place_waiting(now, out);
         self.expire(now, out);
@@ -939,11 +1112,11 @@
         for id in late {
             self.give_up(&id, Refusal::DeadlinePassed, now, out);
         }
-        for id in self.unplaced.clone() {
+        for (_, _, id) in self.unplaced.clone() {
             let stranded = self
                 .jobs
                 .get(&id)
-                .is_some_and(|job| job.has_not_run() && now >= job.start_by);
+                .is_some_and(|job| job.state.is_none() && job.has_not_run() && now >= job.start_by);
             if stranded {
                 self.give_up(&id, Refusal::NoEndpoint, now, out);
             }
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -9,6 +9,7 @@
 use super::configuration::Route;
 use super::submission::Submission;
 use crate::LinkNo;
+use crate::ledger::JobState;
 
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,12 +31,23 @@
     pub(super) index: u16,
     pub(super) state: TaskState,
     pub(super) failures: u32,
+    /// How often a run was given up or cut short.
+    pub(super) aborts: u32,
+    /// The number of the last run whose failure was counted.
+    pub(super) failed_run: u32,
+    /// The agent that it was sent to last.
+    pub(super) last: Option<LinkNo>,
 }
 
 /// A job.
 #[derive(Debug)]
 pub(super) struct Job {
-    pub(super) request: RequestNo,
+    /// The request that waits for the end of the job; none for a job that is kept.
+    pub(super) request: Option<RequestNo>,
+    /// The state in the store of a job that is kept.
+    pub(super) state: Option<JobState>,
+    /// Before this no task is placed: runs for an earlier owner may go on.
+    pub(super) hold_until: Time,
     pub(super) route: Rc<Route>,
     pub(super) submission: Submission,
     pub(super) tasks: Vec<Task>,
@@ -68,6 +80,9 @@
                     index,
                     state: TaskState::Waiting,
                     failures: 0,
+                    aborts: 0,
+                    failed_run: 0,
+                    last: None,
                 });
             }
         }
@@ -114,11 +129,15 @@
             .collect()
     }
 
-    /// Returns how many tasks of a step each agent has been given.
+    /// Returns how many tasks of a step each agent runs or has done.
     pub(super) fn spread(&self, step: u16) -> BTreeMap<LinkNo, u16> {
         let mut counts = BTreeMap::new();
         for task in self.tasks.iter().filter(|task| task.step == step) {
-            if let TaskState::Sent(link) = task.state {
+            let there = match task.state {
+                TaskState::Sent(_) | TaskState::Done => task.last,
+                TaskState::Waiting | TaskState::Lost(_) => None,
+            };
+            if let Some(link) = there {
                 *counts.entry(link).or_insert(0) += 1;
             }
         }
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -7,10 +7,12 @@
 mod estimates;
 mod fleet;
 mod job;
+mod kept;
 mod placement;
 mod submission;
 
 pub use action::{Action, Answer, RequestNo};
 pub use configuration::{CallerLimits, Configuration, Route};
 pub use entry::{Entry, EntryOptions};
+pub use kept::JobStatus;
 pub use submission::{Step, Submission};
--- a/crates/fulmarpond-dispatch/src/entry/submission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/submission.rs
@@ -1,9 +1,12 @@
 //! What a caller submits.
 
+use fulmarpond_derive::message;
+
 use crate::Needs;
 
 /// A step of a job.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[message]
+#[derive(Eq)]
 pub struct Step {
     /// The number of tasks.
     pub count: u16,
@@ -22,7 +25,8 @@
 }
 
 /// A job as submitted.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[message]
+#[derive(Eq)]
 pub struct Submission {
     /// What the tasks do.
     pub spec: String,
@@ -30,4 +34,6 @@
     pub steps: Vec<Step>,
     /// How long the caller waits, in milliseconds.
     pub patience: u64,
+    /// Whether the job is kept in the store, and its caller only waits until it is.
+    pub kept: bool,
 }
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -68,6 +68,8 @@
     Started(Vec<TaskKey>),
     /// Tasks of this entry ended.
     Ended(Vec<TaskEnd>),
+    /// Ends that no entry has taken note of yet.
+    Held(Vec<TaskEnd>),
 }
 
 /// The load of an endpoint.
@@ -151,6 +153,10 @@
     },
     /// Returns the tasks of a job that have not begun.
     Withdraw(JobId),
+    /// The ends of these runs are in the store.
+    Noted(Vec<TaskRun>),
+    /// Nobody needs the ends of these runs.
+    Obsolete(Vec<TaskRun>),
     /// The link addresses of all entries.
     Entries(Vec<SocketAddr>),
 }
@@ -174,8 +180,12 @@
     pub expected: u32,
     /// How long they may wait for room without missing their objective, in milliseconds.
     pub slack: u32,
-    /// When the caller has its answer or leaves, in milliseconds.
+    /// When the caller has its answer or leaves, in milliseconds; `u32::MAX` for never.
     pub remaining: u32,
+    /// The run time after which a run is given up, in milliseconds.
+    pub limit: u32,
+    /// Whether the ends are held until they are in the store.
+    pub kept: bool,
 }
 
 /// How a task ended.
@@ -201,6 +211,18 @@
     pub task: TaskKey,
     /// How it ended.
     pub outcome: Outcome,
+    /// The number of the run; 0 if it did not start.
+    pub run: u32,
     /// The run time, in milliseconds; 0 if it did not run to its end.
     pub elapsed: u32,
 }
+
+/// A run of a task.
+#[message]
+#[derive(Eq, PartialOrd, Ord)]
+pub struct TaskRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the run.
+    pub run: u32,
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -0,0 +1,787 @@
+//! The jobs in the store as an entry knows them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use fulmarpond_core::Time;
+use tracing::{debug, info, warn};
+
+use super::commits::{Change, Commits};
+use super::record::{JobSpec, JobState, Owner, Status};
+use crate::directory::{CommitRow, Duty, JobItem, StoreCall, StoreReply};
+use crate::{JobId, Outcome, TaskEnd, decode, encode};
+
+/// The most entries in one change of the store: conditions, writes and removals.
+const MOST_ENTRIES: usize = 32;
+
+/// The shortest pause between two changes, in milliseconds.
+const COMMIT_MS: u64 = 25;
+
+/// The share of the store's writes that all entries together use, in percent.
+const WRITE_PERCENT: u64 = 50;
+
+/// How long a watch of the jobs waits, in milliseconds.
+const WATCH_MS: u64 = 2_000;
+
+/// After this time without an answer of a watch, jobs may be missing here, in milliseconds.
+const SYNC_MS: u64 = WATCH_MS + 600;
+
+/// The pause between a watch that brought changes and the next one, in milliseconds: each call has
+/// its price, and changes of other entries are not urgent.
+const WATCH_PAUSE_MS: u64 = 120;
+
+/// How long the store may take to reply beyond a wait, in milliseconds.
+const REPLY_MS: u64 = 500;
+
+/// The first and the longest pause after a failed call, in milliseconds.
+const PAUSE_MS: (u64, u64) = (40, 800);
+
+/// How a ledger is set up.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LedgerOptions {
+    /// This entry in this life.
+    pub owner: Owner,
+    /// The writes a second that the store takes from all processes.
+    pub writes: u64,
+    /// How long an ended job is kept, in milliseconds.
+    pub keep_ms: u64,
+    /// After what time without an announcement the jobs of an entry are taken over, in
+    /// milliseconds.
+    pub takeover_ms: u64,
+}
+
+/// What the ledger found out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A new job is kept, or was kept before.
+    Kept(JobId),
+    /// A new job was surely not kept.
+    NotKept(JobId),
+    /// It is not known whether a new job was kept.
+    MayBeKept(JobId),
+    /// A change of a job of this entry is written.
+    Written(JobId, JobState),
+    /// A job of this entry has another owner or has ended.
+    Lost(JobId),
+    /// Another entry has noted ends in the state of a job of this entry.
+    Merged(JobId, JobState),
+    /// This entry is now the owner of a job.
+    Owned(JobId, JobSpec, JobState),
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    state: JobState,
+    revision: u64,
+    /// When its end was seen.
+    ended: Option<Time>,
+}
+
+/// The pages of a list so far.
+#[derive(Debug)]
+struct Listing {
+    found: BTreeMap<JobId, Known>,
+    /// The last job of the last page.
+    last: JobId,
+    /// The revision of the first page: changes during the list come after it.
+    at: u64,
+}
+
+#[derive(Debug)]
+struct Progress {
+    busy: bool,
+    due: Time,
+    pause: u64,
+}
+
+impl Progress {
+    const fn new(now: Time) -> Self {
+        Self {
+            busy: false,
+            due: now,
+            pause: PAUSE_MS.0,
+        }
+    }
+
+    fn failed(&mut self, now: Time) {
+        self.due = now.after_millis(self.pause);
+        self.pause = (self.pause * 2).min(PAUSE_MS.1);
+    }
+
+    const fn succeeded(&mut self, due: Time) {
+        self.due = due;
+        self.pause = PAUSE_MS.0;
+    }
+}
+
+/// The jobs in the store.
+#[derive(Debug)]
+pub struct Ledger {
+    options: LedgerOptions,
+    jobs: HashMap<JobId, Known>,
+    commits: Commits,
+    /// The revisions that the waiting states are derived from.
+    bases: HashMap<JobId, u64>,
+    /// New jobs whose first change is not written.
+    fresh: BTreeSet<JobId>,
+    /// The revision up to which the jobs are known; nothing before the first full list.
+    at: Option<u64>,
+    /// When the last list or watch was answered.
+    synced: Time,
+    /// The list that is under way.
+    listing: Option<Listing>,
+    watch: Progress,
+    commit: Progress,
+    read: Progress,
+    /// Jobs to take over, and the one that is being read.
+    wanted: BTreeSet<JobId>,
+    reading: Option<JobId>,
+    /// The live entries.
+    entries: BTreeSet<String>,
+    /// Entries whose announcement is missing, since when.
+    missing: BTreeMap<String, Time>,
+    next_scan: Time,
+    enabled: bool,
+}
+
+impl Ledger {
+    /// Creates a ledger that knows nothing.
+    pub fn new(options: LedgerOptions, now: Time) -> Self {
+        Self {
+            options,
+            jobs: HashMap::new(),
+            commits: Commits::default(),
+            bases: HashMap::new(),
+            fresh: BTreeSet::new(),
+            at: None,
+            synced: now,
+            listing: None,
+            watch: Progress::new(now),
+            commit: Progress::new(now),
+            read: Progress::new(now),
+            wanted: BTreeSet::new(),
+            reading: None,
+            entries: BTreeSet::new(),
+            missing: BTreeMap::new(),
+            next_scan: now,
+            enabled: true,
+        }
+    }
+
+    /// Returns whether all jobs are known that were kept some seconds ago.
+    pub fn is_synced(&self, now: Time) -> bool {
+        self.at.is_some() && now.millis_since(self.synced) < SYNC_MS
+    }
+
+    /// Returns whether the last change was not written, and it is too early for the next one.
+    pub const fn is_failing(&self, now: Time) -> bool {
+        self.commit.pause > PAUSE_MS.0 && now.as_micros() < self.commit.due.as_micros()
+    }
+
+    /// Returns whether all jobs are known.
+    pub const fn is_loaded(&self) -> bool {
+        self.at.is_some()
+    }
+
+    /// Returns how many jobs are known, and how many changes wait.
+    pub fn size(&self) -> (usize, usize) {
+        (self.jobs.len(), self.commits.len())
+    }
+
+    /// Returns the state of a job.
+    pub fn state(&self, job: &JobId) -> Option<&JobState> {
+        self.jobs.get(job).map(|known| &known.state)
+    }
+
+    /// Returns how many jobs of a route have begun no task.
+    pub fn waiting(&self, route: &str) -> usize {
+        let of_route = self.jobs.values().filter(|known| {
+            known.state.status == Status::Open && !known.state.begun && known.state.route == route
+        });
+        of_route.count()
+    }
+
+    /// Returns the owner that this entry writes into states.
+    pub const fn owner(&self) -> &Owner {
+        &self.options.owner
+    }
+
+    /// Takes the names of the announced entries.
+    pub fn set_entries(&mut self, names: impl IntoIterator<Item = String>, now: Time) {
+        self.entries = names.into_iter().collect();
+        self.missing.retain(|name, _| !self.entries.contains(name));
+        self.next_scan = now;
+    }
+
+    /// Keeps a new job.
+    pub fn keep(&mut self, job: JobId, spec: JobSpec, state: JobState) {
+        self.fresh.insert(job.clone());
+        let change = Change {
+            spec: Some(spec),
+            state: Some(state),
+        };
+        self.commits.push(job, change);
+    }
+
+    /// Changes the state of a job of this entry.
+    pub fn change(&mut self, job: &JobId, state: JobState) {
+        let change = Change {
+            spec: None,
+            state: Some(state),
+        };
+        self.commits.push(job.clone(), change);
+    }
+
+    /// Ends a job of any entry as cancelled; returns whether it was open.
+    pub fn cancel(&mut self, job: &JobId) -> bool {
+        let Some(known) = self.jobs.get(job) else {
+            return false;
+        };
+        if known.state.status != Status::Open {
+            return false;
+        }
+        let mut state = known.state.clone();
+        state.status = Status::Cancelled;
+        self.bases.insert(job.clone(), known.revision);
+        self.change(job, state);
+        true
+    }
+
+    /// Notes the end of a task in the state of a job that another entry owns; returns whether the
+    /// job is open and the end is not there yet.
+    pub fn merge(&mut self, end: &TaskEnd) -> bool {
+        let job = &end.task.job;
+        let Some(known) = self.jobs.get(job) else {
+            return false;
+        };
+        let foreign = known.state.owner != self.options.owner;
+        if !foreign || known.state.status != Status::Open || self.commits.is_waiting(job) {
+            return false;
+        }
+        let mut state = known.state.clone();
+        let Some(step) = state.steps.get_mut(usize::from(end.task.step)) else {
+            return false;
+        };
+        if end.outcome != Outcome::Done || step.is_done(end.task.index) {
+            return false;
+        }
+        step.set_done(end.task.index);
+        self.bases.insert(job.clone(), known.revision);
+        self.change(&end.task.job, state);
+        true
+    }
+
+    /// Begins a new full list: what was known may have changed unseen.
+    pub fn reload(&mut self, now: Time) {
+        self.at = None;
+        self.listing = None;
+        self.watch.due = now;
+    }
+
+    /// Returns when [`tick`](Self::tick) is due at the latest.
+    pub fn wake(&self) -> Time {
+        if !self.enabled {
+            return Time::MAX;
+        }
+        let mut wake = self.next_scan;
+        if !self.watch.busy {
+            wake = wake.min(self.watch.due);
+        }
+        if !self.commit.busy && !self.commits.is_empty() {
+            wake = wake.min(self.commit.due);
+        }
+        if !self.read.busy && !self.wanted.is_empty() {
+            wake = wake.min(self.read.due);
+        }
+        wake
+    }
+
+    /// Makes the calls that are due, and looks for jobs without an owner.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<(Duty, StoreCall, u64)>) {
+        if now >= self.next_scan {
+            self.scan(now);
+        }
+        if !self.watch.busy && now >= self.watch.due {
+            self.watch.busy = true;
+            out.push(self.next_watch());
+        }
+        let pending = !self.commits.is_empty() || !self.commits.under_way.is_empty();
+        if !self.commit.busy && pending && now >= self.commit.due {
+            self.commit.busy = true;
+            out.push((Duty::Commit, self.next_commit(), REPLY_MS));
+        }
+        if !self.read.busy && now >= self.read.due && self.reading.is_none() {
+            self.reading = self.wanted.pop_first();
+        }
+        if let Some(job) = &self.reading
+            && !self.read.busy
+            && now >= self.read.due
+        {
+            self.read.busy = true;
+            out.push((Duty::Job, StoreCall::ReadJob { job: job.clone() }, REPLY_MS));
+        }
+    }
+
+    fn next_watch(&self) -> (Duty, StoreCall, u64) {
+        match (self.at, &self.listing) {
+            (Some(after), _) => {
+                let call = StoreCall::WatchJobs {
+                    after,
+                    wait: WATCH_MS,
+                };
+                (Duty::Jobs, call, WATCH_MS + REPLY_MS)
+            }
+            (None, listing) => {
+                let after = listing.as_ref().map(|listing| listing.last.clone());
+                (Duty::Jobs, StoreCall::ListJobs { after }, REPLY_MS)
+            }
+        }
+    }
+
+    fn next_commit(&mut self) -> StoreCall {
+        let rows = self
+            .commits
+            .begin(MOST_ENTRIES)
+            .iter()
+            .map(|(job, change)| CommitRow {
+                job: job.clone(),
+                expected: self.bases.get(job).copied().unwrap_or_default(),
+                spec: change.spec.as_ref().map(encode),
+                state: change.state.as_ref().map(encode),
+            });
+        StoreCall::CommitJobs {
+            rows: rows.collect(),
+        }
+    }
+
+    /// Returns the pause between changes that keeps all entries within the store's rate.
+    fn commit_pause(&self) -> u64 {
+        let entries = self.entries.len().max(1) as u64;
+        let share = (self.options.writes * WRITE_PERCENT / 100).max(1);
+        (entries * 1_000 / share).max(COMMIT_MS)
+    }
+
+    /// Takes the outcome of a call; `None` stands for a call without a reply, `Some(Err)` for one
+    /// that the store refused without an effect.
+    pub fn answered(
+        &mut self,
+        duty: Duty,
+        reply: Option<Result<StoreReply, u16>>,
+        now: Time,
+        out: &mut Vec<Event>,
+    ) {
+        match duty {
+            Duty::Jobs => self.watch_answered(reply, now, out),
+            Duty::Commit => self.commit_answered(reply, now, out),
+            Duty::Job => self.read_answered(reply, now, out),
+            _ => {}
+        }
+    }
+
+    fn watch_answered(
+        &mut self,
+        reply: Option<Result<StoreReply, u16>>,
+        now: Time,
+        out: &mut Vec<Event>,
+    ) {
+        self.watch.busy = false;
+        if matches!(reply, Some(Ok(_))) {
+            self.synced = now;
+        }
+        match reply {
+            Some(Ok(StoreReply::JobPage { items, more, at })) => {
+                self.watch.succeeded(now);
+                self.take_page(items, more, at, now, out);
+            }
+            Some(Ok(StoreReply::JobChanges { items, removed, at })) => {
+                let quiet = items.is_empty() && removed.is_empty();
+                let pause = if quiet { 0 } else { WATCH_PAUSE_MS };
+                self.watch.succeeded(now.after_millis(pause));
+                for item in items {
+                    self.see(item, now, out);
+                }
+                for job in removed {
+                    self.jobs.remove(&job);
+                }
+                self.at = Some(at);
+            }
+            Some(Ok(StoreReply::Compacted)) => {
+                debug!("history of the jobs is gone, listing them again");
+                self.watch.succeeded(now);
+                self.at = None;
+            }
+            _ => self.watch.failed(now),
+        }
+    }
+
+    fn take_page(
+        &mut self,
+        items: Vec<JobItem>,
+        more: bool,
+        at: u64,
+        now: Time,
+        out: &mut Vec<Event>,
+    ) {
+        let mut listing = self.listing.take().unwrap_or(Listing {
+            found: BTreeMap::new(),
+            last: JobId(String::new()),
+            at,
+        });
+        if let Some(last) = items.last() {
+            listing.last = last.job.clone();
+        }
+        let empty = items.is_empty();
+        for item in items {
+            if let Some(known) = read_item(&item, now) {
+                listing.found.insert(item.job, known);
+            }
+        }
+        if more && !empty {
+            self.listing = Some(listing);
+            return;
+        }
+        let Listing { found, at, .. } = listing;
+        // What was written after the first page may be missing in the list.
+        let is_gone = |job: &JobId, known: &Known| {
+            known.revision <= at && !found.contains_key(job) && !self.commits.is_waiting(job)
+        };
+        let known = self.jobs.iter();
+        let gone: Vec<JobId> = known
+            .filter(|(job, known)| is_gone(job, known))
+            .map(|(job, _)| job.clone())
+            .collect();
+        for job in gone {
+            self.jobs.remove(&job);
+            out.push(Event::Lost(job));
+        }
+        for (job, known) in found {
+            self.learn(job, known, out);
+        }
+        info!(jobs = self.jobs.len(), at, "jobs in the store listed");
+        // Pages are no snapshot: changes since the first page come with the watch.
+        self.at = Some(at);
+        self.next_scan = now;
+    }
+
+    fn see(&mut self, item: JobItem, now: Time, out: &mut Vec<Event>) {
+        if let Some(known) = read_item(&item, now) {
+            self.learn(item.job, known, out);
+        }
+    }
+
+    fn learn(&mut self, job: JobId, known: Known, out: &mut Vec<Event>) {
+        let older = self
+            .jobs
+            .get(&job)
+            .is_some_and(|present| present.revision >= known.revision);
+        if older {
+            return;
+        }
+        let was_own = self
+            .jobs
+            .get(&job)
+            .is_some_and(|present| present.state.owner == self.options.owner);
+        let is_own = known.state.owner == self.options.owner;
+        if was_own && (!is_own || known.state.status == Status::Cancelled) {
+            out.push(Event::Lost(job.clone()));
+        } else if was_own
+            && known.state.status == Status::Open
+            && !self.commits.is_waiting(&job)
+            && self
+                .bases
+                .get(&job)
+                .is_some_and(|&base| base != known.revision)
+        {
+            self.bases.insert(job.clone(), known.revision);
+            out.push(Event::Merged(job.clone(), known.state.clone()));
+        }
+        self.jobs.insert(job, known);
+    }
+
+    fn commit_answered(
+        &mut self,
+        reply: Option<Result<StoreReply, u16>>,
+        now: Time,
+        out: &mut Vec<Event>,
+    ) {
+        self.commit.busy = false;
+        match reply {
+            Some(Ok(StoreReply::Committed { revision })) => {
+                self.commit.succeeded(now.after_millis(self.commit_pause()));
+                for (job, change) in self.commits.take_under_way() {
+                    self.written(job, change, revision, now, out);
+                }
+            }
+            Some(Ok(StoreReply::Conflict { items })) => {
+                self.commit.succeeded(now.after_millis(self.commit_pause()));
+                self.conflict(items, now, out);
+            }
+            Some(refusal) => {
+                warn!(
+                    ?refusal,
+                    changes = self.commits.len(),
+                    "store refused a change of jobs"
+                );
+                self.commit.failed(now);
+                self.refuse_fresh(false, out);
+            }
+            // The change may have been made: the same one is sent again, and a conflict with
+            // itself tells that it was.
+            None => {
+                self.commit.failed(now);
+                self.refuse_fresh(true, out);
+            }
+        }
+    }
+
+    /// Tells the callers of new jobs that these are not kept yet.
+    ///
+    /// A change that may have been made stays under way, since the job may be in the store.
+    fn refuse_fresh(&mut self, unsure: bool, out: &mut Vec<Event>) {
+        let mut left = Vec::new();
+        for (job, change) in self.commits.take_under_way() {
+            let fresh = self.fresh.contains(&job);
+            if fresh && !unsure {
+                self.fresh.remove(&job);
+                self.commits.forget(&job);
+                out.push(Event::NotKept(job));
+                continue;
+            }
+            if fresh {
+                out.push(Event::MayBeKept(job.clone()));
+            }
+            left.push((job, change));
+        }
+        self.commits.under_way = left;
+        // Nothing is known to work now, and these were never sent.
+        for job in self.fresh.clone() {
+            let sent = self
+                .commits
+                .under_way
+                .iter()
+                .any(|(known, _)| *known == job);
+            if !sent {
+                self.fresh.remove(&job);
+                self.commits.forget(&job);
+                out.push(Event::NotKept(job));
+            }
+        }
+    }
+
+    fn written(
+        &mut self,
+        job: JobId,
+        change: Change,
+        revision: u64,
+        now: Time,
+        out: &mut Vec<Event>,
+    ) {
+        let Some(state) = change.state else {
+            self.jobs.remove(&job);
+            self.bases.remove(&job);
+            return;
+        };
+        if state.owner == self.options.owner && state.status == Status::Open {
+            self.bases.insert(job.clone(), revision);
+        } else if !self.commits.is_waiting(&job) {
+            self.bases.remove(&job);
+        }
+        let ended = (state.status != Status::Open).then_some(now);
+        let known = Known {
+            state: state.clone(),
+            revision,
+            ended,
+        };
+        let newer = self
+            .jobs
+            .get(&job)
+            .is_some_and(|present| present.revision > revision);
+        if !newer {
+            self.jobs.insert(job.clone(), known);
+        }
+        if self.fresh.remove(&job) {
+            out.push(Event::Kept(job.clone()));
+        }
+        out.push(Event::Written(job, state));
+    }
+
+    /// Sorts out a change that was refused because some state is another one.
+    fn conflict(&mut self, items: Vec<JobItem>, now: Time, out: &mut Vec<Event>) {
+        let present: HashMap<JobId, JobItem> = items
+            .into_iter()
+            .map(|item| (item.job.clone(), item))
+            .collect();
+        for (job, change) in self.commits.take_under_way() {
+            let known = present.get(&job).and_then(|item| read_item(item, now));
+            let expected = self.bases.get(&job).copied().unwrap_or_default();
+            let revision = known.as_ref().map_or(0, |known| known.revision);
+            if revision == expected {
+                self.commits.retry(job, change);
+                continue;
+            }
+            let Some(known) = known else {
+                // The job is gone, or its state can't be read.
+                self.jobs.remove(&job);
+                self.fresh.remove(&job);
+                out.push(Event::Lost(job));
+                continue;
+            };
+            if Some(&known.state) == change.state.as_ref() {
+                debug!(%job, "an earlier attempt of this change was made");
+                self.written(job, change, revision, now, out);
+                continue;
+            }
+            let newer = self.commits.take_waiting(&job);
+            self.bases.remove(&job);
+            let was_fresh = self.fresh.remove(&job);
+            let own = known.state.owner == self.options.owner;
+            let open = known.state.status == Status::Open;
+            let cancels = change
+                .state
+                .as_ref()
+                .is_some_and(|state| state.status == Status::Cancelled);
+            let state = known.state.clone();
+            self.jobs.insert(job.clone(), known);
+            if was_fresh {
+                // Another entry has kept it, or an earlier attempt of this one.
+                out.push(Event::Kept(job.clone()));
+            } else if own && open {
+                self.bases.insert(job.clone(), revision);
+                if let Some(mut wanted) = newer.unwrap_or(change).state {
+                    wanted.merge(&state);
+                    self.change(&job, wanted);
+                }
+                out.push(Event::Merged(job, state));
+            } else if cancels && open {
+                self.cancel(&job);
+            } else {
+                out.push(Event::Lost(job));
+            }
+        }
+    }
+
+    /// Looks for jobs to take over and for ended jobs to remove.
+    fn scan(&mut self, now: Time) {
+        self.next_scan = now.after_millis(Self::SCAN_MS);
+        if self.at.is_none() {
+            return;
+        }
+        let mut removals = Vec::new();
+        let mut wanted = Vec::new();
+        for (job, known) in &self.jobs {
+            let owner = &known.state.owner;
+            if let Some(ended) = known.ended {
+                let own = owner.name == self.options.owner.name;
+                let orphaned = !self.entries.contains(&owner.name);
+                if now.millis_since(ended) > self.options.keep_ms && (own || orphaned) {
+                    removals.push(job.clone());
+                }
+                continue;
+            }
+            if *owner == self.options.owner {
+                continue;
+            }
+            if owner.name == self.options.owner.name || self.is_abandoned(&owner.name, job, now) {
+                wanted.push(job.clone());
+            }
+        }
+        for known in self.jobs.values().filter(|known| known.ended.is_none()) {
+            let name = &known.state.owner.name;
+            if !self.entries.contains(name) && *name != self.options.owner.name {
+                self.missing.entry(name.clone()).or_insert(now);
+            }
+        }
+        for job in removals {
+            if self.commits.is_waiting(&job) {
+                continue;
+            }
+            let revision = self.jobs.get(&job).map_or(0, |known| known.revision);
+            self.bases.insert(job.clone(), revision);
+            self.commits.push(
+                job,
+                Change {
+                    spec: None,
+                    state: None,
+                },
+            );
+        }
+        for job in wanted {
+            if !self.commits.is_waiting(&job) && self.reading.as_ref() != Some(&job) {
+                self.wanted.insert(job);
+            }
+        }
+    }
+
+    /// The interval of looks at all jobs, in milliseconds.
+    const SCAN_MS: u64 = 500;
+
+    /// Returns whether a job's owner is away for so long that this entry takes the job over.
+    fn is_abandoned(&self, name: &str, job: &JobId, now: Time) -> bool {
+        let Some(since) = self.missing.get(name) else {
+            return false;
+        };
+        if now.millis_since(*since) < self.options.takeover_ms {
+            return false;
+        }
+        // Each live entry takes a part; which one does not matter, since a change is conditional.
+        let own = weight(&self.options.owner.name, job);
+        self.entries.iter().all(|entry| weight(entry, job) <= own)
+    }
+
+    fn read_answered(
+        &mut self,
+        reply: Option<Result<StoreReply, u16>>,
+        now: Time,
+        out: &mut Vec<Event>,
+    ) {
+        self.read.busy = false;
+        let Some(job) = self.reading.clone() else {
+            return;
+        };
+        match reply {
+            Some(Ok(StoreReply::Job { spec })) => {
+                self.read.succeeded(now);
+                self.reading = None;
+                self.take_over(job, spec, out);
+            }
+            Some(Ok(_)) => self.reading = None,
+            _ => self.read.failed(now),
+        }
+    }
+
+    fn take_over(&mut self, job: JobId, spec: Option<Vec<u8>>, out: &mut Vec<Event>) {
+        let Some(known) = self.jobs.get(&job) else {
+            return;
+        };
+        let spec = spec.and_then(|bytes| decode::<JobSpec>(&bytes).ok());
+        let Some(spec) = spec else {
+            warn!(%job, "what was submitted can't be read");
+            return;
+        };
+        let mut state = known.state.clone();
+        self.bases.insert(job.clone(), known.revision);
+        info!(%job, from = state.owner.name, life = state.owner.life, "taking a job over");
+        state.owner = self.options.owner.clone();
+        self.change(&job, state.clone());
+        out.push(Event::Owned(job, spec, state));
+    }
+}
+
+fn read_item(item: &JobItem, now: Time) -> Option<Known> {
+    // An item of another writer names no job.
+    let state: JobState = decode(&item.state).ok()?;
+    let ended = (state.status != Status::Open).then_some(now);
+    Some(Known {
+        state,
+        revision: item.revision,
+        ended,
+    })
+}
+
+/// Returns the weight of an entry for a job, as in rendezvous hashing.
+fn weight(entry: &str, job: &JobId) -> u64 {
+    // FNV-1a, since the weights have to agree between processes.
+    let bytes = entry.bytes().chain([0]).chain(job.0.bytes());
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod agent;
 pub mod directory;
 pub mod entry;
+pub mod ledger;
 
 mod bounds;
 mod clock;
@@ -25,8 +26,8 @@
 pub use clock::RemoteClock;
 pub use counters::{Counters, Refusal};
 pub use frame::{
-    AgentFrame, Backlog, EndpointStatus, EntryFrame, FrameError, Order, Outcome, TaskEnd, decode,
-    encode,
+    AgentFrame, Backlog, EndpointStatus, EntryFrame, FrameError, Order, Outcome, TaskEnd, TaskRun,
+    decode, encode,
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use needs::Needs;
--- a/crates/fulmarpond-dispatch/tests/entry.rs
+++ b/crates/fulmarpond-dispatch/tests/entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
+use fulmarpond_dispatch::directory::Announced;
 use fulmarpond_dispatch::entry::{Action, Configuration, Entry, EntryOptions, Route};
 use fulmarpond_dispatch::{AgentFrame, Bounds, EntryFrame, LinkNo};
 
@@ -14,6 +15,9 @@
         zone: "Saga".to_owned(),
         bounds: Bounds::new(1_300, 1_000, 50).expect("room for leases"),
         far: 1.0,
+        life: 1,
+        writes: 400,
+        keep_ms: 120_000,
     };
     Entry::new(options, NOW)
 }
@@ -55,10 +59,17 @@
     let mut entry = entry();
     let link = LinkNo(1);
     let addrs: Vec<SocketAddr> = vec![([10, 0, 0, 1], 1).into(), ([10, 0, 0, 2], 1).into()];
+    let announced: Vec<Announced> = addrs
+        .iter()
+        .map(|&addr| Announced {
+            name: addr.to_string(),
+            addr,
+        })
+        .collect();
     let mut out = Vec::new();
-    entry.set_entries(addrs[..1].to_vec(), &mut out);
+    entry.set_entries(&announced[..1], NOW, &mut out);
     entry.link_up(link, &mut out);
-    entry.set_entries(addrs.clone(), &mut out);
+    entry.set_entries(&announced, NOW, &mut out);
     entry.frame(link, hello(0), NOW, &mut out);
     let told = frames(&out)
         .into_iter()
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -0,0 +1,328 @@
+//! The jobs in the store under lost, late and conflicting writes.
+
+use std::collections::BTreeMap;
+
+use fulmarpond_core::Time;
+use fulmarpond_dispatch::directory::{CommitRow, Duty, JobItem, StoreCall, StoreReply};
+use fulmarpond_dispatch::entry::{Route, Submission};
+use fulmarpond_dispatch::ledger::{
+    Event, JobSpec, JobState, Ledger, LedgerOptions, Owner, Status, StepProgress,
+};
+use fulmarpond_dispatch::{JobId, decode, encode};
+
+const START: Time = Time::from_millis(10_000);
+
+/// The store's items, with one revision for all changes.
+#[derive(Default)]
+struct Store {
+    states: BTreeMap<JobId, (Vec<u8>, u64)>,
+    revision: u64,
+}
+
+impl Store {
+    fn commit(&mut self, rows: &[CommitRow]) -> StoreReply {
+        let present = |job: &JobId| self.states.get(job).map_or(0, |(_, revision)| *revision);
+        if rows.iter().any(|row| present(&row.job) != row.expected) {
+            let items = rows.iter().filter_map(|row| self.item(&row.job));
+            return StoreReply::Conflict {
+                items: items.collect(),
+            };
+        }
+        self.revision += 1;
+        for row in rows {
+            match &row.state {
+                Some(state) => {
+                    self.states
+                        .insert(row.job.clone(), (state.clone(), self.revision));
+                }
+                None => {
+                    self.states.remove(&row.job);
+                }
+            }
+        }
+        StoreReply::Committed {
+            revision: self.revision,
+        }
+    }
+
+    fn item(&self, job: &JobId) -> Option<JobItem> {
+        let (state, revision) = self.states.get(job)?;
+        Some(JobItem {
+            job: job.clone(),
+            state: state.clone(),
+            revision: *revision,
+        })
+    }
+
+    fn list(&self) -> StoreReply {
+        StoreReply::JobPage {
+            items: self
+                .states
+                .keys()
+                .filter_map(|job| self.item(job))
+                .collect(),
+            more: false,
+            at: self.revision,
+        }
+    }
+
+    fn state(&self, job: &JobId) -> JobState {
+        decode(&self.states[job].0).expect("a state")
+    }
+}
+
+fn owner(name: &str, life: u64) -> Owner {
+    Owner {
+        name: name.to_owned(),
+        life,
+    }
+}
+
+fn ledger(name: &str, life: u64) -> Ledger {
+    let options = LedgerOptions {
+        owner: owner(name, life),
+        writes: 400,
+        keep_ms: 120_000,
+        takeover_ms: 8_000,
+    };
+    let mut ledger = Ledger::new(options, START);
+    ledger.set_entries(["one".to_owned(), "two".to_owned()], START);
+    ledger
+}
+
+fn job(number: u32) -> JobId {
+    JobId(format!("{number:016x}"))
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
+        route: Route {
+            name: "r".to_owned(),
+            host: "desk".to_owned(),
+            prefix: "/jobs/".to_owned(),
+            service: "service".to_owned(),
+            priority: 0,
+            attempts: 3,
+            stretch: 1.6,
+            target_ms: 60,
+        },
+        submission: Submission {
+            spec: String::new(),
+            steps: Vec::new(),
+            patience: 1_000,
+            kept: true,
+        },
+    }
+}
+
+fn open(owner: Owner) -> JobState {
+    JobState {
+        owner,
+        status: Status::Open,
+        route: "r".to_owned(),
+        begun: false,
+        steps: vec![StepProgress::default()],
+    }
+}
+
+fn calls(ledger: &mut Ledger, now: Time) -> Vec<(Duty, StoreCall)> {
+    let mut out = Vec::new();
+    ledger.tick(now, &mut out);
+    out.into_iter()
+        .map(|(duty, call, _)| (duty, call))
+        .collect()
+}
+
+/// Returns the commit that is due.
+fn commit(ledger: &mut Ledger, now: Time) -> Vec<CommitRow> {
+    let due = calls(ledger, now);
+    let rows = due.into_iter().find_map(|(_, call)| match call {
+        StoreCall::CommitJobs { rows } => Some(rows),
+        _ => None,
+    });
+    rows.expect("a commit")
+}
+
+fn answer(ledger: &mut Ledger, duty: Duty, reply: Option<StoreReply>, now: Time) -> Vec<Event> {
+    let mut events = Vec::new();
+    ledger.answered(duty, reply.map(Ok), now, &mut events);
+    events
+}
+
+/// Lets a ledger list what the store has.
+fn load(ledger: &mut Ledger, store: &Store, now: Time) {
+    calls(ledger, now);
+    answer(ledger, Duty::Jobs, Some(store.list()), now);
+}
+
+/// Guards against a job that is written twice, or taken for refused, when the answer to its first
+/// write is lost.
+#[test]
+fn lost_answer_of_a_first_write_is_found_out() {
+    let mut store = Store::default();
+    let mut ledger = ledger("one", 1);
+    ledger.keep(job(1), spec(), open(owner("one", 1)));
+    let rows = commit(&mut ledger, START);
+    store.commit(&rows);
+    let events = answer(&mut ledger, Duty::Commit, None, START);
+    assert_eq!(events, [Event::MayBeKept(job(1))]);
+    let later = START.after_millis(1_000);
+    let rows = commit(&mut ledger, later);
+    let reply = store.commit(&rows);
+    assert!(matches!(reply, StoreReply::Conflict { .. }));
+    let events = answer(&mut ledger, Duty::Commit, Some(reply), later);
+    assert!(events.contains(&Event::Kept(job(1))), "{events:?}");
+    assert_eq!(store.revision, 1);
+}
+
+/// Guards against an untrue refusal: only a write that surely was not made is refused.
+#[test]
+fn refused_first_write_is_not_sent_again() {
+    let mut ledger = ledger("one", 1);
+    ledger.keep(job(1), spec(), open(owner("one", 1)));
+    commit(&mut ledger, START);
+    let mut events = Vec::new();
+    ledger.answered(Duty::Commit, Some(Err(503)), START, &mut events);
+    assert_eq!(events, [Event::NotKept(job(1))]);
+    let later = calls(&mut ledger, START.after_millis(5_000));
+    assert!(
+        !later.iter().any(|(duty, _)| *duty == Duty::Commit),
+        "{later:?}"
+    );
+}
+
+/// Guards against an end that is overwritten: a change is derived from a state that another entry
+/// has added an end to.
+#[test]
+fn ends_that_another_entry_noted_are_merged() {
+    let mut store = Store::default();
+    let mut ledger = ledger("one", 1);
+    ledger.keep(job(1), spec(), open(owner("one", 1)));
+    let rows = commit(&mut ledger, START);
+    let reply = store.commit(&rows);
+    answer(&mut ledger, Duty::Commit, Some(reply), START);
+
+    let mut foreign = store.state(&job(1));
+    foreign.steps[0].set_done(3);
+    store.commit(&[CommitRow {
+        job: job(1),
+        expected: 1,
+        spec: None,
+        state: Some(encode(&foreign)),
+    }]);
+
+    let mut own = open(owner("one", 1));
+    own.status = Status::Completed;
+    own.steps[0].set_done(5);
+    ledger.change(&job(1), own);
+    let mut now = START;
+    for _ in 0..3 {
+        now = now.after_millis(1_000);
+        if ledger.size().1 == 0 {
+            break;
+        }
+        let rows = commit(&mut ledger, now);
+        let reply = store.commit(&rows);
+        answer(&mut ledger, Duty::Commit, Some(reply), now);
+    }
+    let state = store.state(&job(1));
+    assert_eq!(state.status, Status::Completed);
+    assert!(state.steps[0].is_done(3) && state.steps[0].is_done(5));
+}
+
+/// Guards against more entries in one call than the store takes: it would refuse them for ever.
+#[test]
+fn changes_stay_within_the_entries_of_a_call() {
+    let mut ledger = ledger("one", 1);
+    for number in 0..40 {
+        ledger.keep(job(number), spec(), open(owner("one", 1)));
+    }
+    let rows = commit(&mut ledger, START);
+    let entries: usize = rows
+        .iter()
+        .map(|row| 2 + usize::from(row.spec.is_some()))
+        .sum();
+    assert!(!rows.is_empty() && entries <= 32, "{entries} entries");
+}
+
+/// Guards against a job that is dropped because it was written while the jobs were listed.
+#[test]
+fn job_written_during_a_list_is_not_lost() {
+    let mut store = Store::default();
+    let mut ledger = ledger("one", 1);
+    let before = store.list();
+    calls(&mut ledger, START);
+    ledger.keep(job(1), spec(), open(owner("one", 1)));
+    let rows = commit(&mut ledger, START);
+    let reply = store.commit(&rows);
+    answer(&mut ledger, Duty::Commit, Some(reply), START);
+    let events = answer(&mut ledger, Duty::Jobs, Some(before), START);
+    assert_eq!(events, []);
+    assert!(ledger.state(&job(1)).is_some());
+}
+
+struct Takeover {
+    name: &'static str,
+    /// The owner of the job.
+    of: (&'static str, u64),
+    /// The announced entries.
+    announced: &'static [&'static str],
+    /// How long they have been known, in milliseconds.
+    after: u64,
+    taken: bool,
+}
+
+/// Guards against two entries that run one job, and against a job that none runs.
+#[test]
+fn jobs_are_taken_over_from_entries_that_are_gone() {
+    let cases = [
+        Takeover {
+            name: "own earlier process",
+            of: ("one", 1),
+            announced: &["one"],
+            after: 1_000,
+            taken: true,
+        },
+        Takeover {
+            name: "live entry",
+            of: ("two", 1),
+            announced: &["one", "two"],
+            after: 20_000,
+            taken: false,
+        },
+        Takeover {
+            name: "entry that went away a moment ago",
+            of: ("two", 1),
+            announced: &["one"],
+            after: 3_000,
+            taken: false,
+        },
+        Takeover {
+            name: "entry that is gone",
+            of: ("two", 1),
+            announced: &["one"],
+            after: 20_000,
+            taken: true,
+        },
+    ];
+    for case in cases {
+        let mut store = Store::default();
+        let (name, life) = case.of;
+        store.commit(&[CommitRow {
+            job: job(1),
+            expected: 0,
+            spec: None,
+            state: Some(encode(&open(owner(name, life)))),
+        }]);
+        let mut ledger = ledger("one", 2);
+        ledger.set_entries(case.announced.iter().map(|name| (*name).to_owned()), START);
+        load(&mut ledger, &store, START);
+        calls(&mut ledger, START.after_millis(600));
+        let due = calls(&mut ledger, START.after_millis(600 + case.after));
+        let read = due
+            .iter()
+            .any(|(_, call)| matches!(call, StoreCall::ReadJob { .. }));
+        let earlier = read || case.of.0 == "one";
+        assert_eq!(earlier, case.taken, "{}", case.name);
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -79,6 +79,7 @@
                 *self.open.entry(job.clone()).or_default() -= 1;
             }
             Answer::MayHaveRun { .. } => self.lost += 1,
+            Answer::Accepted | Answer::Cancelled | Answer::Unknown => {}
         }
     }
 
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -272,6 +272,9 @@
             zone: format!("zone-{}", entry % 2),
             bounds: self.bounds,
             far: 1.5,
+            life: self.now.as_micros(),
+            writes: 400,
+            keep_ms: 120_000,
         };
         let mut core = Entry::new(options, self.now);
         core.configure(self.configuration.clone(), &mut Vec::new());
@@ -366,6 +369,8 @@
 
     fn entry_action(&mut self, entry: usize, action: entry::Action) {
         match action {
+            // No job is kept here, so the store has nothing to do.
+            entry::Action::Store { .. } => {}
             entry::Action::Close { link } => self.close(link, false),
             entry::Action::Send { link, frame } => self.send(link, 1, encode(&frame)),
             entry::Action::Answer {
@@ -873,6 +878,7 @@
                 spread: None,
             }],
             patience,
+            kept: false,
         };
         let id = id.clone();
         let path = format!("/{}/{id}", demand.route);
--- a/crates/fulmarpond-settings/src/leased/leased_settings.rs
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -17,10 +17,10 @@
         &["callers", "readiness", "heartbeats", "link", "metrics"],
     ),
     ("cluster", &["seeds", "link_port"]),
-    ("store", &["addr"]),
+    ("store", &["addr", "writes"]),
     (
         "timing",
-        &["resend", "hold_max", "stop", "heartbeat", "grace"],
+        &["resend", "hold_max", "stop", "heartbeat", "grace", "keep"],
     ),
     ("placement", &["far"]),
     ("log", &["level", "lines"]),
@@ -29,6 +29,12 @@
 /// The value of `daemon.mode` that selects these settings.
 const MODE: &str = "leased";
 
+/// The writes a second that the store takes, if the settings do not say.
+const DEFAULT_WRITES: u64 = 400;
+
+/// How long the state of an ended job is kept, if the settings do not say.
+const DEFAULT_KEEP: Duration = Duration::from_secs(120);
+
 /// The most log lines a second, if the settings do not say.
 const DEFAULT_LINES: u32 = 1_000;
 
@@ -45,6 +51,8 @@
         link: SocketAddr,
         /// The platform's store.
         store: SocketAddr,
+        /// The writes a second that the store takes from all processes.
+        writes: u64,
     },
     /// Stands beside an endpoint.
     Agent {
@@ -68,6 +76,8 @@
     pub heartbeat: Duration,
     /// The time from the request to stop until the process is killed.
     pub grace: Duration,
+    /// How long the state of an ended job is kept.
+    pub keep: Duration,
 }
 
 /// Settings of the daemon in leased mode.
@@ -144,11 +154,13 @@
     let readiness = reader.required("listen", "readiness", parse);
     let link = reader.required("listen", "link", parse);
     let store = reader.required("store", "addr", parse);
+    let writes = reader.optional("store", "writes", parse);
     Some(LeasedRole::Entry {
         callers: callers?,
         readiness: readiness?,
         link: link?,
         store: store?,
+        writes: writes.unwrap_or(DEFAULT_WRITES),
     })
 }
 
@@ -179,12 +191,14 @@
     let stop = reader.required("timing", "stop", duration);
     let heartbeat = reader.required("timing", "heartbeat", duration);
     let grace = reader.required("timing", "grace", duration);
+    let keep = reader.optional("timing", "keep", duration);
     Some(LeasedTiming {
         resend: resend?,
         hold_max: hold_max?,
         stop: stop?,
         heartbeat: heartbeat?,
         grace: grace?,
+        keep: keep.unwrap_or(DEFAULT_KEEP),
     })
 }
 
--- a/crates/fulmarpond-standins/src/fleet/store.rs
+++ b/crates/fulmarpond-standins/src/fleet/store.rs
@@ -72,6 +72,10 @@
     /// Writes an item as the operator does.
     pub(super) fn put(&mut self, key: &str, value: &[u8], lease: u64) {
         self.revision += 1;
+        self.write(key, value, lease);
+    }
+
+    fn write(&mut self, key: &str, value: &[u8], lease: u64) {
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
         let item = Item {
@@ -86,8 +90,12 @@
     }
 
     fn delete(&mut self, key: &str) {
+        self.revision += 1;
+        self.remove(key);
+    }
+
+    fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
-            self.revision += 1;
             let event = json!({"Key": key, "Revision": self.revision, "Deleted": true});
             self.note(key, event);
         }
@@ -199,12 +207,21 @@
             return Response::empty(400);
         };
         let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-        for row in rows("Expected") {
+        let expected = rows("Expected");
+        let differs = |row: &Value| {
             let key = row["Key"].as_str().unwrap_or_default();
             let present = self.items.get(key).map_or(0, |item| item.revision);
-            if row["Revision"].as_u64() != Some(present) {
-                return Response::json(412, br#"{"items":[]}"#.to_vec());
-            }
+            row["Revision"].as_u64() != Some(present)
+        };
+        if expected.iter().any(differs) {
+            let items: Vec<Value> = expected
+                .iter()
+                .filter_map(|row| {
+                    let key = row["Key"].as_str()?;
+                    Some(item_json(key, self.items.get(key)?, None))
+                })
+                .collect();
+            return Response::json(412, json!({"items": items}).to_string().into_bytes());
         }
         let writes = rows("Writes");
         let lapsed = |row: &Value| {
@@ -214,14 +231,15 @@
         if writes.iter().any(lapsed) {
             return Response::empty(404);
         }
+        self.revision += 1;
         for row in writes {
             let value = row["Value"].as_str().unwrap_or_default();
             let bytes = STANDARD.decode(value).unwrap_or_default();
             let lease = row["Lease"].as_u64().unwrap_or(0);
-            self.put(row["Key"].as_str().unwrap_or_default(), &bytes, lease);
+            self.write(row["Key"].as_str().unwrap_or_default(), &bytes, lease);
         }
         for key in rows("Remove") {
-            self.delete(key.as_str().unwrap_or_default());
+            self.remove(key.as_str().unwrap_or_default());
         }
         ok(&json!({"Revision": self.revision}))
     }
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -32,7 +32,7 @@
 const LAST_MS: u64 = 700;
 
 /// The most connections to the store: one for each duty.
-const STORE_CONNECTIONS: usize = 3;
+const STORE_CONNECTIONS: usize = 6;
 
 /// The process of an entry.
 pub(super) struct EntryProcess {
@@ -62,6 +62,7 @@
             readiness,
             link,
             store,
+            writes,
         } = settings.role
         else {
             return Err(io::Error::other("the role is not that of an entry").into());
@@ -72,6 +73,9 @@
             zone: settings.zone.clone(),
             bounds: bounds(&settings.timing)?,
             far: settings.far,
+            life: now.as_micros(),
+            writes,
+            keep_ms: settings.timing.keep.as_millis() as u64,
         };
         let mut reactor = Reactor::new(Limits::default())?;
         let (callers, _) = reactor.listen_http(callers)?;
@@ -144,6 +148,7 @@
             info!(jobs = self.entry.jobs(), "stopping gracefully");
             self.stopping = Some(now);
             self.reactor.drain();
+            self.entry.stop();
             self.directory.leave(now);
         }
     }
@@ -158,7 +163,7 @@
             self.carry_out(now);
             return true;
         }
-        elapsed >= NOTICE_MS.min(self.grace_ms / 2) && self.entry.jobs() == 0
+        elapsed >= NOTICE_MS.min(self.grace_ms / 2) && self.entry.attended() == 0
     }
 
     fn event(&mut self, event: Event, now: Time) {
@@ -204,6 +209,8 @@
                 ("configuration_version", self.entry.version()),
                 ("store_age_ms", self.directory.age(now)),
                 ("oldest_view_ms", self.entry.oldest_view(now)),
+                ("kept_jobs", self.entry.ledger_size().0 as u64),
+                ("waiting_changes", self.entry.ledger_size().1 as u64),
                 ("log_lines_dropped", self.log.dropped()),
             ];
             let response = self.metrics.render(&self.entry.counters, &levels);
@@ -247,9 +254,11 @@
                         .refuse(number, error.refusal(), &mut self.actions);
                 }
             },
-            Ask::State(_) | Ask::Cancel(_) => {
-                self.reactor.respond(id, &caller::unknown_job());
+            Ask::State(job) => {
+                let status = self.entry.status_of(&job);
+                self.reactor.respond(id, &caller::state(status));
             }
+            Ask::Cancel(job) => self.entry.cancel(number, &job, now, &mut self.actions),
             Ask::Waiting => {
                 let waiting = self.entry.waiting(&route);
                 self.reactor.respond(id, &caller::waiting(waiting));
@@ -272,24 +281,36 @@
         let reply = match store::reply(&call, outcome) {
             Ok(reply) => {
                 self.metrics.call("store", call.as_str(), "answered");
-                Some(reply)
+                Some(Ok(reply))
             }
             Err(error) => {
                 self.metrics.call("store", call.as_str(), "failed");
-                debug!(?call, %error, "call to the store failed");
-                None
+                debug!(call = call.as_str(), %error, "call to the store failed");
+                error.refusal().map(Err)
             }
         };
+        if matches!(duty, Duty::Jobs | Duty::Commit | Duty::Job) {
+            self.entry
+                .store_answered(duty, reply, now, &mut self.actions);
+            return;
+        }
+        let reply = reply.and_then(Result::ok);
         self.directory.answered(duty, reply, now, &mut self.tasks);
         self.directory.tick(now, &mut self.tasks);
+        self.entry.set_lease(self.directory.lease_end());
     }
 
     fn carry_out(&mut self, now: Time) {
         for action in std::mem::take(&mut self.tasks) {
-            self.carry_out_directory(action);
+            self.carry_out_directory(action, now);
         }
         for action in std::mem::take(&mut self.actions) {
             match action {
+                Action::Store {
+                    duty,
+                    call,
+                    timeout,
+                } => self.call_store(duty, call, timeout),
                 Action::Close { link } => self.reactor.close_link(LinkId(link.0)),
                 Action::Send { link, frame } => {
                     self.reactor.send(LinkId(link.0), &encode(&frame));
@@ -318,28 +339,30 @@
         }
     }
 
-    fn carry_out_directory(&mut self, action: directory::Action) {
+    fn call_store(&mut self, duty: Duty, call: StoreCall, timeout: u64) {
+        let deadline = Instant::now() + Duration::from_millis(timeout);
+        let request = store::call(&call, &self.announcer, deadline);
+        let id = self
+            .reactor
+            .call(self.store, 0, STORE_CONNECTIONS, &request);
+        self.calls.insert(id, (duty, call));
+    }
+
+    fn carry_out_directory(&mut self, action: directory::Action, now: Time) {
         match action {
             directory::Action::Call {
                 duty,
                 call,
                 timeout,
-            } => {
-                let deadline = Instant::now() + Duration::from_millis(timeout);
-                let request = store::call(&call, &self.announcer, deadline);
-                let id = self
-                    .reactor
-                    .call(self.store, 0, STORE_CONNECTIONS, &request);
-                self.calls.insert(id, (duty, call));
-            }
+            } => self.call_store(duty, call, timeout),
             directory::Action::Configured(configuration) => {
                 if let Some(limits) = configuration.limits {
                     self.reactor.set_limits(reactor_limits(limits));
                 }
                 self.entry.configure(configuration, &mut self.actions);
             }
-            directory::Action::Listed(addrs) => {
-                self.entry.set_entries(addrs, &mut self.actions);
+            directory::Action::Listed(entries) => {
+                self.entry.set_entries(&entries, now, &mut self.actions);
             }
         }
     }
--- a/crates/fulmarpondd/tests/leased.rs
+++ b/crates/fulmarpondd/tests/leased.rs
@@ -244,7 +244,7 @@
 fn log_explains_each_refusal_with_its_job() {
     let system = System::start(1, 1);
     let large = r#"{"Spec":"","Steps":[{"Count":1,"Cpu":900000}],"BestEffort":true}"#;
-    let stored = r#"{"Spec":"","Steps":[{"Count":1,"Cpu":100,"Gang":true}],"BestEffort":true}"#;
+    let gang = r#"{"Spec":"","Steps":[{"Count":1,"Cpu":100,"Gang":true}],"BestEffort":true}"#;
     assert_eq!(
         system
             .post(0, "/jobs/0000000000000ab0", large)
@@ -253,7 +253,7 @@
     );
     assert_eq!(
         system
-            .post(0, "/jobs/0000000000000ab1", stored)
+            .post(0, "/jobs/0000000000000ab1", gang)
             .map(|(status, _)| status),
         Some(503)
     );
@@ -303,3 +303,100 @@
         .expect("an answer");
     assert_eq!(status, 200);
 }
+
+fn state(system: &System, entry: usize, id: &str) -> Option<(u16, String)> {
+    request(system.callers[entry], "GET", &format!("/jobs/{id}"), "")
+}
+
+fn kept(count: u32, spec: &str) -> String {
+    format!(
+        r#"{{"Spec":"{spec}","Steps":[{{"Count":{count},"Cpu":1000,"MemMb":64,"EstimatedMs":300}}]}}"#
+    )
+}
+
+/// Guards against a job that only its entry knows: each entry shows its state, and a repeated
+/// submission remains one job.
+#[test]
+fn kept_job_is_shown_by_each_entry_and_runs_once() {
+    let system = System::start(2, 2);
+    let id = "00000000000000ba";
+    for entry in [0, 1] {
+        await_that("the job is accepted", || {
+            system
+                .post(entry, &format!("/jobs/{id}"), &kept(4, "ms=100"))
+                .is_some_and(|(status, _)| status == 200)
+        });
+    }
+    for entry in [0, 1] {
+        await_that("the job is shown as completed", || {
+            state(&system, entry, id).is_some_and(|(_, body)| body.contains("completed"))
+        });
+    }
+    assert_eq!(system.starts(id).len(), 4);
+    let unknown = state(&system, 1, "00000000000000bb").map(|(status, _)| status);
+    assert_eq!(unknown, Some(410));
+}
+
+/// Guards against an accepted job that is lost with all processes of the system.
+#[test]
+fn kept_job_survives_the_loss_of_all_processes() {
+    let mut system = System::start(2, 2);
+    let id = "00000000000000bc";
+    await_that("the job is accepted", || {
+        system
+            .post(0, &format!("/jobs/{id}"), &kept(6, "ms=1500"))
+            .is_some_and(|(status, _)| status == 200)
+    });
+    await_that("the job runs", || !system.starts(id).is_empty());
+    for process in system.entries.iter_mut().chain(&mut system.agents) {
+        process.kill();
+    }
+    system.entries = vec![system.entry(0), system.entry(1)];
+    system.agents = vec![system.agent(0), system.agent(1)];
+    for entry in [0, 1] {
+        await_that("the job is shown as completed", || {
+            state(&system, entry, id).is_some_and(|(_, body)| body.contains("completed"))
+        });
+    }
+}
+
+/// Guards against a cancelled job that runs on, and a cancel that only one entry can take.
+#[test]
+fn kept_job_is_cancelled_through_any_entry() {
+    let system = System::start(2, 1);
+    let id = "00000000000000bd";
+    await_that("the job is accepted", || {
+        system
+            .post(0, &format!("/jobs/{id}"), &kept(20, "ms=2000"))
+            .is_some_and(|(status, _)| status == 200)
+    });
+    await_that("the job is cancelled", || {
+        let cancelled = request(system.callers[1], "DELETE", &format!("/jobs/{id}"), "");
+        cancelled.is_some_and(|(status, _)| status == 200)
+    });
+    await_that("the job is shown as cancelled", || {
+        state(&system, 0, id).is_some_and(|(_, body)| body.contains("cancelled"))
+    });
+    assert!(system.starts(id).len() < 20);
+}
+
+/// Guards against an acceptance that the store has not confirmed.
+#[test]
+fn job_is_not_accepted_while_the_store_is_away() {
+    let system = System::start(1, 1);
+    system.emulator.set_store_down(true);
+    await_that("the store is away", || {
+        get(system.emulator.store_addr(), "/v1/kv-key?Key=x")
+            .is_some_and(|(status, _)| status == 503)
+    });
+    let id = "00000000000000be";
+    let answer = system.post(0, &format!("/jobs/{id}"), &kept(1, "ms=10"));
+    assert_eq!(answer.map(|(status, _)| status), Some(503));
+    system.emulator.set_store_down(false);
+    await_that("a job is accepted again", || {
+        system
+            .post(0, "/jobs/00000000000000bf", &kept(1, "ms=10"))
+            .is_some_and(|(status, _)| status == 200)
+    });
+    assert!(system.starts(id).is_empty());
+}
