--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -3,11 +3,14 @@
 mod action;
 #[allow(clippy::module_inception)]
 mod agent;
+mod checks;
 mod endpoint;
 mod endpoint_call;
+mod endpoint_calls;
 mod health;
 mod held;
 mod links;
+mod orders;
 mod queue;
 mod run;
 
--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -349,7 +349,7 @@
     /// Returns until when no other entry can take this one's jobs over; nothing if it is not
     /// announced.
     pub fn lease_end(&self) -> Option<Time> {
-        (self.announced && !self.leaving).then_some(self.lease_end)
+        self.announced.then_some(self.lease_end)
     }
 
     /// Withdraws the announcement.
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -0,0 +1,312 @@
+//! What agents tell, and what becomes of tasks whose agent is lost.
+
+use fulmarpond_core::Time;
+use tracing::{debug, info, warn};
+
+use super::entry::Entry;
+use super::job::TaskState;
+use super::{Action, Answer};
+use crate::{AgentFrame, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd};
+
+/// How long an entry waits for ends at an agent that it has lost, in milliseconds.
+const MERGE_MS: u64 = 1_000;
+
+impl Entry {
+    /// Gives the configuration to an agent of the own zone that has an older one.
+    pub(super) fn give_configuration(&mut self, link: LinkNo, out: &mut Vec<Action>) {
+        let Some(configuration) = &self.configuration else {
+            return;
+        };
+        let Some(view) = self.fleet.views.get_mut(&link) else {
+            return;
+        };
+        if view.zone != self.options.zone || view.version >= configuration.version {
+            return;
+        }
+        view.version = configuration.version;
+        out.push(Action::Send {
+            link,
+            frame: EntryFrame::Configuration(configuration.clone()),
+        });
+    }
+
+    /// Notes that an agent has opened a link.
+    pub fn link_up(&mut self, link: LinkNo, out: &mut Vec<Action>) {
+        out.push(Action::Send {
+            link,
+            frame: EntryFrame::Hello {
+                name: self.options.name.clone(),
+                version: self.version(),
+            },
+        });
+    }
+
+    /// Notes that a link is closed: what was sent there may run until its lease has lapsed.
+    pub fn link_down(&mut self, link: LinkNo, now: Time, out: &mut Vec<Action>) {
+        let Some(view) = self.fleet.views.remove(&link) else {
+            return;
+        };
+        self.counters.links_lost += 1;
+        let over = view.heard.after_millis(self.options.bounds.orphan_ms());
+        let over = over.max(now);
+        // Another entry may note what has ended there.
+        let over_kept = over.after_millis(MERGE_MS);
+        let mut hit = Vec::new();
+        for (id, job) in &mut self.jobs {
+            let mut any = false;
+            for task in &mut job.tasks {
+                if task.state == TaskState::Sent(link) {
+                    let kept = job.state.is_some();
+                    task.state = TaskState::Lost(if kept { over_kept } else { over });
+                    any = true;
+                }
+            }
+            if any {
+                job.begun |= job.state.is_none();
+                hit.push(id.clone());
+            }
+        }
+        warn!(
+            agent = view.name,
+            heard_ms = now.millis_since(view.heard),
+            jobs = hit.len(),
+            "link to agent lost"
+        );
+        for id in hit {
+            let kept = self.jobs.get(&id).is_some_and(|job| job.state.is_some());
+            let over = if kept { over_kept } else { over };
+            self.job_lost(&id, over, now, out);
+        }
+    }
+
+    /// Places the tasks of a job again when its lost runs are over.
+    pub(super) fn wait_for_lost(&mut self, over: Time, id: JobId) {
+        self.lost.insert((over, id));
+    }
+
+    /// Waits for the lost runs of a job to be over, or gives it up if that takes too long.
+    pub(super) fn job_lost(&mut self, id: &JobId, over: Time, now: Time, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let chain = self.longest_chain(&job.route, &job.submission);
+        let end = over.after_millis(chain);
+        let late = end > job.useful_until || end > job.deadline;
+        if late && job.state.is_none() {
+            self.give_up(id, Refusal::RunsLost, now, out);
+        } else {
+            self.lost.insert((over, id.clone()));
+        }
+    }
+
+    /// Takes a frame of an agent.
+    pub fn frame(&mut self, link: LinkNo, frame: AgentFrame, now: Time, out: &mut Vec<Action>) {
+        match frame {
+            AgentFrame::Hello {
+                name,
+                zone,
+                version,
+            } => {
+                info!(agent = name, zone, "link to agent established");
+                self.fleet.joined(link, name, zone, version, now);
+                self.give_configuration(link, out);
+                if !self.entries.is_empty() {
+                    out.push(Action::Send {
+                        link,
+                        frame: EntryFrame::Entries(self.entries.clone()),
+                    });
+                }
+            }
+            AgentFrame::Configuration(configuration) => self.configure(configuration, out),
+            AgentFrame::Endpoint {
+                service,
+                capacity,
+                labels,
+            } => {
+                if let Some(view) = self.fleet.views.get_mut(&link) {
+                    debug!(
+                        agent = view.name,
+                        service,
+                        cpu = capacity.cpu,
+                        "endpoint announced"
+                    );
+                    view.service = service;
+                    view.capacity = capacity;
+                    view.labels = labels;
+                }
+            }
+            AgentFrame::Status { sent, orders, load } => {
+                out.push(Action::Send {
+                    link,
+                    frame: EntryFrame::Renew { sent },
+                });
+                self.status(link, orders, load, now, out);
+            }
+            AgentFrame::Started(tasks) => {
+                for task in tasks {
+                    if let Some(job) = self.jobs.get_mut(&task.job) {
+                        job.begun = true;
+                        job.last_start = now;
+                    }
+                }
+            }
+            AgentFrame::Ended(ends) => {
+                for end in ends {
+                    self.ended(link, &end, now, out);
+                }
+            }
+            AgentFrame::Held(ends) => self.held(link, &ends, now, out),
+        }
+    }
+
+    pub(super) fn status(
+        &mut self,
+        link: LinkNo,
+        orders: u64,
+        load: crate::EndpointStatus,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(view) = self.fleet.views.get_mut(&link) else {
+            return;
+        };
+        if view.load.stalled != load.stalled || view.load.ready != load.ready {
+            info!(
+                agent = view.name,
+                ready = load.ready,
+                stalled = load.stalled,
+                slowness = load.slowness,
+                failures = load.failures,
+                "agent changed"
+            );
+        }
+        view.status(orders, load, now);
+        if load.ready && !self.unplaced.is_empty() {
+            self.place_waiting(now, out);
+        }
+    }
+
+    pub(super) fn ended(&mut self, link: LinkNo, end: &TaskEnd, now: Time, out: &mut Vec<Action>) {
+        let id = &end.task.job;
+        let slowness = self.fleet.views.get(&link).map(|view| view.load.slowness);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let kept = job.state.is_some();
+        let most = job.route.attempts;
+        let Some(task) = job.task(end.task.step, end.task.index) else {
+            return;
+        };
+        if task.state != TaskState::Sent(link) {
+            return;
+        }
+        task.state = TaskState::Waiting;
+        match end.outcome {
+            Outcome::Done => task.state = TaskState::Done,
+            Outcome::Failed => {
+                task.failures += 1;
+                task.failed_run = end.run;
+            }
+            Outcome::Aborted => task.aborts += 1,
+            Outcome::Unavailable | Outcome::NoRoom => {}
+        }
+        let failures = task.failures;
+        let started = matches!(
+            end.outcome,
+            Outcome::Done | Outcome::Failed | Outcome::Aborted
+        );
+        job.begun |= started;
+        if kept && matches!(end.outcome, Outcome::Done | Outcome::Failed) {
+            Self::note_end(&mut self.ledger, &mut self.kept, job, link, end);
+        }
+        if end.outcome == Outcome::Done {
+            let estimate = job.submission.steps[usize::from(end.task.step)].estimate;
+            if slowness.is_some_and(|slowness| slowness < 200) {
+                let route = &job.route.name;
+                self.estimates.observe(route, estimate, end.elapsed);
+            }
+            if job.is_done() {
+                self.finish(id, Answer::Completed, now, out);
+                return;
+            }
+        } else {
+            job.avoided.push(link);
+            self.counters.retried += 1;
+            info!(
+                task = %end.task,
+                outcome = ?end.outcome,
+                failures,
+                agent = self.fleet.views.get(&link).map_or("", |view| view.name.as_str()),
+                "task is placed again"
+            );
+            if failures >= most {
+                self.finish(id, Answer::Failed, now, out);
+                return;
+            }
+            if !kept && self.withdraw(id, now, out) {
+                return;
+            }
+        }
+        let id = id.clone();
+        self.place(&id, now, out);
+    }
+
+    /// Calls a job back that missed its objective before any of its tasks began: its room is of
+    /// more use to jobs that can still meet theirs. Returns whether the job is called back.
+    pub(super) fn withdraw(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return false;
+        };
+        if job.begun || now < job.start_by {
+            return false;
+        }
+        let links = job.links();
+        if links.is_empty() {
+            let id = id.clone();
+            self.give_up(&id, Refusal::Overloaded, now, out);
+            return true;
+        }
+        if !job.withdrawn {
+            job.withdrawn = true;
+            for link in links {
+                let frame = EntryFrame::Withdraw(id.clone());
+                out.push(Action::Send { link, frame });
+            }
+        }
+        true
+    }
+
+    pub(super) fn close_silent(&mut self, now: Time, out: &mut Vec<Action>) {
+        let limit = self.options.bounds.link_ms;
+        let views = self.fleet.views.iter();
+        let silent: Vec<LinkNo> = views
+            .filter(|(_, view)| now.millis_since(view.heard) > limit)
+            .map(|(&link, _)| link)
+            .collect();
+        for link in silent {
+            out.push(Action::Close { link });
+            self.link_down(link, now, out);
+        }
+    }
+
+    /// Places tasks again whose lost runs are over.
+    pub(super) fn release_lost(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some((over, id)) = self.lost.first().cloned() {
+            if over > now {
+                return;
+            }
+            self.lost.pop_first();
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            for task in &mut job.tasks {
+                if matches!(task.state, TaskState::Lost(over) if over <= now) {
+                    task.state = TaskState::Waiting;
+                    self.counters.retried += 1;
+                }
+            }
+            info!(job = %id, "lost runs are over, tasks are placed again");
+            self.place(&id, now, out);
+        }
+    }
+}
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -1,6 +1,8 @@
 //! The process that callers talk to: holds their jobs and places the tasks.
 
 mod action;
+mod admission;
+mod agents;
 mod configuration;
 #[allow(clippy::module_inception)]
 mod entry;
@@ -9,6 +11,7 @@
 mod job;
 mod kept;
 mod placement;
+mod placing;
 mod submission;
 
 pub use action::{Action, Answer, RequestNo};
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/placing.rs
@@ -0,0 +1,243 @@
+//! Placement of the tasks of a job.
+
+use fulmarpond_core::Time;
+use tracing::info;
+
+use super::Action;
+use super::entry::{Entry, ROUTINE};
+use super::job::{Job, TaskState};
+use super::placement::{Choice, Demand, choose};
+use crate::{EntryFrame, JobId, LinkNo, Order};
+
+/// How long a task of a job that is kept may be expected to wait at an agent, in milliseconds. It
+/// waits at the entry instead, where it can still go elsewhere.
+const KEPT_WAIT_MS: f64 = 40.0;
+
+/// The pause between two attempts to place waiting tasks, in milliseconds.
+const PUMP_MS: u64 = 5;
+
+/// After how many jobs without a place the others are not tried.
+const PUMP_MISSES: u32 = 24;
+
+/// A run is given up at this multiple of its expected time.
+const LIMIT_FACTOR: u32 = 6;
+
+/// What is added to the limit of a run, in milliseconds, for a job that is not kept and for one
+/// that is.
+const LIMIT_MS: (u32, u32) = (400, 1_500);
+
+/// How often the limit of a run is doubled at most.
+const MOST_DOUBLINGS: u32 = 8;
+
+/// The choices for the tasks of a job.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    /// Positions of tasks with the links to send them to.
+    pub(super) choices: Vec<(usize, LinkNo)>,
+    /// The longest wait for room, in milliseconds.
+    pub(super) wait: f64,
+    /// Whether no agent was found for some task.
+    pub(super) left: bool,
+}
+
+impl Entry {
+    pub(super) fn choose(
+        &self,
+        job: &Job,
+        position: usize,
+        taken: &[(LinkNo, u16)],
+        now: Time,
+    ) -> Option<Choice> {
+        let task = &job.tasks[position];
+        let step = &job.submission.steps[usize::from(task.step)];
+        let demand = Demand {
+            service: &job.route.service,
+            zone: &self.options.zone,
+            step,
+            expected: self.estimates.expect(&job.route.name, step.estimate),
+            slack: job.start_by.remaining_millis(now),
+            far: self.options.far,
+        };
+        let spread = step.spread.map(|most| (most, job.spread(task.step)));
+        let full = |link: LinkNo| {
+            spread.as_ref().is_some_and(|(most, given)| {
+                let here = given.get(&link).copied().unwrap_or_default();
+                let new = taken.iter().filter(|(other, _)| *other == link).count();
+                usize::from(here) + new >= usize::from(*most)
+            })
+        };
+        choose(&self.fleet, demand, &job.avoided, full)
+    }
+
+    /// Places the tasks of a job that can be placed.
+    /// Returns whether it has placed any.
+    pub(super) fn place(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> bool {
+        let Some(mut job) = self.jobs.remove(id) else {
+            return false;
+        };
+        let plan = if self.may_place(&job, now) {
+            self.plan(&job, now)
+        } else {
+            Plan {
+                left: true,
+                ..Plan::default()
+            }
+        };
+        let placed = !plan.choices.is_empty();
+        self.carry_out(id, &mut job, plan, now, out);
+        self.jobs.insert(id.clone(), job);
+        placed
+    }
+
+    pub(super) fn may_place(&self, job: &Job, now: Time) -> bool {
+        now >= job.hold_until && (job.state.is_none() || self.kept.runs())
+    }
+
+    /// Chooses agents for the tasks of a job that can be placed, and reserves their room.
+    pub(super) fn plan(&mut self, job: &Job, now: Time) -> Plan {
+        let mut plan = Plan::default();
+        let mut taken: Vec<(LinkNo, u16)> = Vec::new();
+        for position in job.ready() {
+            let Some(choice) = self.choose(job, position, &taken, now) else {
+                plan.left = true;
+                continue;
+            };
+            if job.state.is_some() && choice.wait > KEPT_WAIT_MS {
+                plan.left = true;
+                break;
+            }
+            let task = &job.tasks[position];
+            let about = &job.submission.steps[usize::from(task.step)];
+            let expected = self.estimates.expect(&job.route.name, about.estimate);
+            if let Some(view) = self.fleet.views.get_mut(&choice.link) {
+                view.planned(about.needs, expected);
+            }
+            plan.wait = plan.wait.max(choice.wait);
+            taken.push((choice.link, task.step));
+            plan.choices.push((position, choice.link));
+        }
+        plan
+    }
+
+    pub(super) fn drop_plan(&mut self, plan: &Plan) {
+        for (_, link) in &plan.choices {
+            if let Some(view) = self.fleet.views.get_mut(link) {
+                view.forget_plan();
+            }
+        }
+    }
+
+    pub(super) fn carry_out(
+        &mut self,
+        id: &JobId,
+        job: &mut Job,
+        plan: Plan,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let mut orders: Vec<(LinkNo, u16, Vec<u16>)> = Vec::new();
+        for (position, link) in plan.choices {
+            let task = &mut job.tasks[position];
+            let (step, index) = (task.step, task.index);
+            task.state = TaskState::Sent(link);
+            task.last = Some(link);
+            let mut known = orders.iter_mut();
+            match known.find(|(to, of, _)| *to == link && *of == step) {
+                Some((_, _, indexes)) => indexes.push(index),
+                None => orders.push((link, step, vec![index])),
+            }
+        }
+        for (link, step, indexes) in orders {
+            self.send_order(id, job, link, step, indexes, now, out);
+        }
+        let rank = (job.route.priority, job.start_by, id.clone());
+        if plan.left {
+            self.unplaced.insert(rank);
+        } else {
+            self.unplaced.remove(&rank);
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one order")]
+    pub(super) fn send_order(
+        &mut self,
+        id: &JobId,
+        job: &Job,
+        link: LinkNo,
+        step: u16,
+        indexes: Vec<u16>,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let about = &job.submission.steps[usize::from(step)];
+        let expected = self.estimates.expect(&job.route.name, about.estimate);
+        self.counters.started += indexes.len() as u64;
+        if let Some(view) = self.fleet.views.get_mut(&link) {
+            info!(
+                target: ROUTINE,
+                job = %id,
+                step,
+                ?indexes,
+                agent = view.name,
+                view_age_ms = now.millis_since(view.heard),
+                free_cpu = view.load.free.cpu,
+                "tasks sent"
+            );
+            view.ordered();
+        }
+        // A job that has begun is finished first, as long as its answer is of use.
+        let slack = if now < job.useful_until {
+            job.start_by.remaining_millis(now)
+        } else {
+            u64::MAX
+        };
+        let remaining = job.deadline.remaining_millis(now);
+        let order = Order {
+            job: id.clone(),
+            step,
+            indexes,
+            service: job.route.service.clone(),
+            spec: job.submission.spec.clone(),
+            needs: about.needs,
+            expected,
+            slack: u32::try_from(slack).unwrap_or(u32::MAX),
+            remaining: u32::try_from(remaining).unwrap_or(u32::MAX),
+            limit: Self::limit(job, step, expected),
+            kept: job.state.is_some(),
+        };
+        out.push(Action::Send {
+            link,
+            frame: EntryFrame::Start(order),
+        });
+    }
+
+    /// Returns the run time after which a run of a step is given up, in milliseconds: it grows with
+    /// each run that was given up, since the estimate may be far off.
+    pub(super) fn limit(job: &Job, step: u16, expected: u32) -> u32 {
+        let extra = if job.state.is_some() {
+            LIMIT_MS.1
+        } else {
+            LIMIT_MS.0
+        };
+        let of_step = job.tasks.iter().filter(|task| task.step == step);
+        let aborts = of_step.map(|task| task.aborts).max().unwrap_or_default();
+        let limit = expected.saturating_mul(LIMIT_FACTOR).saturating_add(extra);
+        limit.saturating_mul(1 << aborts.min(MOST_DOUBLINGS))
+    }
+
+    pub(super) fn place_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now < self.next_pump || self.unplaced.is_empty() {
+            return;
+        }
+        self.next_pump = now.after_millis(PUMP_MS);
+        let mut misses = 0;
+        for (_, _, id) in self.unplaced.clone() {
+            if !self.place(&id, now, out) {
+                misses += 1;
+            }
+            if misses > PUMP_MISSES {
+                return;
+            }
+        }
+    }
+}
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -134,7 +134,7 @@
                 self.log.flush();
             }
         }
-        self.reactor.flush_dirty();
+        self.leave();
         info!("stop");
         self.log.finish();
         Ok(())
@@ -149,7 +149,6 @@
             self.stopping = Some(now);
             self.reactor.drain();
             self.entry.stop();
-            self.directory.leave(now);
         }
     }
 
@@ -163,7 +162,17 @@
             self.carry_out(now);
             return true;
         }
-        elapsed >= NOTICE_MS.min(self.grace_ms / 2) && self.entry.attended() == 0
+        let noticed = elapsed >= NOTICE_MS.min(self.grace_ms / 2);
+        noticed && self.entry.attended() == 0 && !self.entry.has_runs()
+    }
+
+    /// Withdraws the announcement without waiting for the store, and sends what is left.
+    fn leave(&mut self) {
+        let now = BootClock::now();
+        self.directory.leave(now);
+        self.directory.tick(now, &mut self.tasks);
+        self.carry_out(now);
+        self.reactor.flush_dirty();
     }
 
     fn event(&mut self, event: Event, now: Time) {
