--- a/crates/fulmarpondd/src/leased/log.rs
+++ b/crates/fulmarpondd/src/leased/log.rs
@@ -19,6 +19,10 @@
 /// The largest batch, in bytes.
 const BATCH_BYTES: usize = 64 * 1024;
 
+/// The most bytes that a pipe takes in one piece: longer writes of processes that share one may
+/// be mixed, and some collectors cut them.
+const PIPE_BYTES: usize = 4_096;
+
 /// How long lines are collected.
 const INTERVAL: Duration = Duration::from_millis(100);
 
@@ -108,10 +112,29 @@
 fn write_batches(receiver: &Receiver<Vec<u8>>) {
     let mut out = io::stdout();
     for batch in receiver {
-        // Nobody is left to tell if standard output is closed.
-        let _ = out.write_all(&batch);
-        let _ = out.flush();
+        for part in parts(&batch) {
+            // Nobody is left to tell if standard output is closed.
+            let _ = out.write_all(part);
+            let _ = out.flush();
+        }
+    }
+}
+
+/// Splits a batch into whole lines of at most [`PIPE_BYTES`] together, but for longer lines.
+fn parts(batch: &[u8]) -> Vec<&[u8]> {
+    let mut parts = Vec::new();
+    let (mut start, mut end) = (0, 0);
+    for line in batch.split_inclusive(|&byte| byte == b'\n') {
+        if end > start && end - start + line.len() > PIPE_BYTES {
+            parts.push(&batch[start..end]);
+            start = end;
+        }
+        end += line.len();
+    }
+    if end > start {
+        parts.push(&batch[start..end]);
     }
+    parts
 }
 
 impl Log {
