test(daemon): wait for agents that take tasks, not for linked ones

Ruled out: the refusal, which is true for the room that was known.

Change: a gauge of ready agents, and the test waits for it.

--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -150,6 +150,12 @@
         self.fleet.views.len()
     }
 
+    /// Returns how many agents have an endpoint that takes tasks.
+    pub fn ready_agents(&self) -> usize {
+        let views = self.fleet.views.values();
+        views.filter(|view| view.load.ready).count()
+    }
+
     /// Returns the version of the configuration in force; 0 without one.
     pub fn version(&self) -> u64 {
         let version = self.configuration.as_ref().map(|known| known.version);
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -215,6 +215,7 @@
             let levels = [
                 ("jobs", self.entry.jobs() as u64),
                 ("agents", self.entry.agents() as u64),
+                ("ready_agents", self.entry.ready_agents() as u64),
                 ("configuration_version", self.entry.version()),
                 ("store_age_ms", self.directory.age(now)),
                 ("oldest_view_ms", self.entry.oldest_view(now)),
--- a/crates/fulmarpondd/tests/leased_system/mod.rs
+++ b/crates/fulmarpondd/tests/leased_system/mod.rs
@@ -208,9 +208,9 @@
         Process::start("agent", &settings, self.reads_log)
     }
 
-    /// Waits until an entry is ready and linked to `agents` agents.
+    /// Waits until an entry is ready and `agents` agents take tasks for it.
     pub fn await_ready(&self, entry: usize, agents: usize) {
-        let level = format!(r#"fulmarpond_level{{name="agents"}} {agents}"#);
+        let level = format!(r#"fulmarpond_level{{name="ready_agents"}} {agents}"#);
         await_that(&format!("entry {entry} is ready"), || {
             let ready =
                 get(self.readiness[entry], "/v1/ready").is_some_and(|(status, _)| status == 200);
