fix(dispatch): count waiting jobs of all entries, release jobs on a stop, let idle leases lapse

Cause: an entry counted only the waiting jobs that it had taken itself (MIXED). Jobs that a stopping entry accepted waited up to 17 s for another owner. An agent without any link went on extending the lease of its endpoint, so an end that nobody could note stayed valid while the task ran elsewhere (TWICE). Ruled out: the watch of the jobs, which both entries were up to date with.

Change: Waiting counts the ledger too; a stopping entry releases jobs without runs to the others; without a link no lease is extended.

A test of two processes failed before with 0 instead of 2 waiting jobs.

--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -191,7 +191,9 @@
         let acked = endpoint.acked();
         // Runs of an earlier process must lapse, and so must those at an endpoint that does not
         // answer: their lease is not extended.
-        let extends = endpoint.settled && endpoint.reachable;
+        // Without a link nobody may run anything here, and what has ended may be run elsewhere.
+        let linked = !self.links.up.is_empty();
+        let extends = endpoint.settled && endpoint.reachable && linked;
         let lease = extends.then(|| self.extend(now));
         let wait = self.next_end() * HOLD_WAIT_PERCENT / 100;
         let wait = if extends {
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -141,8 +141,9 @@
     }
 
     /// Places no more tasks of jobs that are kept: another process of this entry will.
-    pub const fn stop(&mut self) {
+    pub fn stop(&mut self) {
         self.kept.stopping = true;
+        self.ledger.stop();
     }
 
     /// Returns how many agents are linked.
@@ -214,11 +215,10 @@
 
     /// Returns how many jobs of a route have begun no task.
     pub fn waiting(&self, route: &Route) -> usize {
-        let of_route = self
-            .jobs
-            .values()
-            .filter(|job| job.route.name == route.name);
-        of_route.filter(|job| !job.begun).count()
+        let waits = |job: &&Job| !job.begun && job.route.name == route.name;
+        let own = self.jobs.values().filter(waits).count();
+        let elsewhere = self.ledger.waiting(&route.name);
+        own + elsewhere.filter(|id| !self.jobs.contains_key(id)).count()
     }
 
     /// Notes that the caller of a request has left.
@@ -358,6 +358,7 @@
         self.next_check = now.after_millis(CHECK_MS);
         self.close_silent(now, out);
         self.check_lease(now, out);
+        self.release_kept();
         self.release_lost(now, out);
         self.place_waiting(now, out);
         self.expire(now, out);
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -17,7 +17,7 @@
 use super::submission::Submission;
 use super::{Action, Answer, RequestNo};
 use crate::directory::{Duty, StoreReply};
-use crate::ledger::{Event, JobSpec, JobState, Ledger, Status, StepProgress};
+use crate::ledger::{Event, JobSpec, JobState, Ledger, Owner, Status, StepProgress};
 use crate::{EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd, TaskRun};
 
 /// How long a job runs before the store is told that it has begun, in milliseconds.
@@ -135,7 +135,11 @@
             return;
         }
         let state = JobState {
-            owner: self.ledger.owner().clone(),
+            owner: if self.kept.stopping {
+                Owner::none()
+            } else {
+                self.ledger.owner().clone()
+            },
             status: Status::Open,
             route: route.name.clone(),
             begun: false,
@@ -246,6 +250,26 @@
         }
     }
 
+    /// Gives jobs without runs to the other entries, when this one stops.
+    pub(super) fn release_kept(&mut self) {
+        if !self.kept.stopping {
+            return;
+        }
+        let idle = |job: &Job| job.state.is_some() && job.links().is_empty();
+        let jobs = self.jobs.iter().filter(|(_, job)| idle(job));
+        let released: Vec<JobId> = jobs.map(|(id, _)| id.clone()).collect();
+        for id in released {
+            let Some(job) = self.take_job(&id, &mut Vec::new()) else {
+                continue;
+            };
+            if let Some(mut state) = job.state {
+                info!(job = %id, "job released");
+                state.owner = Owner::none();
+                self.ledger.change(&id, state);
+            }
+        }
+    }
+
     fn stop_kept(&mut self, now: Time, out: &mut Vec<Action>) {
         let over = now.after_millis(self.options.bounds.orphan_ms());
         let mut stopped = Vec::new();
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -140,7 +140,7 @@
     /// Entries whose announcement is missing, since when.
     missing: BTreeMap<String, Time>,
     next_scan: Time,
-    enabled: bool,
+    stopping: bool,
 }
 
 impl Ledger {
@@ -163,7 +163,7 @@
             entries: BTreeSet::new(),
             missing: BTreeMap::new(),
             next_scan: now,
-            enabled: true,
+            stopping: false,
         }
     }
 
@@ -192,12 +192,12 @@
         self.jobs.get(job).map(|known| &known.state)
     }
 
-    /// Returns how many jobs of a route have begun no task.
-    pub fn waiting(&self, route: &str) -> usize {
-        let of_route = self.jobs.values().filter(|known| {
+    /// Returns the jobs of a route that have begun no task.
+    pub fn waiting(&self, route: &str) -> impl Iterator<Item = &JobId> {
+        let of_route = self.jobs.iter().filter(move |(_, known)| {
             known.state.status == Status::Open && !known.state.begun && known.state.route == route
         });
-        of_route.count()
+        of_route.map(|(job, _)| job)
     }
 
     /// Returns the owner that this entry writes into states.
@@ -205,6 +205,11 @@
         &self.options.owner
     }
 
+    /// Takes over no more jobs.
+    pub const fn stop(&mut self) {
+        self.stopping = true;
+    }
+
     /// Takes the names of the announced entries.
     pub fn set_entries(&mut self, names: impl IntoIterator<Item = String>, now: Time) {
         self.entries = names.into_iter().collect();
@@ -279,9 +284,6 @@
 
     /// Returns when [`tick`](Self::tick) is due at the latest.
     pub fn wake(&self) -> Time {
-        if !self.enabled {
-            return Time::MAX;
-        }
         let mut wake = self.next_scan;
         if !self.watch.busy {
             wake = wake.min(self.watch.due);
@@ -686,7 +688,8 @@
         }
         for known in self.jobs.values().filter(|known| known.ended.is_none()) {
             let name = &known.state.owner.name;
-            if !self.entries.contains(name) && *name != self.options.owner.name {
+            let released = known.state.owner.is_none();
+            if !released && !self.entries.contains(name) && *name != self.options.owner.name {
                 self.missing.entry(name.clone()).or_insert(now);
             }
         }
@@ -716,10 +719,16 @@
 
     /// Returns whether a job's owner is away for so long that this entry takes the job over.
     fn is_abandoned(&self, name: &str, job: &JobId, now: Time) -> bool {
-        let Some(since) = self.missing.get(name) else {
+        let released = name.is_empty();
+        let gone = self
+            .missing
+            .get(name)
+            .is_some_and(|since| now.millis_since(*since) >= self.options.takeover_ms);
+        if !released && !gone {
             return false;
-        };
-        if now.millis_since(*since) < self.options.takeover_ms {
+        }
+        // An entry that is about to stop takes nothing.
+        if !self.entries.contains(&self.options.owner.name) || self.stopping {
             return false;
         }
         // Each live entry takes a part; which one does not matter, since a change is conditional.
--- a/crates/fulmarpond-dispatch/src/ledger/record.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/record.rs
@@ -15,6 +15,21 @@
     pub life: u64,
 }
 
+impl Owner {
+    /// Returns the owner of a job that no entry runs: it was released by an entry that stops.
+    pub const fn none() -> Self {
+        Self {
+            name: String::new(),
+            life: 0,
+        }
+    }
+
+    /// Returns whether no entry runs the job.
+    pub fn is_none(&self) -> bool {
+        self.name.is_empty()
+    }
+}
+
 /// What became of a job.
 #[value]
 #[derive(Serialize, Deserialize)]
--- a/crates/fulmarpondd/tests/leased.rs
+++ b/crates/fulmarpondd/tests/leased.rs
@@ -400,3 +400,28 @@
     });
     assert!(system.starts(id).is_empty());
 }
+
+/// Guards against an entry that counts only the waiting jobs that it accepted itself.
+#[test]
+fn waiting_jobs_are_counted_by_each_entry() {
+    let system = System::start(2, 1);
+    await_that("the endpoint is full", || {
+        system
+            .post(0, "/jobs/00000000000000c8", &kept(30, "ms=5000"))
+            .is_some_and(|(status, _)| status == 200)
+    });
+    await_that("it runs", || system.starts("00000000000000c8").len() >= 8);
+    for id in ["00000000000000c9", "00000000000000ca"] {
+        await_that("a job is accepted", || {
+            system
+                .post(0, &format!("/jobs/{id}"), &kept(1, "ms=10"))
+                .is_some_and(|(status, _)| status == 200)
+        });
+    }
+    for entry in [0, 1] {
+        await_that(&format!("entry {entry} counts the waiting jobs"), || {
+            request(system.callers[entry], "GET", "/jobs/", "")
+                .is_some_and(|(_, body)| body == r#"{"Waiting":2}"#)
+        });
+    }
+}
