--- a/crates/fulmarpond/src/verbs/mod.rs
+++ b/crates/fulmarpond/src/verbs/mod.rs
@@ -11,6 +11,7 @@
 mod submit;
 mod teams;
 mod up;
+mod up_leased;
 mod watch;
 mod why;
 
--- a/crates/fulmarpond/src/verbs/up.rs
+++ b/crates/fulmarpond/src/verbs/up.rs
@@ -12,6 +12,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use super::up_leased::{self, Sizes};
 use crate::cli::Options;
 use crate::output::{self, cell};
 use crate::table::Table;
@@ -78,6 +79,9 @@
     /// Milliseconds between two announcements of an agent
     #[arg(long, default_value_t = 500)]
     announce_ms: u64,
+    /// Run leased mode as separate processes beside an emulated platform
+    #[arg(long)]
+    leased: bool,
 }
 
 /// One line about a running process.
@@ -99,7 +103,19 @@
 }
 
 impl Up {
+    fn sizes(&self) -> Sizes {
+        Sizes {
+            entries: self.entry_count,
+            agents: self.agents,
+            port: self.port,
+            cpu: self.deployment.limits().processors * 1_000,
+        }
+    }
+
     pub(super) fn run(&self, options: &Options) -> Result<()> {
+        if self.leased {
+            return up_leased::run(self.sizes());
+        }
         let mut signals = Signals::new([SIGINT, SIGTERM]).map_err(|error| started(&error))?;
         init_logs(&LogSettings::default());
         let system = self.start()?;
@@ -260,6 +276,6 @@
 }
 
 /// Nothing was submitted yet, so a failed start is a matter of the arguments or the machine.
-fn started(error: &dyn std::fmt::Display) -> Failure {
+pub(super) fn started(error: &dyn std::fmt::Display) -> Failure {
     Failure::usage(format!("the system can't be started: {error}"))
 }
