feat(dispatch): notice runs that stand still by their progress

Cause: a task at an endpoint that stands still was given up after six times its expected time (1.3 s for 200 ms), and a second task was lost there before the endpoint counted as stalled. A trial that printed the rows of a hold showed that the percent of a run is the share of its work that is done: it rises with time, and stays where it is while an endpoint stands still. Ruled out: the processor in use, which goes on at its usual figure.

Change: a run without progress for an eighth of its expected time (90 ms at least) is stopped and placed elsewhere, and its endpoint counts as stalled for 1.5 s.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -76,6 +76,8 @@
     pub(super) numbers: HashMap<TaskKey, (u32, Time)>,
     pub(super) used: Needs,
     pub(super) health: Health,
+    /// Until when the endpoint counts as stalled.
+    pub(super) stalled_until: Time,
     pub(super) ends: HashMap<LinkNo, Vec<TaskEnd>>,
     pub(super) starts: HashMap<LinkNo, Vec<TaskKey>>,
     pub(super) changed: bool,
@@ -106,6 +108,7 @@
             numbers: HashMap::new(),
             used: Needs::default(),
             health: Health::new(now),
+            stalled_until: now,
             ends: HashMap::new(),
             starts: HashMap::new(),
             changed: true,
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -170,7 +170,7 @@
             next_end: u32::try_from(next_end).unwrap_or(u32::MAX),
             slowness: self.health.slowness_percent(),
             failures: self.health.failure_percent(),
-            stalled: overdue >= 2 && overdue * 2 >= running,
+            stalled: now < self.stalled_until || (overdue >= 2 && overdue * 2 >= running),
         }
     }
 }
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
@@ -86,6 +86,8 @@
     pub task: TaskKey,
     /// The number of the run.
     pub run: u32,
+    /// How much of the work is done, in percent, if the endpoint tells.
+    pub progress: Option<u8>,
 }
 
 /// The end of a run at an endpoint.
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -6,7 +6,7 @@
 use super::agent::{Agent, HOLD_RETRY_MS, ORDER_TIMEOUT_MS, Purpose};
 use super::endpoint::Endpoint;
 use super::health::Health;
-use super::run::{Phase, Run, Then};
+use super::run::{Phase, Progress, Run, Then};
 use super::{
     Action, CallFailure, CallNo, EndEntry, EndHow, EndpointCall, EndpointReply, RunEntry,
     StartRefusal,
@@ -32,6 +32,10 @@
 /// The target of log lines about tasks that go well.
 const ROUTINE: &str = "routine";
 
+/// How long an endpoint counts as stalled after a run stood still, in milliseconds. Then it is tried
+/// again with few tasks.
+const STALLED_MS: u64 = 1_500;
+
 impl Agent {
     /// Takes a heartbeat of an endpoint.
     pub fn beat(&mut self, about: Registration, now: Time, out: &mut Vec<Action>) {
@@ -400,6 +404,7 @@
             && known.phase == Phase::Starting
         {
             known.phase = Phase::Running { since: now };
+            known.progress = Progress::new(now);
             self.changed = true;
         }
     }
@@ -631,6 +636,7 @@
                 .get(&task)
                 .is_some_and(|run| run.number == entry.run && run.phase.uses_room());
             if own {
+                self.see_progress(entry, now, out);
                 continue;
             }
             orphans += 1;
@@ -653,4 +659,33 @@
             self.delay_hold(now);
         }
     }
+
+    /// Stops a run that stands still, so that its task can run elsewhere.
+    fn see_progress(&mut self, entry: &RunEntry, now: Time, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.get_mut(&entry.task) else {
+            return;
+        };
+        let Some(percent) = entry.progress else {
+            return;
+        };
+        if !matches!(run.phase, Phase::Running { .. }) {
+            return;
+        }
+        if !run.progress.see(percent, run.expected, now) {
+            return;
+        }
+        let expected = run.expected;
+        warn!(
+            job = %entry.task.job,
+            task = %entry.task,
+            run = entry.run,
+            percent,
+            expected_ms = expected,
+            "run stands still, stopping it"
+        );
+        self.health.failed();
+        self.stalled_until = now.after_millis(STALLED_MS);
+        self.changed = true;
+        self.end_run(&entry.task, Then::Report(Outcome::Aborted), now, out);
+    }
 }
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -4,7 +4,7 @@
 use tracing::info;
 
 use super::agent::{Agent, HOLD_RETRY_MS, ORDER_TIMEOUT_MS, Purpose};
-use super::run::{Phase, Run, Then};
+use super::run::{Phase, Progress, Run, Then};
 use super::{Action, EndpointCall};
 use crate::{AgentFrame, JobId, LinkNo, Order, Outcome, TaskEnd, TaskKey};
 
@@ -42,6 +42,7 @@
                     u32::MAX => Time::MAX,
                     remaining => now.after_millis(u64::from(remaining)),
                 },
+                progress: Progress::new(now),
                 limit: order.limit,
                 kept: order.kept,
                 fresh: order.slack > 0 && !order.kept,
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -4,6 +4,40 @@
 
 use crate::{LinkNo, Needs, Outcome};
 
+/// How much of a run is done.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Progress {
+    percent: u8,
+    /// When the endpoint last told another value.
+    changed: Time,
+}
+
+impl Progress {
+    /// The shortest time without progress after which a run stands still, in milliseconds.
+    const STANDING_MS: u64 = 90;
+
+    /// The part of its expected time without progress after which a run stands still: an eighth.
+    const STANDING_PART: u64 = 8;
+
+    pub(super) const fn new(now: Time) -> Self {
+        Self {
+            percent: 0,
+            changed: now,
+        }
+    }
+
+    /// Takes a value that the endpoint told; returns whether the run stands still.
+    pub(super) fn see(&mut self, percent: u8, expected: u32, now: Time) -> bool {
+        if percent != self.percent {
+            self.percent = percent;
+            self.changed = now;
+            return false;
+        }
+        let patience = (u64::from(expected) / Self::STANDING_PART).max(Self::STANDING_MS);
+        percent < 100 && now.millis_since(self.changed) > patience
+    }
+}
+
 /// A task that an entry ordered.
 #[derive(Debug)]
 pub(super) struct Run {
@@ -21,6 +55,7 @@
     pub(super) start_by: Time,
     /// When the caller leaves.
     pub(super) deadline: Time,
+    pub(super) progress: Progress,
     /// Whether its end is held until it is in the store.
     pub(super) kept: bool,
     /// Whether its objective could be met when it was ordered.
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -172,3 +172,22 @@
         assert!(world.reply(&job).is_some(), "{job} has no answer");
     }
 }
+
+/// Guards against tasks that wait for the limit of their run at an endpoint that stands still: the
+/// endpoint tells no progress, and they run elsewhere a moment later.
+#[test]
+fn standing_runs_are_noticed_by_their_progress() {
+    let mut world = started();
+    world.fault_at(0, Fault::Endpoint(1, Trouble::Hang, 20_000));
+    let jobs: Vec<_> = (0..20)
+        .map(|n| world.submit_at(10 + n * 50, LONG))
+        .collect();
+    world.run_ms(9_000);
+    for job in jobs {
+        let reply = world.reply(&job).expect("an answer");
+        assert_eq!(reply.answer, Answer::Completed, "{job}");
+        // Two runs of at most 780 ms, and 250 ms until the first is noticed, stopped and replaced.
+        assert!(reply.age_ms <= 1_810, "{job}: {} ms", reply.age_ms);
+    }
+    assert_eq!(world.history.broken, Vec::<String>::new());
+}
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -33,9 +33,22 @@
 pub struct LiveRun {
     pub number: u32,
     pub needs: Needs,
+    pub began: Time,
     pub ends: Time,
 }
 
+impl LiveRun {
+    /// Returns the share of the work that is done, in percent; a run that never ends does none.
+    fn progress(&self, now: Time) -> u8 {
+        if self.ends == Time::MAX {
+            return 0;
+        }
+        let whole = self.ends.micros_since(self.began).max(1);
+        let done = now.micros_since(self.began) * 100 / whole;
+        u8::try_from(done.min(99)).unwrap_or(99)
+    }
+}
+
 /// A hold that waits for an end.
 #[derive(Debug)]
 pub struct Waiting {
@@ -153,6 +166,7 @@
         let running = self.runs.iter().map(|(task, run)| RunEntry {
             task: task.clone(),
             run: run.number,
+            progress: Some(run.progress(now)),
         });
         EndpointReply::Held {
             clock: self.clock(now),
@@ -203,6 +217,7 @@
                 let live = LiveRun {
                     number: *run,
                     needs,
+                    began: now,
                     ends,
                 };
                 self.runs.insert(task.clone(), live);
--- a/crates/fulmarpond-standins/src/fleet/executor.rs
+++ b/crates/fulmarpond-standins/src/fleet/executor.rs
@@ -28,10 +28,23 @@
 struct Run {
     number: u32,
     cpu: u32,
+    began: Instant,
     ends: Option<Instant>,
     how: &'static str,
 }
 
+impl Run {
+    /// Returns the share of the work that is done, in percent.
+    fn progress(&self, now: Instant) -> u64 {
+        let Some(ends) = self.ends else {
+            return 0;
+        };
+        let whole = ends.duration_since(self.began).as_micros().max(1);
+        let done = now.duration_since(self.began).as_micros() * 100 / whole;
+        u64::try_from(done.min(99)).unwrap_or(99)
+    }
+}
+
 #[derive(Debug)]
 struct Hold {
     request: RequestId,
@@ -162,6 +175,7 @@
         let live = Run {
             number: run,
             cpu: work.cpu,
+            began: now,
             ends,
             how: work.how,
         };
@@ -245,7 +259,7 @@
         let running: Vec<Value> = self
             .runs
             .iter()
-            .map(|(task, run)| json!([task, run.number, "", 100, run.cpu]))
+            .map(|(task, run)| json!([task, run.number, "", run.progress(now), run.cpu]))
             .collect();
         ok(&json!({"ClockMs": self.clock(now), "Running": running, "Ended": self.ended}))
     }
