--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -11,6 +11,7 @@
 
 use crate::JobId;
 use crate::entry::Configuration;
+use crate::pacing::Pacing;
 
 /// How long a watch of the configuration waits, in milliseconds.
 const CONFIGURATION_WAIT_MS: u64 = 1_000;
@@ -264,9 +265,7 @@
 
 #[derive(Debug)]
 struct Progress {
-    busy: bool,
-    due: Time,
-    pause: u64,
+    pacing: Pacing,
     /// The revision to go on from; nothing if a full read is needed.
     at: Option<u64>,
 }
@@ -274,22 +273,10 @@
 impl Progress {
     const fn new(now: Time) -> Self {
         Self {
-            busy: false,
-            due: now,
-            pause: PAUSE_MS.0,
+            pacing: Pacing::new(PAUSE_MS, now),
             at: None,
         }
     }
-
-    fn failed(&mut self, now: Time) {
-        self.due = now.after_millis(self.pause);
-        self.pause = (self.pause * 2).min(PAUSE_MS.1);
-    }
-
-    const fn succeeded(&mut self, now: Time) {
-        self.due = now;
-        self.pause = PAUSE_MS.0;
-    }
 }
 
 /// What an entry keeps and follows in the store.
@@ -329,16 +316,9 @@
 
     /// Returns when [`tick`](Self::tick) is due at the latest.
     pub fn wake(&self) -> Time {
-        let due = |progress: &Progress| {
-            if progress.busy {
-                Time::MAX
-            } else {
-                progress.due
-            }
-        };
-        due(&self.configuration)
-            .min(due(&self.entries))
-            .min(due(&self.announcement))
+        let pacing = [&self.configuration, &self.entries, &self.announcement];
+        let wakes = pacing.map(|progress| progress.pacing.wake());
+        wakes.into_iter().min().unwrap_or(Time::MAX)
     }
 
     /// Returns how long ago the store last answered, in milliseconds.
@@ -355,21 +335,21 @@
     /// Withdraws the announcement.
     pub const fn leave(&mut self, now: Time) {
         self.leaving = true;
-        self.announcement.due = now;
+        self.announcement.pacing.due = now;
     }
 
     /// Makes the calls that are due.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         for duty in Duty::OWN {
             let progress = self.progress(duty);
-            if progress.busy || now < progress.due {
+            if progress.pacing.busy || now < progress.pacing.due {
                 continue;
             }
             let Some((call, wait)) = self.next_call(duty) else {
-                self.progress(duty).due = now.after_millis(RENEW_MS);
+                self.progress(duty).pacing.due = now.after_millis(RENEW_MS);
                 continue;
             };
-            self.progress(duty).busy = true;
+            self.progress(duty).pacing.busy = true;
             if matches!(call, StoreCall::Grant { .. } | StoreCall::Renew { .. }) {
                 self.asked = now;
             }
@@ -425,13 +405,13 @@
         out: &mut Vec<Action>,
     ) {
         let progress = self.progress(duty);
-        progress.busy = false;
+        progress.pacing.busy = false;
         let Some(reply) = reply else {
-            progress.failed(now);
+            progress.pacing.failed(now);
             self.lost(duty, now);
             return;
         };
-        progress.succeeded(now);
+        progress.pacing.succeeded(now);
         self.confirmed = now;
         if !self.reachable {
             info!("store answers again");
@@ -473,7 +453,7 @@
                 // The store counts from the arrival of the call, which is after its sending.
                 self.lease_end = self.asked.after_millis(LEASE_MS - LEASE_MARGIN_MS);
                 if self.announced {
-                    self.announcement.due = now.after_millis(RENEW_MS);
+                    self.announcement.pacing.due = now.after_millis(RENEW_MS);
                 }
             }
             (Duty::Announcement, StoreReply::Written) => {
@@ -481,7 +461,7 @@
                 if self.leaving {
                     self.lease = None;
                 }
-                self.announcement.due = now.after_millis(RENEW_MS);
+                self.announcement.pacing.due = now.after_millis(RENEW_MS);
             }
             (Duty::Announcement, StoreReply::NoLease) => {
                 info!("announcement lapsed, announcing again");
@@ -490,7 +470,7 @@
             }
             (duty, reply) => {
                 warn!(?duty, ?reply, "unexpected reply of the store");
-                self.progress(duty).failed(now);
+                self.progress(duty).pacing.failed(now);
             }
         }
     }
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -8,6 +8,7 @@
 use super::commits::{Change, Commits};
 use super::record::{JobSpec, JobState, Owner, Status};
 use crate::directory::{CommitRow, Duty, JobItem, StoreCall, StoreReply};
+use crate::pacing::Pacing;
 use crate::{JobId, Outcome, TaskEnd, decode, encode};
 
 /// The most entries in one change of the store: conditions, writes and removals.
@@ -86,33 +87,6 @@
     at: u64,
 }
 
-#[derive(Debug)]
-struct Progress {
-    busy: bool,
-    due: Time,
-    pause: u64,
-}
-
-impl Progress {
-    const fn new(now: Time) -> Self {
-        Self {
-            busy: false,
-            due: now,
-            pause: PAUSE_MS.0,
-        }
-    }
-
-    fn failed(&mut self, now: Time) {
-        self.due = now.after_millis(self.pause);
-        self.pause = (self.pause * 2).min(PAUSE_MS.1);
-    }
-
-    const fn succeeded(&mut self, due: Time) {
-        self.due = due;
-        self.pause = PAUSE_MS.0;
-    }
-}
-
 /// The jobs in the store.
 #[derive(Debug)]
 pub struct Ledger {
@@ -129,9 +103,9 @@
     synced: Time,
     /// The list that is under way.
     listing: Option<Listing>,
-    watch: Progress,
-    commit: Progress,
-    read: Progress,
+    watch: Pacing,
+    commit: Pacing,
+    read: Pacing,
     /// Jobs to take over, and the one that is being read.
     wanted: BTreeSet<JobId>,
     reading: Option<JobId>,
@@ -155,9 +129,9 @@
             at: None,
             synced: now,
             listing: None,
-            watch: Progress::new(now),
-            commit: Progress::new(now),
-            read: Progress::new(now),
+            watch: Pacing::new(PAUSE_MS, now),
+            commit: Pacing::new(PAUSE_MS, now),
+            read: Pacing::new(PAUSE_MS, now),
             wanted: BTreeSet::new(),
             reading: None,
             entries: BTreeSet::new(),
@@ -174,7 +148,7 @@
 
     /// Returns whether the last change was not written, and it is too early for the next one.
     pub const fn is_failing(&self, now: Time) -> bool {
-        self.commit.pause > PAUSE_MS.0 && now.as_micros() < self.commit.due.as_micros()
+        self.commit.is_failing() && now.as_micros() < self.commit.due.as_micros()
     }
 
     /// Returns whether all jobs are known.
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod frame;
 mod id;
 mod needs;
+mod pacing;
 mod registration;
 
 pub use bounds::{Bounds, InvalidBounds};
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -19,9 +19,7 @@
 
 use super::clock::BootClock;
 use super::log::Log;
-use super::metrics::Metrics;
-use super::reload::Reload;
-use super::signals::Signals;
+use super::shell::Shell;
 use super::{Result, bounds};
 
 /// The lane of holds, which wait at the endpoint, with its most connections.
@@ -42,13 +40,8 @@
     reactor: Reactor,
     heartbeats: ListenerId,
     calls: HashMap<CallId, (CallNo, EndpointCall, Instant)>,
-    signals: Signals,
-    reload: Reload,
-    metrics: Metrics,
-    log: Log,
-    next_flush: Instant,
+    shell: Shell,
     grace_ms: u64,
-    stopping: Option<Time>,
     cut: bool,
     actions: Vec<Action>,
 }
@@ -77,13 +70,8 @@
             reactor,
             heartbeats,
             calls: HashMap::new(),
-            signals: Signals::new()?,
-            reload: Reload::new(path, now),
-            metrics: Metrics::new(),
-            log,
-            next_flush: Instant::now(),
+            shell: Shell::new(path, log, now)?,
             grace_ms: settings.timing.grace.as_millis() as u64,
-            stopping: None,
             cut: false,
             actions: Vec::new(),
         })
@@ -94,7 +82,7 @@
         let mut events = Vec::new();
         loop {
             let now = BootClock::now();
-            let until = BootClock::instant(self.agent.wake(), now).min(self.next_flush);
+            let until = self.shell.until(self.agent.wake(), now);
             self.reactor.poll(until, &mut events)?;
             let now = BootClock::now();
             for event in events.drain(..) {
@@ -106,34 +94,29 @@
             if self.is_finished(now) {
                 break;
             }
-            if Instant::now() >= self.next_flush {
-                self.next_flush = Instant::now() + Log::interval();
-                self.log.flush();
-            }
+            self.shell.flush_log();
         }
         self.reactor.flush_dirty();
         info!("stop");
-        self.log.finish();
+        self.shell.finish();
         Ok(())
     }
 
     fn check_signals(&mut self, now: Time) {
-        let asked = self.signals.take_reload();
-        if let Some(settings) = self.reload.check(asked, now)
+        if let Some(settings) = self.shell.new_settings(now)
             && let LeasedRole::Agent { seeds, .. } = settings.role
         {
             self.agent.set_seeds(&seeds, now);
         }
-        if self.signals.stop() && self.stopping.is_none() {
+        if self.shell.asked_to_stop(now) {
             info!("stopping gracefully");
-            self.stopping = Some(now);
             self.agent.stop(now, &mut self.actions);
             self.carry_out();
         }
     }
 
     fn is_finished(&mut self, now: Time) -> bool {
-        let Some(since) = self.stopping else {
+        let Some(since) = self.shell.stopping else {
             return false;
         };
         if self.agent.is_idle() {
@@ -190,9 +173,9 @@
                 ("waiting", waiting as u64),
                 ("running", running as u64),
                 ("entries", self.agent.links() as u64),
-                ("log_lines_dropped", self.log.dropped()),
+                ("log_lines_dropped", self.shell.dropped_lines()),
             ];
-            let response = self.metrics.render(&self.agent.counters, &levels);
+            let response = self.shell.metrics.render(&self.agent.counters, &levels);
             self.reactor.respond(id, &response);
             return;
         }
@@ -227,9 +210,10 @@
             Ok(EndpointReply::Invalid) => "invalid",
             Err(_) => "unanswered",
         };
-        self.metrics.call("endpoint", call.as_str(), name);
+        self.shell.metrics.call("endpoint", call.as_str(), name);
         if outcome.is_ok() && !matches!(call, EndpointCall::Hold { .. }) {
-            self.metrics
+            self.shell
+                .metrics
                 .call_seconds
                 .observe(sent.elapsed().as_secs_f64());
         }
@@ -243,7 +227,10 @@
                     self.agent.dialed(addr, LinkNo(link.0));
                 }
                 Action::Observe { elapsed } => {
-                    self.metrics.run_seconds.observe(elapsed as f64 / 1_000.0);
+                    self.shell
+                        .metrics
+                        .run_seconds
+                        .observe(elapsed as f64 / 1_000.0);
                 }
                 Action::Close { link } => self.reactor.close_link(LinkId(link.0)),
                 Action::Send { link, frame } => {
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -19,9 +19,7 @@
 
 use super::clock::BootClock;
 use super::log::Log;
-use super::metrics::Metrics;
-use super::reload::Reload;
-use super::signals::Signals;
+use super::shell::Shell;
 use super::{Result, bounds};
 
 /// How long a stopping entry serves new connections: the load balancer notices it after two looks
@@ -44,13 +42,8 @@
     callers: ListenerId,
     readiness: ListenerId,
     calls: HashMap<CallId, (Duty, StoreCall)>,
-    signals: Signals,
-    reload: Reload,
-    metrics: Metrics,
-    log: Log,
-    next_flush: Instant,
+    shell: Shell,
     grace_ms: u64,
-    stopping: Option<Time>,
     actions: Vec<Action>,
     tasks: Vec<directory::Action>,
 }
@@ -96,13 +89,8 @@
             callers,
             readiness,
             calls: HashMap::new(),
-            signals: Signals::new()?,
-            reload: Reload::new(path, now),
-            metrics: Metrics::new(),
-            log,
-            next_flush: Instant::now(),
+            shell: Shell::new(path, log, now)?,
             grace_ms: settings.timing.grace.as_millis() as u64,
-            stopping: None,
             actions: Vec::new(),
             tasks: Vec::new(),
         })
@@ -114,7 +102,7 @@
         loop {
             let now = BootClock::now();
             let wake = self.entry.wake().min(self.directory.wake());
-            let until = BootClock::instant(wake, now).min(self.next_flush);
+            let until = self.shell.until(wake, now);
             self.reactor.poll(until, &mut events)?;
             let now = BootClock::now();
             // After a pause, callers that have left come before anything that their jobs would do.
@@ -129,31 +117,26 @@
             if self.is_finished(now) {
                 break;
             }
-            if Instant::now() >= self.next_flush {
-                self.next_flush = Instant::now() + Log::interval();
-                self.log.flush();
-            }
+            self.shell.flush_log();
         }
         self.leave();
         info!("stop");
-        self.log.finish();
+        self.shell.finish();
         Ok(())
     }
 
     fn check_signals(&mut self, now: Time) {
-        let asked = self.signals.take_reload();
         // The addresses of an entry are bound once; nothing else in its settings may change.
-        let _ = self.reload.check(asked, now);
-        if self.signals.stop() && self.stopping.is_none() {
+        let _ = self.shell.new_settings(now);
+        if self.shell.asked_to_stop(now) {
             info!(jobs = self.entry.jobs(), "stopping gracefully");
-            self.stopping = Some(now);
             self.reactor.drain();
             self.entry.stop();
         }
     }
 
     fn is_finished(&mut self, now: Time) -> bool {
-        let Some(since) = self.stopping else {
+        let Some(since) = self.shell.stopping else {
             return false;
         };
         let elapsed = now.millis_since(since);
@@ -221,9 +204,9 @@
                 ("oldest_view_ms", self.entry.oldest_view(now)),
                 ("kept_jobs", self.entry.ledger_size().0 as u64),
                 ("waiting_changes", self.entry.ledger_size().1 as u64),
-                ("log_lines_dropped", self.log.dropped()),
+                ("log_lines_dropped", self.shell.dropped_lines()),
             ];
-            let response = self.metrics.render(&self.entry.counters, &levels);
+            let response = self.shell.metrics.render(&self.entry.counters, &levels);
             self.reactor.respond(id, &response);
         }
     }
@@ -232,7 +215,7 @@
         if request.path != caller::READY_PATH {
             return Response::empty(404);
         }
-        if self.entry.is_ready() && self.stopping.is_none() {
+        if self.entry.is_ready() && self.shell.stopping.is_none() {
             Response::empty(200)
         } else {
             Response::empty(503)
@@ -290,11 +273,11 @@
         };
         let reply = match store::reply(&call, outcome) {
             Ok(reply) => {
-                self.metrics.call("store", call.as_str(), "answered");
+                self.shell.metrics.call("store", call.as_str(), "answered");
                 Some(Ok(reply))
             }
             Err(error) => {
-                self.metrics.call("store", call.as_str(), "failed");
+                self.shell.metrics.call("store", call.as_str(), "failed");
                 debug!(call = call.as_str(), %error, "call to the store failed");
                 error.refusal().map(Err)
             }
@@ -332,8 +315,11 @@
                     wait,
                 } => {
                     if matches!(answer, Answer::Completed | Answer::Failed) {
-                        self.metrics.job_seconds.observe(age as f64 / 1_000.0);
-                        self.metrics.wait_seconds.observe(wait as f64 / 1_000.0);
+                        self.shell.metrics.job_seconds.observe(age as f64 / 1_000.0);
+                        self.shell
+                            .metrics
+                            .wait_seconds
+                            .observe(wait as f64 / 1_000.0);
                     }
                     let response = caller::response(answer);
                     let open = self.reactor.respond(RequestId(request.0), &response);
--- a/crates/fulmarpondd/src/leased/mod.rs
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -9,6 +9,7 @@
 mod log;
 mod metrics;
 mod reload;
+mod shell;
 mod signals;
 
 use std::io;
