--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -6,11 +6,14 @@
 use super::entry::Entry;
 use super::job::TaskState;
 use super::{Action, Answer};
-use crate::{AgentFrame, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd};
+use crate::{AgentFrame, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd};
 
 /// How long an entry waits for ends at an agent that it has lost, in milliseconds.
 const MERGE_MS: u64 = 1_000;
 
+/// Run times at endpoints that are slower than this tell nothing about the work, in percent.
+const TELLING_SLOWNESS: u32 = 200;
+
 impl Entry {
     /// Gives the configuration to an agent of the own zone that has an older one.
     pub(super) fn give_configuration(&mut self, link: LinkNo, out: &mut Vec<Action>) {
@@ -163,7 +166,7 @@
         &mut self,
         link: LinkNo,
         orders: u64,
-        load: crate::EndpointStatus,
+        load: EndpointStatus,
         now: Time,
         out: &mut Vec<Action>,
     ) {
@@ -186,19 +189,31 @@
         }
     }
 
+    /// Takes the end of a task, and goes on with its job.
     pub(super) fn ended(&mut self, link: LinkNo, end: &TaskEnd, now: Time, out: &mut Vec<Action>) {
         let id = &end.task.job;
-        let slowness = self.fleet.views.get(&link).map(|view| view.load.slowness);
-        let Some(job) = self.jobs.get_mut(id) else {
+        if !self.note_outcome(link, end) {
             return;
+        }
+        let goes_on = match end.outcome {
+            Outcome::Done => self.task_done(link, end, now, out),
+            _ => self.task_again(link, end, now, out),
+        };
+        if goes_on {
+            self.place(id, now, out);
+        }
+    }
+
+    /// Notes how a task ended; returns whether it was expected from this link.
+    fn note_outcome(&mut self, link: LinkNo, end: &TaskEnd) -> bool {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            return false;
         };
-        let kept = job.state.is_some();
-        let most = job.route.attempts;
         let Some(task) = job.task(end.task.step, end.task.index) else {
-            return;
+            return false;
         };
         if task.state != TaskState::Sent(link) {
-            return;
+            return false;
         }
         task.state = TaskState::Waiting;
         match end.outcome {
@@ -210,45 +225,63 @@
             Outcome::Aborted => task.aborts += 1,
             Outcome::Unavailable | Outcome::NoRoom => {}
         }
-        let failures = task.failures;
-        let started = matches!(
-            end.outcome,
-            Outcome::Done | Outcome::Failed | Outcome::Aborted
-        );
-        job.begun |= started;
-        if kept && matches!(end.outcome, Outcome::Done | Outcome::Failed) {
+        let final_end = matches!(end.outcome, Outcome::Done | Outcome::Failed);
+        job.begun |= final_end || end.outcome == Outcome::Aborted;
+        if final_end && job.state.is_some() {
             Self::note_end(&mut self.ledger, &mut self.kept, job, link, end);
         }
-        if end.outcome == Outcome::Done {
-            let estimate = job.submission.steps[usize::from(end.task.step)].estimate;
-            if slowness.is_some_and(|slowness| slowness < 200) {
-                let route = &job.route.name;
-                self.estimates.observe(route, estimate, end.elapsed);
-            }
-            if job.is_done() {
-                self.finish(id, Answer::Completed, now, out);
-                return;
-            }
-        } else {
-            job.avoided.push(link);
-            self.counters.retried += 1;
-            info!(
-                task = %end.task,
-                outcome = ?end.outcome,
-                failures,
-                agent = self.fleet.views.get(&link).map_or("", |view| view.name.as_str()),
-                "task is placed again"
-            );
-            if failures >= most {
-                self.finish(id, Answer::Failed, now, out);
-                return;
-            }
-            if !kept && self.withdraw(id, now, out) {
-                return;
-            }
+        true
+    }
+
+    /// Learns from a task that is done; returns whether its job goes on.
+    fn task_done(&mut self, link: LinkNo, end: &TaskEnd, now: Time, out: &mut Vec<Action>) -> bool {
+        let view = self.fleet.views.get(&link);
+        let usual = view.is_some_and(|view| view.load.slowness < TELLING_SLOWNESS);
+        let Some(job) = self.jobs.get(&end.task.job) else {
+            return false;
+        };
+        if usual {
+            let step = &job.submission.steps[usize::from(end.task.step)];
+            self.estimates
+                .observe(&job.route.name, step.estimate, end.elapsed);
+        }
+        if job.is_done() {
+            self.finish(&end.task.job, Answer::Completed, now, out);
+            return false;
+        }
+        true
+    }
+
+    /// Decides what becomes of a task that is not done; returns whether it is placed again.
+    fn task_again(
+        &mut self,
+        link: LinkNo,
+        end: &TaskEnd,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let id = &end.task.job;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return false;
+        };
+        job.avoided.push(link);
+        let (kept, most) = (job.state.is_some(), job.route.attempts);
+        let task = job.task(end.task.step, end.task.index);
+        let failures = task.map_or(0, |task| task.failures);
+        self.counters.retried += 1;
+        let agent = self.fleet.views.get(&link);
+        info!(
+            task = %end.task,
+            outcome = ?end.outcome,
+            failures,
+            agent = agent.map_or("", |view| view.name.as_str()),
+            "task is placed again"
+        );
+        if failures >= most {
+            self.finish(id, Answer::Failed, now, out);
+            return false;
         }
-        let id = id.clone();
-        self.place(&id, now, out);
+        kept || !self.withdraw(id, now, out)
     }
 
     /// Calls a job back that missed its objective before any of its tasks began: its room is of
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -3,22 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use fulmarpond_core::Time;
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
 use super::commits::{Change, Commits};
 use super::record::{JobSpec, JobState, Owner, Status};
-use crate::directory::{CommitRow, Duty, JobItem, StoreCall, StoreReply};
+use crate::directory::{Duty, JobItem, StoreCall, StoreReply};
 use crate::pacing::Pacing;
-use crate::{JobId, Outcome, TaskEnd, decode, encode};
-
-/// The most entries in one change of the store: conditions, writes and removals.
-const MOST_ENTRIES: usize = 32;
-
-/// The shortest pause between two changes, in milliseconds.
-const COMMIT_MS: u64 = 25;
-
-/// The share of the store's writes that all entries together use, in percent.
-const WRITE_PERCENT: u64 = 50;
+use crate::{JobId, Outcome, TaskEnd, decode};
 
 /// How long a watch of the jobs waits, in milliseconds.
 const WATCH_MS: u64 = 2_000;
@@ -70,11 +61,11 @@
 }
 
 #[derive(Debug, Clone)]
-struct Known {
-    state: JobState,
-    revision: u64,
+pub(super) struct Known {
+    pub(super) state: JobState,
+    pub(super) revision: u64,
     /// When its end was seen.
-    ended: Option<Time>,
+    pub(super) ended: Option<Time>,
 }
 
 /// The pages of a list so far.
@@ -90,31 +81,31 @@
 /// The jobs in the store.
 #[derive(Debug)]
 pub struct Ledger {
-    options: LedgerOptions,
-    jobs: HashMap<JobId, Known>,
-    commits: Commits,
+    pub(super) options: LedgerOptions,
+    pub(super) jobs: HashMap<JobId, Known>,
+    pub(super) commits: Commits,
     /// The revisions that the waiting states are derived from.
-    bases: HashMap<JobId, u64>,
+    pub(super) bases: HashMap<JobId, u64>,
     /// New jobs whose first change is not written.
-    fresh: BTreeSet<JobId>,
+    pub(super) fresh: BTreeSet<JobId>,
     /// The revision up to which the jobs are known; nothing before the first full list.
-    at: Option<u64>,
+    pub(super) at: Option<u64>,
     /// When the last list or watch was answered.
-    synced: Time,
+    pub(super) synced: Time,
     /// The list that is under way.
     listing: Option<Listing>,
-    watch: Pacing,
-    commit: Pacing,
-    read: Pacing,
+    pub(super) watch: Pacing,
+    pub(super) commit: Pacing,
+    pub(super) read: Pacing,
     /// Jobs to take over, and the one that is being read.
-    wanted: BTreeSet<JobId>,
-    reading: Option<JobId>,
+    pub(super) wanted: BTreeSet<JobId>,
+    pub(super) reading: Option<JobId>,
     /// The live entries.
-    entries: BTreeSet<String>,
+    pub(super) entries: BTreeSet<String>,
     /// Entries whose announcement is missing, since when.
-    missing: BTreeMap<String, Time>,
-    next_scan: Time,
-    stopping: bool,
+    pub(super) missing: BTreeMap<String, Time>,
+    pub(super) next_scan: Time,
+    pub(super) stopping: bool,
 }
 
 impl Ledger {
@@ -313,29 +304,6 @@
         }
     }
 
-    fn next_commit(&mut self) -> StoreCall {
-        let rows = self
-            .commits
-            .begin(MOST_ENTRIES)
-            .iter()
-            .map(|(job, change)| CommitRow {
-                job: job.clone(),
-                expected: self.bases.get(job).copied().unwrap_or_default(),
-                spec: change.spec.as_ref().map(encode),
-                state: change.state.as_ref().map(encode),
-            });
-        StoreCall::CommitJobs {
-            rows: rows.collect(),
-        }
-    }
-
-    /// Returns the pause between changes that keeps all entries within the store's rate.
-    fn commit_pause(&self) -> u64 {
-        let entries = self.entries.len().max(1) as u64;
-        let share = (self.options.writes * WRITE_PERCENT / 100).max(1);
-        (entries * 1_000 / share).max(COMMIT_MS)
-    }
-
     /// Takes the outcome of a call; `None` stands for a call without a reply, `Some(Err)` for one
     /// that the store refused without an effect.
     pub fn answered(
@@ -472,284 +440,9 @@
         }
         self.jobs.insert(job, known);
     }
-
-    fn commit_answered(
-        &mut self,
-        reply: Option<Result<StoreReply, u16>>,
-        now: Time,
-        out: &mut Vec<Event>,
-    ) {
-        self.commit.busy = false;
-        match reply {
-            Some(Ok(StoreReply::Committed { revision })) => {
-                self.commit.succeeded(now.after_millis(self.commit_pause()));
-                for (job, change) in self.commits.take_under_way() {
-                    self.written(job, change, revision, now, out);
-                }
-            }
-            Some(Ok(StoreReply::Conflict { items })) => {
-                self.commit.succeeded(now.after_millis(self.commit_pause()));
-                self.conflict(items, now, out);
-            }
-            Some(refusal) => {
-                warn!(
-                    ?refusal,
-                    changes = self.commits.len(),
-                    "store refused a change of jobs"
-                );
-                self.commit.failed(now);
-                self.refuse_fresh(false, out);
-            }
-            // The change may have been made: the same one is sent again, and a conflict with
-            // itself tells that it was.
-            None => {
-                self.commit.failed(now);
-                self.refuse_fresh(true, out);
-            }
-        }
-    }
-
-    /// Tells the callers of new jobs that these are not kept yet.
-    ///
-    /// A change that may have been made stays under way, since the job may be in the store.
-    fn refuse_fresh(&mut self, unsure: bool, out: &mut Vec<Event>) {
-        let mut left = Vec::new();
-        for (job, change) in self.commits.take_under_way() {
-            let fresh = self.fresh.contains(&job);
-            if fresh && !unsure {
-                self.fresh.remove(&job);
-                self.commits.forget(&job);
-                out.push(Event::NotKept(job));
-                continue;
-            }
-            if fresh {
-                out.push(Event::MayBeKept(job.clone()));
-            }
-            left.push((job, change));
-        }
-        self.commits.under_way = left;
-        // Nothing is known to work now, and these were never sent.
-        for job in self.fresh.clone() {
-            let sent = self
-                .commits
-                .under_way
-                .iter()
-                .any(|(known, _)| *known == job);
-            if !sent {
-                self.fresh.remove(&job);
-                self.commits.forget(&job);
-                out.push(Event::NotKept(job));
-            }
-        }
-    }
-
-    fn written(
-        &mut self,
-        job: JobId,
-        change: Change,
-        revision: u64,
-        now: Time,
-        out: &mut Vec<Event>,
-    ) {
-        let Some(state) = change.state else {
-            self.jobs.remove(&job);
-            self.bases.remove(&job);
-            return;
-        };
-        if state.owner == self.options.owner && state.status == Status::Open {
-            self.bases.insert(job.clone(), revision);
-        } else if !self.commits.is_waiting(&job) {
-            self.bases.remove(&job);
-        }
-        let ended = (state.status != Status::Open).then_some(now);
-        let known = Known {
-            state: state.clone(),
-            revision,
-            ended,
-        };
-        let newer = self
-            .jobs
-            .get(&job)
-            .is_some_and(|present| present.revision > revision);
-        if !newer {
-            self.jobs.insert(job.clone(), known);
-        }
-        if self.fresh.remove(&job) {
-            out.push(Event::Kept(job.clone()));
-        }
-        out.push(Event::Written(job, state));
-    }
-
-    /// Sorts out a change that was refused because some state is another one.
-    fn conflict(&mut self, items: Vec<JobItem>, now: Time, out: &mut Vec<Event>) {
-        let present: HashMap<JobId, JobItem> = items
-            .into_iter()
-            .map(|item| (item.job.clone(), item))
-            .collect();
-        for (job, change) in self.commits.take_under_way() {
-            let known = present.get(&job).and_then(|item| read_item(item, now));
-            let expected = self.bases.get(&job).copied().unwrap_or_default();
-            let revision = known.as_ref().map_or(0, |known| known.revision);
-            if revision == expected {
-                self.commits.retry(job, change);
-                continue;
-            }
-            let Some(known) = known else {
-                // The job is gone, or its state can't be read.
-                self.jobs.remove(&job);
-                self.fresh.remove(&job);
-                out.push(Event::Lost(job));
-                continue;
-            };
-            if Some(&known.state) == change.state.as_ref() {
-                debug!(%job, "an earlier attempt of this change was made");
-                self.written(job, change, revision, now, out);
-                continue;
-            }
-            let newer = self.commits.take_waiting(&job);
-            self.bases.remove(&job);
-            let was_fresh = self.fresh.remove(&job);
-            let own = known.state.owner == self.options.owner;
-            let open = known.state.status == Status::Open;
-            let cancels = change
-                .state
-                .as_ref()
-                .is_some_and(|state| state.status == Status::Cancelled);
-            let state = known.state.clone();
-            self.jobs.insert(job.clone(), known);
-            if was_fresh {
-                // Another entry has kept it, or an earlier attempt of this one.
-                out.push(Event::Kept(job.clone()));
-            } else if own && open {
-                self.bases.insert(job.clone(), revision);
-                if let Some(mut wanted) = newer.unwrap_or(change).state {
-                    wanted.merge(&state);
-                    self.change(&job, wanted);
-                }
-                out.push(Event::Merged(job, state));
-            } else if cancels && open {
-                self.cancel(&job);
-            } else {
-                out.push(Event::Lost(job));
-            }
-        }
-    }
-
-    /// Looks for jobs to take over and for ended jobs to remove.
-    fn scan(&mut self, now: Time) {
-        self.next_scan = now.after_millis(Self::SCAN_MS);
-        if self.at.is_none() {
-            return;
-        }
-        let mut removals = Vec::new();
-        let mut wanted = Vec::new();
-        for (job, known) in &self.jobs {
-            let owner = &known.state.owner;
-            if let Some(ended) = known.ended {
-                let own = owner.name == self.options.owner.name;
-                let orphaned = !self.entries.contains(&owner.name);
-                if now.millis_since(ended) > self.options.keep_ms && (own || orphaned) {
-                    removals.push(job.clone());
-                }
-                continue;
-            }
-            if *owner == self.options.owner {
-                continue;
-            }
-            if owner.name == self.options.owner.name || self.is_abandoned(&owner.name, job, now) {
-                wanted.push(job.clone());
-            }
-        }
-        for known in self.jobs.values().filter(|known| known.ended.is_none()) {
-            let name = &known.state.owner.name;
-            let released = known.state.owner.is_none();
-            if !released && !self.entries.contains(name) && *name != self.options.owner.name {
-                self.missing.entry(name.clone()).or_insert(now);
-            }
-        }
-        for job in removals {
-            if self.commits.is_waiting(&job) {
-                continue;
-            }
-            let revision = self.jobs.get(&job).map_or(0, |known| known.revision);
-            self.bases.insert(job.clone(), revision);
-            self.commits.push(
-                job,
-                Change {
-                    spec: None,
-                    state: None,
-                },
-            );
-        }
-        for job in wanted {
-            if !self.commits.is_waiting(&job) && self.reading.as_ref() != Some(&job) {
-                self.wanted.insert(job);
-            }
-        }
-    }
-
-    /// The interval of looks at all jobs, in milliseconds.
-    const SCAN_MS: u64 = 500;
-
-    /// Returns whether a job's owner is away for so long that this entry takes the job over.
-    fn is_abandoned(&self, name: &str, job: &JobId, now: Time) -> bool {
-        let released = name.is_empty();
-        let gone = self
-            .missing
-            .get(name)
-            .is_some_and(|since| now.millis_since(*since) >= self.options.takeover_ms);
-        if !released && !gone {
-            return false;
-        }
-        // An entry that is about to stop takes nothing.
-        if !self.entries.contains(&self.options.owner.name) || self.stopping {
-            return false;
-        }
-        // Each live entry takes a part; which one does not matter, since a change is conditional.
-        let own = weight(&self.options.owner.name, job);
-        self.entries.iter().all(|entry| weight(entry, job) <= own)
-    }
-
-    fn read_answered(
-        &mut self,
-        reply: Option<Result<StoreReply, u16>>,
-        now: Time,
-        out: &mut Vec<Event>,
-    ) {
-        self.read.busy = false;
-        let Some(job) = self.reading.clone() else {
-            return;
-        };
-        match reply {
-            Some(Ok(StoreReply::Job { spec })) => {
-                self.read.succeeded(now);
-                self.reading = None;
-                self.take_over(job, spec, out);
-            }
-            Some(Ok(_)) => self.reading = None,
-            _ => self.read.failed(now),
-        }
-    }
-
-    fn take_over(&mut self, job: JobId, spec: Option<Vec<u8>>, out: &mut Vec<Event>) {
-        let Some(known) = self.jobs.get(&job) else {
-            return;
-        };
-        let spec = spec.and_then(|bytes| decode::<JobSpec>(&bytes).ok());
-        let Some(spec) = spec else {
-            warn!(%job, "what was submitted can't be read");
-            return;
-        };
-        let mut state = known.state.clone();
-        self.bases.insert(job.clone(), known.revision);
-        info!(%job, from = state.owner.name, life = state.owner.life, "taking a job over");
-        state.owner = self.options.owner.clone();
-        self.change(&job, state.clone());
-        out.push(Event::Owned(job, spec, state));
-    }
 }
 
-fn read_item(item: &JobItem, now: Time) -> Option<Known> {
+pub(super) fn read_item(item: &JobItem, now: Time) -> Option<Known> {
     // An item of another writer names no job.
     let state: JobState = decode(&item.state).ok()?;
     let ended = (state.status != Status::Open).then_some(now);
@@ -759,12 +452,3 @@
         ended,
     })
 }
-
-/// Returns the weight of an entry for a job, as in rendezvous hashing.
-fn weight(entry: &str, job: &JobId) -> u64 {
-    // FNV-1a, since the weights have to agree between processes.
-    let bytes = entry.bytes().chain([0]).chain(job.0.bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/crates/fulmarpond-dispatch/src/ledger/mod.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/mod.rs
@@ -8,6 +8,8 @@
 #[allow(clippy::module_inception)]
 mod ledger;
 mod record;
+mod takeover;
+mod writing;
 
 pub use ledger::{Event, Ledger, LedgerOptions};
 pub use record::{JobSpec, JobState, Owner, Status, StepProgress};
