fix(settings): start on platforms that state fewer figures, fractions, or a short resend

Cause: a bound that a deployment does not state left `resend = ms` in the filled template, a fraction (`GraceS` may be one) was no duration, and a resend too short for two leases ended the process: no program would start. Found by reading; ruled out for the two sites, whose figures are whole.

Change: keys without a value are left out and have defaults, fractions are read, and leases are as short as possible with a warning.

--- a/crates/fulmarpond-dispatch/src/bounds.rs
+++ b/crates/fulmarpond-dispatch/src/bounds.rs
@@ -67,6 +67,18 @@
         })
     }
 
+    /// Returns the shortest usable leases, for a resend that leaves no room for longer ones.
+    ///
+    /// With them a second attempt may overlap with the first one while processes are paused.
+    pub const fn shortest(resend_ms: u64, stop_ms: u64) -> Self {
+        Self {
+            link_ms: Self::MIN_LEASE_MS,
+            run_ms: Self::MIN_LEASE_MS,
+            stop_ms,
+            resend_ms,
+        }
+    }
+
     /// A longer silence of a link delays the jobs on it more than a needless reconnect does.
     const LONGEST_LINK_MS: u64 = 2_000;
 
--- a/crates/fulmarpond-settings/src/leased/leased_settings.rs
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -6,7 +6,6 @@
 
 use crate::document::Document;
 use crate::reader::{Reader, hint, name};
-use crate::units::duration;
 use crate::{LogLevel, Result};
 
 /// The sections with their keys.
@@ -32,7 +31,12 @@
 /// The writes a second that the store takes, if the settings do not say.
 const DEFAULT_WRITES: u64 = 400;
 
-/// How long the state of an ended job is kept, if the settings do not say.
+/// Times that hold if the settings do not say.
+const DEFAULT_RESEND: Duration = Duration::from_millis(1_300);
+const DEFAULT_HOLD_MAX: Duration = Duration::from_secs(1);
+const DEFAULT_STOP: Duration = Duration::from_millis(50);
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1_500);
+const DEFAULT_GRACE: Duration = Duration::from_secs(6);
 const DEFAULT_KEEP: Duration = Duration::from_secs(120);
 
 /// The most log lines a second, if the settings do not say.
@@ -142,7 +146,7 @@
         name: name?,
         zone: zone?,
         metrics,
-        timing: timing?,
+        timing,
         far,
         level: level.unwrap_or(LogLevel::Info),
         lines: lines.unwrap_or(DEFAULT_LINES),
@@ -154,13 +158,13 @@
     let readiness = reader.required("listen", "readiness", parse);
     let link = reader.required("listen", "link", parse);
     let store = reader.required("store", "addr", parse);
-    let writes = reader.optional("store", "writes", parse);
+    let writes = reader.optional("store", "writes", parse::<f64>);
     Some(LeasedRole::Entry {
         callers: callers?,
         readiness: readiness?,
         link: link?,
         store: store?,
-        writes: writes.unwrap_or(DEFAULT_WRITES),
+        writes: writes.map_or(DEFAULT_WRITES, |writes| writes as u64),
     })
 }
 
@@ -185,21 +189,35 @@
     addrs.collect()
 }
 
-fn timing(reader: &mut Reader<'_>) -> Option<LeasedTiming> {
-    let resend = reader.required("timing", "resend", duration);
-    let hold_max = reader.required("timing", "hold_max", duration);
-    let stop = reader.required("timing", "stop", duration);
-    let heartbeat = reader.required("timing", "heartbeat", duration);
-    let grace = reader.required("timing", "grace", duration);
-    let keep = reader.optional("timing", "keep", duration);
-    Some(LeasedTiming {
-        resend: resend?,
-        hold_max: hold_max?,
-        stop: stop?,
-        heartbeat: heartbeat?,
-        grace: grace?,
-        keep: keep.unwrap_or(DEFAULT_KEEP),
-    })
+/// Reads the times; a platform that does not state one leaves its key out.
+fn timing(reader: &mut Reader<'_>) -> LeasedTiming {
+    let mut read = |key, default| {
+        let value = reader.optional("timing", key, fraction);
+        value.unwrap_or(default)
+    };
+    LeasedTiming {
+        resend: read("resend", DEFAULT_RESEND),
+        hold_max: read("hold_max", DEFAULT_HOLD_MAX),
+        stop: read("stop", DEFAULT_STOP),
+        heartbeat: read("heartbeat", DEFAULT_HEARTBEAT),
+        grace: read("grace", DEFAULT_GRACE),
+        keep: read("keep", DEFAULT_KEEP),
+    }
+}
+
+/// Reads a duration that may have a fraction, such as `1.5s`: the platform states some so.
+fn fraction(text: &str) -> Result<Duration, String> {
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let seconds = match &text[digits.len()..] {
+        "ms" => digits.parse::<f64>().ok().map(|millis| millis / 1_000.0),
+        "s" => digits.parse().ok(),
+        "" => return Err(format!("`{text}` lacks a unit: `ms` or `s`")),
+        _ => None,
+    };
+    seconds
+        .filter(|seconds| *seconds > 0.0)
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+        .ok_or_else(|| format!("expected a duration above 0 in `ms` or `s`, got `{text}`"))
 }
 
 fn parse<T: FromStr>(text: &str) -> Result<T, String>
--- a/crates/fulmarpond-settings/tests/leased.rs
+++ b/crates/fulmarpond-settings/tests/leased.rs
@@ -63,6 +63,22 @@
     assert_eq!(seeds, ["10.1.0.13:7720", "10.2.0.30:7720"]);
 }
 
+/// Guards against a daemon that does not start on a platform that states fewer or other figures.
+#[test]
+fn times_may_be_missing_or_have_fractions() {
+    let text = fill(ENTRY)
+        .replace("resend = 1300ms\n", "")
+        .replace("grace = 6s", "grace = 6.5s")
+        .replace("writes = 400", "writes = 400.0");
+    let settings = read(&text).expect("settings of an entry");
+    assert_eq!(settings.timing.resend, Duration::from_millis(1_300));
+    assert_eq!(settings.timing.grace, Duration::from_millis(6_500));
+    assert!(matches!(
+        settings.role,
+        LeasedRole::Entry { writes: 400, .. }
+    ));
+}
+
 struct Faulty {
     name: &'static str,
     from: &'static str,
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -56,7 +56,7 @@
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             seeds: seeds.clone(),
-            bounds: bounds(&settings.timing)?,
+            bounds: bounds(&settings.timing),
             beat_ms: settings.timing.heartbeat.as_millis() as u64,
             fence: first_fence(),
         };
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -64,7 +64,7 @@
         let options = EntryOptions {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
-            bounds: bounds(&settings.timing)?,
+            bounds: bounds(&settings.timing),
             far: settings.far,
             life: now.as_micros(),
             writes,
--- a/crates/fulmarpondd/src/leased/mod.rs
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -15,9 +15,10 @@
 use std::io;
 use std::path::Path;
 
+use fulmarpond_dispatch::Bounds;
 use fulmarpond_settings::{LeasedRole, LeasedSettings, LeasedTiming};
 use thiserror::Error;
-use tracing::info;
+use tracing::{info, warn};
 
 use agent_process::AgentProcess;
 use entry_process::EntryProcess;
@@ -28,9 +29,6 @@
     /// The system refused something.
     #[error(transparent)]
     Io(#[from] io::Error),
-    /// The times of the platform leave no room for leases.
-    #[error(transparent)]
-    Bounds(#[from] fulmarpond_dispatch::InvalidBounds),
 }
 
 /// Result of running a process in leased mode.
@@ -56,13 +54,15 @@
     Ok(())
 }
 
-fn bounds(timing: &LeasedTiming) -> Result<fulmarpond_dispatch::Bounds> {
+/// Returns the times of leases; a resend that is too short for them is warned of, since serving
+/// with short leases is better than not serving.
+fn bounds(timing: &LeasedTiming) -> Bounds {
     let millis = |duration: std::time::Duration| duration.as_millis() as u64;
-    let bounds = fulmarpond_dispatch::Bounds::new(
-        millis(timing.resend),
-        millis(timing.hold_max),
-        millis(timing.stop),
-    )?;
+    let (resend, stop) = (millis(timing.resend), millis(timing.stop));
+    let bounds = Bounds::new(resend, millis(timing.hold_max), stop).unwrap_or_else(|error| {
+        warn!(%error, "leases are as short as they can be");
+        Bounds::shortest(resend, stop)
+    });
     info!(link_ms = bounds.link_ms, run_ms = bounds.run_ms, "leases");
-    Ok(bounds)
+    bounds
 }
