--- a/crates/fulmarpondd/tests/leased.rs
+++ b/crates/fulmarpondd/tests/leased.rs
@@ -425,3 +425,23 @@
         });
     }
 }
+
+/// Guards against a log whose volume grows with the load: a flood of refusals writes no more lines
+/// than the settings allow, and what is left out is counted.
+#[test]
+fn log_volume_is_bounded_under_a_flood() {
+    let system = System::start(1, 1);
+    let start = Instant::now();
+    for number in 0..3_000 {
+        let path = format!("/jobs/{number:016x}");
+        let (status, _) = system.post(0, &path, "{").expect("an answer");
+        assert_eq!(status, 400);
+    }
+    // Each refusal has two lines; a second may have 1,000 lines, in windows that begin at any time.
+    let seconds = start.elapsed().as_secs() as usize + 2;
+    let lines = system.entries[0].log.lock().expect("the log").len();
+    assert!(lines <= seconds * 1_000, "{lines} lines in {seconds} s");
+    let (_, metrics) = get(system.metrics[0], "/metrics").expect("metrics");
+    let refused = r#"fulmarpond_refusals_total{reason="invalid"} 3000"#;
+    assert!(metrics.contains(refused), "{metrics}");
+}
