--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -4,7 +4,7 @@
 //! store, and only then lets the agents take note of them. It runs jobs only while its announcement
 //! surely stands, since after that another entry takes them over.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
@@ -663,10 +663,4 @@
     pub fn ledger_size(&self) -> (usize, usize) {
         self.ledger.size()
     }
-
-    /// Returns the ids of jobs that are kept and in progress here.
-    pub fn kept_jobs(&self) -> HashSet<&JobId> {
-        let kept = self.jobs.iter().filter(|(_, job)| job.state.is_some());
-        kept.map(|(id, _)| id).collect()
-    }
 }
--- a/crates/fulmarpond-reactor/src/reactor.rs
+++ b/crates/fulmarpond-reactor/src/reactor.rs
@@ -243,21 +243,6 @@
         id
     }
 
-    /// Closes all connections to an address; open calls end with [`CallError::Lost`].
-    pub fn disconnect(&mut self, addr: SocketAddr) {
-        let keys: Vec<usize> = self
-            .conns
-            .iter()
-            .filter_map(|(key, conn)| match conn {
-                Conn::Client(client) if self.pools[client.pool].addr == addr => Some(key),
-                _ => None,
-            })
-            .collect();
-        for key in keys {
-            self.drop_client(key, CallError::Lost);
-        }
-    }
-
     /// Waits for events until `until` at the latest, and appends them to `out`.
     ///
     /// # Errors
@@ -304,20 +289,6 @@
         }
     }
 
-    /// Returns how many requests wait for their response.
-    pub fn open_requests(&self) -> usize {
-        self.requests.len()
-    }
-
-    /// Returns whether all responses have been handed to the system.
-    pub fn is_flushed(&self) -> bool {
-        let unsent = |conn: &Conn| match conn {
-            Conn::Server(server) => server.channel.pending() > 0,
-            _ => false,
-        };
-        !self.conns.iter().any(|(_, conn)| unsent(conn))
-    }
-
     const fn fresh_id(&mut self) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
