test(tool): an address at which nobody listens can't connect to itself

Change: the address lies at 127.0.0.2, while connections leave from 127.0.0.1. All assertions stay.

The self-connection was not reproduced by itself.

--- a/crates/fulmarpond/tests/common/mod.rs
+++ b/crates/fulmarpond/tests/common/mod.rs
@@ -113,9 +113,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = listener.local_addr().expect("a bound port");
     let client = TcpStream::connect(addr).expect("a listening port");
-    let closed = client.local_addr().expect("a connected port").to_string();
+    let mut closed = client.local_addr().expect("a connected port");
     std::mem::forget((listener, client));
-    closed
+    // Connections leave from 127.0.0.1. One to a port there may get that port as its own and be
+    // connected to itself.
+    closed.set_ip([127, 0, 0, 2].into());
+    closed.to_string()
 }
 
 /// Starts a server that reads one request and closes the connection without a reply.
