fix(agent): pace repeated calls to an endpoint that resets connections

Cause: an order without a reply was repeated at once. A time-out paces that by itself; a connection that is reset does not, so a stop was sent some thousand times a second, each on a new connection. Ruled out: holds (one every 10 ms) and starts (their stop comes first).

Change: stops, looks and holds are repeated after 10 ms, twice as long after each further call in a row without a reply, 160 ms at most.

--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -82,12 +82,12 @@
         match &mut run.phase {
             Phase::Stopping { over, .. } if now >= *over => {
                 // The look was lost: without it, an end may be taken for none.
-                *over = now.after_millis(HOLD_RETRY_MS);
+                *over = now.after_millis(ORDER_TIMEOUT_MS + HOLD_RETRY_MS);
                 let number = run.number;
                 self.look(task, number, now, out);
             }
             Phase::Stopping { resend, .. } if now >= *resend => {
-                *resend = now.after_millis(ORDER_TIMEOUT_MS);
+                *resend = now.after_millis(ORDER_TIMEOUT_MS + HOLD_RETRY_MS);
                 let number = run.number;
                 self.send_stop(task, number, now, out);
             }
--- a/crates/fulmarpond-dispatch/src/agent/endpoint.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint.rs
@@ -9,6 +9,12 @@
 /// After this many heartbeat intervals without a heartbeat an idle endpoint counts as gone.
 const MISSED_BEATS: u64 = 4;
 
+/// The pause after a call without a reply, in milliseconds.
+const RETRY_MS: u64 = 10;
+
+/// How often that pause is doubled at most. Each attempt opens a connection.
+const MOST_RETRY_DOUBLINGS: u32 = 4;
+
 /// How long an endpoint that called itself unhealthy gets no new task, in milliseconds.
 const UNHEALTHY_MS: u64 = 400;
 
@@ -29,6 +35,8 @@
     pub(super) next_hold: Time,
     /// Whether nothing runs there that this process did not start.
     pub(super) settled: bool,
+    /// How many calls in a row had no reply.
+    unanswered: u32,
     /// Whether its last calls were answered.
     pub(super) reachable: bool,
     /// When everything there is surely over, unless the lease is extended again.
@@ -52,6 +60,7 @@
             hold: None,
             next_hold: now,
             settled: false,
+            unanswered: 0,
             reachable: true,
             lapse: now,
             unhealthy: now,
@@ -84,6 +93,24 @@
         self.held.acked(self.seen)
     }
 
+    /// Takes note of a reply to a call.
+    pub(super) const fn replied(&mut self) {
+        self.unanswered = 0;
+        self.answer_by = Time::MAX;
+    }
+
+    /// Takes note that a call has no reply.
+    pub(super) const fn missed_reply(&mut self) {
+        self.unanswered = self.unanswered.saturating_add(1);
+    }
+
+    /// Returns the pause before a call is repeated, in milliseconds: it doubles with each call in a
+    /// row that has no reply.
+    pub(super) fn retry_ms(&self) -> u64 {
+        let doublings = self.unanswered.saturating_sub(1).min(MOST_RETRY_DOUBLINGS);
+        RETRY_MS << doublings
+    }
+
     pub(super) const fn called_unhealthy(&mut self, now: Time) {
         self.unhealthy = now.after_millis(UNHEALTHY_MS);
     }
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -3,7 +3,7 @@
 use fulmarpond_core::Time;
 use tracing::{debug, info, warn};
 
-use super::agent::{Agent, HOLD_RETRY_MS, ORDER_TIMEOUT_MS, Purpose};
+use super::agent::{Agent, ORDER_TIMEOUT_MS, Purpose};
 use super::endpoint::Endpoint;
 use super::health::Health;
 use super::run::{Phase, Progress, Run, Then};
@@ -285,7 +285,7 @@
             if let Some(clock) = clock {
                 endpoint.clock.observe(clock, now);
             }
-            endpoint.answer_by = Time::MAX;
+            endpoint.replied();
             if !endpoint.reachable {
                 info!(endpoint = %endpoint.about.id, "endpoint answers again");
                 endpoint.reachable = true;
@@ -342,6 +342,9 @@
         out: &mut Vec<Action>,
     ) {
         self.counters.unanswered += 1;
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.missed_reply();
+        }
         match purpose {
             Purpose::Hold => self.delay_hold(now),
             Purpose::Start(task, run) => {
@@ -354,14 +357,9 @@
                 info!(job = %task.job, %task, run, %failure, "start unanswered, stopping the run");
                 self.end_run(&task, Then::Restart, now, out);
             }
-            Purpose::Stop(task, run) => {
-                if self.is_stopping(&task, run) {
-                    self.send_stop(&task, run, now, out);
-                }
-            }
-            Purpose::Look(task, run) => {
+            Purpose::Stop(task, run) | Purpose::Look(task, run) => {
                 if self.is_stopping(&task, run) {
-                    self.look(&task, run, now, out);
+                    self.delay_stop(&task, now);
                 }
             }
             Purpose::StopOrphan | Purpose::Probe(_) => {}
@@ -382,11 +380,25 @@
 
     pub(super) fn delay_hold(&mut self, now: Time) {
         if let Some(endpoint) = &mut self.endpoint {
-            endpoint.next_hold = now.after_millis(HOLD_RETRY_MS);
+            endpoint.next_hold = now.after_millis(endpoint.retry_ms());
             self.next_check = self.next_check.min(endpoint.next_hold);
         }
     }
 
+    /// Puts the next stop of a run off, or the next look whether it is over.
+    fn delay_stop(&mut self, task: &TaskKey, now: Time) {
+        let pause = self.endpoint.as_ref().map_or(0, Endpoint::retry_ms);
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        if let Phase::Stopping { resend, over, .. } = &mut run.phase {
+            let confirmed = *resend == Time::MAX;
+            let next = if confirmed { over } else { resend };
+            *next = now.after_millis(pause);
+            self.next_check = self.next_check.min(*next);
+        }
+    }
+
     /// Raises the fencing token after a refusal.
     ///
     /// Only this host's process calls the endpoint, so a higher token was used by an earlier
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -191,3 +191,21 @@
     }
     assert_eq!(world.history.broken, Vec::<String>::new());
 }
+
+/// Guards against a call that is repeated without a pause when its connection is reset: each new
+/// connection has its price, and thousands a second were opened.
+#[test]
+fn calls_to_an_endpoint_that_resets_connections_are_paced() {
+    for percent in [40, 100] {
+        let mut world = started();
+        world.fault_at(0, Fault::Endpoint(1, Trouble::Reset(percent), 4_000));
+        steady(&mut world, 0, 3_000);
+        world.run_ms(20);
+        let before = world.endpoints[1].calls;
+        world.run_ms(2_980);
+        let calls = world.endpoints[1].calls - before;
+        // An endpoint without trouble gets some 100 calls a second in this load.
+        assert!(calls <= 900, "{percent} %: {calls} calls in 3 s");
+        assert_eq!(world.history.broken, Vec::<String>::new());
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -29,6 +29,7 @@
         (2..8_u32).prop_map(Trouble::Slow),
         (5..40_u32).prop_map(Trouble::LateOrders),
         (5..40_u32).prop_map(Trouble::LostReplies),
+        (20..100_u32).prop_map(Trouble::Reset),
         Just(Trouble::Silent),
         Just(Trouble::Gone),
     ]
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -23,6 +23,9 @@
     LateOrders(u32),
     /// This share of the orders, in percent, is carried out and its reply is lost.
     LostReplies(u32),
+    /// The connection of this share of the calls, in percent, is reset; half of them are carried
+    /// out before.
+    Reset(u32),
     /// Nothing is answered.
     Silent,
     /// The process is gone.
@@ -73,6 +76,8 @@
     ended: Vec<EndEntry>,
     next_end: u64,
     pub waiting: Vec<Waiting>,
+    /// How many calls have arrived.
+    pub calls: u64,
 }
 
 impl Endpoint {
@@ -96,6 +101,7 @@
             ended: Vec::new(),
             next_end: 1,
             waiting: Vec::new(),
+            calls: 0,
         }
     }
 
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -646,6 +646,18 @@
             self.after_ms(LATE_MS, late);
             return;
         }
+        self.endpoints[agent].calls += 1;
+        let endpoint = &self.endpoints[agent];
+        if let Trouble::Reset(percent) = endpoint.trouble
+            && self.rng.random_range(0..100) < percent
+        {
+            let reset = Err(CallFailure::NoReply);
+            self.after_us(LOCAL_US, Event::Answer(agent, life, number, reset));
+            if self.rng.random_range(0..2) == 0 {
+                return;
+            }
+        }
+        let endpoint = &self.endpoints[agent];
         let lost = match endpoint.trouble {
             Trouble::LostReplies(percent) => self.rng.random_range(0..100) < percent,
             _ => false,
