fix(entry): take over an end that the store has while the task counts as sent

Cause: another entry adds an end to a job's state when the owner's link to the agent is silent. The owner passed that over for a task that it believed to run, and placed the task again once the link was closed: a run after its end was noted.

Change: what the store calls done is done; a run that may go on is stopped.

Test: the stand-in in virtual time now has the store (leases, watches, conditions, lost and late writes, refusals, compaction) and plays kept jobs under random faults; the schedule that failed is kept as a regression case.

--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -608,10 +608,18 @@
         };
         for task in &mut job.tasks {
             let step = stored.steps.get(usize::from(task.step));
-            let done = step.is_some_and(|step| step.is_done(task.index));
-            if done && !matches!(task.state, TaskState::Sent(_)) {
-                task.state = TaskState::Done;
+            if !step.is_some_and(|step| step.is_done(task.index)) {
+                continue;
+            }
+            // The end may have been lost on the way here, or another run may go on.
+            if let TaskState::Sent(link) = task.state {
+                let frame = EntryFrame::Stop {
+                    job: id.clone(),
+                    tasks: vec![(task.step, task.index)],
+                };
+                out.push(Action::Send { link, frame });
             }
+            task.state = TaskState::Done;
         }
         if let Some(state) = &mut job.state {
             state.merge(stored);
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -0,0 +1,177 @@
+//! Jobs that are kept, under random faults of the store, the entries, the agents and the endpoints.
+
+mod support;
+
+use fulmarpond_dispatch::JobId;
+use proptest::prelude::*;
+use support::{Demand, Fault, Options, StoreTrouble, Trouble, World, traced};
+
+const PLATE: Demand = Demand {
+    route: 0,
+    tasks: 3,
+    cpu: 1_000,
+    run_ms: 60,
+};
+
+const STOCK: Demand = Demand {
+    route: 2,
+    tasks: 2,
+    cpu: 1_000,
+    run_ms: 600,
+};
+
+/// How long traffic goes on, in milliseconds.
+const LENGTH_MS: u64 = 6_000;
+
+/// By when all accepted jobs have ended after that: an announcement of 6 s lapses, the jobs are
+/// taken over, and run twice over.
+const FINISH_MS: u64 = 24_000;
+
+fn store_trouble() -> impl Strategy<Value = StoreTrouble> {
+    prop_oneof![
+        any::<bool>().prop_map(|lapse| StoreTrouble::Down { lapse }),
+        (50..300_u64).prop_map(StoreTrouble::Slow),
+        (10..60_u32).prop_map(StoreTrouble::Lost),
+        (10..60_u32).prop_map(StoreTrouble::Late),
+        Just(StoreTrouble::Refusing),
+    ]
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    prop_oneof![
+        Just(Trouble::Hang),
+        Just(Trouble::Fail),
+        (5..40_u32).prop_map(Trouble::LateOrders),
+        (5..40_u32).prop_map(Trouble::LostReplies),
+        (20..100_u32).prop_map(Trouble::Reset),
+        Just(Trouble::Silent),
+        Just(Trouble::Gone),
+    ]
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => (store_trouble(), 300..5_000_u64)
+            .prop_map(|(trouble, ms)| Fault::Store(trouble, ms)),
+        2 => (0..3_usize, 300..9_000_u64, any::<bool>())
+            .prop_map(|(entry, ms, revoke)| Fault::StoreCut(entry, ms, revoke)),
+        1 => Just(Fault::Compact),
+        2 => (0..3_usize).prop_map(Fault::KillEntry),
+        1 => (0..3_usize).prop_map(Fault::PowerOffEntry),
+        2 => (0..3_usize, 50..9_000_u64).prop_map(|(entry, ms)| Fault::PauseEntry(entry, ms)),
+        1 => (0..4_usize).prop_map(Fault::KillAgent),
+        1 => (0..4_usize, 50..4_000_u64).prop_map(|(agent, ms)| Fault::PauseAgent(agent, ms)),
+        2 => (0..4_usize, 0..3_usize, 100..4_000_u64)
+            .prop_map(|(agent, entry, ms)| Fault::Cut(agent, entry, ms)),
+        1 => (0..4_usize, 0..3_usize).prop_map(|(agent, entry)| Fault::Silence(agent, entry)),
+        2 => (0..4_usize, trouble(), 300..4_000_u64)
+            .prop_map(|(agent, trouble, ms)| Fault::Endpoint(agent, trouble, ms)),
+    ]
+}
+
+fn started(seed: u64) -> World {
+    let mut world = World::new(Options {
+        seed,
+        entries: 3,
+        kept: true,
+        ..Options::default()
+    });
+    world.run_ms(1_000);
+    world
+}
+
+fn submit(world: &mut World) -> Vec<JobId> {
+    let mut jobs = Vec::new();
+    for at in (0..LENGTH_MS).step_by(110) {
+        jobs.push(world.submit_at(at, PLATE));
+    }
+    for at in (0..LENGTH_MS).step_by(400) {
+        jobs.push(world.submit_at(at, STOCK));
+    }
+    jobs
+}
+
+fn play(seed: u64, faults: &[(u64, Fault)]) -> World {
+    traced(|| schedule(seed, faults))
+}
+
+fn schedule(seed: u64, faults: &[(u64, Fault)]) -> World {
+    let mut world = started(seed);
+    submit(&mut world);
+    for &(at, fault) in faults {
+        world.fault_at(at, fault);
+    }
+    world.run_ms(LENGTH_MS + FINISH_MS);
+    world.history.check_refusals();
+    world.check_kept();
+    world
+}
+
+/// Reads a number from the environment.
+fn number(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
+}
+
+/// `FULMARPOND_CASES` multiplies the cases, `FULMARPOND_SEED` replaces the seed.
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 24 * u32::try_from(number("FULMARPOND_CASES", 1)).unwrap_or(1),
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(number("FULMARPOND_SEED", 20_261_204)),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a kept job that is lost, shown with a wrong state, or whose task runs twice
+    /// or again after its end was noted.
+    #[test]
+    fn promises_hold(
+        seed in any::<u64>(),
+        faults in proptest::collection::vec((0..LENGTH_MS, fault()), 1..6),
+    ) {
+        let world = play(seed, &faults);
+        prop_assert!(world.history.broken.is_empty(), "{:?}", world.history.broken);
+    }
+}
+
+/// Guards against a stand-in that accepts nothing, under which every promise holds.
+#[test]
+fn calm_schedule_completes_all_jobs() {
+    let mut world = started(1);
+    let jobs = submit(&mut world);
+    world.run_ms(LENGTH_MS + FINISH_MS);
+    world.check_kept();
+    assert_eq!(world.history.broken, Vec::<String>::new());
+    assert_eq!(world.history.accepted.len(), jobs.len());
+}
+
+struct Regression {
+    cause: &'static str,
+    seed: u64,
+    faults: &'static [(u64, Fault)],
+}
+
+/// Guards against the return of faults that the schedules have found.
+#[test]
+fn schedules_that_once_failed_hold() {
+    let cases = [
+        Regression {
+            cause: "a task was placed again although its end was held at an agent",
+            seed: 1_634_228_432_693_196_346,
+            faults: &[
+                (3_295, Fault::Silence(1, 2)),
+                (1_385, Fault::PauseAgent(0, 1_493)),
+            ],
+        },
+    ];
+    for case in cases {
+        let world = play(case.seed, case.faults);
+        assert_eq!(world.history.broken, Vec::<String>::new(), "{}", case.cause);
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -78,6 +78,12 @@
     pub waiting: Vec<Waiting>,
     /// How many calls have arrived.
     pub calls: u64,
+    /// How often its lease has run out.
+    lapses: u32,
+    /// How often it had run out when each listed end came.
+    end_lapses: HashMap<u64, u32>,
+    /// Tasks whose done runs were taken note of, without a lapse in between.
+    pub noted: Vec<(TaskKey, u32)>,
 }
 
 impl Endpoint {
@@ -102,6 +108,9 @@
             next_end: 1,
             waiting: Vec::new(),
             calls: 0,
+            lapses: 0,
+            end_lapses: HashMap::new(),
+            noted: Vec::new(),
         }
     }
 
@@ -150,6 +159,7 @@
             run: run.number,
             how,
         });
+        self.end_lapses.insert(self.next_end, self.lapses);
         self.next_end += 1;
         true
     }
@@ -203,6 +213,9 @@
             return (self.refused(clock, StartRefusal::Fenced), Effect::None);
         }
         self.fence = fence;
+        if clock >= self.lease {
+            self.lapses += 1;
+        }
         match call {
             EndpointCall::Start {
                 task, run, lease, ..
@@ -240,7 +253,7 @@
                 (EndpointReply::Done { clock }, effect)
             }
             EndpointCall::Hold { acked, lease, .. } => {
-                self.ended.retain(|end| end.number > *acked);
+                self.note(*acked);
                 if let Some(lease) = lease {
                     self.lease = self.lease.max(*lease);
                 }
@@ -249,6 +262,20 @@
         }
     }
 
+    /// Forgets ends that were taken note of.
+    fn note(&mut self, acked: u64) {
+        let (noted, left): (Vec<EndEntry>, Vec<EndEntry>) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|end| end.number <= acked);
+        self.ended = left;
+        for end in noted {
+            let whole = self.end_lapses.remove(&end.number) == Some(self.lapses);
+            if whole && end.how == EndHow::Done {
+                self.noted.push((end.task, end.run));
+            }
+        }
+    }
+
     const fn refused(&self, clock: i64, reason: StartRefusal) -> EndpointReply {
         EndpointReply::Refused {
             clock: Some(clock),
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -2,9 +2,13 @@
 
 use std::collections::{HashMap, HashSet};
 
+use fulmarpond_dispatch::agent::EndHow;
 use fulmarpond_dispatch::entry::Answer;
 use fulmarpond_dispatch::{JobId, TaskKey};
 
+/// How often a task may fail.
+pub const ATTEMPTS: u32 = 4;
+
 /// The events that the promises speak about.
 #[derive(Debug, Default)]
 pub struct History {
@@ -12,6 +16,12 @@
     live: HashMap<TaskKey, Vec<usize>>,
     starts: HashMap<JobId, u32>,
     done: HashSet<TaskKey>,
+    /// When a run of a task was done at an endpoint, and the last starts of each task.
+    done_at: HashMap<(TaskKey, usize), u64>,
+    started_at: HashMap<TaskKey, u64>,
+    /// Tasks whose end is known to the system for good.
+    noted: HashSet<TaskKey>,
+    pub accepted: HashSet<JobId>,
     failed: HashMap<TaskKey, u32>,
     /// Attempts of a job that may have led to a start: sent, and not refused as not run.
     open: HashMap<JobId, i64>,
@@ -31,23 +41,61 @@
             self.broken.push(text);
         }
         live.push(endpoint);
+        if self.noted.contains(task) {
+            let text = format!("{task} started at {endpoint} after its end was noted, {at_ms} ms");
+            self.broken.push(text);
+        }
+        self.started_at.insert(task.clone(), at_ms);
         *self.starts.entry(task.job.clone()).or_default() += 1;
     }
 
-    pub fn ended(&mut self, task: &TaskKey, endpoint: usize, done: bool, failed: bool) {
+    pub fn ended(&mut self, task: &TaskKey, endpoint: usize, how: EndHow, at_ms: u64) {
         if let Some(live) = self.live.get_mut(task)
             && let Some(position) = live.iter().position(|&known| known == endpoint)
         {
             live.remove(position);
         }
-        if done {
+        if how == EndHow::Done {
             self.done.insert(task.clone());
+            self.done_at.insert((task.clone(), endpoint), at_ms);
         }
-        if failed {
+        if how == EndHow::Failed {
             *self.failed.entry(task.clone()).or_default() += 1;
         }
     }
 
+    /// Takes note that the system has taken note of a run that was done.
+    pub fn noted(&mut self, task: &TaskKey, endpoint: usize, run: u32) {
+        let Some(&done) = self.done_at.get(&(task.clone(), endpoint)) else {
+            return;
+        };
+        self.noted.insert(task.clone());
+        let last = self.started_at.get(task).copied().unwrap_or_default();
+        if last > done {
+            self.broken.push(format!(
+                "{task} started at {last} ms, and its end at {endpoint} (run {run}, {done} ms) is noted"
+            ));
+        }
+    }
+
+    pub fn all_done(&self, job: &JobId, tasks: u16) -> bool {
+        Self::tasks(job, tasks).all(|task| self.done.contains(&task))
+    }
+
+    /// Returns whether a task has failed as often as it may.
+    pub fn may_fail(&self, job: &JobId, tasks: u16) -> bool {
+        let failures = |task| self.failed.get(&task).copied().unwrap_or_default();
+        Self::tasks(job, tasks).any(|task| failures(task) >= ATTEMPTS)
+    }
+
+    fn tasks(job: &JobId, count: u16) -> impl Iterator<Item = TaskKey> {
+        (0..count).map(|index| TaskKey {
+            job: job.clone(),
+            step: 0,
+            index,
+        })
+    }
+
     pub fn sent(&mut self, job: &JobId) {
         *self.open.entry(job.clone()).or_default() += 1;
     }
@@ -79,7 +127,10 @@
                 *self.open.entry(job.clone()).or_default() -= 1;
             }
             Answer::MayHaveRun { .. } => self.lost += 1,
-            Answer::Accepted | Answer::Cancelled | Answer::Unknown => {}
+            Answer::Accepted => {
+                self.accepted.insert(job.clone());
+            }
+            Answer::Cancelled | Answer::Unknown => {}
         }
     }
 
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -11,6 +11,9 @@
 mod history;
 mod network;
 mod options;
+mod store;
+mod stored;
+mod trace;
 mod world;
 
 #[allow(unused_imports, reason = "each test file uses a part of it")]
@@ -18,4 +21,8 @@
 #[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use endpoint::Trouble;
 pub use options::Options;
+#[allow(unused_imports, reason = "each test file uses a part of it")]
+pub use store::StoreTrouble;
+#[allow(unused_imports, reason = "each test file uses a part of it")]
+pub use trace::traced;
 pub use world::{Fault, World};
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -14,6 +14,8 @@
     pub patience_ms: u64,
     /// The most a run time differs from its estimate, as a factor.
     pub spread: f64,
+    /// Whether there is a store and all jobs are kept in it.
+    pub kept: bool,
 }
 
 impl Default for Options {
@@ -26,6 +28,7 @@
             resend_ms: 1_300,
             patience_ms: 4_000,
             spread: 1.3,
+            kept: false,
         }
     }
 }
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/support/store.rs
@@ -0,0 +1,281 @@
+//! The platform's store: items under conditions, leases, watches and their troubles.
+
+use std::collections::BTreeMap;
+
+use fulmarpond_core::Time;
+use fulmarpond_dispatch::directory::{Announced, CommitRow, JobItem, StoreCall, StoreReply};
+use fulmarpond_dispatch::entry::Configuration;
+use fulmarpond_dispatch::{JobId, decode, ledger};
+
+/// What goes wrong at the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreTrouble {
+    #[default]
+    None,
+    /// Nothing is answered or done; leases lapse meanwhile, or stand still.
+    Down { lapse: bool },
+    /// Each answer takes this long, in milliseconds.
+    Slow(u64),
+    /// This share of the writes, in percent, is done and not answered.
+    Lost(u32),
+    /// This share of the writes, in percent, is not answered and done some seconds later.
+    Late(u32),
+    /// Calls are refused without an effect.
+    Refusing,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    spec: Vec<u8>,
+    state: Vec<u8>,
+    revision: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    ends: Time,
+    ttl: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Change {
+    Job(JobId),
+    Entries,
+}
+
+#[derive(Debug, Default)]
+pub struct Store {
+    pub trouble: StoreTrouble,
+    pub configuration: Option<Configuration>,
+    jobs: BTreeMap<JobId, Item>,
+    entries: BTreeMap<String, (Announced, u64)>,
+    leases: BTreeMap<u64, Lease>,
+    changes: Vec<(u64, Change)>,
+    revision: u64,
+    /// History up to this revision is gone.
+    compacted: u64,
+    next_lease: u64,
+}
+
+impl Store {
+    /// Returns the reply to a call; nothing while a watch has to wait.
+    pub fn call(&mut self, from: &Announced, call: &StoreCall, now: Time) -> Option<StoreReply> {
+        self.expire(now);
+        let at = self.revision;
+        let reply = match call {
+            StoreCall::ReadConfiguration => StoreReply::Configuration {
+                value: self.configuration.clone(),
+                at,
+            },
+            // The configuration does not change here.
+            StoreCall::WatchConfiguration { .. } => return None,
+            StoreCall::ListEntries => StoreReply::Entries {
+                entries: self
+                    .entries
+                    .values()
+                    .map(|(entry, _)| entry.clone())
+                    .collect(),
+                at,
+            },
+            StoreCall::WatchEntries { after, .. } => {
+                self.since(*after, |change| *change == Change::Entries)?
+            }
+            StoreCall::Grant { ttl } => self.grant(*ttl, now),
+            StoreCall::Renew { lease } => self.renew(*lease, now),
+            StoreCall::Announce { lease } => self.announce(from, *lease),
+            StoreCall::End { lease } => {
+                self.end_lease(*lease);
+                StoreReply::Written
+            }
+            StoreCall::ListJobs { .. } => StoreReply::JobPage {
+                items: self.jobs.keys().filter_map(|job| self.item(job)).collect(),
+                more: false,
+                at,
+            },
+            StoreCall::WatchJobs { after, .. } => self.job_changes(*after)?,
+            StoreCall::ReadJob { job } => StoreReply::Job {
+                spec: self.jobs.get(job).map(|item| item.spec.clone()),
+            },
+            StoreCall::CommitJobs { rows } => self.commit(rows),
+        };
+        Some(reply)
+    }
+
+    /// Returns the reply to a watch whose time is over.
+    pub fn nothing_new(&self, call: &StoreCall) -> StoreReply {
+        let at = self.revision;
+        match call {
+            StoreCall::WatchJobs { .. } => StoreReply::JobChanges {
+                items: Vec::new(),
+                removed: Vec::new(),
+                at,
+            },
+            _ => StoreReply::Changed { any: false, at },
+        }
+    }
+
+    pub const fn is_write(call: &StoreCall) -> bool {
+        matches!(
+            call,
+            StoreCall::CommitJobs { .. } | StoreCall::Announce { .. } | StoreCall::Grant { .. }
+        )
+    }
+
+    /// Ends the leases of an entry, as a store does that turns its host away.
+    pub fn revoke(&mut self, name: &str) {
+        if let Some((_, lease)) = self.entries.get(name) {
+            let lease = *lease;
+            self.end_lease(lease);
+        }
+    }
+
+    pub fn compact(&mut self) {
+        self.compacted = self.revision;
+        self.changes.clear();
+    }
+
+    /// Lets leases stand still for a while.
+    pub fn prolong(&mut self, millis: u64) {
+        for lease in self.leases.values_mut() {
+            lease.ends = lease.ends.after_millis(millis);
+        }
+    }
+
+    pub fn state(&self, job: &JobId) -> Option<ledger::JobState> {
+        self.jobs.get(job).and_then(|item| decode(&item.state).ok())
+    }
+
+    pub fn expire(&mut self, now: Time) {
+        if matches!(self.trouble, StoreTrouble::Down { lapse: false }) {
+            return;
+        }
+        let lapsed = self.leases.iter().filter(|(_, lease)| lease.ends <= now);
+        let lapsed: Vec<u64> = lapsed.map(|(&number, _)| number).collect();
+        for lease in lapsed {
+            self.end_lease(lease);
+        }
+    }
+
+    fn changed(&mut self, changes: impl IntoIterator<Item = Change>) -> u64 {
+        self.revision += 1;
+        let revision = self.revision;
+        self.changes
+            .extend(changes.into_iter().map(|change| (revision, change)));
+        revision
+    }
+
+    fn since(&self, after: u64, wanted: impl Fn(&Change) -> bool) -> Option<StoreReply> {
+        if after < self.compacted {
+            return Some(StoreReply::Compacted);
+        }
+        let mut later = self.changes.iter().filter(|(at, _)| *at > after);
+        let any = later.any(|(_, change)| wanted(change));
+        any.then_some(StoreReply::Changed {
+            any,
+            at: self.revision,
+        })
+    }
+
+    fn job_changes(&self, after: u64) -> Option<StoreReply> {
+        let wanted = |change: &Change| matches!(change, Change::Job(_));
+        let StoreReply::Changed { .. } = self.since(after, wanted)? else {
+            return Some(StoreReply::Compacted);
+        };
+        let later = self.changes.iter().filter(|(at, _)| *at > after);
+        let mut jobs: Vec<&JobId> = later
+            .filter_map(|(_, change)| match change {
+                Change::Job(job) => Some(job),
+                Change::Entries => None,
+            })
+            .collect();
+        jobs.sort();
+        jobs.dedup();
+        let (present, removed): (Vec<&JobId>, Vec<&JobId>) = jobs
+            .into_iter()
+            .partition(|job| self.jobs.contains_key(*job));
+        Some(StoreReply::JobChanges {
+            items: present
+                .into_iter()
+                .filter_map(|job| self.item(job))
+                .collect(),
+            removed: removed.into_iter().cloned().collect(),
+            at: self.revision,
+        })
+    }
+
+    fn grant(&mut self, ttl: u64, now: Time) -> StoreReply {
+        self.next_lease += 1;
+        let ends = now.after_millis(ttl);
+        self.leases.insert(self.next_lease, Lease { ends, ttl });
+        StoreReply::Leased {
+            lease: self.next_lease,
+        }
+    }
+
+    fn renew(&mut self, number: u64, now: Time) -> StoreReply {
+        match self.leases.get_mut(&number) {
+            Some(lease) => {
+                lease.ends = now.after_millis(lease.ttl);
+                StoreReply::Leased { lease: number }
+            }
+            None => StoreReply::NoLease,
+        }
+    }
+
+    fn announce(&mut self, from: &Announced, lease: u64) -> StoreReply {
+        if !self.leases.contains_key(&lease) {
+            return StoreReply::NoLease;
+        }
+        self.entries
+            .insert(from.name.clone(), (from.clone(), lease));
+        self.changed([Change::Entries]);
+        StoreReply::Written
+    }
+
+    fn end_lease(&mut self, number: u64) {
+        self.leases.remove(&number);
+        let before = self.entries.len();
+        self.entries.retain(|_, (_, lease)| *lease != number);
+        if self.entries.len() != before {
+            self.changed([Change::Entries]);
+        }
+    }
+
+    fn commit(&mut self, rows: &[CommitRow]) -> StoreReply {
+        let present = |job: &JobId| self.jobs.get(job).map_or(0, |item| item.revision);
+        if rows.iter().any(|row| present(&row.job) != row.expected) {
+            return StoreReply::Conflict {
+                items: rows.iter().filter_map(|row| self.item(&row.job)).collect(),
+            };
+        }
+        let changes: Vec<Change> = rows
+            .iter()
+            .map(|row| Change::Job(row.job.clone()))
+            .collect();
+        let revision = self.changed(changes);
+        for row in rows {
+            let Some(state) = &row.state else {
+                self.jobs.remove(&row.job);
+                continue;
+            };
+            let known = self.jobs.get(&row.job).map(|item| item.spec.clone());
+            let spec = row.spec.clone().or(known).unwrap_or_default();
+            let item = Item {
+                spec,
+                state: state.clone(),
+                revision,
+            };
+            self.jobs.insert(row.job.clone(), item);
+        }
+        StoreReply::Committed { revision }
+    }
+
+    fn item(&self, job: &JobId) -> Option<JobItem> {
+        let item = self.jobs.get(job)?;
+        Some(JobItem {
+            job: job.clone(),
+            state: item.state.clone(),
+            revision: item.revision,
+        })
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/support/stored.rs
@@ -0,0 +1,269 @@
+//! Entries and the store of the stand-in.
+
+use fulmarpond_core::Time;
+use fulmarpond_dispatch::directory::{self, Announced, Directory, Duty, StoreCall, StoreReply};
+use fulmarpond_dispatch::ledger::Status;
+use rand::RngExt;
+
+use super::store::{Store, StoreTrouble};
+use super::world::{Event, Fault, World};
+
+/// One way between an entry and the store, in microseconds.
+const STORE_US: u64 = 1_500;
+
+/// How long a late write is held up, in milliseconds.
+const LATE_MS: std::ops::Range<u64> = 1_000..6_000;
+
+/// The status of a call that the store refuses.
+const UNAVAILABLE: u16 = 503;
+
+/// Names a call of one life of an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Caller {
+    pub entry: usize,
+    pub life: u32,
+    pub number: u64,
+}
+
+/// A call on its way to the store.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    pub by: Caller,
+    pub duty: Duty,
+    pub call: StoreCall,
+    /// Whether it was held up, and gets no answer.
+    pub late: bool,
+}
+
+/// The outcome of a call: nothing without a reply, an error for one that was refused.
+pub type Outcome = Option<Result<StoreReply, u16>>;
+
+impl World {
+    fn announced(entry: usize) -> Announced {
+        Announced {
+            name: format!("entry-{entry}"),
+            addr: Self::entry_addr(entry),
+        }
+    }
+
+    pub(super) fn call_store(&mut self, entry: usize, duty: Duty, call: StoreCall, timeout: u64) {
+        self.next += 1;
+        let by = Caller {
+            entry,
+            life: self.entries[entry].life,
+            number: self.next,
+        };
+        let sent = Sent {
+            by,
+            duty,
+            call,
+            late: false,
+        };
+        self.after_us(STORE_US, Event::ToStore(sent));
+        self.after_ms(timeout, Event::FromStore(by, duty, None));
+    }
+
+    pub(super) fn to_store(&mut self, mut sent: Sent) {
+        let entry = sent.by.entry;
+        let trouble = self.store.trouble;
+        let away = self.store_cuts.contains(&entry) && !sent.late;
+        if away || matches!(trouble, StoreTrouble::Down { .. }) {
+            return;
+        }
+        if trouble == StoreTrouble::Refusing {
+            self.answer_from_store(&sent, Some(Err(UNAVAILABLE)));
+            return;
+        }
+        let writes = Store::is_write(&sent.call);
+        if let StoreTrouble::Late(percent) = trouble
+            && writes
+            && !sent.late
+            && self.rng.random_range(0..100) < percent
+        {
+            sent.late = true;
+            let delay = self.rng.random_range(LATE_MS);
+            self.after_ms(delay, Event::ToStore(sent));
+            return;
+        }
+        let now = self.now;
+        let reply = self.store.call(&Self::announced(entry), &sent.call, now);
+        let lost = match trouble {
+            StoreTrouble::Lost(percent) => writes && self.rng.random_range(0..100) < percent,
+            _ => false,
+        };
+        match reply {
+            Some(_) if sent.late || lost => {}
+            Some(reply) => self.answer_from_store(&sent, Some(Ok(reply))),
+            None => self.wait_for_change(sent),
+        }
+        self.answer_watches();
+    }
+
+    fn wait_for_change(&mut self, sent: Sent) {
+        let wait = match sent.call {
+            StoreCall::WatchConfiguration { wait, .. }
+            | StoreCall::WatchEntries { wait, .. }
+            | StoreCall::WatchJobs { wait, .. } => wait,
+            _ => 0,
+        };
+        self.after_ms(wait, Event::WatchEnds(sent.by));
+        self.watches.push(sent);
+    }
+
+    pub(super) fn watch_ends(&mut self, by: Caller) {
+        let Some(position) = self.watches.iter().position(|sent| sent.by == by) else {
+            return;
+        };
+        let sent = self.watches.swap_remove(position);
+        if matches!(self.store.trouble, StoreTrouble::Down { .. }) {
+            return;
+        }
+        let reply = self.store.nothing_new(&sent.call);
+        self.answer_from_store(&sent, Some(Ok(reply)));
+    }
+
+    /// Answers the watches that have something to tell.
+    pub(super) fn answer_watches(&mut self) {
+        if matches!(self.store.trouble, StoreTrouble::Down { .. }) {
+            return;
+        }
+        let now = self.now;
+        for sent in std::mem::take(&mut self.watches) {
+            let from = Self::announced(sent.by.entry);
+            match self.store.call(&from, &sent.call, now) {
+                Some(reply) => self.answer_from_store(&sent, Some(Ok(reply))),
+                None => self.watches.push(sent),
+            }
+        }
+    }
+
+    fn answer_from_store(&mut self, sent: &Sent, outcome: Outcome) {
+        if self.store_cuts.contains(&sent.by.entry) {
+            return;
+        }
+        let delay = match self.store.trouble {
+            StoreTrouble::Slow(millis) => millis * 1_000,
+            _ => STORE_US,
+        };
+        self.after_us(delay, Event::FromStore(sent.by, sent.duty, outcome));
+    }
+
+    pub(super) fn from_store(&mut self, by: Caller, duty: Duty, outcome: Outcome) {
+        let Caller { entry, life, .. } = by;
+        if self.entries[entry].life != life || self.store_answered.contains(&by) {
+            return;
+        }
+        let event = Event::FromStore(by, duty, outcome.clone());
+        if self.put_off(self.entries[entry].paused, &event) {
+            return;
+        }
+        self.store_answered.insert(by);
+        if matches!(duty, Duty::Jobs | Duty::Commit | Duty::Job) {
+            self.with_entry(entry, |core, now, out| {
+                core.store_answered(duty, outcome, now, out);
+            });
+            return;
+        }
+        let now = self.now;
+        let mut tasks = Vec::new();
+        let mut end = None;
+        if let Some(directory) = &mut self.directories[entry] {
+            directory.answered(duty, outcome.and_then(Result::ok), now, &mut tasks);
+            end = directory.lease_end();
+        }
+        self.directory_actions(entry, tasks);
+        self.with_entry(entry, |core, _, _| core.set_lease(end));
+    }
+
+    pub(super) fn tick_directory(&mut self, entry: usize) {
+        let now = self.now;
+        let mut tasks = Vec::new();
+        if let Some(directory) = &mut self.directories[entry] {
+            directory.tick(now, &mut tasks);
+        }
+        self.directory_actions(entry, tasks);
+    }
+
+    fn directory_actions(&mut self, entry: usize, tasks: Vec<directory::Action>) {
+        for task in tasks {
+            match task {
+                directory::Action::Call {
+                    duty,
+                    call,
+                    timeout,
+                } => self.call_store(entry, duty, call, timeout),
+                directory::Action::Configured(configuration) => {
+                    self.with_entry(entry, |core, _, out| core.configure(configuration, out));
+                }
+                directory::Action::Listed(entries) => {
+                    self.with_entry(entry, |core, now, out| {
+                        core.set_entries(&entries, now, out);
+                    });
+                }
+            }
+        }
+    }
+
+    pub(super) fn new_directory(&self, now: Time) -> Option<Directory> {
+        self.options.kept.then(|| Directory::new(now))
+    }
+
+    pub(super) fn store_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Store(trouble, millis) => {
+                self.store.trouble = trouble;
+                self.after_ms(millis, Event::Heal(fault));
+            }
+            Fault::StoreCut(entry, millis, revoke) => {
+                self.store_cuts.insert(entry);
+                if revoke {
+                    self.store.revoke(&format!("entry-{entry}"));
+                    self.answer_watches();
+                }
+                self.after_ms(millis, Event::Heal(fault));
+            }
+            Fault::Compact => self.store.compact(),
+            _ => {}
+        }
+    }
+
+    pub(super) fn heal_store(&mut self, fault: Fault) {
+        match fault {
+            Fault::Store(trouble, millis) => {
+                self.store.trouble = StoreTrouble::None;
+                if trouble == (StoreTrouble::Down { lapse: false }) {
+                    self.store.prolong(millis);
+                }
+                self.answer_watches();
+            }
+            Fault::StoreCut(entry, ..) => {
+                self.store_cuts.remove(&entry);
+            }
+            _ => {}
+        }
+    }
+
+    /// Adds the promises that the jobs in the store break: accepted ones that are gone, not ended,
+    /// or have another end than their tasks.
+    pub fn check_kept(&mut self) {
+        let mut broken = Vec::new();
+        for (id, job) in &self.jobs {
+            if !self.history.accepted.contains(id) {
+                continue;
+            }
+            let tasks = job.demand.tasks;
+            match self.store.state(id).map(|state| state.status) {
+                None => broken.push(format!("{id} was accepted and is gone")),
+                Some(Status::Open) => broken.push(format!("{id} was accepted and does not end")),
+                Some(Status::Completed) if !self.history.all_done(id, tasks) => {
+                    broken.push(format!("{id} is shown as completed and is not"));
+                }
+                Some(Status::Failed) if !self.history.may_fail(id, tasks) => {
+                    broken.push(format!("{id} is shown as failed without cause"));
+                }
+                Some(_) => {}
+            }
+        }
+        self.history.broken.append(&mut broken);
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -9,6 +9,7 @@
 use fulmarpond_dispatch::agent::{
     self, Agent, AgentOptions, CallFailure, CallNo, EndHow, EndpointCall, EndpointReply,
 };
+use fulmarpond_dispatch::directory::{Directory, Duty};
 use fulmarpond_dispatch::entry::{
     self, Answer, Configuration, Entry, EntryOptions, RequestNo, Route, Step, Submission,
 };
@@ -20,9 +21,12 @@
 
 use super::caller::{Demand, Reply};
 use super::endpoint::{Effect, Endpoint, Trouble, Waiting};
-use super::history::History;
+use super::history::{ATTEMPTS, History};
 use super::network::Link;
 use super::options::Options;
+use super::store::{Store, StoreTrouble};
+use super::stored::{Caller, Outcome, Sent};
+use super::trace;
 
 /// One way between two processes, in microseconds.
 const DELAY_US: u64 = 500;
@@ -55,10 +59,15 @@
     Silence(usize, usize),
     Endpoint(usize, Trouble, u64),
     Drain(usize),
+    Store(StoreTrouble, u64),
+    /// The store turns an entry away for a while, and may take its announcement.
+    StoreCut(usize, u64, bool),
+    /// The history of the store is dropped.
+    Compact,
 }
 
 #[derive(Debug, Clone)]
-enum Event {
+pub(super) enum Event {
     WakeEntry(usize, u32),
     WakeAgent(usize, u32),
     ToEntry(usize, Vec<u8>),
@@ -78,17 +87,20 @@
     Heal(Fault),
     StartEntry(usize),
     StartAgent(usize),
+    ToStore(Sent),
+    FromStore(Caller, Duty, Outcome),
+    WatchEnds(Caller),
 }
 
-struct Node<T> {
-    core: Option<T>,
-    life: u32,
-    paused: Time,
+pub(super) struct Node<T> {
+    pub(super) core: Option<T>,
+    pub(super) life: u32,
+    pub(super) paused: Time,
     wake: Time,
 }
 
-struct Job {
-    demand: Demand,
+pub(super) struct Job {
+    pub(super) demand: Demand,
     first: Time,
     attempt: u32,
     /// The entry and its life that hold the present attempt.
@@ -98,14 +110,14 @@
 
 /// Callers, entries, agents and endpoints in virtual time.
 pub struct World {
-    options: Options,
+    pub(super) options: Options,
     bounds: Bounds,
-    now: Time,
+    pub(super) now: Time,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     events: HashMap<u64, Event>,
-    next: u64,
-    rng: Pcg64Mcg,
-    entries: Vec<Node<Entry>>,
+    pub(super) next: u64,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) entries: Vec<Node<Entry>>,
     agents: Vec<Node<Agent>>,
     pub endpoints: Vec<Endpoint>,
     links: Vec<Link>,
@@ -113,13 +125,19 @@
     /// Holds that wait, by agent call: life of the agent and number.
     holds: HashMap<u64, (usize, u32, CallNo)>,
     answered: HashSet<(usize, u32, CallNo)>,
-    jobs: HashMap<JobId, Job>,
+    pub(super) jobs: HashMap<JobId, Job>,
     requests: HashMap<(usize, u32, RequestNo), (JobId, u32)>,
     needs: HashMap<JobId, Demand>,
     configuration: Configuration,
     /// When an agent acknowledged that its endpoint drains, and when the agent last started.
     drained: HashMap<usize, Time>,
     restarted: HashMap<usize, Time>,
+    pub(super) store: Store,
+    /// The entries that the store turns away.
+    pub(super) store_cuts: HashSet<usize>,
+    pub(super) directories: Vec<Option<Directory>>,
+    pub(super) watches: Vec<Sent>,
+    pub(super) store_answered: HashSet<Caller>,
     pub history: History,
 }
 
@@ -131,7 +149,7 @@
             prefix: format!("/{number}/"),
             service: "service".to_owned(),
             priority: number,
-            attempts: 4,
+            attempts: ATTEMPTS,
             stretch: 1.6,
             target_ms: 60,
         });
@@ -157,9 +175,16 @@
             configuration: Configuration::new(1, routes.collect(), None),
             drained: HashMap::new(),
             restarted: HashMap::new(),
+            store: Store::default(),
+            store_cuts: HashSet::new(),
+            directories: Vec::new(),
+            watches: Vec::new(),
+            store_answered: HashSet::new(),
             history: History::default(),
         };
+        world.store.configuration = Some(world.configuration.clone());
         for entry in 0..options.entries {
+            world.directories.push(None);
             world.entries.push(Node::new());
             world.start_entry(entry);
         }
@@ -183,16 +208,20 @@
         self.events.insert(self.next, event);
     }
 
-    fn after_us(&mut self, micros: u64, event: Event) {
+    pub(super) fn after_us(&mut self, micros: u64, event: Event) {
         self.at(self.now.after_micros(micros), event);
     }
 
-    fn after_ms(&mut self, millis: u64, event: Event) {
+    pub(super) fn after_ms(&mut self, millis: u64, event: Event) {
         self.after_us(millis * 1_000, event);
     }
 
     pub fn elapsed_ms(&self) -> u64 {
-        self.now.millis_since(Time::from_millis(10_000))
+        self.elapsed_us() / 1_000
+    }
+
+    fn elapsed_us(&self) -> u64 {
+        self.now.micros_since(Time::from_millis(10_000))
     }
 
     /// Lets time pass.
@@ -262,7 +291,7 @@
 
     // Nodes.
 
-    fn entry_addr(entry: usize) -> SocketAddr {
+    pub(super) fn entry_addr(entry: usize) -> SocketAddr {
         ([10, 0, 0, entry as u8], 7_000).into()
     }
 
@@ -278,6 +307,7 @@
         };
         let mut core = Entry::new(options, self.now);
         core.configure(self.configuration.clone(), &mut Vec::new());
+        self.directories[entry] = self.new_directory(self.now);
         self.entries[entry].start(core);
         let life = self.entries[entry].life;
         self.after_us(1, Event::WakeEntry(entry, life));
@@ -301,7 +331,7 @@
     }
 
     /// Puts an event off while its process stands still; returns whether it was put off.
-    fn put_off(&mut self, paused: Time, event: &Event) -> bool {
+    pub(super) fn put_off(&mut self, paused: Time, event: &Event) -> bool {
         if paused <= self.now {
             return false;
         }
@@ -309,13 +339,14 @@
         true
     }
 
-    fn with_entry(
+    pub(super) fn with_entry(
         &mut self,
         entry: usize,
         act: impl FnOnce(&mut Entry, Time, &mut Vec<entry::Action>),
     ) {
         let now = self.now;
         let mut out = Vec::new();
+        trace::at(self.elapsed_us(), "entry", entry);
         if let Some(core) = &mut self.entries[entry].core {
             act(core, now, &mut out);
             core.tick(now, &mut out);
@@ -323,6 +354,7 @@
         for action in out {
             self.entry_action(entry, action);
         }
+        self.tick_directory(entry);
         self.plan_entry(entry);
     }
 
@@ -331,7 +363,11 @@
         let Some(core) = &node.core else {
             return;
         };
-        let wake = core.wake().max(self.now.after_micros(100));
+        let directory = self.directories[entry].as_ref();
+        let wake = core
+            .wake()
+            .min(directory.map_or(Time::MAX, Directory::wake));
+        let wake = wake.max(self.now.after_micros(100));
         if node.wake <= self.now || wake < node.wake {
             node.wake = wake;
             let life = node.life;
@@ -346,6 +382,7 @@
     ) {
         let now = self.now;
         let mut out = Vec::new();
+        trace::at(self.elapsed_us(), "agent", agent);
         if let Some(core) = &mut self.agents[agent].core {
             act(core, now, &mut out);
             core.tick(now, &mut out);
@@ -369,8 +406,15 @@
 
     fn entry_action(&mut self, entry: usize, action: entry::Action) {
         match action {
-            // No job is kept here, so the store has nothing to do.
-            entry::Action::Store { .. } => {}
+            entry::Action::Store {
+                duty,
+                call,
+                timeout,
+            } => {
+                if self.options.kept {
+                    self.call_store(entry, duty, call, timeout);
+                }
+            }
             entry::Action::Close { link } => self.close(link, false),
             entry::Action::Send { link, frame } => self.send(link, 1, encode(&frame)),
             entry::Action::Answer {
@@ -560,6 +604,9 @@
             Event::Heal(fault) => self.heal(fault),
             Event::StartEntry(entry) => self.start_entry(entry),
             Event::StartAgent(agent) => self.start_agent(agent),
+            Event::ToStore(sent) => self.to_store(sent),
+            Event::FromStore(by, duty, outcome) => self.from_store(by, duty, outcome),
+            Event::WatchEnds(by) => self.watch_ends(by),
         }
     }
 
@@ -665,6 +712,9 @@
         let (needs, ends) = self.work(agent, &call);
         let now = self.now;
         let (reply, effect) = self.endpoints[agent].carry_out(&call, needs, ends, now);
+        for (task, run) in std::mem::take(&mut self.endpoints[agent].noted) {
+            self.history.noted(&task, agent, run);
+        }
         let incarnation = self.endpoints[agent].incarnation;
         match effect {
             Effect::None => {}
@@ -725,6 +775,7 @@
 
     fn started(&mut self, agent: usize, task: &TaskKey, ends: Time) {
         let at = self.elapsed_ms();
+        tracing::debug!(%task, "endpoint starts a run");
         self.history.started(task, agent, at);
         if let Some(&drained) = self.drained.get(&agent) {
             let restarted = self.restarted[&agent];
@@ -776,8 +827,9 @@
         if !self.endpoints[agent].end(task, how) {
             return;
         }
-        self.history
-            .ended(task, agent, how == EndHow::Done, how == EndHow::Failed);
+        let at = self.elapsed_ms();
+        tracing::debug!(%task, ?how, "endpoint ends a run");
+        self.history.ended(task, agent, how, at);
         let waiting = std::mem::take(&mut self.endpoints[agent].waiting);
         for hold in waiting {
             self.answer_hold(agent, hold.call);
@@ -890,7 +942,7 @@
                 spread: None,
             }],
             patience,
-            kept: false,
+            kept: self.options.kept,
         };
         let id = id.clone();
         let path = format!("/{}/{id}", demand.route);
@@ -947,6 +999,7 @@
                 self.after_ms(millis, Event::Heal(fault));
             }
             Fault::Drain(agent) => self.endpoints[agent].draining = true,
+            Fault::Store(..) | Fault::StoreCut(..) | Fault::Compact => self.store_fault(fault),
         }
     }
 
@@ -968,6 +1021,7 @@
                     self.after_ms(51, Event::Check(agent));
                 }
             }
+            Fault::Store(..) | Fault::StoreCut(..) => self.heal_store(fault),
             _ => {}
         }
     }
@@ -985,6 +1039,7 @@
         if self.entries[entry].core.take().is_none() {
             return;
         }
+        self.directories[entry] = None;
         self.entries[entry].life += 1;
         for number in 0..self.links.len() {
             if self.links[number].entry != entry || !self.links[number].open {
@@ -1033,7 +1088,8 @@
         let tasks: Vec<TaskKey> = self.endpoints[agent].runs.keys().cloned().collect();
         for task in tasks {
             self.endpoints[agent].runs.remove(&task);
-            self.history.ended(&task, agent, false, false);
+            let at = self.elapsed_ms();
+            self.history.ended(&task, agent, EndHow::Cut, at);
         }
         for hold in std::mem::take(&mut self.endpoints[agent].waiting) {
             if let Some((owner, life, number)) = self.holds.remove(&hold.call) {
