fix(ledger): one state of a job in a call

Cause: after a call without an answer the next one was filled up, also with a newer state of a job that was in it. The two had the same condition; when the call met a conflict, the older one went first and replaced the newer one, and a completed job stayed open for ever.

Change: a change waits until the one before it has its outcome.

--- a/crates/fulmarpond-dispatch/src/ledger/commits.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/commits.rs
@@ -48,12 +48,23 @@
             .iter()
             .map(|(_, change)| change.entries())
             .sum();
-        while let Some(next) = self.waiting.first_entry() {
-            used += next.get().entries();
+        // A change is derived from the one before it, which may be under way without an answer.
+        let unanswered = |job: &JobId| self.under_way.iter().any(|(known, _)| known == job);
+        let mut next = Vec::new();
+        for (job, change) in &self.waiting {
+            if unanswered(job) {
+                continue;
+            }
+            used += change.entries();
             if used > most {
                 break;
             }
-            self.under_way.push(next.remove_entry());
+            next.push(job.clone());
+        }
+        for job in next {
+            if let Some(change) = self.waiting.remove(&job) {
+                self.under_way.push((job, change));
+            }
         }
         &self.under_way
     }
--- a/crates/fulmarpond-dispatch/src/ledger/writing.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/writing.rs
@@ -177,6 +177,7 @@
                 self.written(job, change, revision, now, out);
                 continue;
             }
+            debug!(%job, expected, revision, owner = known.state.owner.name, status = ?known.state.status, "state has changed in the store");
             let newer = self.commits.take_waiting(&job);
             self.bases.remove(&job);
             let was_fresh = self.fresh.remove(&job);
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -169,6 +169,11 @@
                 (1_385, Fault::PauseAgent(0, 1_493)),
             ],
         },
+        Regression {
+            cause: "a first write whose answer was lost was found made, and its job never ran",
+            seed: 1_069_083_221_099_843_393,
+            faults: &[(0, Fault::Store(StoreTrouble::Lost(10), 517))],
+        },
     ];
     for case in cases {
         let world = play(case.seed, case.faults);
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -261,6 +261,21 @@
     assert!(ledger.state(&job(1)).is_some());
 }
 
+/// Guards against two states of one job in a call: the later one was dropped when the call met a
+/// conflict, and the job stayed open for ever.
+#[test]
+fn change_waits_for_an_unanswered_one_of_its_job() {
+    let mut ledger = ledger("one", 1);
+    ledger.keep(job(1), spec(), open(owner("one", 1)));
+    commit(&mut ledger, START);
+    let mut ended = open(owner("one", 1));
+    ended.status = Status::Completed;
+    ledger.change(&job(1), ended);
+    answer(&mut ledger, Duty::Commit, None, START);
+    let rows = commit(&mut ledger, START.after_millis(1_000));
+    assert_eq!(rows.len(), 1, "{rows:?}");
+}
+
 struct Takeover {
     name: &'static str,
     /// The owner of the job.
