fix(ledger): a refused attempt does not undo an earlier one without an answer

Cause: a new job whose first write had no answer was written again; when that attempt was refused, the job was given up as surely not kept. The first write had been made: the job was in the store under this entry, which did not run it, and no other entry takes over the jobs of a live one.

Change: a new job whose first write may have been made stays under way until the store says what became of it.

--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -88,6 +88,8 @@
     pub(super) bases: HashMap<JobId, u64>,
     /// New jobs whose first change is not written.
     pub(super) fresh: BTreeSet<JobId>,
+    /// New jobs whose first change may have been made.
+    pub(super) unsure: BTreeSet<JobId>,
     /// The revision up to which the jobs are known; nothing before the first full list.
     pub(super) at: Option<u64>,
     /// When the last list or watch was answered.
@@ -117,6 +119,7 @@
             commits: Commits::default(),
             bases: HashMap::new(),
             fresh: BTreeSet::new(),
+            unsure: BTreeSet::new(),
             at: None,
             synced: now,
             listing: None,
--- a/crates/fulmarpond-dispatch/src/ledger/writing.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/writing.rs
@@ -87,13 +87,15 @@
         let mut left = Vec::new();
         for (job, change) in self.commits.take_under_way() {
             let fresh = self.fresh.contains(&job);
-            if fresh && !unsure {
+            // A refusal says nothing about an earlier attempt without an answer.
+            if fresh && !unsure && !self.unsure.contains(&job) {
                 self.fresh.remove(&job);
                 self.commits.forget(&job);
                 out.push(Event::NotKept(job));
                 continue;
             }
             if fresh {
+                self.unsure.insert(job.clone());
                 out.push(Event::MayBeKept(job.clone()));
             }
             left.push((job, change));
@@ -145,12 +147,18 @@
         if !newer {
             self.jobs.insert(job.clone(), known);
         }
-        if self.fresh.remove(&job) {
+        if self.settle(&job) {
             out.push(Event::Kept(job.clone()));
         }
         out.push(Event::Written(job, state));
     }
 
+    /// Takes note that the first change of a job is made or can't be; returns whether that was open.
+    fn settle(&mut self, job: &JobId) -> bool {
+        self.unsure.remove(job);
+        self.fresh.remove(job)
+    }
+
     /// Sorts out a change that was refused because some state is another one.
     pub(super) fn conflict(&mut self, items: Vec<JobItem>, now: Time, out: &mut Vec<Event>) {
         let present: HashMap<JobId, JobItem> = items
@@ -168,7 +176,7 @@
             let Some(known) = known else {
                 // The job is gone, or its state can't be read.
                 self.jobs.remove(&job);
-                self.fresh.remove(&job);
+                self.settle(&job);
                 out.push(Event::Lost(job));
                 continue;
             };
@@ -180,7 +188,7 @@
             debug!(%job, expected, revision, owner = known.state.owner.name, status = ?known.state.status, "state has changed in the store");
             let newer = self.commits.take_waiting(&job);
             self.bases.remove(&job);
-            let was_fresh = self.fresh.remove(&job);
+            let was_fresh = self.settle(&job);
             let own = known.state.owner == self.options.owner;
             let open = known.state.status == Status::Open;
             let cancels = change
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -174,6 +174,14 @@
             seed: 1_069_083_221_099_843_393,
             faults: &[(0, Fault::Store(StoreTrouble::Lost(10), 517))],
         },
+        Regression {
+            cause: "a first write without an answer was given up when the next attempt was refused",
+            seed: 5_183_486_641_878_567_240,
+            faults: &[
+                (2_017, Fault::Store(StoreTrouble::Refusing, 540)),
+                (772, Fault::Store(StoreTrouble::Lost(23), 770)),
+            ],
+        },
     ];
     for case in cases {
         let world = play(case.seed, case.faults);
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -261,6 +261,25 @@
     assert!(ledger.state(&job(1)).is_some());
 }
 
+/// Guards against a job that is in the store and never runs: its first write had no answer, and the
+/// next attempt was refused.
+#[test]
+fn refused_second_attempt_does_not_undo_the_first() {
+    let mut store = Store::default();
+    let mut ledger = ledger("one", 1);
+    ledger.keep(job(1), spec(), open(owner("one", 1)));
+    store.commit(&commit(&mut ledger, START));
+    answer(&mut ledger, Duty::Commit, None, START);
+    commit(&mut ledger, START.after_millis(1_000));
+    let mut events = Vec::new();
+    ledger.answered(Duty::Commit, Some(Err(503)), START, &mut events);
+    assert!(!events.contains(&Event::NotKept(job(1))), "{events:?}");
+    let later = START.after_millis(3_000);
+    let reply = store.commit(&commit(&mut ledger, later));
+    let events = answer(&mut ledger, Duty::Commit, Some(reply), later);
+    assert!(events.contains(&Event::Kept(job(1))), "{events:?}");
+}
+
 /// Guards against two states of one job in a call: the later one was dropped when the call met a
 /// conflict, and the job stayed open for ever.
 #[test]
--- a/crates/fulmarpond-dispatch/tests/support/stored.rs
+++ b/crates/fulmarpond-dispatch/tests/support/stored.rs
@@ -63,7 +63,7 @@
         self.after_ms(timeout, Event::FromStore(by, duty, None));
     }
 
-    pub(super) fn to_store(&mut self, mut sent: Sent) {
+    pub(super) fn arrive_at_store(&mut self, mut sent: Sent) {
         let entry = sent.by.entry;
         let trouble = self.store.trouble;
         let away = self.store_cuts.contains(&entry) && !sent.late;
@@ -148,7 +148,7 @@
         self.after_us(delay, Event::FromStore(sent.by, sent.duty, outcome));
     }
 
-    pub(super) fn from_store(&mut self, by: Caller, duty: Duty, outcome: Outcome) {
+    pub(super) fn store_replies(&mut self, by: Caller, duty: Duty, outcome: Outcome) {
         let Caller { entry, life, .. } = by;
         if self.entries[entry].life != life || self.store_answered.contains(&by) {
             return;
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -604,8 +604,8 @@
             Event::Heal(fault) => self.heal(fault),
             Event::StartEntry(entry) => self.start_entry(entry),
             Event::StartAgent(agent) => self.start_agent(agent),
-            Event::ToStore(sent) => self.to_store(sent),
-            Event::FromStore(by, duty, outcome) => self.from_store(by, duty, outcome),
+            Event::ToStore(sent) => self.arrive_at_store(sent),
+            Event::FromStore(by, duty, outcome) => self.store_replies(by, duty, outcome),
             Event::WatchEnds(by) => self.watch_ends(by),
         }
     }
