fix: a task of a kept job is placed again only under a new epoch that the store has

The end of the lost run is held at the agent, and another entry may add it to the job's state meanwhile, unseen while the watch of the owner hangs: the task ran again after its end was noted. Waiting longer was ruled out: a store that answers late moves both sides.

Change: the owner writes a new epoch for these tasks and places them when the store has it; a job that is taken over does the same. The epoch is part of the run number. An end of an older epoch is void: it is not added to the state, and its agent lets the lease of its endpoint lapse once, with nothing running or after 1 s, before the end is taken note of.

Test: kept.rs, the schedule that found it.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -246,6 +246,11 @@
                     endpoint.held.obsolete(&runs, now);
                 }
             }
+            EntryFrame::Void(runs) => {
+                if let Some(endpoint) = &mut self.endpoint {
+                    endpoint.held.void(&runs);
+                }
+            }
             EntryFrame::Withdraw(job) => self.withdraw(link, &job, now, out),
             EntryFrame::Entries(addrs) => self.links.learn(&addrs, now),
         }
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -14,6 +14,9 @@
 /// A run counts as overdue at this multiple of its expected time, plus [`OVERDUE_MS`].
 const OVERDUE_FACTOR: u64 = 3;
 
+/// How long runs may go on at an endpoint whose lease has to lapse, in milliseconds.
+const LAPSE_WAIT_MS: u64 = 1_000;
+
 /// See [`OVERDUE_FACTOR`], in milliseconds.
 const OVERDUE_MS: u64 = 100;
 
@@ -52,6 +55,7 @@
         self.numbers
             .retain(|_, (_, at)| now.millis_since(*at) < NUMBER_MEMORY_MS);
         self.repeat_held(now, out);
+        self.lapse_for_void(now);
         self.fill(now, out);
         self.send_news(out);
     }
@@ -75,6 +79,27 @@
         }
     }
 
+    /// Lets the lease lapse once if ends are held whose tasks were placed again: a run that was done
+    /// counts as taken note of, unless the lease lapsed before that.
+    fn lapse_for_void(&mut self, now: Time) {
+        let Some(endpoint) = &mut self.endpoint else {
+            return;
+        };
+        if !endpoint.held.has_void() {
+            return;
+        }
+        if endpoint.lapse_by.is_none() {
+            warn!(endpoint = %endpoint.about.id, "ends came too late, letting the lease lapse");
+            endpoint.lapse_by = Some(now.after_millis(LAPSE_WAIT_MS));
+            self.return_queue(now);
+        } else if now >= endpoint.lapse {
+            info!(endpoint = %endpoint.about.id, "lease has lapsed");
+            endpoint.held.drop_void();
+            endpoint.lapse_by = None;
+        }
+        self.changed = true;
+    }
+
     pub(super) fn check_run(&mut self, task: &TaskKey, now: Time, out: &mut Vec<Action>) {
         let Some(run) = self.runs.get_mut(task) else {
             return;
--- a/crates/fulmarpond-dispatch/src/agent/endpoint.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint.rs
@@ -41,6 +41,9 @@
     pub(super) reachable: bool,
     /// When everything there is surely over, unless the lease is extended again.
     pub(super) lapse: Time,
+    /// Its lease has to lapse once before void ends are taken note of: at this time at the latest,
+    /// and earlier if nothing runs.
+    pub(super) lapse_by: Option<Time>,
     /// Until when it gets no new task since it called itself unhealthy.
     pub(super) unhealthy: Time,
     /// When it counts as unreachable unless it answers a call; `Time::MAX` without open calls.
@@ -63,6 +66,7 @@
             unanswered: 0,
             reachable: true,
             lapse: now,
+            lapse_by: None,
             unhealthy: now,
             answer_by: Time::MAX,
             beat_by: now.after_millis(beat_ms * MISSED_BEATS),
@@ -83,6 +87,7 @@
     pub(super) fn takes_tasks(&self, now: Time) -> bool {
         self.settled
             && self.reachable
+            && self.lapse_by.is_none()
             && self.about.state == EndpointState::Ready
             && now >= self.unhealthy
             && now < self.beat_by
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -197,7 +197,10 @@
         // answer: their lease is not extended.
         // Without a link nobody may run anything here, and what has ended may be run elsewhere.
         let linked = !self.links.up.is_empty();
-        let extends = endpoint.settled && endpoint.reachable && linked;
+        let lapses = endpoint
+            .lapse_by
+            .is_some_and(|by| now >= by || self.runs.is_empty());
+        let extends = endpoint.settled && endpoint.reachable && linked && !lapses;
         let lease = extends.then(|| self.extend(now));
         let wait = self.next_end() * HOLD_WAIT_PERCENT / 100;
         let wait = if extends {
--- a/crates/fulmarpond-dispatch/src/agent/held.rs
+++ b/crates/fulmarpond-dispatch/src/agent/held.rs
@@ -21,6 +21,8 @@
 struct Held {
     end: TaskEnd,
     since: Time,
+    /// Whether its task was placed again before the end was known.
+    void: bool,
 }
 
 /// The held ends of one incarnation of the endpoint, by their numbers.
@@ -35,7 +37,14 @@
         if self.ends.is_empty() {
             self.next = now.after_millis(REPEAT_MS);
         }
-        self.ends.insert(number, Held { end, since: now });
+        self.ends.insert(
+            number,
+            Held {
+                end,
+                since: now,
+                void: false,
+            },
+        );
     }
 
     /// Returns the number of the last end that may be taken note of.
@@ -52,6 +61,21 @@
             .retain(|_, held| now.millis_since(held.since) < DOUBT_MS || !names(runs, &held.end));
     }
 
+    pub(super) fn void(&mut self, runs: &[TaskRun]) {
+        let ends = self.ends.values_mut();
+        for held in ends.filter(|held| names(runs, &held.end)) {
+            held.void = true;
+        }
+    }
+
+    pub(super) fn has_void(&self) -> bool {
+        self.ends.values().any(|held| held.void)
+    }
+
+    pub(super) fn drop_void(&mut self) {
+        self.ends.retain(|_, held| !held.void);
+    }
+
     /// Returns the ends that are to be told again.
     pub(super) fn due(&mut self, now: Time) -> Vec<TaskEnd> {
         if self.ends.is_empty() || now < self.next {
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -6,6 +6,7 @@
 use super::agent::{Agent, HOLD_RETRY_MS, ORDER_TIMEOUT_MS, Purpose};
 use super::run::{Phase, Progress, Run, Then};
 use super::{Action, EndpointCall};
+use crate::epoch::before_first;
 use crate::{AgentFrame, JobId, LinkNo, Order, Outcome, TaskEnd, TaskKey};
 
 impl Agent {
@@ -33,7 +34,7 @@
             let start_by = now.after_millis(u64::from(order.slack));
             let run = Run {
                 link,
-                number: self.numbers.get(&task).map_or(0, |(last, _)| *last),
+                number: self.last_number(&task, order.epoch),
                 spec: order.spec.clone(),
                 needs: order.needs,
                 expected: order.expected,
@@ -56,6 +57,12 @@
         self.send_news(out);
     }
 
+    /// Returns the run number after which the runs of a task are counted.
+    fn last_number(&self, task: &TaskKey, epoch: u16) -> u32 {
+        let known = self.numbers.get(task).map_or(0, |(last, _)| *last);
+        known.max(before_first(epoch))
+    }
+
     pub(super) fn refusal(&self, order: &Order, now: Time) -> Option<Outcome> {
         let Some(endpoint) = &self.endpoint else {
             return Some(Outcome::Unavailable);
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -332,14 +332,16 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            for task in &mut job.tasks {
-                if matches!(task.state, TaskState::Lost(over) if over <= now) {
-                    task.state = TaskState::Waiting;
-                    self.counters.retried += 1;
+            let retried = job.release_lost(now);
+            self.counters.retried += u64::from(retried);
+            info!(job = %id, tasks = retried, kept = job.state.is_some(), "lost runs are over");
+            match &job.state {
+                // An end may have been noted unseen; the store tells when it takes the new epoch.
+                Some(state) => self.ledger.change(&id, state.clone()),
+                None => {
+                    self.place(&id, now, out);
                 }
             }
-            info!(job = %id, "lost runs are over, tasks are placed again");
-            self.place(&id, now, out);
         }
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -20,6 +20,8 @@
     Sent(LinkNo),
     /// Its agent is lost; a run may go on until then.
     Lost(Time),
+    /// It waits until the store has the new epoch of its runs.
+    Confirming,
     /// It is done.
     Done,
 }
@@ -33,6 +35,8 @@
     pub(super) failures: u32,
     /// How often a run was given up or cut short.
     pub(super) aborts: u32,
+    /// The epoch of its runs.
+    pub(super) epoch: u16,
     /// The number of the last run whose failure was counted.
     pub(super) failed_run: u32,
     /// The agent that it was sent to last.
@@ -81,6 +85,7 @@
                     state: TaskState::Waiting,
                     failures: 0,
                     aborts: 0,
+                    epoch: 0,
                     failed_run: 0,
                     last: None,
                 });
@@ -135,7 +140,7 @@
         for task in self.tasks.iter().filter(|task| task.step == step) {
             let there = match task.state {
                 TaskState::Sent(_) | TaskState::Done => task.last,
-                TaskState::Waiting | TaskState::Lost(_) => None,
+                TaskState::Waiting | TaskState::Lost(_) | TaskState::Confirming => None,
             };
             if let Some(link) = there {
                 *counts.entry(link).or_insert(0) += 1;
@@ -144,6 +149,42 @@
         counts
     }
 
+    /// Takes back the tasks whose lost runs are over, and returns their number. Those of a kept job
+    /// begin a new epoch.
+    pub(super) fn release_lost(&mut self, now: Time) -> u32 {
+        let mut released = 0;
+        for task in &mut self.tasks {
+            if !matches!(task.state, TaskState::Lost(over) if over <= now) {
+                continue;
+            }
+            released += 1;
+            task.state = TaskState::Waiting;
+            let Some(state) = &mut self.state else {
+                continue;
+            };
+            task.state = TaskState::Confirming;
+            task.epoch = task.epoch.saturating_add(1);
+            if let Some(step) = state.steps.get_mut(usize::from(task.step)) {
+                step.set_epoch(task.index, task.epoch);
+            }
+        }
+        released
+    }
+
+    /// Lets tasks be placed whose epoch is in the store; returns whether there are any.
+    pub(super) fn confirm(&mut self, stored: &JobState) -> bool {
+        let mut any = false;
+        for task in &mut self.tasks {
+            let step = stored.steps.get(usize::from(task.step));
+            let epoch = step.map_or(0, |step| step.epoch(task.index));
+            if task.state == TaskState::Confirming && epoch >= task.epoch {
+                task.state = TaskState::Waiting;
+                any = true;
+            }
+        }
+        any
+    }
+
     /// Returns the links that hold tasks of the job.
     pub(super) fn links(&self) -> Vec<LinkNo> {
         let mut links: Vec<LinkNo> = self
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -17,6 +17,7 @@
 use super::submission::Submission;
 use super::{Action, Answer, RequestNo};
 use crate::directory::{Duty, StoreReply};
+use crate::epoch::epoch_of;
 use crate::ledger::{Event, JobSpec, JobState, Ledger, Owner, Status, StepProgress};
 use crate::{EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd, TaskRun};
 
@@ -370,13 +371,15 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        let (mut noted, mut obsolete) = (Vec::new(), Vec::new());
+        let (mut noted, mut obsolete, mut void) = (Vec::new(), Vec::new(), Vec::new());
         for end in ends {
             let run = TaskRun {
                 task: end.task.clone(),
                 run: end.run,
             };
-            if self
+            if self.is_void(end) {
+                void.push(run);
+            } else if self
                 .jobs
                 .get(&end.task.job)
                 .is_some_and(|job| job.state.is_some())
@@ -386,10 +389,10 @@
                 } else {
                     self.late_end(link, end, now, out);
                 }
-            } else if self.is_obsolete(&end.task.job, now) {
-                obsolete.push(run);
             } else if self.is_foreign(&end.task.job) && self.is_noted(end) {
                 noted.push(run);
+            } else if self.is_obsolete(&end.task.job, now) {
+                obsolete.push(run);
             } else {
                 // The owner may not reach the agent.
                 self.ledger.merge(end);
@@ -403,6 +406,26 @@
             let frame = EntryFrame::Obsolete(obsolete);
             out.push(Action::Send { link, frame });
         }
+        if !void.is_empty() {
+            let frame = EntryFrame::Void(void);
+            out.push(Action::Send { link, frame });
+        }
+    }
+
+    /// Returns whether the task of a run was placed again before its end was known.
+    fn is_void(&self, end: &TaskEnd) -> bool {
+        let epoch = epoch_of(end.run);
+        if let Some(job) = self.jobs.get(&end.task.job) {
+            let mut tasks = job.tasks.iter();
+            let task =
+                tasks.find(|task| task.step == end.task.step && task.index == end.task.index);
+            // Nothing has started in an epoch that is not confirmed.
+            return task
+                .is_some_and(|task| task.epoch > epoch && task.state != TaskState::Confirming);
+        }
+        let state = self.ledger.state(&end.task.job);
+        let step = state.and_then(|state| state.steps.get(usize::from(end.task.step)));
+        step.is_some_and(|step| step.epoch(end.task.index) > epoch)
     }
 
     /// Returns whether the store has the end of a run.
@@ -502,7 +525,7 @@
                     Self::answer(request, Answer::MayHaveRun { reason }, out);
                 }
             }
-            Event::Written(id, state) => self.is_written(&id, &state, out),
+            Event::Written(id, state) => self.is_written(&id, &state, now, out),
             Event::Lost(id) => self.is_lost(&id, out),
             Event::Merged(id, state) => self.merged(&id, &state, now, out),
             Event::Owned(id, spec, state) => self.take_over(&id, spec, state, now, out),
@@ -551,10 +574,16 @@
                 continue;
             };
             task.failures = step.failures(task.index);
+            task.epoch = step.epoch(task.index);
             if step.is_done(task.index) {
                 task.state = TaskState::Done;
+            } else if hold_until > now {
+                task.state = TaskState::Lost(hold_until);
             }
         }
+        if hold_until > now {
+            self.wait_for_lost(hold_until, id.clone());
+        }
         job.begun = state.begun;
         job.hold_until = hold_until;
         job.state = Some(state);
@@ -567,7 +596,12 @@
         }
     }
 
-    fn is_written(&mut self, id: &JobId, state: &JobState, out: &mut Vec<Action>) {
+    fn is_written(&mut self, id: &JobId, state: &JobState, now: Time, out: &mut Vec<Action>) {
+        let job = self.jobs.get_mut(id);
+        if job.is_some_and(|job| job.confirm(state)) {
+            info!(job = %id, "tasks are placed again");
+            self.place(id, now, out);
+        }
         if state.status != Status::Open {
             for request in self.kept.cancels.remove(id).unwrap_or_default() {
                 Self::answer(request, Answer::Cancelled, out);
--- a/crates/fulmarpond-dispatch/src/entry/placing.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placing.rs
@@ -1,5 +1,7 @@
 //! Placement of the tasks of a job.
 
+use std::collections::BTreeMap;
+
 use fulmarpond_core::Time;
 use tracing::info;
 
@@ -29,6 +31,14 @@
 /// How often the limit of a run is doubled at most.
 const MOST_DOUBLINGS: u32 = 8;
 
+/// What the tasks of one order have in common.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Batch {
+    link: LinkNo,
+    step: u16,
+    epoch: u16,
+}
+
 /// The choices for the tasks of a job.
 #[derive(Debug, Default)]
 pub(super) struct Plan {
@@ -135,20 +145,20 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        let mut orders: Vec<(LinkNo, u16, Vec<u16>)> = Vec::new();
+        let mut orders: BTreeMap<Batch, Vec<u16>> = BTreeMap::new();
         for (position, link) in plan.choices {
             let task = &mut job.tasks[position];
-            let (step, index) = (task.step, task.index);
             task.state = TaskState::Sent(link);
             task.last = Some(link);
-            let mut known = orders.iter_mut();
-            match known.find(|(to, of, _)| *to == link && *of == step) {
-                Some((_, _, indexes)) => indexes.push(index),
-                None => orders.push((link, step, vec![index])),
-            }
+            let batch = Batch {
+                link,
+                step: task.step,
+                epoch: task.epoch,
+            };
+            orders.entry(batch).or_default().push(task.index);
         }
-        for (link, step, indexes) in orders {
-            self.send_order(id, job, link, step, indexes, now, out);
+        for (batch, indexes) in orders {
+            self.send_order(id, job, batch, indexes, now, out);
         }
         let rank = (job.route.priority, job.start_by, id.clone());
         if plan.left {
@@ -158,17 +168,16 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of one order")]
     pub(super) fn send_order(
         &mut self,
         id: &JobId,
         job: &Job,
-        link: LinkNo,
-        step: u16,
+        batch: Batch,
         indexes: Vec<u16>,
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        let Batch { link, step, epoch } = batch;
         let about = &job.submission.steps[usize::from(step)];
         let expected = self.estimates.expect(&job.route.name, about.estimate);
         self.counters.started += indexes.len() as u64;
@@ -204,6 +213,7 @@
             remaining: u32::try_from(remaining).unwrap_or(u32::MAX),
             limit: Self::limit(job, step, expected),
             kept: job.state.is_some(),
+            epoch,
         };
         out.push(Action::Send {
             link,
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -157,6 +157,9 @@
     Noted(Vec<TaskRun>),
     /// Nobody needs the ends of these runs.
     Obsolete(Vec<TaskRun>),
+    /// The tasks of these runs were placed again before their ends were known: the ends may be
+    /// taken note of only after the lease of the endpoint has lapsed.
+    Void(Vec<TaskRun>),
     /// The link addresses of all entries.
     Entries(Vec<SocketAddr>),
 }
@@ -186,6 +189,8 @@
     pub limit: u32,
     /// Whether the ends are held until they are in the store.
     pub kept: bool,
+    /// The epoch of the runs.
+    pub epoch: u16,
 }
 
 /// How a task ended.
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -8,6 +8,7 @@
 use super::commits::{Change, Commits};
 use super::record::{JobSpec, JobState, Owner, Status};
 use crate::directory::{Duty, JobItem, StoreCall, StoreReply};
+use crate::epoch::epoch_of;
 use crate::pacing::Pacing;
 use crate::{JobId, Outcome, TaskEnd, decode};
 
@@ -234,7 +235,8 @@
         let Some(step) = state.steps.get_mut(usize::from(end.task.step)) else {
             return false;
         };
-        if end.outcome != Outcome::Done || step.is_done(end.task.index) {
+        let counts = epoch_of(end.run) >= step.epoch(end.task.index);
+        if end.outcome != Outcome::Done || step.is_done(end.task.index) || !counts {
             return false;
         }
         step.set_done(end.task.index);
--- a/crates/fulmarpond-dispatch/src/ledger/record.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/record.rs
@@ -61,6 +61,8 @@
     done: Vec<u8>,
     /// Tasks that have failed, with the number of failures.
     failures: Vec<(u16, u8)>,
+    /// Tasks that were placed again after their agent was lost, with the epoch of their runs.
+    epochs: Vec<(u16, u16)>,
 }
 
 impl StepProgress {
@@ -91,6 +93,23 @@
             let count = u32::from(count).max(self.failures(index));
             self.set_failures(index, count);
         }
+        for &(index, epoch) in &other.epochs {
+            self.set_epoch(index, epoch.max(self.epoch(index)));
+        }
+    }
+
+    /// Notes the epoch of a task's runs.
+    pub fn set_epoch(&mut self, index: u16, epoch: u16) {
+        match self.epochs.iter_mut().find(|(known, _)| *known == index) {
+            Some((_, known)) => *known = epoch,
+            None => self.epochs.push((index, epoch)),
+        }
+    }
+
+    /// Returns the epoch of a task's runs.
+    pub fn epoch(&self, index: u16) -> u16 {
+        let known = self.epochs.iter().find(|(known, _)| *known == index);
+        known.map_or(0, |(_, epoch)| *epoch)
     }
 
     /// Notes how often a task has failed.
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod agent;
 pub mod directory;
 pub mod entry;
+mod epoch;
 pub mod ledger;
 
 mod bounds;
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -182,6 +182,17 @@
                 (772, Fault::Store(StoreTrouble::Lost(23), 770)),
             ],
         },
+        Regression {
+            cause: "a merged end was passed over while the owner waited for lost runs",
+            seed: 6_218_650_198_685_373_493,
+            faults: &[
+                (
+                    2_339,
+                    Fault::Store(StoreTrouble::Down { lapse: false }, 300),
+                ),
+                (2_060, Fault::Cut(1, 1, 1_135)),
+            ],
+        },
     ];
     for case in cases {
         let world = play(case.seed, case.faults);
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -713,7 +713,10 @@
         let now = self.now;
         let (reply, effect) = self.endpoints[agent].carry_out(&call, needs, ends, now);
         for (task, run) in std::mem::take(&mut self.endpoints[agent].noted) {
-            self.history.noted(&task, agent, run);
+            // A job that is not kept may run again from its start.
+            if self.options.kept {
+                self.history.noted(&task, agent, run);
+            }
         }
         let incarnation = self.endpoints[agent].incarnation;
         match effect {
