feat(ledger): up to four calls that write jobs under way

Cause: with one call under way at a time, a store that takes 240 ms for an answer limited an entry to some 25 new jobs a second; callers beyond that waited until their deadline.

Change: a call that is not answered does not hold up the next one, whose jobs are others. Calls stay 25 ms apart, so that a store that answers in time sees the same calls as before. A new job whose first write may have been made is no longer given up when another call fails while it waits to be sent again; the schedules found that with the second lane.

--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -223,6 +223,10 @@
     },
 }
 
+/// One of the calls that write jobs at the same time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Lane(pub u8);
+
 /// A duty of the directory; each has at most one call under way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Duty {
@@ -234,8 +238,8 @@
     Announcement,
     /// Follows the jobs in the store.
     Jobs,
-    /// Writes jobs.
-    Commit,
+    /// Writes jobs; each lane has a call of its own under way.
+    Commit(Lane),
     /// Reads jobs that are taken over.
     Job,
 }
@@ -365,7 +369,7 @@
         match duty {
             Duty::Configuration => &mut self.configuration,
             Duty::Entries => &mut self.entries,
-            Duty::Announcement | Duty::Jobs | Duty::Commit | Duty::Job => &mut self.announcement,
+            Duty::Announcement | Duty::Jobs | Duty::Commit(_) | Duty::Job => &mut self.announcement,
         }
     }
 
@@ -382,7 +386,7 @@
                 Some((StoreCall::WatchEntries { after, wait }, wait))
             }
             (Duty::Announcement, _, _) => self.next_announcement().map(|call| (call, 0)),
-            (Duty::Jobs | Duty::Commit | Duty::Job, _, _) => None,
+            (Duty::Jobs | Duty::Commit(_) | Duty::Job, _, _) => None,
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -23,7 +23,7 @@
 const WATCH_PAUSE_MS: u64 = 120;
 
 /// How long the store may take to reply beyond a wait, in milliseconds.
-const REPLY_MS: u64 = 500;
+pub(super) const REPLY_MS: u64 = 500;
 
 /// The first and the longest pause after a failed call, in milliseconds.
 const PAUSE_MS: (u64, u64) = (40, 800);
@@ -98,7 +98,8 @@
     /// The list that is under way.
     listing: Option<Listing>,
     pub(super) watch: Pacing,
-    pub(super) commit: Pacing,
+    /// When the next change may be sent.
+    pub(super) next_commit: Time,
     pub(super) read: Pacing,
     /// Jobs to take over, and the one that is being read.
     pub(super) wanted: BTreeSet<JobId>,
@@ -117,7 +118,7 @@
         Self {
             options,
             jobs: HashMap::new(),
-            commits: Commits::default(),
+            commits: Commits::new(PAUSE_MS, now),
             bases: HashMap::new(),
             fresh: BTreeSet::new(),
             unsure: BTreeSet::new(),
@@ -125,7 +126,7 @@
             synced: now,
             listing: None,
             watch: Pacing::new(PAUSE_MS, now),
-            commit: Pacing::new(PAUSE_MS, now),
+            next_commit: now,
             read: Pacing::new(PAUSE_MS, now),
             wanted: BTreeSet::new(),
             reading: None,
@@ -141,9 +142,9 @@
         self.at.is_some() && now.millis_since(self.synced) < SYNC_MS
     }
 
-    /// Returns whether the last change was not written, and it is too early for the next one.
-    pub const fn is_failing(&self, now: Time) -> bool {
-        self.commit.is_failing() && now.as_micros() < self.commit.due.as_micros()
+    /// Returns whether no change is written at present, and it is too early for the next attempt.
+    pub fn is_failing(&self, now: Time) -> bool {
+        self.commits.are_failing(now)
     }
 
     /// Returns whether all jobs are known.
@@ -258,8 +259,8 @@
         if !self.watch.busy {
             wake = wake.min(self.watch.due);
         }
-        if !self.commit.busy && !self.commits.is_empty() {
-            wake = wake.min(self.commit.due);
+        if let Some(due) = self.commits.due() {
+            wake = wake.min(due.max(self.next_commit));
         }
         if !self.read.busy && !self.wanted.is_empty() {
             wake = wake.min(self.read.due);
@@ -276,11 +277,7 @@
             self.watch.busy = true;
             out.push(self.next_watch());
         }
-        let pending = !self.commits.is_empty() || !self.commits.under_way.is_empty();
-        if !self.commit.busy && pending && now >= self.commit.due {
-            self.commit.busy = true;
-            out.push((Duty::Commit, self.next_commit(), REPLY_MS));
-        }
+        self.send_commits(now, out);
         if !self.read.busy && now >= self.read.due && self.reading.is_none() {
             self.reading = self.wanted.pop_first();
         }
@@ -320,7 +317,7 @@
     ) {
         match duty {
             Duty::Jobs => self.watch_answered(reply, now, out),
-            Duty::Commit => self.commit_answered(reply, now, out),
+            Duty::Commit(lane) => self.commit_answered(lane, reply, now, out),
             Duty::Job => self.read_answered(reply, now, out),
             _ => {}
         }
--- a/crates/fulmarpond-dispatch/src/ledger/writing.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/writing.rs
@@ -6,32 +6,41 @@
 use tracing::{debug, warn};
 
 use super::commits::Change;
-use super::ledger::{Event, Known, Ledger, read_item};
+use super::ledger::{Event, Known, Ledger, REPLY_MS, read_item};
 use super::record::Status;
-use crate::directory::{CommitRow, JobItem, StoreCall, StoreReply};
+use crate::directory::{CommitRow, Duty, JobItem, Lane, StoreCall, StoreReply};
 use crate::{JobId, encode};
 
 /// The most entries in one change of the store: conditions, writes and removals.
 const MOST_ENTRIES: usize = 32;
 
-/// The shortest pause between two changes, in milliseconds.
+/// The shortest pause between two calls, in milliseconds.
 const COMMIT_MS: u64 = 25;
 
 /// The share of the store's writes that all entries together use, in percent.
 const WRITE_PERCENT: u64 = 50;
 
 impl Ledger {
-    pub(super) fn next_commit(&mut self) -> StoreCall {
-        let rows = self
-            .commits
-            .begin(MOST_ENTRIES)
-            .iter()
-            .map(|(job, change)| CommitRow {
-                job: job.clone(),
-                expected: self.bases.get(job).copied().unwrap_or_default(),
-                spec: change.spec.as_ref().map(encode),
-                state: change.state.as_ref().map(encode),
-            });
+    /// Sends the changes that are due.
+    pub(super) fn send_commits(&mut self, now: Time, out: &mut Vec<(Duty, StoreCall, u64)>) {
+        if now < self.next_commit {
+            return;
+        }
+        let Some(lane) = self.commits.next_lane(now) else {
+            return;
+        };
+        self.next_commit = now.after_millis(self.commit_pause());
+        out.push((Duty::Commit(lane), self.commit_call(lane), REPLY_MS));
+    }
+
+    fn commit_call(&mut self, lane: Lane) -> StoreCall {
+        let changes = self.commits.begin(lane, MOST_ENTRIES);
+        let rows = changes.iter().map(|(job, change)| CommitRow {
+            job: job.clone(),
+            expected: self.bases.get(job).copied().unwrap_or_default(),
+            spec: change.spec.as_ref().map(encode),
+            state: change.state.as_ref().map(encode),
+        });
         StoreCall::CommitJobs {
             rows: rows.collect(),
         }
@@ -46,21 +55,20 @@
 
     pub(super) fn commit_answered(
         &mut self,
+        lane: Lane,
         reply: Option<Result<StoreReply, u16>>,
         now: Time,
         out: &mut Vec<Event>,
     ) {
-        self.commit.busy = false;
         match reply {
             Some(Ok(StoreReply::Committed { revision })) => {
-                self.commit.succeeded(now.after_millis(self.commit_pause()));
-                for (job, change) in self.commits.take_under_way() {
+                for (job, change) in self.commits.answered(lane, now) {
                     self.written(job, change, revision, now, out);
                 }
             }
             Some(Ok(StoreReply::Conflict { items })) => {
-                self.commit.succeeded(now.after_millis(self.commit_pause()));
-                self.conflict(items, now, out);
+                let changes = self.commits.answered(lane, now);
+                self.conflict(changes, items, now, out);
             }
             Some(refusal) => {
                 warn!(
@@ -68,24 +76,20 @@
                     changes = self.commits.len(),
                     "store refused a change of jobs"
                 );
-                self.commit.failed(now);
-                self.refuse_fresh(false, out);
+                self.refuse_fresh(lane, false, now, out);
             }
             // The change may have been made: the same one is sent again, and a conflict with
             // itself tells that it was.
-            None => {
-                self.commit.failed(now);
-                self.refuse_fresh(true, out);
-            }
+            None => self.refuse_fresh(lane, true, now, out),
         }
     }
 
     /// Tells the callers of new jobs that these are not kept yet.
     ///
     /// A change that may have been made stays under way, since the job may be in the store.
-    pub(super) fn refuse_fresh(&mut self, unsure: bool, out: &mut Vec<Event>) {
+    fn refuse_fresh(&mut self, lane: Lane, unsure: bool, now: Time, out: &mut Vec<Event>) {
         let mut left = Vec::new();
-        for (job, change) in self.commits.take_under_way() {
+        for (job, change) in self.commits.failed(lane, now) {
             let fresh = self.fresh.contains(&job);
             // A refusal says nothing about an earlier attempt without an answer.
             if fresh && !unsure && !self.unsure.contains(&job) {
@@ -100,15 +104,10 @@
             }
             left.push((job, change));
         }
-        self.commits.under_way = left;
+        self.commits.keep(lane, left);
         // Nothing is known to work now, and these were never sent.
         for job in self.fresh.clone() {
-            let sent = self
-                .commits
-                .under_way
-                .iter()
-                .any(|(known, _)| *known == job);
-            if !sent {
+            if !self.commits.is_sent(&job) && !self.unsure.contains(&job) {
                 self.fresh.remove(&job);
                 self.commits.forget(&job);
                 out.push(Event::NotKept(job));
@@ -160,12 +159,18 @@
     }
 
     /// Sorts out a change that was refused because some state is another one.
-    pub(super) fn conflict(&mut self, items: Vec<JobItem>, now: Time, out: &mut Vec<Event>) {
+    fn conflict(
+        &mut self,
+        changes: Vec<(JobId, Change)>,
+        items: Vec<JobItem>,
+        now: Time,
+        out: &mut Vec<Event>,
+    ) {
         let present: HashMap<JobId, JobItem> = items
             .into_iter()
             .map(|item| (item.job.clone(), item))
             .collect();
-        for (job, change) in self.commits.take_under_way() {
+        for (job, change) in changes {
             let known = present.get(&job).and_then(|item| read_item(item, now));
             let expected = self.bases.get(&job).copied().unwrap_or_default();
             let revision = known.as_ref().map_or(0, |known| known.revision);
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use fulmarpond_dispatch::JobId;
+use fulmarpond_dispatch::entry::Answer;
 use proptest::prelude::*;
 use support::{Demand, Fault, Options, StoreTrouble, Trouble, World, traced};
 
@@ -13,6 +14,13 @@
     run_ms: 60,
 };
 
+const SMALL: Demand = Demand {
+    route: 1,
+    tasks: 1,
+    cpu: 500,
+    run_ms: 60,
+};
+
 const STOCK: Demand = Demand {
     route: 2,
     tasks: 2,
@@ -193,9 +201,35 @@
                 (2_060, Fault::Cut(1, 1, 1_135)),
             ],
         },
+        Regression {
+            cause: "a late first write of a job that was refused",
+            seed: 5_475_467_748_200_388_189,
+            faults: &[
+                (4_169, Fault::PauseEntry(2, 1_160)),
+                (1_746, Fault::Store(StoreTrouble::Late(32), 2_928)),
+            ],
+        },
     ];
     for case in cases {
         let world = play(case.seed, case.faults);
         assert_eq!(world.history.broken, Vec::<String>::new(), "{}", case.cause);
     }
 }
+
+/// Guards against callers that wait for their deadline when the store takes long for each answer:
+/// one change at a time limited an entry to some 25 jobs a second.
+#[test]
+fn slow_store_accepts_what_its_rate_allows() {
+    let mut world = started(1);
+    world.fault_at(0, Fault::Store(StoreTrouble::Slow(240), 60_000));
+    // 100 jobs a second at three entries.
+    let jobs: Vec<JobId> = (0..600)
+        .map(|n| world.submit_at(500 + n * 10, SMALL))
+        .collect();
+    world.run_ms(12_000);
+    let accepted = jobs.iter().filter(|job| {
+        let reply = world.reply(job);
+        reply.is_some_and(|reply| reply.answer == Answer::Accepted && reply.age_ms <= 1_500)
+    });
+    assert!(accepted.count() >= 590);
+}
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -3,13 +3,16 @@
 use std::collections::BTreeMap;
 
 use fulmarpond_core::Time;
-use fulmarpond_dispatch::directory::{CommitRow, Duty, JobItem, StoreCall, StoreReply};
+use fulmarpond_dispatch::directory::{CommitRow, Duty, JobItem, Lane, StoreCall, StoreReply};
 use fulmarpond_dispatch::entry::{Route, Submission};
 use fulmarpond_dispatch::ledger::{
     Event, JobSpec, JobState, Ledger, LedgerOptions, Owner, Status, StepProgress,
 };
 use fulmarpond_dispatch::{JobId, decode, encode};
 
+/// The lane of the first change.
+const COMMIT: Duty = Duty::Commit(Lane(0));
+
 const START: Time = Time::from_millis(10_000);
 
 /// The store's items, with one revision for all changes.
@@ -164,13 +167,13 @@
     ledger.keep(job(1), spec(), open(owner("one", 1)));
     let rows = commit(&mut ledger, START);
     store.commit(&rows);
-    let events = answer(&mut ledger, Duty::Commit, None, START);
+    let events = answer(&mut ledger, COMMIT, None, START);
     assert_eq!(events, [Event::MayBeKept(job(1))]);
     let later = START.after_millis(1_000);
     let rows = commit(&mut ledger, later);
     let reply = store.commit(&rows);
     assert!(matches!(reply, StoreReply::Conflict { .. }));
-    let events = answer(&mut ledger, Duty::Commit, Some(reply), later);
+    let events = answer(&mut ledger, COMMIT, Some(reply), later);
     assert!(events.contains(&Event::Kept(job(1))), "{events:?}");
     assert_eq!(store.revision, 1);
 }
@@ -182,13 +185,10 @@
     ledger.keep(job(1), spec(), open(owner("one", 1)));
     commit(&mut ledger, START);
     let mut events = Vec::new();
-    ledger.answered(Duty::Commit, Some(Err(503)), START, &mut events);
+    ledger.answered(COMMIT, Some(Err(503)), START, &mut events);
     assert_eq!(events, [Event::NotKept(job(1))]);
     let later = calls(&mut ledger, START.after_millis(5_000));
-    assert!(
-        !later.iter().any(|(duty, _)| *duty == Duty::Commit),
-        "{later:?}"
-    );
+    assert!(!later.iter().any(|(duty, _)| *duty == COMMIT), "{later:?}");
 }
 
 /// Guards against an end that is overwritten: a change is derived from a state that another entry
@@ -200,7 +200,7 @@
     ledger.keep(job(1), spec(), open(owner("one", 1)));
     let rows = commit(&mut ledger, START);
     let reply = store.commit(&rows);
-    answer(&mut ledger, Duty::Commit, Some(reply), START);
+    answer(&mut ledger, COMMIT, Some(reply), START);
 
     let mut foreign = store.state(&job(1));
     foreign.steps[0].set_done(3);
@@ -223,7 +223,7 @@
         }
         let rows = commit(&mut ledger, now);
         let reply = store.commit(&rows);
-        answer(&mut ledger, Duty::Commit, Some(reply), now);
+        answer(&mut ledger, COMMIT, Some(reply), now);
     }
     let state = store.state(&job(1));
     assert_eq!(state.status, Status::Completed);
@@ -255,7 +255,7 @@
     ledger.keep(job(1), spec(), open(owner("one", 1)));
     let rows = commit(&mut ledger, START);
     let reply = store.commit(&rows);
-    answer(&mut ledger, Duty::Commit, Some(reply), START);
+    answer(&mut ledger, COMMIT, Some(reply), START);
     let events = answer(&mut ledger, Duty::Jobs, Some(before), START);
     assert_eq!(events, []);
     assert!(ledger.state(&job(1)).is_some());
@@ -269,14 +269,14 @@
     let mut ledger = ledger("one", 1);
     ledger.keep(job(1), spec(), open(owner("one", 1)));
     store.commit(&commit(&mut ledger, START));
-    answer(&mut ledger, Duty::Commit, None, START);
+    answer(&mut ledger, COMMIT, None, START);
     commit(&mut ledger, START.after_millis(1_000));
     let mut events = Vec::new();
-    ledger.answered(Duty::Commit, Some(Err(503)), START, &mut events);
+    ledger.answered(COMMIT, Some(Err(503)), START, &mut events);
     assert!(!events.contains(&Event::NotKept(job(1))), "{events:?}");
     let later = START.after_millis(3_000);
     let reply = store.commit(&commit(&mut ledger, later));
-    let events = answer(&mut ledger, Duty::Commit, Some(reply), later);
+    let events = answer(&mut ledger, COMMIT, Some(reply), later);
     assert!(events.contains(&Event::Kept(job(1))), "{events:?}");
 }
 
@@ -290,7 +290,7 @@
     let mut ended = open(owner("one", 1));
     ended.status = Status::Completed;
     ledger.change(&job(1), ended);
-    answer(&mut ledger, Duty::Commit, None, START);
+    answer(&mut ledger, COMMIT, None, START);
     let rows = commit(&mut ledger, START.after_millis(1_000));
     assert_eq!(rows.len(), 1, "{rows:?}");
 }
--- a/crates/fulmarpond-dispatch/tests/support/stored.rs
+++ b/crates/fulmarpond-dispatch/tests/support/stored.rs
@@ -158,7 +158,7 @@
             return;
         }
         self.store_answered.insert(by);
-        if matches!(duty, Duty::Jobs | Duty::Commit | Duty::Job) {
+        if matches!(duty, Duty::Jobs | Duty::Commit(_) | Duty::Job) {
             self.with_entry(entry, |core, now, out| {
                 core.store_answered(duty, outcome, now, out);
             });
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -30,7 +30,7 @@
 const LAST_MS: u64 = 700;
 
 /// The most connections to the store: one for each duty.
-const STORE_CONNECTIONS: usize = 6;
+const STORE_CONNECTIONS: usize = 9;
 
 /// The process of an entry.
 pub(super) struct EntryProcess {
@@ -282,7 +282,7 @@
                 error.refusal().map(Err)
             }
         };
-        if matches!(duty, Duty::Jobs | Duty::Commit | Duty::Job) {
+        if matches!(duty, Duty::Jobs | Duty::Commit(_) | Duty::Job) {
             self.entry
                 .store_answered(duty, reply, now, &mut self.actions);
             return;
