--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -1103,6 +1103,8 @@
     }
 
     fn restart_endpoint(&mut self, agent: usize) {
+        // Another fault may have let it take runs since it was gone.
+        self.crash(agent);
         let old = &self.endpoints[agent];
         let new = Endpoint::new(agent, old.incarnation + 1, self.options.cpu, old.rate);
         let incarnation = new.incarnation;
