feat: interrupted tasks go on from their checkpoints

An endpoint lists the progress that a task has saved with its run and with its end. The agent starts a task again from the last value and tells the entry, which hands it on with an order to another agent; the state of a kept job has it as well. A resumed run tells nothing about the speed of its endpoint or the estimate of its route.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -14,8 +14,8 @@
 use super::{Action, CallNo};
 use crate::entry::Configuration;
 use crate::{
-    AgentFrame, Bounds, Counters, EntryFrame, LinkNo, Needs, Outcome, Registration, TaskEnd,
-    TaskKey,
+    AgentFrame, Bounds, Checkpoint, Counters, EntryFrame, LinkNo, Needs, Outcome, Registration,
+    TaskEnd, TaskKey,
 };
 
 /// How long a start or a stop may go without a reply, in milliseconds. The endpoint is on the same
@@ -80,6 +80,7 @@
     pub(super) stalled_until: Time,
     pub(super) ends: HashMap<LinkNo, Vec<TaskEnd>>,
     pub(super) starts: HashMap<LinkNo, Vec<TaskKey>>,
+    pub(super) saved: HashMap<LinkNo, Vec<Checkpoint>>,
     pub(super) changed: bool,
     pub(super) last_status: Time,
     pub(super) next_check: Time,
@@ -111,6 +112,7 @@
             stalled_until: now,
             ends: HashMap::new(),
             starts: HashMap::new(),
+            saved: HashMap::new(),
             changed: true,
             last_status: Time::default(),
             next_check: now,
@@ -211,6 +213,7 @@
         }
         self.ends.remove(&link);
         self.starts.remove(&link);
+        self.saved.remove(&link);
         self.fill(now, out);
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
@@ -15,6 +15,8 @@
         run: u32,
         /// What the task does.
         spec: String,
+        /// The saved progress to go on from.
+        checkpoint: Option<String>,
         /// Until when everything at the endpoint may run, in milliseconds of its clock.
         lease: i64,
         /// The fencing token.
@@ -88,6 +90,8 @@
     pub run: u32,
     /// How much of the work is done, in percent, if the endpoint tells.
     pub progress: Option<u8>,
+    /// Its saved progress, if it has any.
+    pub checkpoint: Option<String>,
 }
 
 /// The end of a run at an endpoint.
@@ -101,6 +105,8 @@
     pub run: u32,
     /// How it ended.
     pub how: EndHow,
+    /// The progress that it has saved, if any.
+    pub checkpoint: Option<String>,
 }
 
 /// The reply of an endpoint.
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -447,8 +447,7 @@
         match reason {
             StartRefusal::OldRun | StartRefusal::LeasePassed => {
                 known.number += 1;
-                let (number, spec) = (known.number, known.spec.clone());
-                self.send_start(task, number, spec, now, out);
+                self.send_start(task, now, out);
             }
             StartRefusal::Fenced => {
                 self.raise_fence(now);
@@ -558,7 +557,13 @@
             if own.is_none_or(|run| run.kept) {
                 Self::hold_end(endpoint, end, own, now);
             }
-            let Some(run) = own else {
+            if own.is_none() {
+                continue;
+            }
+            if let Some(value) = &end.checkpoint {
+                self.save(&task, value);
+            }
+            let Some(run) = self.runs.get(&task) else {
                 continue;
             };
             let since = match run.phase {
@@ -566,7 +571,7 @@
                 _ => now,
             };
             let elapsed = now.millis_since(since);
-            let expected = run.expected;
+            let (expected, resumed) = (run.expected, run.resumed);
             let outcome = match end.how {
                 EndHow::Done => Outcome::Done,
                 EndHow::Failed => Outcome::Failed,
@@ -583,7 +588,9 @@
                 expected_ms = expected,
                 "run ended"
             );
-            out.push(Action::Observe { elapsed });
+            if !run.resumed {
+                out.push(Action::Observe { elapsed });
+            }
             match (run.phase, outcome) {
                 (Phase::Stopping { then, .. }, Outcome::Aborted) => {
                     self.stopped(&task, then);
@@ -598,11 +605,15 @@
                     self.finish(&task, None, 0);
                     continue;
                 }
-                (Phase::Running { .. }, Outcome::Done) => self.health.done(elapsed, expected),
+                // The rest of a resumed run tells nothing about the endpoint.
+                (Phase::Running { .. }, Outcome::Done) if !run.resumed => {
+                    self.health.done(elapsed, expected);
+                }
                 (_, Outcome::Failed) => self.health.failed(),
                 _ => {}
             }
-            self.finish(&task, Some(outcome), elapsed);
+            let whole = if resumed { 0 } else { elapsed };
+            self.finish(&task, Some(outcome), whole);
         }
     }
 
@@ -651,6 +662,9 @@
                 .get(&task)
                 .is_some_and(|run| run.number == entry.run && run.phase.uses_room());
             if own {
+                if let Some(value) = &entry.checkpoint {
+                    self.save(&task, value);
+                }
                 self.see_progress(entry, now, out);
                 continue;
             }
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -7,7 +7,7 @@
 use super::run::{Phase, Progress, Run, Then};
 use super::{Action, EndpointCall};
 use crate::epoch::before_first;
-use crate::{AgentFrame, JobId, LinkNo, Order, Outcome, TaskEnd, TaskKey};
+use crate::{AgentFrame, Checkpoint, JobId, LinkNo, Order, Outcome, TaskEnd, TaskKey};
 
 impl Agent {
     pub(super) fn order(&mut self, link: LinkNo, order: &Order, now: Time, out: &mut Vec<Action>) {
@@ -44,6 +44,8 @@
                     remaining => now.after_millis(u64::from(remaining)),
                 },
                 progress: Progress::new(now),
+                checkpoint: checkpoint(order, index),
+                resumed: false,
                 limit: order.limit,
                 kept: order.kept,
                 fresh: order.slack > 0 && !order.kept,
@@ -108,29 +110,26 @@
         self.used = self.used.plus(run.needs);
         run.number += 1;
         run.phase = Phase::Starting;
+        run.resumed = run.checkpoint.is_some();
         self.starts.entry(run.link).or_default().push(task.clone());
-        let (number, spec) = (run.number, run.spec.clone());
         self.counters.started += 1;
-        self.send_start(task, number, spec, now, out);
+        self.send_start(task, now, out);
     }
 
-    pub(super) fn send_start(
-        &mut self,
-        task: &TaskKey,
-        run: u32,
-        spec: String,
-        now: Time,
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn send_start(&mut self, task: &TaskKey, now: Time, out: &mut Vec<Action>) {
         let lease = self.extend(now);
+        let Some(run) = self.runs.get(task) else {
+            return;
+        };
         let call = EndpointCall::Start {
             task: task.clone(),
-            run,
-            spec,
+            run: run.number,
+            spec: run.spec.clone(),
+            checkpoint: run.checkpoint.clone(),
             lease,
             fence: self.fence,
         };
-        let purpose = Purpose::Start(task.clone(), run);
+        let purpose = Purpose::Start(task.clone(), run.number);
         self.call(purpose, call, ORDER_TIMEOUT_MS, now, out);
         self.hold(now, out);
     }
@@ -261,6 +260,22 @@
         self.ends.entry(link).or_default().push(end);
     }
 
+    /// Takes the progress that a run has saved.
+    pub(super) fn save(&mut self, task: &TaskKey, value: &str) {
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        if run.checkpoint.as_deref() == Some(value) {
+            return;
+        }
+        run.checkpoint = Some(value.to_owned());
+        let saved = Checkpoint {
+            task: task.clone(),
+            value: value.to_owned(),
+        };
+        self.saved.entry(run.link).or_default().push(saved);
+    }
+
     pub(super) fn send_news(&mut self, out: &mut Vec<Action>) {
         for (link, starts) in self.starts.drain() {
             out.push(Action::Send {
@@ -268,6 +283,12 @@
                 frame: AgentFrame::Started(starts),
             });
         }
+        for (link, saved) in self.saved.drain() {
+            out.push(Action::Send {
+                link,
+                frame: AgentFrame::Saved(saved),
+            });
+        }
         for (link, ends) in self.ends.drain() {
             out.push(Action::Send {
                 link,
@@ -314,3 +335,10 @@
         }
     }
 }
+
+/// Returns the saved progress of a task of an order.
+fn checkpoint(order: &Order, index: u16) -> Option<String> {
+    let mut saved = order.checkpoints.iter();
+    let own = saved.find(|(of, _)| *of == index);
+    own.map(|(_, value)| value.clone())
+}
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -56,6 +56,10 @@
     /// When the caller leaves.
     pub(super) deadline: Time,
     pub(super) progress: Progress,
+    /// The progress that it has saved, or that an earlier run had.
+    pub(super) checkpoint: Option<String>,
+    /// Whether the run has gone on from a checkpoint.
+    pub(super) resumed: bool,
     /// Whether its end is held until it is in the store.
     pub(super) kept: bool,
     /// Whether its objective could be met when it was ordered.
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -6,7 +6,9 @@
 use super::entry::Entry;
 use super::job::TaskState;
 use super::{Action, Answer};
-use crate::{AgentFrame, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd};
+use crate::{
+    AgentFrame, Checkpoint, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd,
+};
 
 /// How long an entry waits for ends at an agent that it has lost, in milliseconds.
 const MERGE_MS: u64 = 1_000;
@@ -153,6 +155,11 @@
                     }
                 }
             }
+            AgentFrame::Saved(saved) => {
+                for checkpoint in saved {
+                    self.saved(checkpoint);
+                }
+            }
             AgentFrame::Ended(ends) => {
                 for end in ends {
                     self.ended(link, &end, now, out);
@@ -189,6 +196,23 @@
         }
     }
 
+    /// Takes the progress that a task has saved; a kept job has it in the store as well.
+    fn saved(&mut self, checkpoint: Checkpoint) {
+        let Checkpoint { task: key, value } = checkpoint;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if let Some(state) = &mut job.state
+            && let Some(step) = state.steps.get_mut(usize::from(key.step))
+        {
+            step.set_checkpoint(key.index, value.clone());
+            self.ledger.change(&key.job, state.clone());
+        }
+        if let Some(task) = job.task(key.step, key.index) {
+            task.checkpoint = Some(value);
+        }
+    }
+
     /// Takes the end of a task, and goes on with its job.
     pub(super) fn ended(&mut self, link: LinkNo, end: &TaskEnd, now: Time, out: &mut Vec<Action>) {
         let id = &end.task.job;
@@ -240,7 +264,7 @@
         let Some(job) = self.jobs.get(&end.task.job) else {
             return false;
         };
-        if usual {
+        if usual && end.elapsed > 0 {
             let step = &job.submission.steps[usize::from(end.task.step)];
             self.estimates
                 .observe(&job.route.name, step.estimate, end.elapsed);
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -35,6 +35,8 @@
     pub(super) failures: u32,
     /// How often a run was given up or cut short.
     pub(super) aborts: u32,
+    /// The progress that it has saved.
+    pub(super) checkpoint: Option<String>,
     /// The epoch of its runs.
     pub(super) epoch: u16,
     /// The number of the last run whose failure was counted.
@@ -85,6 +87,7 @@
                     state: TaskState::Waiting,
                     failures: 0,
                     aborts: 0,
+                    checkpoint: None,
                     epoch: 0,
                     failed_run: 0,
                     last: None,
@@ -185,6 +188,14 @@
         any
     }
 
+    /// Returns where tasks of a step go on that have saved their progress.
+    pub(super) fn checkpoints(&self, step: u16, indexes: &[u16]) -> Vec<(u16, String)> {
+        let tasks = self.tasks.iter();
+        let of_order = tasks.filter(|task| task.step == step && indexes.contains(&task.index));
+        let saved = of_order.filter_map(|task| Some((task.index, task.checkpoint.clone()?)));
+        saved.collect()
+    }
+
     /// Returns the links that hold tasks of the job.
     pub(super) fn links(&self) -> Vec<LinkNo> {
         let mut links: Vec<LinkNo> = self
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -575,6 +575,7 @@
             };
             task.failures = step.failures(task.index);
             task.epoch = step.epoch(task.index);
+            task.checkpoint = step.checkpoint(task.index).map(str::to_owned);
             if step.is_done(task.index) {
                 task.state = TaskState::Done;
             } else if hold_until > now {
--- a/crates/fulmarpond-dispatch/src/entry/placing.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placing.rs
@@ -204,6 +204,7 @@
         let order = Order {
             job: id.clone(),
             step,
+            checkpoints: job.checkpoints(step, &indexes),
             indexes,
             service: job.route.service.clone(),
             spec: job.submission.spec.clone(),
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -66,6 +66,8 @@
     },
     /// Tasks of this entry may have begun.
     Started(Vec<TaskKey>),
+    /// Tasks of this entry have saved their progress.
+    Saved(Vec<Checkpoint>),
     /// Tasks of this entry ended.
     Ended(Vec<TaskEnd>),
     /// Ends that no entry has taken note of yet.
@@ -191,6 +193,8 @@
     pub kept: bool,
     /// The epoch of the runs.
     pub epoch: u16,
+    /// Where tasks go on that have saved their progress, by their numbers.
+    pub checkpoints: Vec<(u16, String)>,
 }
 
 /// How a task ended.
@@ -209,6 +213,16 @@
     NoRoom,
 }
 
+/// The saved progress of a task.
+#[message]
+#[derive(Eq)]
+pub struct Checkpoint {
+    /// The task.
+    pub task: TaskKey,
+    /// What the endpoint gave.
+    pub value: String,
+}
+
 /// The end of a task at an agent.
 #[message]
 pub struct TaskEnd {
@@ -218,7 +232,7 @@
     pub outcome: Outcome,
     /// The number of the run; 0 if it did not start.
     pub run: u32,
-    /// The run time, in milliseconds; 0 if it did not run to its end.
+    /// The run time, in milliseconds; 0 if it did not run from its beginning to its end.
     pub elapsed: u32,
 }
 
--- a/crates/fulmarpond-dispatch/src/ledger/record.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/record.rs
@@ -63,6 +63,8 @@
     failures: Vec<(u16, u8)>,
     /// Tasks that were placed again after their agent was lost, with the epoch of their runs.
     epochs: Vec<(u16, u16)>,
+    /// Tasks that have saved their progress, with what the endpoint gave.
+    checkpoints: Vec<(u16, String)>,
 }
 
 impl StepProgress {
@@ -73,6 +75,7 @@
             self.done.resize(byte + 1, 0);
         }
         self.done[byte] |= 1 << (index % 8);
+        self.checkpoints.retain(|(known, _)| *known != index);
     }
 
     /// Returns whether a task is done.
@@ -96,6 +99,27 @@
         for &(index, epoch) in &other.epochs {
             self.set_epoch(index, epoch.max(self.epoch(index)));
         }
+        for (index, value) in &other.checkpoints {
+            if !self.is_done(*index) && self.checkpoint(*index).is_none() {
+                self.set_checkpoint(*index, value.clone());
+            }
+        }
+    }
+
+    /// Notes the progress that a task has saved.
+    pub fn set_checkpoint(&mut self, index: u16, value: String) {
+        let mut known = self.checkpoints.iter_mut();
+        match known.find(|(known, _)| *known == index) {
+            Some((_, known)) => *known = value,
+            None => self.checkpoints.push((index, value)),
+        }
+    }
+
+    /// Returns the progress that a task has saved.
+    pub fn checkpoint(&self, index: u16) -> Option<&str> {
+        let mut known = self.checkpoints.iter();
+        let own = known.find(|(known, _)| *known == index);
+        own.map(|(_, value)| value.as_str())
     }
 
     /// Notes the epoch of a task's runs.
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -28,8 +28,8 @@
 pub use clock::RemoteClock;
 pub use counters::{Counters, Refusal};
 pub use frame::{
-    AgentFrame, Backlog, EndpointStatus, EntryFrame, FrameError, Order, Outcome, TaskEnd, TaskRun,
-    decode, encode,
+    AgentFrame, Backlog, Checkpoint, EndpointStatus, EntryFrame, FrameError, Order, Outcome,
+    TaskEnd, TaskRun, decode, encode,
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use needs::Needs;
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -11,6 +11,7 @@
     tasks: 4,
     cpu: 1_000,
     run_ms: 60,
+    saves: false,
 };
 
 const LONG: Demand = Demand {
@@ -18,6 +19,7 @@
     tasks: 2,
     cpu: 1_000,
     run_ms: 600,
+    saves: false,
 };
 
 fn steady(world: &mut World, from: u64, until: u64) -> Vec<JobId> {
@@ -209,3 +211,60 @@
         assert_eq!(world.history.broken, Vec::<String>::new());
     }
 }
+
+const SAVING: Demand = Demand {
+    route: 2,
+    tasks: 2,
+    cpu: 1_000,
+    run_ms: 3_000,
+    saves: true,
+};
+
+struct Interruption {
+    name: &'static str,
+    fault: Fault,
+    /// How long an interrupted task takes at most, in milliseconds.
+    within: u64,
+}
+
+/// Guards against work that is done again although the task has saved it: an interrupted task goes
+/// on from its checkpoint.
+#[test]
+fn interrupted_tasks_go_on_from_their_checkpoints() {
+    // 3,000 ms of work, 200 ms of it not saved, 100 ms to restore, and the time until the loss is
+    // noticed and the lost runs are over.
+    let cases = [
+        Interruption {
+            name: "agent killed",
+            fault: Fault::KillAgent(1),
+            within: 3_300 + 1_400,
+        },
+        Interruption {
+            name: "endpoint hangs",
+            fault: Fault::Endpoint(1, Trouble::Hang, 1_000),
+            within: 3_300 + 1_000,
+        },
+        Interruption {
+            name: "endpoint gone",
+            fault: Fault::Endpoint(1, Trouble::Gone, 10_000),
+            within: 3_300 + 700,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(Options {
+            patience_ms: 20_000,
+            ..Options::default()
+        });
+        world.run_ms(500);
+        let jobs: Vec<_> = (0..4).map(|_| world.submit_at(0, SAVING)).collect();
+        world.fault_at(2_000, case.fault);
+        world.run_ms(12_000);
+        for job in jobs {
+            let reply = world.reply(&job).expect("an answer");
+            assert_eq!(reply.answer, Answer::Completed, "{}: {job}", case.name);
+            let age = reply.age_ms;
+            assert!(age <= case.within, "{}: {job} took {age} ms", case.name);
+        }
+        assert_eq!(world.history.broken, Vec::<String>::new(), "{}", case.name);
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -12,6 +12,7 @@
     tasks: 3,
     cpu: 1_000,
     run_ms: 60,
+    saves: false,
 };
 
 const SMALL: Demand = Demand {
@@ -19,6 +20,7 @@
     tasks: 1,
     cpu: 500,
     run_ms: 60,
+    saves: false,
 };
 
 const STOCK: Demand = Demand {
@@ -26,6 +28,7 @@
     tasks: 2,
     cpu: 1_000,
     run_ms: 600,
+    saves: false,
 };
 
 /// How long traffic goes on, in milliseconds.
--- a/crates/fulmarpond-dispatch/tests/load.rs
+++ b/crates/fulmarpond-dispatch/tests/load.rs
@@ -11,6 +11,7 @@
     tasks: 2,
     cpu: 1_000,
     run_ms: 200,
+    saves: false,
 };
 
 const PLATE: Demand = Demand {
@@ -18,6 +19,7 @@
     tasks: 4,
     cpu: 1_000,
     run_ms: 60,
+    saves: false,
 };
 
 /// Core-milliseconds of a job.
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -10,6 +10,7 @@
     tasks: 4,
     cpu: 1_000,
     run_ms: 60,
+    saves: false,
 };
 
 const STOCK: Demand = Demand {
@@ -17,6 +18,7 @@
     tasks: 2,
     cpu: 1_000,
     run_ms: 600,
+    saves: false,
 };
 
 /// How long traffic goes on, in milliseconds.
--- a/crates/fulmarpond-dispatch/tests/support/caller.rs
+++ b/crates/fulmarpond-dispatch/tests/support/caller.rs
@@ -11,6 +11,8 @@
     pub cpu: u32,
     /// The estimated and usual run time of a task, in milliseconds.
     pub run_ms: u32,
+    /// Whether tasks save their progress from time to time.
+    pub saves: bool,
 }
 
 /// What became of a job.
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -38,9 +38,35 @@
     pub needs: Needs,
     pub began: Time,
     pub ends: Time,
+    /// The work that earlier runs have saved, in milliseconds, if the task saves its progress.
+    pub saved: Option<u64>,
+}
+
+/// The interval at which progress is saved, in milliseconds of work.
+pub const SAVE_MS: u64 = 200;
+
+/// How long it takes to go on from saved progress, in milliseconds.
+pub const RESTORE_MS: u64 = 100;
+
+/// What a run needs beside its call.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    pub needs: Needs,
+    pub ends: Time,
+    pub saved: Option<u64>,
 }
 
 impl LiveRun {
+    /// Returns the checkpoint at a time: the work that is done in full intervals, or all of it when
+    /// the run is stopped.
+    fn checkpoint(&self, task: &TaskKey, now: Time, stopped: bool) -> Option<String> {
+        let saved = self.saved?;
+        let restore = if saved > 0 { RESTORE_MS } else { 0 };
+        let done = saved + now.millis_since(self.began).saturating_sub(restore);
+        let done = if stopped { done } else { done - done % SAVE_MS };
+        (done > 0).then(|| format!("{task}@{done}"))
+    }
+
     /// Returns the share of the work that is done, in percent; a run that never ends does none.
     fn progress(&self, now: Time) -> u8 {
         if self.ends == Time::MAX {
@@ -148,7 +174,7 @@
     }
 
     /// Ends a run, and returns whether it was there.
-    pub fn end(&mut self, task: &TaskKey, how: EndHow) -> bool {
+    pub fn end(&mut self, task: &TaskKey, how: EndHow, now: Time) -> bool {
         let Some(run) = self.runs.remove(task) else {
             return false;
         };
@@ -158,6 +184,7 @@
             task: task.clone(),
             run: run.number,
             how,
+            checkpoint: run.checkpoint(task, now, how != EndHow::Done),
         });
         self.end_lapses.insert(self.next_end, self.lapses);
         self.next_end += 1;
@@ -183,6 +210,7 @@
             task: task.clone(),
             run: run.number,
             progress: Some(run.progress(now)),
+            checkpoint: run.checkpoint(task, now, false),
         });
         EndpointReply::Held {
             clock: self.clock(now),
@@ -199,8 +227,7 @@
     pub fn carry_out(
         &mut self,
         call: &EndpointCall,
-        needs: Needs,
-        ends: Time,
+        work: Work,
         now: Time,
     ) -> (EndpointReply, Effect) {
         let clock = self.clock(now);
@@ -230,14 +257,15 @@
                 if self.highest.get(task).is_some_and(|highest| run <= highest) {
                     return (self.refused(clock, StartRefusal::OldRun), Effect::None);
                 }
-                if !needs.fits(self.free()) {
+                if !work.needs.fits(self.free()) {
                     return (self.refused(clock, StartRefusal::NoRoom), Effect::None);
                 }
                 let live = LiveRun {
                     number: *run,
-                    needs,
+                    needs: work.needs,
                     began: now,
-                    ends,
+                    ends: work.ends,
+                    saved: work.saved,
                 };
                 self.runs.insert(task.clone(), live);
                 (EndpointReply::Done { clock }, Effect::Started(task.clone()))
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -78,6 +78,21 @@
         }
     }
 
+    /// Returns the work that a start goes on from, in milliseconds, and checks that it is the task's.
+    pub fn resumed(&mut self, task: &TaskKey, checkpoint: Option<&str>) -> u64 {
+        let Some(checkpoint) = checkpoint else {
+            return 0;
+        };
+        match checkpoint.split_once('@') {
+            Some((of, done)) if of == task.to_string() => done.parse().unwrap_or_default(),
+            _ => {
+                self.broken
+                    .push(format!("{task} goes on from {checkpoint}"));
+                0
+            }
+        }
+    }
+
     pub fn all_done(&self, job: &JobId, tasks: u16) -> bool {
         Self::tasks(job, tasks).all(|task| self.done.contains(&task))
     }
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -20,7 +20,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::caller::{Demand, Reply};
-use super::endpoint::{Effect, Endpoint, Trouble, Waiting};
+use super::endpoint::{Effect, Endpoint, RESTORE_MS, Trouble, Waiting, Work};
 use super::history::{ATTEMPTS, History};
 use super::network::Link;
 use super::options::Options;
@@ -709,9 +709,9 @@
             Trouble::LostReplies(percent) => self.rng.random_range(0..100) < percent,
             _ => false,
         };
-        let (needs, ends) = self.work(agent, &call);
+        let work = self.work(agent, &call);
         let now = self.now;
-        let (reply, effect) = self.endpoints[agent].carry_out(&call, needs, ends, now);
+        let (reply, effect) = self.endpoints[agent].carry_out(&call, work, now);
         for (task, run) in std::mem::take(&mut self.endpoints[agent].noted) {
             // A job that is not kept may run again from its start.
             if self.options.kept {
@@ -721,7 +721,7 @@
         let incarnation = self.endpoints[agent].incarnation;
         match effect {
             Effect::None => {}
-            Effect::Started(task) => self.started(agent, &task, ends),
+            Effect::Started(task) => self.started(agent, &task, work.ends),
             Effect::Stopped(task) => {
                 let run = self.endpoints[agent].runs[&task].number;
                 let wait = self.rng.random_range(1..=STOP_MS);
@@ -750,9 +750,16 @@
         self.after_us(LOCAL_US, Event::Answer(agent, life, number, Ok(reply)));
     }
 
-    fn work(&mut self, agent: usize, call: &EndpointCall) -> (Needs, Time) {
-        let EndpointCall::Start { task, .. } = call else {
-            return (Needs::default(), self.now);
+    fn work(&mut self, agent: usize, call: &EndpointCall) -> Work {
+        let EndpointCall::Start {
+            task, checkpoint, ..
+        } = call
+        else {
+            return Work {
+                needs: Needs::default(),
+                ends: self.now,
+                saved: None,
+            };
         };
         let demand = self.needs[&task.job];
         let spread = self.options.spread;
@@ -762,7 +769,17 @@
             Trouble::Fail => 0.0,
             _ => 1.0,
         };
-        let run_us = f64::from(demand.run_ms) * 1_000.0 * factor * slow;
+        // The work of a task that saves its progress is always the same.
+        let factor = if demand.saves { 1.0 } else { factor };
+        let saved = demand
+            .saves
+            .then(|| self.history.resumed(task, checkpoint.as_deref()));
+        let whole = f64::from(demand.run_ms) * factor;
+        let left = match saved {
+            Some(done) if done > 0 => (whole - done as f64).max(0.0) + RESTORE_MS as f64,
+            _ => whole,
+        };
+        let run_us = left * 1_000.0 * slow;
         let ends = if self.endpoints[agent].trouble == Trouble::Hang {
             Time::MAX
         } else {
@@ -773,7 +790,7 @@
             memory: TASK_MEMORY,
             accelerators: 0,
         };
-        (needs, ends)
+        Work { needs, ends, saved }
     }
 
     fn started(&mut self, agent: usize, task: &TaskKey, ends: Time) {
@@ -827,7 +844,8 @@
     }
 
     fn end_run(&mut self, agent: usize, task: &TaskKey, how: EndHow) {
-        if !self.endpoints[agent].end(task, how) {
+        let now = self.now;
+        if !self.endpoints[agent].end(task, how, now) {
             return;
         }
         let at = self.elapsed_ms();
