feat: tasks that work only together

A gang is placed as a whole where all members find free room at once, on one rack if distance slows it and one has the room. Each attempt has an epoch of its own, so all members have the same run number; an agent that has no room for a member, or gets no answer to its start, returns it instead of waiting. When a member ends without being done the entry stops the others, waits for their reports and places the gang again. One member that is done stands for all, a failure counts once for an attempt, and all members go on from the same checkpoint. A gang that no set of empty endpoints can hold is refused at once. What is not supported no longer asks the caller to come back in a second.

A gang of many tasks may wait long while smaller work takes the room that becomes free; room is not reserved for it.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -237,7 +237,14 @@
                 state.orders += 1;
                 self.order(link, &order, now, out);
             }
-            EntryFrame::Stop { job, tasks } => self.stop_tasks(link, &job, &tasks, now, out),
+            EntryFrame::Stop { job, tasks, report } => {
+                let then = if report {
+                    Then::Report(Outcome::Aborted)
+                } else {
+                    Then::Forget
+                };
+                self.stop_tasks(link, &job, &tasks, then, now, out);
+            }
             EntryFrame::Noted(runs) => {
                 if let Some(endpoint) = &mut self.endpoint {
                     endpoint.held.noted(&runs);
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -358,7 +358,13 @@
                     return;
                 }
                 info!(job = %task.job, %task, run, %failure, "start unanswered, stopping the run");
-                self.end_run(&task, Then::Restart, now, out);
+                // A member of a gang has the run number of the others and is not started again.
+                let then = if known.gang {
+                    Then::Report(Outcome::Aborted)
+                } else {
+                    Then::Restart
+                };
+                self.end_run(&task, then, now, out);
             }
             Purpose::Stop(task, run) | Purpose::Look(task, run) => {
                 if self.is_stopping(&task, run) {
@@ -444,6 +450,13 @@
             self.not_started(task, run, Outcome::Aborted);
             return;
         }
+        if known.gang {
+            if reason == StartRefusal::Fenced {
+                self.raise_fence(now);
+            }
+            self.not_started(task, run, Outcome::Aborted);
+            return;
+        }
         match reason {
             StartRefusal::OldRun | StartRefusal::LeasePassed => {
                 known.number += 1;
@@ -700,7 +713,9 @@
         if !matches!(run.phase, Phase::Running { .. }) {
             return;
         }
-        if !run.progress.see(percent, run.expected, now) {
+        // A gang works from the moment when all of it is there.
+        let waits = run.gang && percent == 0;
+        if waits || !run.progress.see(percent, run.expected, now) {
             return;
         }
         let expected = run.expected;
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -48,6 +48,7 @@
                 resumed: false,
                 limit: order.limit,
                 kept: order.kept,
+                gang: order.gang,
                 fresh: order.slack > 0 && !order.kept,
                 phase: Phase::Queued,
             };
@@ -56,9 +57,27 @@
         }
         self.changed = true;
         self.fill(now, out);
+        if order.gang {
+            self.return_members(order, now, out);
+        }
         self.send_news(out);
     }
 
+    /// Returns the members of a gang that have found no room: the others would wait for them.
+    fn return_members(&mut self, order: &Order, now: Time, out: &mut Vec<Action>) {
+        for &index in &order.indexes {
+            let task = TaskKey {
+                job: order.job.clone(),
+                step: order.step,
+                index,
+            };
+            let waits = |run: &Run| run.phase == Phase::Queued;
+            if self.runs.get(&task).is_some_and(waits) {
+                self.end_run(&task, Then::Report(Outcome::Unavailable), now, out);
+            }
+        }
+    }
+
     /// Returns the run number after which the runs of a task are counted.
     fn last_number(&self, task: &TaskKey, epoch: u16) -> u32 {
         let known = self.numbers.get(task).map_or(0, |(last, _)| *last);
@@ -150,6 +169,7 @@
         link: LinkNo,
         job: &JobId,
         tasks: &[(u16, u16)],
+        then: Then,
         now: Time,
         out: &mut Vec<Action>,
     ) {
@@ -166,7 +186,7 @@
         };
         for task in listed {
             if self.runs.get(&task).is_some_and(|run| run.link == link) {
-                self.end_run(&task, Then::Forget, now, out);
+                self.end_run(&task, then, now, out);
             }
         }
         self.fill(now, out);
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -62,6 +62,8 @@
     pub(super) resumed: bool,
     /// Whether its end is held until it is in the store.
     pub(super) kept: bool,
+    /// Whether it works only together with the other tasks of its step.
+    pub(super) gang: bool,
     /// Whether its objective could be met when it was ordered.
     pub(super) fresh: bool,
     pub(super) phase: Phase,
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -1,5 +1,6 @@
 //! Decisions about new jobs.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
@@ -7,9 +8,10 @@
 
 use super::configuration::Route;
 use super::entry::{Entry, RETRY_S, ROUTINE};
+use super::gangs::gang_fits;
 use super::job::Job;
 use super::placement::ever_fits;
-use super::submission::Submission;
+use super::submission::{Step, Submission};
 use super::{Action, Answer, RequestNo};
 use crate::{JobId, Refusal};
 
@@ -29,7 +31,7 @@
     /// Counts and logs a request that is refused before it names a job.
     pub fn refuse(&mut self, request: RequestNo, reason: Refusal, out: &mut Vec<Action>) {
         let retry = match reason {
-            Refusal::NoRoute | Refusal::Invalid => 0,
+            Refusal::NoRoute | Refusal::Invalid | Refusal::Unsupported => 0,
             _ => RETRY_S,
         };
         self.counters.refuse(reason);
@@ -138,6 +140,7 @@
             last_start: now,
             begun: false,
             withdrawn: false,
+            broken: BTreeSet::new(),
             avoided: Vec::new(),
         }
     }
@@ -157,6 +160,12 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns whether the empty endpoints of a service could hold what a step needs at once.
+    pub(super) fn step_fits(&self, service: &str, step: &Step) -> bool {
+        let fits = ever_fits(&self.fleet, service, step.needs);
+        fits && (!step.gang || gang_fits(&self.fleet, service, step))
+    }
+
     /// Decides whether a job can be served at all.
     pub(super) fn admit(&self, job: &Job) -> Result<(), Refusal> {
         let service = &job.route.service;
@@ -164,10 +173,7 @@
             return Err(Refusal::NoEndpoint);
         }
         let steps = &job.submission.steps;
-        if steps
-            .iter()
-            .any(|step| !ever_fits(&self.fleet, service, step.needs))
-        {
+        if steps.iter().any(|step| !self.step_fits(service, step)) {
             return Err(Refusal::NeverFits);
         }
         Ok(())
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -80,6 +80,7 @@
         for id in hit {
             let kept = self.jobs.get(&id).is_some_and(|job| job.state.is_some());
             let over = if kept { over_kept } else { over };
+            self.break_lost_gangs(&id, out);
             self.job_lost(&id, over, now, out);
         }
     }
@@ -208,7 +209,9 @@
             step.set_checkpoint(key.index, value.clone());
             self.ledger.change(&key.job, state.clone());
         }
-        if let Some(task) = job.task(key.step, key.index) {
+        if job.is_gang(key.step) {
+            job.share_checkpoint(key.step, &value);
+        } else if let Some(task) = job.task(key.step, key.index) {
             task.checkpoint = Some(value);
         }
     }
@@ -223,6 +226,14 @@
             Outcome::Done => self.task_done(link, end, now, out),
             _ => self.task_again(link, end, now, out),
         };
+        if end.outcome != Outcome::Done
+            && self
+                .jobs
+                .get(id)
+                .is_some_and(|job| job.is_gang(end.task.step))
+        {
+            self.break_gang(id, end.task.step, out);
+        }
         if goes_on {
             self.place(id, now, out);
         }
@@ -233,6 +244,7 @@
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return false;
         };
+        let gang = job.is_gang(end.task.step);
         let Some(task) = job.task(end.task.step, end.task.index) else {
             return false;
         };
@@ -242,13 +254,17 @@
         task.state = TaskState::Waiting;
         match end.outcome {
             Outcome::Done => task.state = TaskState::Done,
-            Outcome::Failed => {
+            Outcome::Failed if !gang => {
                 task.failures += 1;
                 task.failed_run = end.run;
             }
+            Outcome::Failed => {}
             Outcome::Aborted => task.aborts += 1,
             Outcome::Unavailable | Outcome::NoRoom => {}
         }
+        if job.is_gang(end.task.step) {
+            job.share_end(end);
+        }
         let final_end = matches!(end.outcome, Outcome::Done | Outcome::Failed);
         job.begun |= final_end || end.outcome == Outcome::Aborted;
         if final_end && job.state.is_some() {
@@ -288,7 +304,11 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
         };
-        job.avoided.push(link);
+        // Members that are stopped with their gang say nothing about their agents.
+        let first = !job.broken.contains(&end.task.step) || end.outcome == Outcome::Failed;
+        if first {
+            job.avoided.push(link);
+        }
         let (kept, most) = (job.state.is_some(), job.route.attempts);
         let task = job.task(end.task.step, end.task.index);
         let failures = task.map_or(0, |task| task.failures);
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -246,6 +246,7 @@
                 frame: EntryFrame::Stop {
                     job: id.clone(),
                     tasks: Vec::new(),
+                    report: false,
                 },
             });
         }
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -1,6 +1,6 @@
 //! The agents as an entry sees them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use fulmarpond_core::Time;
 
@@ -83,6 +83,11 @@
         self.unseen.retain(|unseen| unseen.order < next);
     }
 
+    /// Takes back the task that was planned last.
+    pub(super) fn forget_last(&mut self) {
+        self.unseen.pop_back();
+    }
+
     /// Returns the share of the processor that is in use, from 0 to 1.
     pub(super) fn usage(&self) -> f64 {
         1.0 - f64::from(self.free().cpu) / f64::from(self.capacity.cpu.max(1))
@@ -101,6 +106,12 @@
 }
 
 impl Fleet {
+    /// Returns the labels of a service's endpoints.
+    pub(super) fn labels(&self, service: &str) -> BTreeSet<String> {
+        let of_service = self.views.values().filter(|view| view.service == service);
+        of_service.flat_map(|view| view.labels.clone()).collect()
+    }
+
     pub(super) fn joined(
         &mut self,
         link: LinkNo,
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -1,6 +1,6 @@
 //! A job of a caller.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
@@ -72,6 +72,8 @@
     pub(super) begun: bool,
     /// Whether its tasks were called back since it missed its objective.
     pub(super) withdrawn: bool,
+    /// Steps whose gang has lost a member and is being stopped.
+    pub(super) broken: BTreeSet<u16>,
     /// Agents where its tasks met trouble.
     pub(super) avoided: Vec<LinkNo>,
 }
@@ -123,9 +125,21 @@
                 of_step.all(|task| task.state == TaskState::Done)
             })
             .collect();
+        // A gang is placed as a whole.
+        let complete: Vec<bool> = (0..self.submission.steps.len())
+            .map(|step| {
+                let mut of_step = self
+                    .tasks
+                    .iter()
+                    .filter(|task| usize::from(task.step) == step);
+                !self.submission.steps[step].gang
+                    || of_step.all(|task| task.state == TaskState::Waiting)
+            })
+            .collect();
         let is_ready = |task: &Task| {
             let after = &self.submission.steps[usize::from(task.step)].after;
             task.state == TaskState::Waiting
+                && complete[usize::from(task.step)]
                 && after
                     .iter()
                     .all(|&step| step_done.get(usize::from(step)).copied().unwrap_or(true))
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -129,8 +129,8 @@
             return;
         }
         let known = self.fleet.has_service(&route.service);
-        let fits = |needs| super::placement::ever_fits(&self.fleet, &route.service, needs);
-        if known && !submission.steps.iter().all(|step| fits(step.needs)) {
+        let fits = |step| self.step_fits(&route.service, step);
+        if known && !submission.steps.iter().all(fits) {
             info!(job = %id, reason = Refusal::NeverFits.as_str(), "job refused");
             self.refuse(request, Refusal::NeverFits, out);
             return;
@@ -279,6 +279,7 @@
                 let frame = EntryFrame::Stop {
                     job: id.clone(),
                     tasks: Vec::new(),
+                    report: false,
                 };
                 out.push(Action::Send { link, frame });
                 stopped.push(id.clone());
@@ -323,6 +324,8 @@
         let failures = job
             .task(end.task.step, end.task.index)
             .map_or(0, |task| task.failures);
+        let gang = job.is_gang(end.task.step);
+        let count = job.submission.steps[usize::from(end.task.step)].count;
         let Some(state) = &mut job.state else {
             return;
         };
@@ -330,7 +333,9 @@
             return;
         };
         let done = end.outcome == Outcome::Done;
-        if done {
+        if done && gang {
+            (0..count).for_each(|index| step.set_done(index));
+        } else if done {
             step.set_done(end.task.index);
         } else {
             step.set_failures(end.task.index, failures);
@@ -582,6 +587,7 @@
                 task.state = TaskState::Lost(hold_until);
             }
         }
+        job.share_failures();
         if hold_until > now {
             self.wait_for_lost(hold_until, id.clone());
         }
@@ -651,6 +657,7 @@
                 let frame = EntryFrame::Stop {
                     job: id.clone(),
                     tasks: vec![(task.step, task.index)],
+                    report: false,
                 };
                 out.push(Action::Send { link, frame });
             }
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod estimates;
 mod fleet;
+mod gangs;
 mod job;
 mod kept;
 mod placement;
--- a/crates/fulmarpond-dispatch/src/entry/placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placement.rs
@@ -31,6 +31,8 @@
     pub(super) service: &'a str,
     pub(super) zone: &'a str,
     pub(super) step: &'a Step,
+    /// A label that all tasks of a gang share, if any.
+    pub(super) within: Option<&'a str>,
     /// The expected run time, in milliseconds.
     pub(super) expected: u32,
     /// How long it may wait without missing its objective, in milliseconds.
@@ -86,7 +88,16 @@
         Some(label) => view.labels.contains(label),
         None => true,
     };
-    view.serves(demand.service) && labelled && demand.step.needs.fits(view.capacity)
+    let within = demand
+        .within
+        .is_none_or(|label| view.labels.iter().any(|known| known == label));
+    // All members of a gang start at once.
+    let now = !demand.step.gang || view.wait(demand.step.needs, demand.slack) == 0.0;
+    view.serves(demand.service)
+        && labelled
+        && now
+        && within
+        && demand.step.needs.fits(view.capacity)
 }
 
 fn run_time(view: &View, demand: Demand<'_>, usual: f64) -> f64 {
--- a/crates/fulmarpond-dispatch/src/entry/placing.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placing.rs
@@ -1,6 +1,6 @@
 //! Placement of the tasks of a job.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fulmarpond_core::Time;
 use tracing::info;
@@ -56,6 +56,7 @@
         job: &Job,
         position: usize,
         taken: &[(LinkNo, u16)],
+        label: Option<&str>,
         now: Time,
     ) -> Option<Choice> {
         let task = &job.tasks[position];
@@ -64,6 +65,7 @@
             service: &job.route.service,
             zone: &self.options.zone,
             step,
+            within: label,
             expected: self.estimates.expect(&job.route.name, step.estimate),
             slack: job.start_by.remaining_millis(now),
             far: self.options.far,
@@ -108,7 +110,17 @@
         let mut plan = Plan::default();
         let mut taken: Vec<(LinkNo, u16)> = Vec::new();
         for position in job.ready() {
-            let Some(choice) = self.choose(job, position, &taken, now) else {
+            let task = &job.tasks[position];
+            if job.is_gang(task.step) {
+                // All members are ready together; the first one stands for them.
+                if job.positions(task.step).first() == Some(&position) {
+                    let members = self.plan_gang(job, task.step, now);
+                    plan.left |= members.is_empty();
+                    plan.choices.extend(members);
+                }
+                continue;
+            }
+            let Some(choice) = self.choose(job, position, &taken, None, now) else {
                 plan.left = true;
                 continue;
             };
@@ -129,6 +141,12 @@
         plan
     }
 
+    /// Returns the expected run time of a task of a step, in milliseconds.
+    pub(super) fn expected(&self, job: &Job, step: u16) -> u32 {
+        let about = &job.submission.steps[usize::from(step)];
+        self.estimates.expect(&job.route.name, about.estimate)
+    }
+
     pub(super) fn drop_plan(&mut self, plan: &Plan) {
         for (_, link) in &plan.choices {
             if let Some(view) = self.fleet.views.get_mut(link) {
@@ -146,6 +164,11 @@
         out: &mut Vec<Action>,
     ) {
         let mut orders: BTreeMap<Batch, Vec<u16>> = BTreeMap::new();
+        let steps = plan.choices.iter().map(|&(at, _)| job.tasks[at].step);
+        let gangs: BTreeSet<u16> = steps.filter(|&step| job.is_gang(step)).collect();
+        for step in gangs {
+            job.begin_gang(step);
+        }
         for (position, link) in plan.choices {
             let task = &mut job.tasks[position];
             task.state = TaskState::Sent(link);
@@ -215,6 +238,7 @@
             limit: Self::limit(job, step, expected),
             kept: job.state.is_some(),
             epoch,
+            gang: about.gang,
         };
         out.push(Action::Send {
             link,
--- a/crates/fulmarpond-dispatch/src/entry/submission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/submission.rs
@@ -22,6 +22,10 @@
     pub affinity: Option<String>,
     /// The most tasks that one endpoint may run.
     pub spread: Option<u16>,
+    /// Whether its tasks work only together.
+    pub gang: bool,
+    /// Whether the tasks of a gang take longer on more than one rack.
+    pub colocated: bool,
 }
 
 /// A job as submitted.
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -146,12 +146,14 @@
     },
     /// Starts tasks of one job.
     Start(Order),
-    /// Ends tasks of one job without an answer.
+    /// Ends tasks of one job.
     Stop {
         /// The job.
         job: JobId,
         /// The steps and numbers of the tasks; empty for all of the job.
         tasks: Vec<(u16, u16)>,
+        /// Whether their ends are to be told.
+        report: bool,
     },
     /// Returns the tasks of a job that have not begun.
     Withdraw(JobId),
@@ -195,6 +197,8 @@
     pub epoch: u16,
     /// Where tasks go on that have saved their progress, by their numbers.
     pub checkpoints: Vec<(u16, String)>,
+    /// Whether the tasks work only together: then all have the same run number, and none waits.
+    pub gang: bool,
 }
 
 /// How a task ended.
--- a/crates/fulmarpond-dispatch/src/needs.rs
+++ b/crates/fulmarpond-dispatch/src/needs.rs
@@ -21,6 +21,19 @@
         self.cpu <= room.cpu && self.memory <= room.memory && self.accelerators <= room.accelerators
     }
 
+    /// Returns how often this amount fits into `room`.
+    pub const fn times_in(self, room: Self) -> u32 {
+        let cpu = times(self.cpu, room.cpu);
+        let memory = times(self.memory, room.memory);
+        let accelerators = times(self.accelerators, room.accelerators);
+        let least = if cpu < memory { cpu } else { memory };
+        if least < accelerators {
+            least
+        } else {
+            accelerators
+        }
+    }
+
     /// Returns the sum of two amounts.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
@@ -41,3 +54,10 @@
         }
     }
 }
+
+const fn times(amount: u32, room: u32) -> u32 {
+    match room.checked_div(amount) {
+        Some(times) => times,
+        None => u32::MAX,
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -12,6 +12,7 @@
     cpu: 1_000,
     run_ms: 60,
     saves: false,
+    gang: false,
 };
 
 const LONG: Demand = Demand {
@@ -20,6 +21,7 @@
     cpu: 1_000,
     run_ms: 600,
     saves: false,
+    gang: false,
 };
 
 fn steady(world: &mut World, from: u64, until: u64) -> Vec<JobId> {
@@ -218,6 +220,7 @@
     cpu: 1_000,
     run_ms: 3_000,
     saves: true,
+    gang: false,
 };
 
 struct Interruption {
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -5,7 +5,7 @@
 use fulmarpond_dispatch::JobId;
 use fulmarpond_dispatch::entry::Answer;
 use proptest::prelude::*;
-use support::{Demand, Fault, Options, StoreTrouble, Trouble, World, traced};
+use support::{Demand, Fault, Options, StoreTrouble, Trouble, World, schedules, traced};
 
 const PLATE: Demand = Demand {
     route: 0,
@@ -13,6 +13,7 @@
     cpu: 1_000,
     run_ms: 60,
     saves: false,
+    gang: false,
 };
 
 const SMALL: Demand = Demand {
@@ -21,6 +22,7 @@
     cpu: 500,
     run_ms: 60,
     saves: false,
+    gang: false,
 };
 
 const STOCK: Demand = Demand {
@@ -29,6 +31,7 @@
     cpu: 1_000,
     run_ms: 600,
     saves: false,
+    gang: false,
 };
 
 /// How long traffic goes on, in milliseconds.
@@ -118,26 +121,8 @@
     world
 }
 
-/// Reads a number from the environment.
-fn number(name: &str, default: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(default)
-}
-
-/// `FULMARPOND_CASES` multiplies the cases, `FULMARPOND_SEED` replaces the seed.
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 24 * u32::try_from(number("FULMARPOND_CASES", 1)).unwrap_or(1),
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(number("FULMARPOND_SEED", 20_261_204)),
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(schedules(24))]
 
     /// Guards against a kept job that is lost, shown with a wrong state, or whose task runs twice
     /// or again after its end was noted.
--- a/crates/fulmarpond-dispatch/tests/load.rs
+++ b/crates/fulmarpond-dispatch/tests/load.rs
@@ -12,6 +12,7 @@
     cpu: 1_000,
     run_ms: 200,
     saves: false,
+    gang: false,
 };
 
 const PLATE: Demand = Demand {
@@ -20,6 +21,7 @@
     cpu: 1_000,
     run_ms: 60,
     saves: false,
+    gang: false,
 };
 
 /// Core-milliseconds of a job.
--- a/crates/fulmarpond-dispatch/tests/reasons.rs
+++ b/crates/fulmarpond-dispatch/tests/reasons.rs
@@ -104,6 +104,8 @@
         label: None,
         affinity: None,
         spread: None,
+        gang: false,
+        colocated: false,
     };
     let submission = Submission {
         spec: String::new(),
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use proptest::prelude::*;
-use support::{Demand, Fault, Options, Trouble, World};
+use support::{Demand, Fault, Options, Trouble, World, schedules};
 
 const PLATE: Demand = Demand {
     route: 0,
@@ -11,6 +11,7 @@
     cpu: 1_000,
     run_ms: 60,
     saves: false,
+    gang: false,
 };
 
 const STOCK: Demand = Demand {
@@ -19,6 +20,7 @@
     cpu: 1_000,
     run_ms: 600,
     saves: false,
+    gang: false,
 };
 
 /// How long traffic goes on, in milliseconds.
@@ -73,26 +75,8 @@
     world
 }
 
-/// Reads a number from the environment.
-fn number(name: &str, default: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(default)
-}
-
-/// `FULMARPOND_CASES` multiplies the cases, `FULMARPOND_SEED` replaces the seed.
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 40 * u32::try_from(number("FULMARPOND_CASES", 1)).unwrap_or(1),
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(number("FULMARPOND_SEED", 20_261_203)),
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(schedules(40))]
 
     /// Guards against two runs of one task at a time, answers without the work, untrue refusals
     /// and starts at an endpoint that leaves.
--- a/crates/fulmarpond-dispatch/tests/support/caller.rs
+++ b/crates/fulmarpond-dispatch/tests/support/caller.rs
@@ -13,6 +13,8 @@
     pub run_ms: u32,
     /// Whether tasks save their progress from time to time.
     pub saves: bool,
+    /// Whether tasks work only together.
+    pub gang: bool,
 }
 
 /// What became of a job.
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/support/gangs.rs
@@ -0,0 +1,80 @@
+//! Tasks of the stand-in that work only together.
+
+use fulmarpond_dispatch::agent::EndHow;
+use fulmarpond_dispatch::{JobId, TaskKey};
+
+use super::world::{Event, World};
+
+/// How long a member waits for the others, in milliseconds.
+const GANG_MS: u64 = 3_000;
+
+/// Names one run of a gang.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct GangKey {
+    job: JobId,
+    step: u16,
+    run: u32,
+}
+
+impl World {
+    /// Returns the gang that a run belongs to, while it is not over.
+    pub(super) fn gang_of(&self, agent: usize, task: &TaskKey) -> Option<GangKey> {
+        let run = self.endpoints[agent].runs.get(task)?.number;
+        let key = GangKey {
+            job: task.job.clone(),
+            step: task.step,
+            run,
+        };
+        self.gangs.contains_key(&key).then_some(key)
+    }
+
+    pub(super) fn member_started(&mut self, agent: usize, task: &TaskKey) {
+        let run = self.endpoints[agent].runs[task].number;
+        let key = GangKey {
+            job: task.job.clone(),
+            step: task.step,
+            run,
+        };
+        let demand = self.needs[&task.job];
+        let members = self.gangs.entry(key.clone()).or_default();
+        members.push((agent, task.clone()));
+        if members.len() < usize::from(demand.tasks) {
+            self.after_ms(GANG_MS, Event::GangMisses(key));
+            return;
+        }
+        let ends = self.now.after_millis(u64::from(demand.run_ms));
+        for (agent, task) in members.clone() {
+            if let Some(run) = self.endpoints[agent].runs.get_mut(&task) {
+                run.began = self.now;
+                run.ends = ends;
+            }
+            self.at(ends, Event::Check(agent));
+        }
+    }
+
+    /// Ends the members of a gang that has waited for others for too long.
+    pub(super) fn gang_misses(&mut self, gang: &GangKey) {
+        let Some(members) = self.gangs.get(gang) else {
+            return;
+        };
+        if members.len() < usize::from(self.needs[&gang.job].tasks) {
+            self.history.alone += 1;
+            self.end_gang(gang, EndHow::Cut);
+        }
+    }
+
+    /// Ends the other members of a gang, one of which has ended.
+    pub(super) fn end_gang(&mut self, gang: &GangKey, how: EndHow) {
+        let others = if how == EndHow::Done {
+            EndHow::Done
+        } else {
+            EndHow::Cut
+        };
+        for (agent, task) in self.gangs.remove(gang).unwrap_or_default() {
+            let runs = &self.endpoints[agent].runs;
+            if runs.get(&task).is_some_and(|run| run.number == gang.run) {
+                self.end_run(agent, &task, others);
+            }
+        }
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -7,7 +7,9 @@
 )]
 
 mod caller;
+mod cases;
 mod endpoint;
+mod gangs;
 mod history;
 mod network;
 mod options;
@@ -19,6 +21,8 @@
 #[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use caller::{Demand, Reply};
 #[allow(unused_imports, reason = "each test file uses a part of it")]
+pub use cases::schedules;
+#[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use endpoint::Trouble;
 pub use options::Options;
 #[allow(unused_imports, reason = "each test file uses a part of it")]
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -21,6 +21,7 @@
 
 use super::caller::{Demand, Reply};
 use super::endpoint::{Effect, Endpoint, RESTORE_MS, Trouble, Waiting, Work};
+use super::gangs::GangKey;
 use super::history::{ATTEMPTS, History};
 use super::network::Link;
 use super::options::Options;
@@ -90,6 +91,7 @@
     ToStore(Sent),
     FromStore(Caller, Duty, Outcome),
     WatchEnds(Caller),
+    GangMisses(GangKey),
 }
 
 pub(super) struct Node<T> {
@@ -127,7 +129,7 @@
     answered: HashSet<(usize, u32, CallNo)>,
     pub(super) jobs: HashMap<JobId, Job>,
     requests: HashMap<(usize, u32, RequestNo), (JobId, u32)>,
-    needs: HashMap<JobId, Demand>,
+    pub(super) needs: HashMap<JobId, Demand>,
     configuration: Configuration,
     /// When an agent acknowledged that its endpoint drains, and when the agent last started.
     drained: HashMap<usize, Time>,
@@ -137,6 +139,8 @@
     pub(super) store_cuts: HashSet<usize>,
     pub(super) directories: Vec<Option<Directory>>,
     pub(super) watches: Vec<Sent>,
+    /// The members of each gang that are present: their agents and tasks.
+    pub(super) gangs: HashMap<GangKey, Vec<(usize, TaskKey)>>,
     pub(super) store_answered: HashSet<Caller>,
     pub history: History,
 }
@@ -179,6 +183,7 @@
             store_cuts: HashSet::new(),
             directories: Vec::new(),
             watches: Vec::new(),
+            gangs: HashMap::new(),
             store_answered: HashSet::new(),
             history: History::default(),
         };
@@ -202,7 +207,7 @@
 
     // Time.
 
-    fn at(&mut self, time: Time, event: Event) {
+    pub(super) fn at(&mut self, time: Time, event: Event) {
         self.next += 1;
         self.queue.push(Reverse((time, self.next)));
         self.events.insert(self.next, event);
@@ -607,6 +612,7 @@
             Event::ToStore(sent) => self.arrive_at_store(sent),
             Event::FromStore(by, duty, outcome) => self.store_replies(by, duty, outcome),
             Event::WatchEnds(by) => self.watch_ends(by),
+            Event::GangMisses(gang) => self.gang_misses(&gang),
         }
     }
 
@@ -780,7 +786,8 @@
             _ => whole,
         };
         let run_us = left * 1_000.0 * slow;
-        let ends = if self.endpoints[agent].trouble == Trouble::Hang {
+        // A gang works from the moment when all of it is there.
+        let ends = if demand.gang || self.endpoints[agent].trouble == Trouble::Hang {
             Time::MAX
         } else {
             self.now.after_micros(run_us as u64 + 1_000)
@@ -809,6 +816,9 @@
         if ends < Time::MAX {
             self.at(ends, Event::Check(agent));
         }
+        if self.needs[&task.job].gang {
+            self.member_started(agent, task);
+        }
     }
 
     fn plan_lapse(&mut self, agent: usize) {
@@ -843,8 +853,9 @@
         }
     }
 
-    fn end_run(&mut self, agent: usize, task: &TaskKey, how: EndHow) {
+    pub(super) fn end_run(&mut self, agent: usize, task: &TaskKey, how: EndHow) {
         let now = self.now;
+        let gang = self.gang_of(agent, task);
         if !self.endpoints[agent].end(task, how, now) {
             return;
         }
@@ -855,6 +866,9 @@
         for hold in waiting {
             self.answer_hold(agent, hold.call);
         }
+        if let Some(gang) = gang {
+            self.end_gang(&gang, how);
+        }
     }
 
     fn hold_ends(&mut self, agent: usize, incarnation: u32, call: u64) {
@@ -961,6 +975,8 @@
                 label: None,
                 affinity: None,
                 spread: None,
+                gang: demand.gang,
+                colocated: false,
             }],
             patience,
             kept: self.options.kept,
@@ -1036,7 +1052,10 @@
                     self.endpoints[agent].trouble = Trouble::None;
                     // Runs that stood still end now.
                     let now = self.now;
-                    for run in self.endpoints[agent].runs.values_mut() {
+                    let needs = &self.needs;
+                    let runs = self.endpoints[agent].runs.iter_mut();
+                    // Members of a gang wait for the others, not for the end of the trouble.
+                    for (_, run) in runs.filter(|(task, _)| !needs[&task.job].gang) {
                         run.ends = run.ends.min(now.after_millis(50));
                     }
                     self.after_ms(51, Event::Check(agent));
@@ -1108,7 +1127,11 @@
     fn crash(&mut self, agent: usize) {
         let tasks: Vec<TaskKey> = self.endpoints[agent].runs.keys().cloned().collect();
         for task in tasks {
+            let gang = self.gang_of(agent, &task);
             self.endpoints[agent].runs.remove(&task);
+            if let Some(gang) = gang {
+                self.end_gang(&gang, EndHow::Cut);
+            }
             let at = self.elapsed_ms();
             self.history.ended(&task, agent, EndHow::Cut, at);
         }
