fix(entry): one member that the store has as done stands for its gang

Cause: while the owner stood still, another entry added the ends of some members to the state; the one whose agent no entry reached stayed open, and a gang is placed only as a whole: it never ended.

Change: members of a gang of which one is done in the store count as done.

--- a/crates/fulmarpond-dispatch/src/entry/gangs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/gangs.rs
@@ -10,7 +10,7 @@
 use super::Action;
 use super::entry::Entry;
 use super::fleet::Fleet;
-use super::job::{Job, TaskState};
+use super::job::{Job, Task, TaskState};
 use super::submission::Step;
 use crate::{EntryFrame, JobId, LinkNo, Outcome, TaskEnd};
 
@@ -146,6 +146,19 @@
         }
     }
 
+    /// Counts all members of each gang as done of which one is.
+    pub(super) fn share_done(&mut self) {
+        for step in 0..self.submission.steps.len() as u16 {
+            let done = |task: &Task| task.step == step && task.state == TaskState::Done;
+            if !self.is_gang(step) || !self.tasks.iter().any(done) {
+                continue;
+            }
+            for task in self.tasks.iter_mut().filter(|task| task.step == step) {
+                task.state = TaskState::Done;
+            }
+        }
+    }
+
     /// Gives all members of a gang the progress that one of them has saved.
     pub(super) fn share_checkpoint(&mut self, step: u16, value: &str) {
         for task in self.tasks.iter_mut().filter(|task| task.step == step) {
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -573,7 +573,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        let mut job = self.job(None, route, submission, now);
+        let mut job = self.job(id, None, route, submission, now);
         for task in &mut job.tasks {
             let Some(step) = state.steps.get(usize::from(task.step)) else {
                 continue;
@@ -588,6 +588,7 @@
             }
         }
         job.share_failures();
+        job.share_done();
         if hold_until > now {
             self.wait_for_lost(hold_until, id.clone());
         }
@@ -663,6 +664,7 @@
             }
             task.state = TaskState::Done;
         }
+        job.share_done();
         if let Some(state) = &mut job.state {
             state.merge(stored);
         }
--- a/crates/fulmarpond-dispatch/tests/gangs.rs
+++ b/crates/fulmarpond-dispatch/tests/gangs.rs
@@ -176,3 +176,20 @@
         prop_assert!(broken.is_empty(), "{broken:?}");
     }
 }
+
+/// Guards against the return of faults that the schedules have found.
+#[test]
+fn schedules_that_once_failed_hold() {
+    let cases: [(u64, &[(u64, Fault)]); 1] = [(
+        11_536_336_220_224_221_253,
+        &[
+            (2_180, Fault::Cut(0, 0, 2_307)),
+            (2_104, Fault::PauseEntry(1, 2_767)),
+            (4_720, Fault::KillAgent(0)),
+            (1_470, Fault::Endpoint(1, Trouble::LostReplies(5), 628)),
+        ],
+    )];
+    for (seed, faults) in cases {
+        assert_eq!(play(seed, faults), Vec::<String>::new());
+    }
+}
