feat: ask which endpoints a queue's policy allows, and start with tickets

A queue may have a policy that lets only some endpoints run a step. The entry asks the service that knows it for the endpoints that it would choose, 30 at most, one call at a time; it places tasks only where it has a ticket with a fifth of its validity left, and hands the ticket on to the start. A ticket that an endpoint does not accept is dropped and the task placed again. The time of the calls that wait is part of the wait that admission weighs; a call counts as work of each step. Without an address for the service such jobs are refused as not supported; until now they were run without asking.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -14,8 +14,8 @@
 use super::{Action, CallNo};
 use crate::entry::Configuration;
 use crate::{
-    AgentFrame, Bounds, Checkpoint, Counters, EntryFrame, LinkNo, Needs, Outcome, Registration,
-    TaskEnd, TaskKey,
+    AgentFrame, Bounds, Checkpoint, Counters, EndpointId, EntryFrame, LinkNo, Needs, Outcome,
+    Registration, TaskEnd, TaskKey,
 };
 
 /// How long a start or a stop may go without a reply, in milliseconds. The endpoint is on the same
@@ -294,11 +294,13 @@
     fn describe(&self) -> AgentFrame {
         match &self.endpoint {
             Some(endpoint) => AgentFrame::Endpoint {
+                id: endpoint.about.id.clone(),
                 service: endpoint.about.service.clone(),
                 capacity: endpoint.about.capacity,
                 labels: endpoint.about.labels.clone(),
             },
             None => AgentFrame::Endpoint {
+                id: EndpointId(String::new()),
                 service: String::new(),
                 capacity: Needs::default(),
                 labels: Vec::new(),
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
@@ -17,6 +17,8 @@
         spec: String,
         /// The saved progress to go on from.
         checkpoint: Option<String>,
+        /// What shows that the endpoint may run the step.
+        ticket: Option<String>,
         /// Until when everything at the endpoint may run, in milliseconds of its clock.
         lease: i64,
         /// The fencing token.
@@ -66,6 +68,8 @@
     LeasePassed,
     /// It has no room.
     NoRoom,
+    /// The ticket is missing, not valid any more, or for another endpoint.
+    NoTicket,
     /// Any other reason.
     Other,
 }
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -454,7 +454,12 @@
             if reason == StartRefusal::Fenced {
                 self.raise_fence(now);
             }
-            self.not_started(task, run, Outcome::Aborted);
+            let outcome = if reason == StartRefusal::NoTicket {
+                Outcome::NoTicket
+            } else {
+                Outcome::Aborted
+            };
+            self.not_started(task, run, outcome);
             return;
         }
         match reason {
@@ -470,6 +475,7 @@
                 // Room that an end has freed is not free for the endpoint until it lists the end.
                 self.not_started(task, run, Outcome::NoRoom);
             }
+            StartRefusal::NoTicket => self.not_started(task, run, Outcome::NoTicket),
             StartRefusal::Other => self.not_started(task, run, Outcome::Unavailable),
         }
     }
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -49,6 +49,7 @@
                 limit: order.limit,
                 kept: order.kept,
                 gang: order.gang,
+                ticket: order.ticket.clone(),
                 fresh: order.slack > 0 && !order.kept,
                 phase: Phase::Queued,
             };
@@ -145,6 +146,7 @@
             run: run.number,
             spec: run.spec.clone(),
             checkpoint: run.checkpoint.clone(),
+            ticket: run.ticket.clone(),
             lease,
             fence: self.fence,
         };
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -64,6 +64,8 @@
     pub(super) kept: bool,
     /// Whether it works only together with the other tasks of its step.
     pub(super) gang: bool,
+    /// What shows that the endpoint may run it.
+    pub(super) ticket: Option<String>,
     /// Whether its objective could be met when it was ordered.
     pub(super) fresh: bool,
     pub(super) phase: Phase,
--- a/crates/fulmarpond-dispatch/src/entry/action.rs
+++ b/crates/fulmarpond-dispatch/src/entry/action.rs
@@ -2,8 +2,9 @@
 
 use fulmarpond_derive::value;
 
+use super::StepKey;
 use crate::directory::{Duty, StoreCall};
-use crate::{EntryFrame, LinkNo, Refusal};
+use crate::{EndpointId, EntryFrame, LinkNo, Refusal};
 
 /// Names a request of a caller.
 #[value]
@@ -61,6 +62,16 @@
         /// How long to wait for a reply, in milliseconds.
         timeout: u64,
     },
+    /// Ask which endpoints may run a step, and report the outcome with
+    /// [`Entry::advised`](super::Entry::advised).
+    Advise {
+        /// The step.
+        step: StepKey,
+        /// The endpoints.
+        endpoints: Vec<EndpointId>,
+        /// How long to wait for a reply, in milliseconds.
+        timeout: u64,
+    },
     /// Answer a request.
     Answer {
         /// The request.
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -24,6 +24,9 @@
 /// How long before the caller leaves a job is given up, in milliseconds.
 const GIVE_UP_MS: u64 = 30;
 
+/// The endpoints of one call for advice that counts as work of each step.
+const CHAIN_ENDPOINTS: usize = 30;
+
 /// The share of its slack that a job may be expected to wait, by the rank of its queue.
 const PATIENCE: [f64; 3] = [0.9, 0.5, 0.4];
 
@@ -58,6 +61,10 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        if route.advice.is_some() && !self.options.advises {
+            self.refuse(request, Refusal::Unsupported, out);
+            return;
+        }
         if submission.kept {
             self.submit_kept(request, id, route, submission, now, out);
             return;
@@ -80,14 +87,15 @@
             self.requests.insert(request, id);
             return;
         }
-        let mut job = self.job(Some(request), route, submission, now);
+        let mut job = self.job(&id, Some(request), route, submission, now);
         if let Err(reason) = self.admit(&job) {
             self.refuse_job(&id, &job, reason, now, out);
             return;
         }
         let plan = self.plan(&job, now);
-        job.wait = plan.wait as u64;
-        if plan.wait > Self::patience(&job, now) {
+        let wait = plan.wait + self.advice_wait(route) as f64;
+        job.wait = wait as u64;
+        if wait > Self::patience(&job, now) {
             self.drop_plan(&plan);
             self.refuse_job(&id, &job, Refusal::Overloaded, now, out);
             return;
@@ -111,6 +119,7 @@
 
     pub(super) fn job(
         &self,
+        id: &JobId,
         request: Option<RequestNo>,
         route: &Rc<Route>,
         submission: Submission,
@@ -126,6 +135,7 @@
             now.after_millis(patience)
         };
         Job {
+            id: id.clone(),
             request,
             state: None,
             hold_until: now,
@@ -147,6 +157,9 @@
 
     /// Returns the expected time of the longest chain of steps, in milliseconds.
     pub(super) fn longest_chain(&self, route: &Route, submission: &Submission) -> u64 {
+        let advice = route
+            .advice
+            .map_or(0, |policy| policy.call_ms(CHAIN_ENDPOINTS));
         let mut ends: Vec<u64> = Vec::with_capacity(submission.steps.len());
         for step in &submission.steps {
             let before = step
@@ -155,7 +168,7 @@
                 .filter_map(|&step| ends.get(usize::from(step)));
             let start = before.copied().max().unwrap_or_default();
             let expected = self.estimates.expect(&route.name, step.estimate);
-            ends.push(start + u64::from(expected));
+            ends.push(start + advice + u64::from(expected));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -5,7 +5,7 @@
 
 use super::entry::Entry;
 use super::job::TaskState;
-use super::{Action, Answer};
+use super::{Action, Answer, StepKey};
 use crate::{
     AgentFrame, Checkpoint, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd,
 };
@@ -125,6 +125,7 @@
             }
             AgentFrame::Configuration(configuration) => self.configure(configuration, out),
             AgentFrame::Endpoint {
+                id,
                 service,
                 capacity,
                 labels,
@@ -136,6 +137,7 @@
                         cpu = capacity.cpu,
                         "endpoint announced"
                     );
+                    view.endpoint = id;
                     view.service = service;
                     view.capacity = capacity;
                     view.labels = labels;
@@ -222,6 +224,15 @@
         if !self.note_outcome(link, end) {
             return;
         }
+        if end.outcome == Outcome::NoTicket
+            && let Some(view) = self.fleet.views.get(&link)
+        {
+            let step = StepKey {
+                job: id.clone(),
+                step: end.task.step,
+            };
+            self.advice.reject(&step, &view.endpoint);
+        }
         let goes_on = match end.outcome {
             Outcome::Done => self.task_done(link, end, now, out),
             _ => self.task_again(link, end, now, out),
@@ -260,7 +271,7 @@
             }
             Outcome::Failed => {}
             Outcome::Aborted => task.aborts += 1,
-            Outcome::Unavailable | Outcome::NoRoom => {}
+            Outcome::Unavailable | Outcome::NoRoom | Outcome::NoTicket => {}
         }
         if job.is_gang(end.task.step) {
             job.share_end(end);
@@ -304,8 +315,10 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
         };
-        // Members that are stopped with their gang say nothing about their agents.
-        let first = !job.broken.contains(&end.task.step) || end.outcome == Outcome::Failed;
+        // Members that are stopped with their gang say nothing about their agents, and neither does
+        // a ticket that is not valid any more.
+        let first = end.outcome != Outcome::NoTicket && !job.broken.contains(&end.task.step)
+            || end.outcome == Outcome::Failed;
         if first {
             job.avoided.push(link);
         }
--- a/crates/fulmarpond-dispatch/src/entry/configuration.rs
+++ b/crates/fulmarpond-dispatch/src/entry/configuration.rs
@@ -4,6 +4,8 @@
 
 use fulmarpond_derive::message;
 
+use super::AdvicePolicy;
+
 /// Limits on what callers send.
 #[message]
 #[derive(Copy, Eq)]
@@ -37,6 +39,8 @@
     pub stretch: f64,
     /// What is added to the objective, in milliseconds.
     pub target_ms: u64,
+    /// The policy that says where its tasks may run, if it has one.
+    pub advice: Option<AdvicePolicy>,
 }
 
 /// A version of the configuration.
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -6,6 +6,7 @@
 use fulmarpond_core::Time;
 use tracing::{debug, info, warn};
 
+use super::advice::Advice;
 use super::configuration::{Configuration, Route};
 use super::estimates::Estimates;
 use super::fleet::Fleet;
@@ -51,6 +52,8 @@
     pub writes: u64,
     /// How long the state of an ended job is kept, in milliseconds.
     pub keep_ms: u64,
+    /// Whether there is a service that knows the policies of queues.
+    pub advises: bool,
 }
 
 /// The process that callers talk to.
@@ -67,6 +70,7 @@
     pub(super) lost: BTreeSet<(Time, JobId)>,
     pub(super) answers: HashMap<JobId, (Answer, Time)>,
     pub(super) estimates: Estimates,
+    pub(super) advice: Advice,
     pub(super) entries: Vec<SocketAddr>,
     pub(super) next_check: Time,
     /// When waiting tasks are placed again at the earliest.
@@ -105,6 +109,7 @@
             lost: BTreeSet::new(),
             answers: HashMap::new(),
             estimates: Estimates::default(),
+            advice: Advice::default(),
             entries: Vec::new(),
             next_check: now,
             next_pump: now,
@@ -235,6 +240,7 @@
     /// Removes a job and stops what is left of it.
     pub(super) fn take_job(&mut self, id: &JobId, out: &mut Vec<Action>) -> Option<Job> {
         let job = self.jobs.remove(id)?;
+        self.advice.forget(id);
         if let Some(request) = job.request {
             self.requests.remove(&request);
         }
@@ -349,6 +355,7 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.tick_ledger(now, out);
+        self.ask_advice(now, out);
         if now < self.next_check {
             return;
         }
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -4,7 +4,7 @@
 
 use fulmarpond_core::Time;
 
-use crate::{EndpointStatus, LinkNo, Needs};
+use crate::{EndpointId, EndpointStatus, LinkNo, Needs};
 
 /// An order that the agent's status does not reflect yet.
 #[derive(Debug)]
@@ -22,6 +22,7 @@
     pub(super) zone: String,
     /// The version of the configuration that it keeps.
     pub(super) version: u64,
+    pub(super) endpoint: EndpointId,
     pub(super) service: String,
     pub(super) capacity: Needs,
     pub(super) labels: Vec<String>,
@@ -124,6 +125,7 @@
             name,
             zone,
             version,
+            endpoint: EndpointId(String::new()),
             service: String::new(),
             capacity: Needs::default(),
             labels: Vec::new(),
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -5,11 +5,11 @@
 
 use fulmarpond_core::Time;
 
-use super::RequestNo;
 use super::configuration::Route;
 use super::submission::Submission;
-use crate::LinkNo;
+use super::{RequestNo, StepKey};
 use crate::ledger::JobState;
+use crate::{JobId, LinkNo};
 
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +48,7 @@
 /// A job.
 #[derive(Debug)]
 pub(super) struct Job {
+    pub(super) id: JobId,
     /// The request that waits for the end of the job; none for a job that is kept.
     pub(super) request: Option<RequestNo>,
     /// The state in the store of a job that is kept.
@@ -210,6 +211,14 @@
         saved.collect()
     }
 
+    /// Returns the name of a step.
+    pub(super) fn step_key(&self, step: u16) -> StepKey {
+        StepKey {
+            job: self.id.clone(),
+            step,
+        }
+    }
+
     /// Returns the links that hold tasks of the job.
     pub(super) fn links(&self) -> Vec<LinkNo> {
         let mut links: Vec<LinkNo> = self
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod admission;
+mod advice;
 mod agents;
 mod configuration;
 #[allow(clippy::module_inception)]
@@ -16,6 +17,7 @@
 mod submission;
 
 pub use action::{Action, Answer, RequestNo};
+pub use advice::{AdviceFailure, AdvicePolicy, Allowed, StepKey};
 pub use configuration::{CallerLimits, Configuration, Route};
 pub use entry::{Entry, EntryOptions};
 pub use kept::JobStatus;
--- a/crates/fulmarpond-dispatch/src/entry/placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placement.rs
@@ -77,6 +77,13 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Returns what it costs to run a task at an agent, in milliseconds; nothing if it can't run there.
+pub(super) fn cost(fleet: &Fleet, view: &View, demand: Demand<'_>) -> Option<f64> {
+    let usual = f64::from(fleet.usual_slowness(demand.service));
+    let wait = view.wait(demand.step.needs, demand.slack);
+    suits(view, demand).then(|| wait + run_time(view, demand, usual) + unease(view, demand))
+}
+
 /// Returns whether any endpoint of a service could hold a task when it is empty.
 pub(super) fn ever_fits(fleet: &Fleet, service: &str, needs: Needs) -> bool {
     let mut of_service = fleet.views.values().filter(|view| view.service == service);
--- a/crates/fulmarpond-dispatch/src/entry/placing.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placing.rs
@@ -8,7 +8,7 @@
 use super::Action;
 use super::entry::{Entry, ROUTINE};
 use super::job::{Job, TaskState};
-use super::placement::{Choice, Demand, choose};
+use super::placement::{Choice, Demand, choose, cost};
 use crate::{EntryFrame, JobId, LinkNo, Order};
 
 /// How long a task of a job that is kept may be expected to wait at an agent, in milliseconds. It
@@ -61,17 +61,12 @@
     ) -> Option<Choice> {
         let task = &job.tasks[position];
         let step = &job.submission.steps[usize::from(task.step)];
-        let demand = Demand {
-            service: &job.route.service,
-            zone: &self.options.zone,
-            step,
-            within: label,
-            expected: self.estimates.expect(&job.route.name, step.estimate),
-            slack: job.start_by.remaining_millis(now),
-            far: self.options.far,
-        };
+        let demand = self.demand(job, task.step, label, now);
         let spread = step.spread.map(|most| (most, job.spread(task.step)));
         let full = |link: LinkNo| {
+            if !self.is_allowed(job, task.step, link, now) {
+                return true;
+            }
             spread.as_ref().is_some_and(|(most, given)| {
                 let here = given.get(&link).copied().unwrap_or_default();
                 let new = taken.iter().filter(|(other, _)| *other == link).count();
@@ -81,6 +76,31 @@
         choose(&self.fleet, demand, &job.avoided, full)
     }
 
+    /// Returns what it costs to run a task of a step at an agent, in milliseconds; nothing if it can't.
+    pub(super) fn cost(&self, job: &Job, step: u16, link: LinkNo, now: Time) -> Option<f64> {
+        let view = self.fleet.views.get(&link)?;
+        let demand = self.demand(job, step, None, now);
+        cost(&self.fleet, view, demand)
+    }
+
+    fn demand<'a>(
+        &'a self,
+        job: &'a Job,
+        step: u16,
+        within: Option<&'a str>,
+        now: Time,
+    ) -> Demand<'a> {
+        Demand {
+            service: &job.route.service,
+            zone: &self.options.zone,
+            step: &job.submission.steps[usize::from(step)],
+            within,
+            expected: self.expected(job, step),
+            slack: job.start_by.remaining_millis(now),
+            far: self.options.far,
+        }
+    }
+
     /// Places the tasks of a job that can be placed.
     /// Returns whether it has placed any.
     pub(super) fn place(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> bool {
@@ -115,13 +135,17 @@
                 // All members are ready together; the first one stands for them.
                 if job.positions(task.step).first() == Some(&position) {
                     let members = self.plan_gang(job, task.step, now);
-                    plan.left |= members.is_empty();
+                    if members.is_empty() {
+                        plan.left = true;
+                        self.want_advice(job, task.step);
+                    }
                     plan.choices.extend(members);
                 }
                 continue;
             }
             let Some(choice) = self.choose(job, position, &taken, None, now) else {
                 plan.left = true;
+                self.want_advice(job, task.step);
                 continue;
             };
             if job.state.is_some() && choice.wait > KEPT_WAIT_MS {
@@ -239,6 +263,7 @@
             kept: job.state.is_some(),
             epoch,
             gang: about.gang,
+            ticket: self.ticket(job, step, link, now).map(str::to_owned),
         };
         out.push(Action::Send {
             link,
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 
 use crate::entry::Configuration;
-use crate::{JobId, Needs, TaskKey};
+use crate::{EndpointId, JobId, Needs, TaskKey};
 
 /// A frame that can't be read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -48,6 +48,8 @@
     Configuration(Configuration),
     /// The endpoint changed, or there is none.
     Endpoint {
+        /// The incarnation; empty without an endpoint.
+        id: EndpointId,
         /// The service; empty without an endpoint.
         service: String,
         /// Its room.
@@ -199,6 +201,8 @@
     pub checkpoints: Vec<(u16, String)>,
     /// Whether the tasks work only together: then all have the same run number, and none waits.
     pub gang: bool,
+    /// What shows that the endpoint may run the step, if its queue has a policy.
+    pub ticket: Option<String>,
 }
 
 /// How a task ended.
@@ -215,6 +219,8 @@
     Unavailable,
     /// It was not started: the endpoint cannot hold it.
     NoRoom,
+    /// It was not started: the endpoint did not accept its ticket.
+    NoTicket,
 }
 
 /// The saved progress of a task.
--- a/crates/fulmarpond-dispatch/tests/entry.rs
+++ b/crates/fulmarpond-dispatch/tests/entry.rs
@@ -18,6 +18,7 @@
         life: 1,
         writes: 400,
         keep_ms: 120_000,
+        advises: false,
     };
     Entry::new(options, NOW)
 }
@@ -48,6 +49,7 @@
         attempts: 3,
         stretch: 1.6,
         target_ms: 60,
+        advice: None,
     };
     Configuration::new(version, vec![route], None)
 }
@@ -150,6 +152,7 @@
         attempts: 3,
         stretch: 1.6,
         target_ms: 60,
+        advice: None,
     };
     let routes = vec![
         route("short", "desk", "/a/"),
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -108,6 +108,7 @@
             attempts: 3,
             stretch: 1.6,
             target_ms: 60,
+            advice: None,
         },
         submission: Submission {
             spec: String::new(),
--- a/crates/fulmarpond-dispatch/tests/reasons.rs
+++ b/crates/fulmarpond-dispatch/tests/reasons.rs
@@ -9,7 +9,8 @@
     Action, Answer, Configuration, Entry, EntryOptions, RequestNo, Route, Step, Submission,
 };
 use fulmarpond_dispatch::{
-    AgentFrame, Bounds, EndpointStatus, JobId, LinkNo, Needs, Outcome, Refusal, TaskEnd, TaskKey,
+    AgentFrame, Bounds, EndpointId, EndpointStatus, JobId, LinkNo, Needs, Outcome, Refusal,
+    TaskEnd, TaskKey,
 };
 
 const NOW: Time = Time::from_millis(10_000);
@@ -40,6 +41,7 @@
         life: 1,
         writes: 400,
         keep_ms: 120_000,
+        advises: false,
     };
     let route = Route {
         name: "r".to_owned(),
@@ -50,6 +52,7 @@
         attempts: 1,
         stretch: 1.6,
         target_ms: 60,
+        advice: None,
     };
     let mut entry = Entry::new(options, NOW);
     entry.configure(Configuration::new(1, vec![route], None), &mut Vec::new());
@@ -69,6 +72,7 @@
         accelerators: 0,
     };
     let endpoint = AgentFrame::Endpoint {
+        id: EndpointId("i-1".to_owned()),
         service: "service".to_owned(),
         capacity,
         labels: Vec::new(),
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/support/advice.rs
@@ -0,0 +1,58 @@
+//! The service that knows which endpoints may run a step.
+
+use fulmarpond_dispatch::EndpointId;
+use fulmarpond_dispatch::agent::EndpointCall;
+use fulmarpond_dispatch::entry::{AdviceFailure, Allowed, StepKey};
+use fulmarpond_dispatch::{JobId, TaskKey};
+use rand::RngExt;
+
+use super::world::{Event, World};
+
+impl World {
+    /// Returns whether the policy lets an endpoint run a job: half of them, by the job.
+    pub fn may_run(job: &JobId, agent: usize) -> bool {
+        let last = job.0.bytes().last().unwrap_or_default();
+        (usize::from(last) + agent).is_multiple_of(2)
+    }
+
+    pub(super) fn advise(&mut self, entry: usize, step: &StepKey, endpoints: &[EndpointId]) {
+        let Some(policy) = self.options.advice else {
+            return;
+        };
+        let life = self.entries[entry].life;
+        let busy = self.rng.random_range(0..100) < self.options.advice_busy;
+        let outcome = if busy {
+            Err(AdviceFailure::Busy)
+        } else {
+            let good = endpoints.iter().filter_map(|id| self.ticket(step, id));
+            Ok(good.collect())
+        };
+        let micros = policy.decide_ms * 1_000 + policy.each_us * endpoints.len() as u32;
+        self.after_us(u64::from(micros), Event::Advised(entry, life, outcome));
+    }
+
+    fn ticket(&self, step: &StepKey, id: &EndpointId) -> Option<Allowed> {
+        let agent = self.endpoints.iter().position(|known| known.id() == *id)?;
+        Self::may_run(&step.job, agent).then(|| Allowed {
+            endpoint: id.clone(),
+            ticket: format!("{}/{}/{id}/{}", step.job, step.step, self.elapsed_ms()),
+        })
+    }
+
+    /// Returns whether a start has no ticket that is valid at its endpoint.
+    pub(super) fn lacks_ticket(&self, agent: usize, call: &EndpointCall) -> bool {
+        let (Some(policy), EndpointCall::Start { task, ticket, .. }) = (self.options.advice, call)
+        else {
+            return false;
+        };
+        let issued = ticket
+            .as_deref()
+            .and_then(|ticket| Self::issued(ticket, task, &self.endpoints[agent].id()));
+        issued.is_none_or(|issued| self.elapsed_ms() > issued + u64::from(policy.valid_ms))
+    }
+
+    fn issued(ticket: &str, task: &TaskKey, id: &EndpointId) -> Option<u64> {
+        let rest = ticket.strip_prefix(&format!("{}/{}/{id}/", task.job, task.step))?;
+        rest.parse().ok()
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -30,6 +30,8 @@
     pub on_time: u32,
     pub refused: u32,
     pub lost: u32,
+    /// How many starts had no valid ticket.
+    pub rejected: u32,
     /// How many gangs have waited in vain for a member.
     pub alone: u32,
 }
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file uses a part of it"
 )]
 
+mod advice;
 mod caller;
 mod cases;
 mod endpoint;
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -1,5 +1,7 @@
 //! How a stand-in is set up.
 
+use fulmarpond_dispatch::entry::AdvicePolicy;
+
 /// The sizes and times of a stand-in.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -16,6 +18,10 @@
     pub spread: f64,
     /// Whether there is a store and all jobs are kept in it.
     pub kept: bool,
+    /// The policy of all queues, if they have one.
+    pub advice: Option<AdvicePolicy>,
+    /// The share of the calls for advice that are refused, in percent.
+    pub advice_busy: u32,
 }
 
 impl Default for Options {
@@ -29,6 +35,8 @@
             patience_ms: 4_000,
             spread: 1.3,
             kept: false,
+            advice: None,
+            advice_busy: 0,
         }
     }
 }
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -8,10 +8,12 @@
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::agent::{
     self, Agent, AgentOptions, CallFailure, CallNo, EndHow, EndpointCall, EndpointReply,
+    StartRefusal,
 };
 use fulmarpond_dispatch::directory::{Directory, Duty};
 use fulmarpond_dispatch::entry::{
-    self, Answer, Configuration, Entry, EntryOptions, RequestNo, Route, Step, Submission,
+    self, AdviceFailure, Allowed, Answer, Configuration, Entry, EntryOptions, RequestNo, Route,
+    Step, Submission,
 };
 use fulmarpond_dispatch::{
     AgentFrame, Bounds, EntryFrame, JobId, LinkNo, Needs, Registration, TaskKey, decode, encode,
@@ -92,6 +94,7 @@
     FromStore(Caller, Duty, Outcome),
     WatchEnds(Caller),
     GangMisses(GangKey),
+    Advised(usize, u32, Result<Vec<Allowed>, AdviceFailure>),
 }
 
 pub(super) struct Node<T> {
@@ -156,6 +159,7 @@
             attempts: ATTEMPTS,
             stretch: 1.6,
             target_ms: 60,
+            advice: options.advice,
         });
         let bounds = Bounds::new(options.resend_ms, 1_000, STOP_MS).expect("room for leases");
         let mut world = Self {
@@ -309,6 +313,7 @@
             life: self.now.as_micros(),
             writes: 400,
             keep_ms: 120_000,
+            advises: self.options.advice.is_some(),
         };
         let mut core = Entry::new(options, self.now);
         core.configure(self.configuration.clone(), &mut Vec::new());
@@ -420,6 +425,9 @@
                     self.call_store(entry, duty, call, timeout);
                 }
             }
+            entry::Action::Advise {
+                step, endpoints, ..
+            } => self.advise(entry, &step, &endpoints),
             entry::Action::Close { link } => self.close(link, false),
             entry::Action::Send { link, frame } => self.send(link, 1, encode(&frame)),
             entry::Action::Answer {
@@ -612,6 +620,11 @@
             Event::ToStore(sent) => self.arrive_at_store(sent),
             Event::FromStore(by, duty, outcome) => self.store_replies(by, duty, outcome),
             Event::WatchEnds(by) => self.watch_ends(by),
+            Event::Advised(entry, life, outcome) => {
+                if self.entries[entry].life == life {
+                    self.with_entry(entry, |core, now, out| core.advised(outcome, now, out));
+                }
+            }
             Event::GangMisses(gang) => self.gang_misses(&gang),
         }
     }
@@ -715,6 +728,16 @@
             Trouble::LostReplies(percent) => self.rng.random_range(0..100) < percent,
             _ => false,
         };
+        if self.lacks_ticket(agent, &call) {
+            let clock = Some(self.endpoints[agent].clock(self.now));
+            let refused = EndpointReply::Refused {
+                clock,
+                reason: StartRefusal::NoTicket,
+            };
+            self.history.rejected += 1;
+            self.after_us(LOCAL_US, Event::Answer(agent, life, number, Ok(refused)));
+            return;
+        }
         let work = self.work(agent, &call);
         let now = self.now;
         let (reply, effect) = self.endpoints[agent].carry_out(&call, work, now);
--- a/crates/fulmarpond-settings/src/leased/leased_settings.rs
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -17,6 +17,7 @@
     ),
     ("cluster", &["seeds", "link_port"]),
     ("store", &["addr", "writes"]),
+    ("advice", &["addr"]),
     (
         "timing",
         &["resend", "hold_max", "stop", "heartbeat", "grace", "keep"],
@@ -57,6 +58,8 @@
         store: SocketAddr,
         /// The writes a second that the store takes from all processes.
         writes: u64,
+        /// The service that knows the policies of queues, if there is one.
+        advice: Option<SocketAddr>,
     },
     /// Stands beside an endpoint.
     Agent {
@@ -159,12 +162,14 @@
     let link = reader.required("listen", "link", parse);
     let store = reader.required("store", "addr", parse);
     let writes = reader.optional("store", "writes", parse::<f64>);
+    let advice = reader.optional("advice", "addr", parse);
     Some(LeasedRole::Entry {
         callers: callers?,
         readiness: readiness?,
         link: link?,
         store: store?,
         writes: writes.map_or(DEFAULT_WRITES, |writes| writes as u64),
+        advice,
     })
 }
 
--- a/crates/fulmarpond-settings/tests/leased.rs
+++ b/crates/fulmarpond-settings/tests/leased.rs
@@ -20,6 +20,7 @@
         ("Seeds", "10.1.0.13:8166,10.2.0.30:8166"),
         ("platform.Address", "10.200.1.7:8169"),
         ("platform.WritesPerS", "400"),
+        ("Advice", "10.200.1.9:8169"),
         ("Bounds.ResendMs", "1300"),
         ("Bounds.HoldMaxMs", "1000"),
         ("Bounds.StopMs", "50"),
@@ -48,10 +49,17 @@
 #[test]
 fn templates_give_valid_settings() {
     let entry = read(&fill(ENTRY)).expect("settings of an entry");
-    let LeasedRole::Entry { link, writes, .. } = entry.role else {
+    let LeasedRole::Entry {
+        link,
+        writes,
+        advice,
+        ..
+    } = entry.role
+    else {
         panic!("an entry was expected");
     };
     assert_eq!((link.to_string().as_str(), writes), ("10.1.0.13:7720", 400));
+    assert_eq!(advice.map(|addr| addr.port()), Some(8169));
     assert_eq!(entry.timing.resend, Duration::from_millis(1_300));
     assert_eq!(entry.timing.keep, Duration::from_secs(120));
 
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -8,8 +8,11 @@
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::directory::{self, Directory, Duty, StoreCall};
-use fulmarpond_dispatch::entry::{Action, Answer, CallerLimits, Entry, EntryOptions, RequestNo};
-use fulmarpond_dispatch::{AgentFrame, LinkNo, Refusal, decode, encode};
+use fulmarpond_dispatch::entry::{
+    Action, Answer, CallerLimits, Entry, EntryOptions, RequestNo, StepKey,
+};
+use fulmarpond_dispatch::{AgentFrame, EndpointId, LinkNo, Refusal, decode, encode};
+use fulmarpond_platform::advice;
 use fulmarpond_platform::caller::{self, Ask};
 use fulmarpond_platform::store::{self, Announcer};
 use fulmarpond_reactor::http::{Request, Response};
@@ -39,9 +42,12 @@
     reactor: Reactor,
     announcer: Announcer,
     store: SocketAddr,
+    advice: Option<SocketAddr>,
     callers: ListenerId,
     readiness: ListenerId,
     calls: HashMap<CallId, (Duty, StoreCall)>,
+    /// The call for advice that is under way.
+    asked: Option<CallId>,
     shell: Shell,
     grace_ms: u64,
     actions: Vec<Action>,
@@ -56,6 +62,7 @@
             link,
             store,
             writes,
+            advice,
         } = settings.role
         else {
             return Err(io::Error::other("the role is not that of an entry").into());
@@ -68,6 +75,7 @@
             far: settings.far,
             life: now.as_micros(),
             writes,
+            advises: advice.is_some(),
             keep_ms: settings.timing.keep.as_millis() as u64,
         };
         let mut reactor = Reactor::new(Limits::default())?;
@@ -86,9 +94,11 @@
                 link,
             },
             store,
+            advice,
             callers,
             readiness,
             calls: HashMap::new(),
+            asked: None,
             shell: Shell::new(path, log, now)?,
             grace_ms: settings.timing.grace.as_millis() as u64,
             actions: Vec::new(),
@@ -268,6 +278,11 @@
         outcome: Result<fulmarpond_reactor::Reply, fulmarpond_reactor::CallError>,
         now: Time,
     ) {
+        if self.asked == Some(call) {
+            self.asked = None;
+            self.advised(outcome, now);
+            return;
+        }
         let Some((duty, call)) = self.calls.remove(&call) else {
             return;
         };
@@ -304,6 +319,11 @@
                     call,
                     timeout,
                 } => self.call_store(duty, call, timeout),
+                Action::Advise {
+                    step,
+                    endpoints,
+                    timeout,
+                } => self.ask_advice(&step, &endpoints, timeout),
                 Action::Close { link } => self.reactor.close_link(LinkId(link.0)),
                 Action::Send { link, frame } => {
                     self.reactor.send(LinkId(link.0), &encode(&frame));
@@ -335,6 +355,31 @@
         }
     }
 
+    fn ask_advice(&mut self, step: &StepKey, endpoints: &[EndpointId], timeout: u64) {
+        // Without an address no such job is accepted.
+        let Some(addr) = self.advice else {
+            return;
+        };
+        let deadline = Instant::now() + Duration::from_millis(timeout);
+        let request = advice::call(step, endpoints, deadline);
+        self.asked = Some(self.reactor.call(addr, 0, 1, &request));
+    }
+
+    fn advised(
+        &mut self,
+        outcome: Result<fulmarpond_reactor::Reply, fulmarpond_reactor::CallError>,
+        now: Time,
+    ) {
+        let outcome = advice::reply(outcome);
+        let result = if outcome.is_ok() {
+            "answered"
+        } else {
+            "failed"
+        };
+        self.shell.metrics.call("advice", "advise", result);
+        self.entry.advised(outcome, now, &mut self.actions);
+    }
+
     fn call_store(&mut self, duty: Duty, call: StoreCall, timeout: u64) {
         let deadline = Instant::now() + Duration::from_millis(timeout);
         let request = store::call(&call, &self.announcer, deadline);
--- a/crates/fulmarpondd/tests/leased.rs
+++ b/crates/fulmarpondd/tests/leased.rs
@@ -244,7 +244,7 @@
 fn log_explains_each_refusal_with_its_job() {
     let system = System::start(1, 1);
     let large = r#"{"Spec":"","Steps":[{"Count":1,"Cpu":900000}],"BestEffort":true}"#;
-    let gang = r#"{"Spec":"","Steps":[{"Count":1,"Cpu":100,"Gang":true}],"BestEffort":true}"#;
+    let lasting = r#"{"Spec":"","Steps":[{"Count":1,"Cpu":100,"LongRunning":true}],"BestEffort":true}"#;
     assert_eq!(
         system
             .post(0, "/jobs/0000000000000ab0", large)
@@ -253,7 +253,7 @@
     );
     assert_eq!(
         system
-            .post(0, "/jobs/0000000000000ab1", gang)
+            .post(0, "/jobs/0000000000000ab1", lasting)
             .map(|(status, _)| status),
         Some(503)
     );
@@ -271,7 +271,7 @@
     );
     for parts in [
         ["0000000000000ab0", "never_fits"],
-        ["0000000000000ab1", "Gang"],
+        ["0000000000000ab1", "LongRunning"],
         ["0000000000000ab2", "job failed"],
         ["0000000000000ab2", "Failed"],
         ["0000000000000ab3", "job completed"],
