feat: jobs whose steps run several times, each at its time

A series is kept under a name of its own, and each occurrence is a kept job that the owner of the series adds to the store when it is due. A job is added only if there is none of that name, so an occurrence runs once, whoever owns the series then; all else (ends, takeover, cancel) is that of kept jobs. The series ends when all occurrences have, as failed if one has failed. Due times are read from the time of day, as the callers state them; nothing else is.

The number of the occurrence is part of the names of tasks on the wire.

--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -12,6 +12,7 @@
 use super::fleet::Fleet;
 use super::job::{Job, TaskState};
 use super::kept::Kept;
+use super::series::OwnSeries;
 use super::{Action, Answer, RequestNo};
 use crate::directory::Announced;
 use crate::ledger::{Ledger, LedgerOptions, Owner};
@@ -78,6 +79,9 @@
     /// The jobs that are kept in the store.
     pub(super) ledger: Ledger,
     pub(super) kept: Kept,
+    pub(super) series: OwnSeries,
+    /// The time of day, in milliseconds since 1970; 0 until it is known.
+    pub(super) wall: u64,
     /// The decisions since the start.
     pub counters: Counters,
 }
@@ -115,6 +119,8 @@
             next_pump: now,
             ledger,
             kept: Kept::default(),
+            series: OwnSeries::default(),
+            wall: 0,
             counters: Counters::default(),
         }
     }
@@ -366,6 +372,7 @@
         self.next_check = now.after_millis(CHECK_MS);
         self.close_silent(now, out);
         self.check_lease(now, out);
+        self.check_series(now);
         self.release_kept();
         self.release_lost(now, out);
         self.place_waiting(now, out);
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -90,6 +90,11 @@
         waiting + self.cancels.values().map(Vec::len).sum::<usize>()
     }
 
+    /// Returns whether the first write of a job is under way.
+    pub(super) fn is_pending(&self, id: &JobId) -> bool {
+        self.pending.contains_key(id)
+    }
+
     /// Forgets the caller of a request.
     pub(super) fn abandoned(&mut self, request: RequestNo) {
         for pending in self.pending.values_mut() {
@@ -114,6 +119,10 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        let id = match submission.repeat {
+            Some(_) => id.series(),
+            None => id,
+        };
         if self.ledger.state(&id).is_some() || self.jobs.contains_key(&id) {
             info!(job = %id, "request sent again, its job is kept");
             Self::answer(request, Answer::Accepted, out);
@@ -135,6 +144,23 @@
             self.refuse(request, Refusal::NeverFits, out);
             return;
         }
+        self.keep(id, route, submission, Some(request));
+        self.tick_ledger(now, out);
+    }
+
+    /// Adds a job to the store.
+    pub(super) fn keep(
+        &mut self,
+        id: JobId,
+        route: &Rc<Route>,
+        submission: Submission,
+        request: Option<RequestNo>,
+    ) {
+        let steps = match submission.repeat {
+            // The occurrences of a series count like tasks of one step.
+            Some(_) => 1,
+            None => submission.steps.len(),
+        };
         let state = JobState {
             owner: if self.kept.stopping {
                 Owner::none()
@@ -144,7 +170,7 @@
             status: Status::Open,
             route: route.name.clone(),
             begun: false,
-            steps: vec![StepProgress::default(); submission.steps.len()],
+            steps: vec![StepProgress::default(); steps],
         };
         let spec = JobSpec {
             route: Route::clone(route),
@@ -152,12 +178,11 @@
         };
         self.ledger.keep(id.clone(), spec, state);
         let pending = Pending {
-            request: Some(request),
+            request,
             route: Rc::clone(route),
             submission,
         };
         self.kept.pending.insert(id, pending);
-        self.tick_ledger(now, out);
     }
 
     fn answer(request: RequestNo, answer: Answer, out: &mut Vec<Action>) {
@@ -171,6 +196,9 @@
 
     /// Returns what a caller is told about a job.
     pub fn status_of(&self, id: &JobId) -> JobStatus {
+        if let Some(status) = self.series_status(id) {
+            return status;
+        }
         if let Some(job) = self.jobs.get(id) {
             return if job.begun {
                 JobStatus::Running
@@ -193,6 +221,17 @@
 
     /// Cancels a job; the answer follows when the store has it.
     pub fn cancel(&mut self, request: RequestNo, id: &JobId, now: Time, out: &mut Vec<Action>) {
+        let series = id.series();
+        if self.ledger.state(&series).is_some() {
+            self.series.remove(&series);
+            self.cancel_kept(request, &series, now, out);
+            self.cancel_occurrences(&series, now, out);
+        } else {
+            self.cancel_kept(request, id, now, out);
+        }
+    }
+
+    fn cancel_kept(&mut self, request: RequestNo, id: &JobId, now: Time, out: &mut Vec<Action>) {
         let open = self
             .ledger
             .state(id)
@@ -256,6 +295,7 @@
         if !self.kept.stopping {
             return;
         }
+        self.release_series();
         let idle = |job: &Job| job.state.is_some() && job.links().is_empty();
         let jobs = self.jobs.iter().filter(|(_, job)| idle(job));
         let released: Vec<JobId> = jobs.map(|(id, _)| id.clone()).collect();
@@ -531,9 +571,9 @@
                 }
             }
             Event::Written(id, state) => self.is_written(&id, &state, now, out),
-            Event::Lost(id) => self.is_lost(&id, out),
+            Event::Lost(id) => self.is_lost(&id, now, out),
             Event::Merged(id, state) => self.merged(&id, &state, now, out),
-            Event::Owned(id, spec, state) => self.take_over(&id, spec, state, now, out),
+            Event::Owned(id, spec, state) => self.take_over(&id, *spec, state, now, out),
         }
     }
 
@@ -559,6 +599,10 @@
             version = self.version(),
             "job accepted"
         );
+        if pending.submission.repeat.is_some() {
+            self.own_series(id, &pending.route, pending.submission, state);
+            return;
+        }
         self.run_kept(id, &pending.route, pending.submission, state, now, now, out);
     }
 
@@ -675,8 +719,15 @@
         }
     }
 
-    fn is_lost(&mut self, id: &JobId, out: &mut Vec<Action>) {
+    fn is_lost(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) {
         self.kept.unnoted.remove(id);
+        if self.series.remove(id) {
+            info!(job = %id, "series has ended or has another owner");
+            let state = self.ledger.state(id);
+            if state.is_some_and(|state| state.status == Status::Cancelled) {
+                self.cancel_occurrences(id, now, out);
+            }
+        }
         if let Some(pending) = self.kept.pending.remove(id)
             && let Some(request) = pending.request
         {
@@ -706,6 +757,10 @@
         out: &mut Vec<Action>,
     ) {
         let route = Rc::new(spec.route);
+        if spec.submission.repeat.is_some() {
+            self.own_series(id, &route, spec.submission, state);
+            return;
+        }
         // Runs for the last owner may go on, and agents tell the ends that nobody took note of.
         let hold_until = now.after_millis(self.options.bounds.orphan_ms());
         self.run_kept(id, &route, spec.submission, state, hold_until, now, out);
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod kept;
 mod placement;
 mod placing;
+mod series;
 mod submission;
 
 pub use action::{Action, Answer, RequestNo};
@@ -21,4 +22,4 @@
 pub use configuration::{CallerLimits, Configuration, Route};
 pub use entry::{Entry, EntryOptions};
 pub use kept::JobStatus;
-pub use submission::{Step, Submission};
+pub use submission::{Repeat, Step, Submission};
--- a/crates/fulmarpond-dispatch/src/entry/submission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/submission.rs
@@ -40,4 +40,18 @@
     pub patience: u64,
     /// Whether the job is kept in the store, and its caller only waits until it is.
     pub kept: bool,
+    /// When its steps run, if not at once.
+    pub repeat: Option<Repeat>,
+}
+
+/// When the steps of a job run.
+#[message]
+#[derive(Copy, Eq)]
+pub struct Repeat {
+    /// How often.
+    pub count: u16,
+    /// The time of the first occurrence, in milliseconds since 1970.
+    pub start_ms: u64,
+    /// The time between two occurrences, in milliseconds.
+    pub interval_ms: u64,
 }
--- a/crates/fulmarpond-dispatch/src/id.rs
+++ b/crates/fulmarpond-dispatch/src/id.rs
@@ -14,6 +14,40 @@
     }
 }
 
+/// What stands between the id of a series and the number of an occurrence.
+const SERIES: char = '~';
+
+impl JobId {
+    /// Returns the name under which a series is kept.
+    #[must_use]
+    pub fn series(&self) -> Self {
+        Self(format!("{}{SERIES}", self.0))
+    }
+
+    /// Returns the name of an occurrence of a series; the first one has the id of the job.
+    #[must_use]
+    pub fn occurrence(&self, number: u16) -> Self {
+        let (id, _) = self.parts();
+        match number {
+            0 => Self(id.to_owned()),
+            _ => Self(format!("{id}{SERIES}{number}")),
+        }
+    }
+
+    /// Returns the id that the caller chose, and the number of the occurrence.
+    pub fn parts(&self) -> (&str, u16) {
+        match self.0.split_once(SERIES) {
+            Some((id, number)) => (id, number.parse().unwrap_or_default()),
+            None => (&self.0, 0),
+        }
+    }
+
+    /// Returns whether a caller may choose this id.
+    pub fn is_plain(&self) -> bool {
+        !self.0.contains(SERIES)
+    }
+}
+
 /// One task of a job.
 #[key]
 pub struct TaskKey {
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -58,7 +58,7 @@
     /// Another entry has noted ends in the state of a job of this entry.
     Merged(JobId, JobState),
     /// This entry is now the owner of a job.
-    Owned(JobId, JobSpec, JobState),
+    Owned(JobId, Box<JobSpec>, JobState),
 }
 
 #[derive(Debug, Clone)]
@@ -170,6 +170,17 @@
         of_route.map(|(job, _)| job)
     }
 
+    /// Returns the open occurrences of a series.
+    pub fn occurrences(&self, series: &JobId) -> Vec<JobId> {
+        let (id, _) = series.parts();
+        let open = |known: &Known| known.state.status == Status::Open;
+        let of_series = self
+            .jobs
+            .iter()
+            .filter(|(job, known)| job.parts().0 == id && *job != series && open(known));
+        of_series.map(|(job, _)| job.clone()).collect()
+    }
+
     /// Returns the owner that this entry writes into states.
     pub const fn owner(&self) -> &Owner {
         &self.options.owner
--- a/crates/fulmarpond-dispatch/src/ledger/record.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/record.rs
@@ -78,6 +78,11 @@
         self.checkpoints.retain(|(known, _)| *known != index);
     }
 
+    /// Returns whether any task is done.
+    pub fn any_done(&self) -> bool {
+        self.done.iter().any(|&byte| byte != 0)
+    }
+
     /// Returns whether a task is done.
     pub fn is_done(&self, index: u16) -> bool {
         let byte = self.done.get(usize::from(index / 8));
--- a/crates/fulmarpond-dispatch/src/ledger/takeover.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/takeover.rs
@@ -120,7 +120,7 @@
         info!(%job, from = state.owner.name, life = state.owner.life, "taking a job over");
         state.owner = self.options.owner.clone();
         self.change(&job, state.clone());
-        out.push(Event::Owned(job, spec, state));
+        out.push(Event::Owned(job, Box::new(spec), state));
     }
 }
 
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -13,6 +13,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    times: None,
 };
 
 const LONG: Demand = Demand {
@@ -22,6 +23,7 @@
     run_ms: 600,
     saves: false,
     gang: false,
+    times: None,
 };
 
 fn steady(world: &mut World, from: u64, until: u64) -> Vec<JobId> {
@@ -221,6 +223,7 @@
     run_ms: 3_000,
     saves: true,
     gang: false,
+    times: None,
 };
 
 struct Interruption {
--- a/crates/fulmarpond-dispatch/tests/gangs.rs
+++ b/crates/fulmarpond-dispatch/tests/gangs.rs
@@ -15,6 +15,7 @@
     run_ms: 400,
     saves: false,
     gang: true,
+    times: None,
 };
 
 const SINGLE: Demand = Demand {
@@ -24,6 +25,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    times: None,
 };
 
 const LENGTH_MS: u64 = 5_000;
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -14,6 +14,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    times: None,
 };
 
 const SMALL: Demand = Demand {
@@ -23,6 +24,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    times: None,
 };
 
 const STOCK: Demand = Demand {
@@ -32,6 +34,7 @@
     run_ms: 600,
     saves: false,
     gang: false,
+    times: None,
 };
 
 /// How long traffic goes on, in milliseconds.
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -115,6 +115,7 @@
             steps: Vec::new(),
             patience: 1_000,
             kept: true,
+            repeat: None,
         },
     }
 }
--- a/crates/fulmarpond-dispatch/tests/load.rs
+++ b/crates/fulmarpond-dispatch/tests/load.rs
@@ -13,6 +13,7 @@
     run_ms: 200,
     saves: false,
     gang: false,
+    times: None,
 };
 
 const PLATE: Demand = Demand {
@@ -22,6 +23,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    times: None,
 };
 
 /// Core-milliseconds of a job.
--- a/crates/fulmarpond-dispatch/tests/reasons.rs
+++ b/crates/fulmarpond-dispatch/tests/reasons.rs
@@ -116,6 +116,7 @@
         steps: vec![step],
         patience: 1_000,
         kept: false,
+        repeat: None,
     };
     let configuration = entry.configuration().expect("a configuration");
     let (route, _) = configuration.route("desk", "/jobs/1").expect("a route");
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -12,6 +12,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    times: None,
 };
 
 const STOCK: Demand = Demand {
@@ -21,6 +22,7 @@
     run_ms: 600,
     saves: false,
     gang: false,
+    times: None,
 };
 
 /// How long traffic goes on, in milliseconds.
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/series.rs
@@ -0,0 +1,111 @@
+//! Jobs whose steps run several times, each at its time.
+
+mod support;
+
+use fulmarpond_dispatch::entry::JobStatus;
+use proptest::prelude::*;
+use support::{Demand, Fault, Options, StoreTrouble, World, schedules, traced};
+
+/// Five occurrences, every 800 ms, the first 1 s after the job was sent.
+const SERIES: Demand = Demand {
+    route: 0,
+    tasks: 2,
+    cpu: 1_000,
+    run_ms: 100,
+    saves: false,
+    gang: false,
+    times: Some((5, 1_000, 800)),
+};
+
+/// Occurrences that overlap.
+const OVERLAPPING: Demand = Demand {
+    run_ms: 900,
+    times: Some((6, 0, 300)),
+    ..SERIES
+};
+
+fn started(seed: u64) -> World {
+    let mut world = World::new(Options {
+        seed,
+        entries: 3,
+        kept: true,
+        ..Options::default()
+    });
+    world.run_ms(1_000);
+    world
+}
+
+/// Guards against occurrences that start early, late, or not at all.
+#[test]
+fn occurrences_start_when_they_are_due() {
+    let mut world = started(1);
+    let job = world.submit_at(0, SERIES);
+    let other = world.submit_at(100, OVERLAPPING);
+    world.run_ms(500);
+    assert_eq!(world.status(&job), JobStatus::Pending);
+    world.run_ms(1_500);
+    assert_eq!(world.status(&job), JobStatus::Running);
+    world.run_ms(8_000);
+    assert_eq!(world.status(&job), JobStatus::Completed);
+    assert_eq!(world.status(&other), JobStatus::Completed);
+    world.check_kept();
+    assert_eq!(world.history.broken, Vec::<String>::new());
+    // The bound of the platform for credit is the objective; 100 ms is what an accept takes.
+    assert!(world.history.latest <= 100, "{} ms", world.history.latest);
+}
+
+/// Guards against occurrences that start after their series was cancelled.
+#[test]
+fn cancelled_series_starts_nothing_more() {
+    let mut world = started(1);
+    let job = world.submit_at(0, SERIES);
+    world.run_ms(1_500);
+    let before = world.history.starts_of(&job);
+    world.cancel(&job);
+    world.run_ms(200);
+    assert_eq!(world.status(&job), JobStatus::Cancelled);
+    world.run_ms(6_000);
+    assert_eq!(world.history.starts_of(&job), before);
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..3_usize).prop_map(Fault::KillEntry),
+        (0..3_usize).prop_map(Fault::PowerOffEntry),
+        (0..3_usize, 50..8_000_u64).prop_map(|(entry, ms)| Fault::PauseEntry(entry, ms)),
+        (0..3_usize, 300..9_000_u64, any::<bool>())
+            .prop_map(|(entry, ms, revoke)| Fault::StoreCut(entry, ms, revoke)),
+        (10..60_u32, 300..4_000_u64)
+            .prop_map(|(percent, ms)| Fault::Store(StoreTrouble::Lost(percent), ms)),
+        (10..60_u32, 300..4_000_u64)
+            .prop_map(|(percent, ms)| Fault::Store(StoreTrouble::Late(percent), ms)),
+        (300..4_000_u64).prop_map(|ms| Fault::Store(StoreTrouble::Down { lapse: true }, ms)),
+        (0..4_usize).prop_map(Fault::KillAgent),
+    ]
+}
+
+proptest! {
+    #![proptest_config(schedules(24))]
+
+    /// Guards against an occurrence that is lost or runs twice with a change of the owner.
+    #[test]
+    fn promises_hold(
+        seed in any::<u64>(),
+        faults in proptest::collection::vec((0..5_000_u64, fault()), 1..5),
+    ) {
+        let broken = traced(|| {
+            let mut world = started(seed);
+            for at in (0..3_000).step_by(500) {
+                world.submit_at(at, SERIES);
+                world.submit_at(at + 100, OVERLAPPING);
+            }
+            for &(at, fault) in &faults {
+                world.fault_at(at, fault);
+            }
+            world.run_ms(36_000);
+            world.check_kept();
+            std::mem::take(&mut world.history.broken)
+        });
+        prop_assert!(broken.is_empty(), "{broken:?}");
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/caller.rs
+++ b/crates/fulmarpond-dispatch/tests/support/caller.rs
@@ -1,6 +1,6 @@
 //! Callers and their jobs.
 
-use fulmarpond_dispatch::entry::Answer;
+use fulmarpond_dispatch::entry::{Answer, Repeat};
 
 /// A kind of job.
 #[derive(Debug, Clone, Copy)]
@@ -15,6 +15,20 @@
     pub saves: bool,
     /// Whether tasks work only together.
     pub gang: bool,
+    /// How often it runs, how long after it was sent first, and at which interval, in milliseconds.
+    pub times: Option<(u16, u64, u64)>,
+}
+
+impl Demand {
+    /// Returns when the job runs, given the time of day when it was sent first.
+    pub fn repeat(self, sent: u64) -> Option<Repeat> {
+        let (count, after, interval) = self.times?;
+        Some(Repeat {
+            count,
+            start_ms: sent + after,
+            interval_ms: interval,
+        })
+    }
 }
 
 /// What became of a job.
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -30,6 +30,8 @@
     pub on_time: u32,
     pub refused: u32,
     pub lost: u32,
+    /// The longest delay of a start of an occurrence, in milliseconds.
+    pub latest: u64,
     /// How many starts had no valid ticket.
     pub rejected: u32,
     /// How many gangs have waited in vain for a member.
@@ -97,6 +99,12 @@
         }
     }
 
+    /// Returns how many runs of a job and its occurrences have started.
+    pub fn starts_of(&self, job: &JobId) -> u32 {
+        let of_job = self.starts.iter().filter(|(id, _)| id.parts().0 == job.0);
+        of_job.map(|(_, count)| count).sum()
+    }
+
     pub fn all_done(&self, job: &JobId, tasks: u16) -> bool {
         Self::tasks(job, tasks).all(|task| self.done.contains(&task))
     }
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::directory::{self, Directory, Duty, StoreCall};
@@ -120,6 +120,7 @@
             for event in events.drain(..) {
                 self.event(event, now);
             }
+            self.entry.set_wall(wall_millis());
             self.entry.tick(now, &mut self.actions);
             self.directory.tick(now, &mut self.tasks);
             self.carry_out(now);
@@ -409,6 +410,12 @@
     }
 }
 
+/// Returns the time of day, in milliseconds since 1970.
+fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn reactor_limits(limits: CallerLimits) -> Limits {
     Limits {
         header_bytes: limits.header_bytes,
