--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -7,12 +7,15 @@
 mod endpoint;
 mod endpoint_call;
 mod endpoint_calls;
+mod endpoint_lists;
 mod health;
 mod held;
+mod incarnation;
 mod links;
 mod orders;
 mod queue;
 mod run;
+mod starts_and_stops;
 
 pub use action::{Action, CallNo};
 pub use agent::{Agent, AgentOptions};
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/kept_events.rs
@@ -0,0 +1,272 @@
+//! What follows when the store has answered for kept jobs.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use fulmarpond_core::Time;
+use tracing::info;
+
+use super::configuration::Route;
+use super::entry::Entry;
+use super::job::TaskState;
+use super::kept::Unnoted;
+use super::submission::Submission;
+use super::{Action, Answer};
+use crate::directory::{Duty, StoreReply};
+use crate::ledger::{Event, JobSpec, JobState, Status};
+use crate::{EntryFrame, JobId, LinkNo, Refusal, TaskRun};
+
+impl Entry {
+    /// Makes the ledger's calls that are due.
+    pub(super) fn tick_ledger(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.note_begins(now);
+        let mut calls = Vec::new();
+        self.ledger.tick(now, &mut calls);
+        let calls = calls
+            .into_iter()
+            .map(|(duty, call, timeout)| Action::Store {
+                duty,
+                call,
+                timeout,
+            });
+        out.extend(calls);
+    }
+
+    /// Takes the outcome of a call to the store; `None` stands for a call without a reply, an
+    /// error for one that was refused without an effect.
+    pub fn store_answered(
+        &mut self,
+        duty: Duty,
+        reply: Option<Result<StoreReply, u16>>,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let mut events = Vec::new();
+        self.ledger.answered(duty, reply, now, &mut events);
+        for event in events {
+            self.ledger_event(event, now, out);
+        }
+        self.tick_ledger(now, out);
+    }
+
+    fn ledger_event(&mut self, event: Event, now: Time, out: &mut Vec<Action>) {
+        match event {
+            Event::Kept(id) => self.is_kept(&id, now, out),
+            Event::NotKept(id) => {
+                if let Some(pending) = self.kept.pending.remove(&id)
+                    && let Some(request) = pending.request
+                {
+                    info!(job = %id, reason = Refusal::NoStore.as_str(), "job refused");
+                    self.refuse(request, Refusal::NoStore, out);
+                }
+            }
+            Event::MayBeKept(id) => {
+                let pending = self.kept.pending.get_mut(&id);
+                if let Some(request) = pending.and_then(|pending| pending.request.take()) {
+                    info!(job = %id, "store gave no answer, the job may be kept");
+                    let reason = Refusal::NoStore;
+                    self.counters.refuse(reason);
+                    Self::answer(request, Answer::MayHaveRun { reason }, out);
+                }
+            }
+            Event::Written(id, state) => self.is_written(&id, &state, now, out),
+            Event::Lost(id) => self.is_lost(&id, now, out),
+            Event::Merged(id, state) => self.merged(&id, &state, now, out),
+            Event::Owned(id, spec, state) => self.take_over(&id, *spec, state, now, out),
+        }
+    }
+
+    fn is_kept(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) {
+        let Some(pending) = self.kept.pending.remove(id) else {
+            return;
+        };
+        if let Some(request) = pending.request {
+            Self::answer(request, Answer::Accepted, out);
+        }
+        let own = self
+            .ledger
+            .state(id)
+            .filter(|state| state.owner == *self.ledger.owner() && state.status == Status::Open);
+        let Some(state) = own.cloned() else {
+            return;
+        };
+        self.counters.accepted += 1;
+        info!(
+            job = %id,
+            route = pending.route.name,
+            tasks = pending.submission.steps.iter().map(|step| u32::from(step.count)).sum::<u32>(),
+            version = self.version(),
+            "job accepted"
+        );
+        if pending.submission.repeat.is_some() {
+            self.own_series(id, &pending.route, pending.submission, state);
+            return;
+        }
+        self.run_kept(id, &pending.route, pending.submission, state, now, now, out);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one job")]
+    fn run_kept(
+        &mut self,
+        id: &JobId,
+        route: &Rc<Route>,
+        submission: Submission,
+        state: JobState,
+        hold_until: Time,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let mut job = self.job(id, None, route, submission, now);
+        for task in &mut job.tasks {
+            let Some(step) = state.steps.get(usize::from(task.step)) else {
+                continue;
+            };
+            task.failures = step.failures(task.index);
+            task.epoch = step.epoch(task.index);
+            task.checkpoint = step.checkpoint(task.index).map(str::to_owned);
+            if step.is_done(task.index) {
+                task.state = TaskState::Done;
+            } else if hold_until > now {
+                task.state = TaskState::Lost(hold_until);
+            }
+        }
+        job.share_failures();
+        job.share_done();
+        if hold_until > now {
+            self.wait_for_lost(hold_until, id.clone());
+        }
+        job.begun = state.begun;
+        job.hold_until = hold_until;
+        job.state = Some(state);
+        let done = job.is_done();
+        self.jobs.insert(id.clone(), job);
+        if done {
+            self.finish(id, Answer::Completed, now, out);
+        } else {
+            self.place(id, now, out);
+        }
+    }
+
+    fn is_written(&mut self, id: &JobId, state: &JobState, now: Time, out: &mut Vec<Action>) {
+        let job = self.jobs.get_mut(id);
+        if job.is_some_and(|job| job.confirm(state)) {
+            info!(job = %id, "tasks are placed again");
+            self.place(id, now, out);
+        }
+        if state.status != Status::Open {
+            for request in self.kept.cancels.remove(id).unwrap_or_default() {
+                Self::answer(request, Answer::Cancelled, out);
+            }
+        }
+        let Some(unnoted) = self.kept.unnoted.remove(id) else {
+            return;
+        };
+        let written = |unnoted: &Unnoted| {
+            let step = state.steps.get(usize::from(unnoted.run.task.step));
+            let index = unnoted.run.task.index;
+            step.is_some_and(|step| {
+                if unnoted.done {
+                    step.is_done(index)
+                } else {
+                    step.failures(index) >= unnoted.failures
+                }
+            })
+        };
+        let (noted, left): (Vec<Unnoted>, Vec<Unnoted>) = unnoted.into_iter().partition(written);
+        if !left.is_empty() {
+            self.kept.unnoted.insert(id.clone(), left);
+        }
+        let mut by_link: BTreeMap<LinkNo, Vec<TaskRun>> = BTreeMap::new();
+        for unnoted in noted {
+            by_link.entry(unnoted.link).or_default().push(unnoted.run);
+        }
+        for (link, runs) in by_link {
+            let frame = EntryFrame::Noted(runs);
+            out.push(Action::Send { link, frame });
+        }
+    }
+
+    /// Takes over the ends that another entry has noted in the state of a job.
+    fn merged(&mut self, id: &JobId, stored: &JobState, now: Time, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for task in &mut job.tasks {
+            let step = stored.steps.get(usize::from(task.step));
+            if !step.is_some_and(|step| step.is_done(task.index)) {
+                continue;
+            }
+            // The end may have been lost on the way here, or another run may go on.
+            if let TaskState::Sent(link) = task.state {
+                let frame = EntryFrame::Stop {
+                    job: id.clone(),
+                    tasks: vec![(task.step, task.index)],
+                    report: false,
+                };
+                out.push(Action::Send { link, frame });
+            }
+            task.state = TaskState::Done;
+        }
+        job.share_done();
+        if let Some(state) = &mut job.state {
+            state.merge(stored);
+        }
+        if job.is_done() {
+            self.finish(id, Answer::Completed, now, out);
+        } else {
+            self.place(id, now, out);
+        }
+    }
+
+    fn is_lost(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) {
+        self.kept.unnoted.remove(id);
+        if self.series.remove(id) {
+            info!(job = %id, "series has ended or has another owner");
+            let state = self.ledger.state(id);
+            if state.is_some_and(|state| state.status == Status::Cancelled) {
+                self.cancel_occurrences(id, now, out);
+            }
+        }
+        if let Some(pending) = self.kept.pending.remove(id)
+            && let Some(request) = pending.request
+        {
+            Self::answer(request, Answer::Accepted, out);
+        }
+        let ended = self
+            .ledger
+            .state(id)
+            .is_none_or(|state| state.status != Status::Open);
+        if ended {
+            for request in self.kept.cancels.remove(id).unwrap_or_default() {
+                Self::answer(request, Answer::Cancelled, out);
+            }
+        }
+        if self.jobs.get(id).is_some_and(|job| job.state.is_some()) {
+            info!(job = %id, "job has ended or has another owner, its runs are stopped");
+            self.take_job(id, out);
+        }
+    }
+
+    fn take_over(
+        &mut self,
+        id: &JobId,
+        spec: JobSpec,
+        state: JobState,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let route = Rc::new(spec.route);
+        if spec.submission.repeat.is_some() {
+            self.own_series(id, &route, spec.submission, state);
+            return;
+        }
+        // Runs for the last owner may go on, and agents tell the ends that nobody took note of.
+        let hold_until = now.after_millis(self.options.bounds.orphan_ms());
+        self.run_kept(id, &route, spec.submission, state, hold_until, now, out);
+    }
+
+    /// Returns the size of the ledger: jobs, and changes that wait.
+    pub fn ledger_size(&self) -> (usize, usize) {
+        self.ledger.size()
+    }
+}
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -12,6 +12,8 @@
 mod gangs;
 mod job;
 mod kept;
+mod kept_ends;
+mod kept_events;
 mod placement;
 mod placing;
 mod series;
