--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -8,12 +8,15 @@
 
 mod advice;
 mod caller;
+mod callers;
 mod cases;
 mod endpoint;
+mod faults;
 mod gangs;
 mod history;
 mod network;
 mod options;
+mod runs;
 mod store;
 mod stored;
 mod trace;
