feat(agent): link to sixteen entries at most

Change: an agent ranks the entries by rendezvous hashing of both names and links to the first sixteen that answer; one that fails stays wanted, and the next stands in for it. All entries get about the same number of agents. The hash of takeovers comes from the same library function now.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -94,7 +94,7 @@
 impl Agent {
     /// Creates an agent without endpoint and links.
     pub fn new(options: AgentOptions, now: Time) -> Self {
-        let mut links = Links::default();
+        let mut links = Links::new(options.name.clone());
         links.learn(&options.seeds, now);
         Self {
             fence: options.fence,
--- a/crates/fulmarpond-dispatch/src/agent/links.rs
+++ b/crates/fulmarpond-dispatch/src/agent/links.rs
@@ -6,6 +6,7 @@
 use fulmarpond_core::Time;
 
 use crate::LinkNo;
+use crate::rendezvous::weight;
 
 /// The pause before the first new attempt to reach an entry, in milliseconds.
 const REDIAL_MS: u64 = 50;
@@ -16,6 +17,10 @@
 /// After this time without a link and without being named, an address is forgotten.
 const FORGET_MS: u64 = 30_000;
 
+/// How many entries an agent links to, if there are more. Each link carries a status every few
+/// milliseconds under load; with 80 of them an agent passed its share of the network.
+const MOST_LINKS: usize = 16;
+
 /// An established link.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -27,6 +32,15 @@
     pub(super) orders: u64,
 }
 
+/// The place of an entry in an agent's order of preference.
+///
+/// Each agent has an order of its own, so that all entries get about the same number of agents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    weight: u64,
+    addr: SocketAddr,
+}
+
 #[derive(Debug)]
 struct Target {
     link: Option<LinkNo>,
@@ -35,18 +49,52 @@
     forget: Time,
 }
 
+impl Target {
+    /// Returns whether the entry does not answer, so that another one has to stand in for it.
+    const fn is_failing(&self) -> bool {
+        self.link.is_none() && self.pause > 2 * REDIAL_MS
+    }
+}
+
 /// All links and the addresses to reach entries at.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Links {
-    targets: BTreeMap<SocketAddr, Target>,
+    /// The host name of the agent.
+    name: String,
+    targets: BTreeMap<Rank, Target>,
     pub(super) up: BTreeMap<LinkNo, Link>,
 }
 
 impl Links {
+    pub(super) const fn new(name: String) -> Self {
+        Self {
+            name,
+            targets: BTreeMap::new(),
+            up: BTreeMap::new(),
+        }
+    }
+
+    fn rank(&self, addr: SocketAddr) -> Rank {
+        let weight = weight(&addr.to_string(), &self.name);
+        Rank { weight, addr }
+    }
+
+    /// Returns the entries that the agent links to: the first in its order that answer, and those
+    /// before them that do not.
+    fn wanted(&self) -> impl Iterator<Item = (&Rank, &Target)> {
+        let mut answering = 0;
+        self.targets.iter().take_while(move |(_, target)| {
+            let more = answering < MOST_LINKS;
+            answering += usize::from(!target.is_failing());
+            more
+        })
+    }
+
     /// Adds addresses of entries.
     pub(super) fn learn(&mut self, addrs: &[SocketAddr], now: Time) {
         for &addr in addrs {
-            let target = self.targets.entry(addr).or_insert(Target {
+            let rank = self.rank(addr);
+            let target = self.targets.entry(rank).or_insert(Target {
                 link: None,
                 next: now,
                 pause: REDIAL_MS,
@@ -61,19 +109,21 @@
         self.targets
             .retain(|_, target| target.link.is_some() || now < target.forget);
         let due = self
-            .targets
-            .iter_mut()
+            .wanted()
             .filter(|(_, target)| target.link.is_none() && now >= target.next);
-        due.map(|(&addr, target)| {
-            target.next = now.after_millis(target.pause);
-            target.pause = (target.pause * 2).min(MAX_REDIAL_MS);
-            addr
-        })
-        .collect()
+        let due: Vec<Rank> = due.map(|(rank, _)| *rank).collect();
+        for rank in &due {
+            if let Some(target) = self.targets.get_mut(rank) {
+                target.next = now.after_millis(target.pause);
+                target.pause = (target.pause * 2).min(MAX_REDIAL_MS);
+            }
+        }
+        due.into_iter().map(|rank| rank.addr).collect()
     }
 
     pub(super) fn dialed(&mut self, addr: SocketAddr, link: LinkNo) {
-        if let Some(target) = self.targets.get_mut(&addr) {
+        let rank = self.rank(addr);
+        if let Some(target) = self.targets.get_mut(&rank) {
             target.link = Some(link);
         }
     }
@@ -113,7 +163,9 @@
 
     /// Returns when the next attempt to reach an entry is due.
     pub(super) fn next_dial(&self) -> Time {
-        let idle = self.targets.values().filter(|target| target.link.is_none());
-        idle.map(|target| target.next).min().unwrap_or(Time::MAX)
+        let idle = self.wanted().filter(|(_, target)| target.link.is_none());
+        idle.map(|(_, target)| target.next)
+            .min()
+            .unwrap_or(Time::MAX)
     }
 }
--- a/crates/fulmarpond-dispatch/src/ledger/takeover.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/takeover.rs
@@ -7,6 +7,7 @@
 use super::ledger::{Event, Ledger};
 use super::record::JobSpec;
 use crate::directory::StoreReply;
+use crate::rendezvous::weight;
 use crate::{JobId, decode};
 
 impl Ledger {
@@ -81,8 +82,10 @@
             return false;
         }
         // Each live entry takes a part; which one does not matter, since a change is conditional.
-        let own = weight(&self.options.owner.name, job);
-        self.entries.iter().all(|entry| weight(entry, job) <= own)
+        let own = weight(&self.options.owner.name, &job.0);
+        self.entries
+            .iter()
+            .all(|entry| weight(entry, &job.0) <= own)
     }
 
     pub(super) fn read_answered(
@@ -123,12 +126,3 @@
         out.push(Event::Owned(job, Box::new(spec), state));
     }
 }
-
-/// Returns the weight of an entry for a job, as in rendezvous hashing.
-fn weight(entry: &str, job: &JobId) -> u64 {
-    // FNV-1a, since the weights have to agree between processes.
-    let bytes = entry.bytes().chain([0]).chain(job.0.bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod needs;
 mod pacing;
 mod registration;
+mod rendezvous;
 
 pub use bounds::{Bounds, InvalidBounds};
 pub use clock::RemoteClock;
