feat(agent): close links that are not needed any more

Change: an agent with sixteen links tells an entry beyond those that it takes no orders, and closes the link after 1 s once the entry has no runs there. An end that came too late lets the lease lapse only for kept jobs; a gang that is not kept did so as well.

Test: links.rs.

--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -47,6 +47,7 @@
     pub(super) fn check(&mut self, now: Time, out: &mut Vec<Action>) {
         self.next_check = now.after_millis(Self::CHECK_MS);
         self.health.decay(now);
+        self.retire_links(now, out);
         self.check_endpoint(now, out);
         let tasks: Vec<TaskKey> = self.runs.keys().cloned().collect();
         for task in tasks {
@@ -79,6 +80,19 @@
         }
     }
 
+    /// Closes links that are not needed any more and whose entries have no runs here.
+    fn retire_links(&mut self, now: Time, out: &mut Vec<Action>) {
+        let (due, new) = self.links.retire(now);
+        self.changed |= new;
+        for link in due {
+            if self.tasks_of(link).is_empty() {
+                info!(?link, "agent has enough links, closing one");
+                out.push(Action::Close { link });
+                self.link_down(link, now, out);
+            }
+        }
+    }
+
     /// Lets the lease lapse once if ends are held whose tasks were placed again: a run that was done
     /// counts as taken note of, unless the lease lapsed before that.
     fn lapse_for_void(&mut self, now: Time) {
@@ -144,6 +158,10 @@
         self.changed = false;
         let load = self.status(now);
         for (&link, state) in &self.links.up {
+            let load = EndpointStatus {
+                ready: load.ready && state.retire.is_none(),
+                ..load
+            };
             out.push(Action::Send {
                 link,
                 frame: AgentFrame::Status {
--- a/crates/fulmarpond-dispatch/src/agent/links.rs
+++ b/crates/fulmarpond-dispatch/src/agent/links.rs
@@ -1,6 +1,6 @@
 //! Links of an agent to the entries.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
@@ -21,6 +21,10 @@
 /// milliseconds under load; with 80 of them an agent passed its share of the network.
 const MOST_LINKS: usize = 16;
 
+/// How long a link that is not needed any more stays open without orders, in milliseconds: those on
+/// their way still arrive.
+const RETIRE_MS: u64 = 1_000;
+
 /// An established link.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -30,6 +34,8 @@
     pub(super) lease: Time,
     /// How many orders arrived.
     pub(super) orders: u64,
+    /// When the link is closed since the agent has enough others; it takes no orders until then.
+    pub(super) retire: Option<Time>,
 }
 
 /// The place of an entry in an agent's order of preference.
@@ -133,6 +139,7 @@
             entry: String::new(),
             lease,
             orders: 0,
+            retire: None,
         };
         self.up.insert(number, link);
         for target in self.targets.values_mut() {
@@ -155,6 +162,33 @@
         self.up.remove(&number)
     }
 
+    /// Marks the links beyond those that the agent wants, such as those to its seeds, and returns the
+    /// ones that may be closed now unless their entries have runs here. Returns whether any is new.
+    pub(super) fn retire(&mut self, now: Time) -> (Vec<LinkNo>, bool) {
+        let wanted: BTreeSet<LinkNo> = self
+            .wanted()
+            .filter_map(|(_, target)| target.link)
+            .collect();
+        let linked = self.up.keys().filter(|link| wanted.contains(link)).count();
+        let enough = linked >= MOST_LINKS;
+        let (mut due, mut new) = (Vec::new(), false);
+        for (&number, link) in &mut self.up {
+            if !enough || wanted.contains(&number) {
+                link.retire = None;
+                continue;
+            }
+            match link.retire {
+                Some(at) if now >= at => due.push(number),
+                Some(_) => {}
+                None => {
+                    link.retire = Some(now.after_millis(RETIRE_MS));
+                    new = true;
+                }
+            }
+        }
+        (due, new)
+    }
+
     /// Returns the links whose lease has run out.
     pub(super) fn expired(&self, now: Time) -> Vec<LinkNo> {
         let late = self.up.iter().filter(|(_, link)| now >= link.lease);
--- a/crates/fulmarpond-dispatch/src/entry/kept_ends.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept_ends.rs
@@ -106,7 +106,8 @@
     /// Returns whether the task of a run was placed again before its end was known.
     fn is_void(&self, end: &TaskEnd) -> bool {
         let epoch = epoch_of(end.run);
-        if let Some(job) = self.jobs.get(&end.task.job) {
+        let job = self.jobs.get(&end.task.job);
+        if let Some(job) = job.filter(|job| job.state.is_some()) {
             let mut tasks = job.tasks.iter();
             let task =
                 tasks.find(|task| task.step == end.task.step && task.index == end.task.index);
--- a/crates/fulmarpond-dispatch/src/entry/series.rs
+++ b/crates/fulmarpond-dispatch/src/entry/series.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
-use tracing::{info, warn};
+use tracing::info;
 
 use super::configuration::Route;
 use super::entry::Entry;
@@ -188,7 +188,7 @@
     /// Gives the series of this entry to the others, when it stops.
     pub(super) fn release_series(&mut self) {
         for (id, series) in std::mem::take(&mut self.series.known) {
-            warn!(job = %id, "series released");
+            info!(job = %id, "series released");
             let mut state = series.state;
             state.owner = Owner::none();
             self.ledger.change(&id, state);
--- a/crates/fulmarpond-dispatch/tests/links.rs
+++ b/crates/fulmarpond-dispatch/tests/links.rs
@@ -5,7 +5,7 @@
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::agent::{Action, Agent, AgentOptions};
-use fulmarpond_dispatch::{Bounds, LinkNo};
+use fulmarpond_dispatch::{Bounds, EntryFrame, LinkNo};
 
 /// How many entries an agent links to at most while all of them answer.
 const MOST_LINKS: usize = 16;
@@ -120,6 +120,43 @@
     );
 }
 
+/// Guards against entries that all agents know first and keep their links to: the agent closes a link
+/// that it does not need, a while after it has said that it takes no orders there.
+#[test]
+fn links_to_seeds_are_closed_when_there_are_enough_others() {
+    let all = entries(60);
+    let mut agent = agent(1, all[..3].to_vec());
+    let mut linked: BTreeMap<LinkNo, SocketAddr> = BTreeMap::new();
+    let mut number = 0;
+    for millis in (0..6_000).step_by(10) {
+        let now = START.after_millis(millis);
+        let mut out = Vec::new();
+        agent.tick(now, &mut out);
+        for &link in linked.keys() {
+            let sent = now.as_micros();
+            agent.frame(link, EntryFrame::Renew { sent }, now, &mut out);
+        }
+        for action in out {
+            match action {
+                Action::Dial { addr } => {
+                    number += 1;
+                    linked.insert(LinkNo(number), addr);
+                    agent.dialed(addr, LinkNo(number));
+                    agent.link_up(LinkNo(number), now, &mut Vec::new());
+                    let frame = EntryFrame::Entries(all.clone());
+                    agent.frame(LinkNo(number), frame, now, &mut Vec::new());
+                }
+                Action::Close { link } => {
+                    linked.remove(&link);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(linked.len(), MOST_LINKS);
+    assert_eq!(agent.links(), MOST_LINKS);
+}
+
 /// Guards against an agent that wakes all the time for entries that it does not want.
 #[test]
 fn entries_beyond_the_links_wake_nobody() {
