test(http): find the accepted socket without keeping copies of others open

Cause: the test duplicated each descriptor of the process while it listed them, and kept the matching copy open.

Change: each copy is closed before the next one is made, and the option is read from a new one.

--- a/crates/fulmarpond-http/tests/connections.rs
+++ b/crates/fulmarpond-http/tests/connections.rs
@@ -87,15 +87,23 @@
     assert_eq!(caller.get("/first").status, 200);
     // The accepted socket belongs to the listener's runtime in this process.
     let process = pidfd_open(getpid(), PidfdFlags::empty()).expect("a process handle");
-    let accepted: Vec<_> = std::fs::read_dir("/proc/self/fd")
+    let open = |fd: i32| {
+        let copy = pidfd_getfd(&process, fd, PidfdGetfdFlags::empty()).ok()?;
+        Some(TcpStream::from(copy))
+    };
+    let is_accepted = |stream: &TcpStream| {
+        let peer = stream.peer_addr();
+        peer.is_ok_and(|peer| peer == caller.local())
+    };
+    // A copy that stays open may get a number that is still to come in the list.
+    let accepted: Vec<i32> = std::fs::read_dir("/proc/self/fd")
         .expect("a list of descriptors")
         .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok())
-        .filter_map(|fd| pidfd_getfd(&process, fd, PidfdGetfdFlags::empty()).ok())
-        .map(TcpStream::from)
-        .filter(|stream| stream.peer_addr().is_ok_and(|peer| peer == caller.local()))
+        .filter(|&fd| open(fd).is_some_and(|stream| is_accepted(&stream)))
         .collect();
     assert_eq!(accepted.len(), 1, "the accepted socket is found");
-    assert!(tcp_nodelay(&accepted[0]).expect("the option can be read"));
+    let stream = open(accepted[0]).expect("the accepted socket is open");
+    assert!(tcp_nodelay(&stream).expect("the option can be read"));
 }
 
 /// Guards against a bound on connections that is not kept, or that never admits again.
