refactor(dispatch): name the slack of a lost outcome for what it is

HOLD_RETRY_MS no longer paces holds: that pause grows with unanswered calls and stands with the endpoint. What is left is how long after its time-out a stop or a look is sent again.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -25,8 +25,9 @@
 /// The shortest and the longest time between two statuses on a link, in milliseconds.
 pub(super) const STATUS_MS: (u64, u64) = (5, 120);
 
-/// The pause after a hold without a reply, in milliseconds.
-pub(super) const HOLD_RETRY_MS: u64 = 10;
+/// How long after its time-out a stop or a look is sent again if its outcome was lost, in
+/// milliseconds.
+pub(super) const LOST_OUTCOME_MS: u64 = 10;
 
 /// How an agent is set up.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -4,7 +4,7 @@
 use tracing::{info, warn};
 
 use super::Action;
-use super::agent::{Agent, HOLD_RETRY_MS, ORDER_TIMEOUT_MS, STATUS_MS};
+use super::agent::{Agent, LOST_OUTCOME_MS, ORDER_TIMEOUT_MS, STATUS_MS};
 use super::run::{Phase, Then};
 use crate::{AgentFrame, Backlog, EndpointStatus, Outcome, TaskKey};
 
@@ -121,12 +121,12 @@
         match &mut run.phase {
             Phase::Stopping { over, .. } if now >= *over => {
                 // The look was lost: without it, an end may be taken for none.
-                *over = now.after_millis(ORDER_TIMEOUT_MS + HOLD_RETRY_MS);
+                *over = now.after_millis(ORDER_TIMEOUT_MS + LOST_OUTCOME_MS);
                 let number = run.number;
                 self.look(task, number, now, out);
             }
             Phase::Stopping { resend, .. } if now >= *resend => {
-                *resend = now.after_millis(ORDER_TIMEOUT_MS + HOLD_RETRY_MS);
+                *resend = now.after_millis(ORDER_TIMEOUT_MS + LOST_OUTCOME_MS);
                 let number = run.number;
                 self.send_stop(task, number, now, out);
             }
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -3,7 +3,7 @@
 use fulmarpond_core::Time;
 use tracing::info;
 
-use super::agent::{Agent, HOLD_RETRY_MS, ORDER_TIMEOUT_MS, Purpose};
+use super::agent::{Agent, LOST_OUTCOME_MS, ORDER_TIMEOUT_MS, Purpose};
 use super::run::{Phase, Progress, Run, Then};
 use super::{Action, EndpointCall};
 use crate::epoch::before_first;
@@ -231,7 +231,7 @@
                 self.counters.stopped += 1;
                 run.phase = Phase::Stopping {
                     then,
-                    resend: now.after_millis(ORDER_TIMEOUT_MS + HOLD_RETRY_MS),
+                    resend: now.after_millis(ORDER_TIMEOUT_MS + LOST_OUTCOME_MS),
                     over: Time::MAX,
                 };
                 let number = run.number;
--- a/crates/fulmarpond-dispatch/src/entry/gangs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/gangs.rs
@@ -4,6 +4,8 @@
 //! an epoch of its own, so that all members have the same run number. When a member ends without
 //! being done, the others are stopped and reported, and the gang is placed again.
 
+use std::collections::BTreeMap;
+
 use fulmarpond_core::Time;
 use tracing::info;
 
@@ -187,7 +189,7 @@
 
     /// Returns the tasks of a step that were sent, by agent.
     fn sent(&self, step: u16) -> Vec<(LinkNo, Vec<u16>)> {
-        let mut by_link: std::collections::BTreeMap<LinkNo, Vec<u16>> = Default::default();
+        let mut by_link: BTreeMap<LinkNo, Vec<u16>> = BTreeMap::new();
         for task in self.tasks.iter().filter(|task| task.step == step) {
             if let TaskState::Sent(link) = task.state {
                 by_link.entry(link).or_default().push(task.index);
