test(faults): wait until a frozen process stands still

Cause: kill returns before the threads of the process have stopped. With twelve busy loops beside the test, some thread still ran right after the signal in nearly every freeze (2 to 4 of the freezes in each run). An entry that still runs reads the request and passes it on; the answer then waits in its socket until the process goes on, which is allowed.

Change: freeze waits until each thread is in the stopped state. The check of the test is as it was.

--- a/crates/fulmarpondd/tests/common/mod.rs
+++ b/crates/fulmarpondd/tests/common/mod.rs
@@ -91,9 +91,26 @@
         assert!(status.success());
     }
 
-    /// Stops the process from running, without ending it.
+    /// Stops the process from running, without ending it, and waits until all its threads stand
+    /// still: under load they run on for a while after the signal.
     pub(crate) fn freeze(&self) {
         self.signal("-STOP");
+        wait_until("the daemon stands still", || self.stands_still());
+    }
+
+    /// Returns whether every thread is stopped by a signal.
+    fn stands_still(&self) -> bool {
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let threads = std::fs::read_dir(tasks).expect("the threads can be listed");
+        threads.flatten().all(|thread| {
+            let stat = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            // The state follows the name, which is in parentheses.
+            let state = stat
+                .rsplit(") ")
+                .next()
+                .and_then(|rest| rest.chars().next());
+            state == Some('T')
+        })
     }
 
     /// Lets a frozen process run again.
