feat(dispatch): run tasks that go on until their job is cancelled

A job with long-running tasks was refused. Such a task is now started again however it ends: at once after the first short run, then after 0.1 to 1.6 s. Its ends are neither counted nor written to the store, since no end is final. It is placed only where there is free room, never waits at an agent, and the processor that it holds is left out of the expected wait of other jobs.

The stand-in has such tasks, and notices the lapse of their leases by itself: a paused agent makes no calls, so a lapse was seen only at the end of a run, which these do not have.

--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -17,6 +17,10 @@
 /// How long runs may go on at an endpoint whose lease has to lapse, in milliseconds.
 const LAPSE_WAIT_MS: u64 = 1_000;
 
+/// The time until the next end if only runs are left that go on until they are stopped, in
+/// milliseconds.
+const NO_END_MS: u64 = 10_000;
+
 /// See [`OVERDUE_FACTOR`], in milliseconds.
 const OVERDUE_MS: u64 = 100;
 
@@ -137,6 +141,7 @@
                     self.end_run(task, Then::Report(Outcome::Unavailable), now, out);
                 }
             }
+            Phase::Running { .. } if run.long_running => {}
             Phase::Running { since } => {
                 let elapsed = now.millis_since(*since);
                 let expected = u64::from(run.expected);
@@ -178,12 +183,23 @@
     /// Run times vary so much that the time a run has taken says little about what is left.
     pub(super) fn next_end(&self) -> u64 {
         let at_endpoint = self.runs.values().filter(|run| run.phase.uses_room());
-        let (count, work) = at_endpoint.fold((0_u64, 0_u64), |(count, work), run| {
+        let ending = at_endpoint.filter(|run| !run.long_running);
+        let (count, work) = ending.fold((0_u64, 0_u64), |(count, work), run| {
             (count + 1, work + u64::from(run.expected))
         });
+        if count == 0 && self.reserved_cpu() > 0 {
+            return NO_END_MS;
+        }
         work / (count * count).max(1)
     }
 
+    /// Returns the processor of runs that go on until they are stopped, in thousandths of a core.
+    fn reserved_cpu(&self) -> u32 {
+        let at_endpoint = self.runs.values().filter(|run| run.phase.uses_room());
+        let long = at_endpoint.filter(|run| run.long_running);
+        long.map(|run| run.needs.cpu).fold(0, u32::saturating_add)
+    }
+
     pub(super) fn status(&self, now: Time) -> EndpointStatus {
         let Some(endpoint) = &self.endpoint else {
             return EndpointStatus::default();
@@ -197,6 +213,7 @@
                     let work = expected * u64::from(run.needs.cpu) / 1_000;
                     backlog.add(run.start_by.remaining_millis(now), work);
                 }
+                Phase::Running { .. } if run.long_running => {}
                 Phase::Running { since } => {
                     let elapsed = now.millis_since(since);
                     running += 1;
@@ -211,6 +228,7 @@
             free: endpoint.about.capacity.minus(self.used),
             backlog,
             next_end: u32::try_from(next_end).unwrap_or(u32::MAX),
+            reserved_cpu: self.reserved_cpu(),
             slowness: self.health.slowness_percent(),
             failures: self.health.failure_percent(),
             stalled: now < self.stalled_until || (overdue >= 2 && overdue * 2 >= running),
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -50,7 +50,7 @@
                 _ => now,
             };
             let elapsed = now.millis_since(since);
-            let (expected, resumed) = (run.expected, run.resumed);
+            let (expected, partial) = (run.expected, run.resumed && !run.long_running);
             let outcome = match end.how {
                 EndHow::Done => Outcome::Done,
                 EndHow::Failed => Outcome::Failed,
@@ -67,7 +67,7 @@
                 expected_ms = expected,
                 "run ended"
             );
-            if !run.resumed {
+            if !run.resumed && !run.long_running {
                 out.push(Action::Observe { elapsed });
             }
             match (run.phase, outcome) {
@@ -84,14 +84,17 @@
                     self.finish(&task, None, 0);
                     continue;
                 }
-                // The rest of a resumed run tells nothing about the endpoint.
-                (Phase::Running { .. }, Outcome::Done) if !run.resumed => {
+                // The rest of a resumed run tells nothing about the endpoint, and neither does the
+                // end of a long-running task that was at work.
+                (Phase::Running { .. }, Outcome::Done) if !run.resumed && !run.long_running => {
                     self.health.done(elapsed, expected);
                 }
-                (_, Outcome::Failed) => self.health.failed(),
+                (_, Outcome::Failed) if !(run.long_running && run.progress.is_complete()) => {
+                    self.health.failed();
+                }
                 _ => {}
             }
-            let whole = if resumed { 0 } else { elapsed };
+            let whole = if partial { 0 } else { elapsed };
             self.finish(&task, Some(outcome), whole);
         }
     }
@@ -181,7 +184,12 @@
         }
         // A gang works from the moment when all of it is there.
         let waits = run.gang && percent == 0;
-        if waits || !run.progress.see(percent, run.expected, now) {
+        let stands = if run.long_running {
+            run.progress.see_long(percent, now)
+        } else {
+            !waits && run.progress.see(percent, run.expected, now)
+        };
+        if !stands {
             return;
         }
         let expected = run.expected;
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -49,8 +49,9 @@
                 limit: order.limit,
                 kept: order.kept,
                 gang: order.gang,
+                long_running: order.long_running,
                 ticket: order.ticket.clone(),
-                fresh: order.slack > 0 && !order.kept,
+                fresh: order.slack > 0 && !order.kept && !order.long_running,
                 phase: Phase::Queued,
             };
             self.queue.push(start_by, task.clone());
@@ -58,14 +59,15 @@
         }
         self.changed = true;
         self.fill(now, out);
-        if order.gang {
-            self.return_members(order, now, out);
+        if order.gang || order.long_running {
+            self.return_waiting(order, now, out);
         }
         self.send_news(out);
     }
 
-    /// Returns the members of a gang that have found no room: the others would wait for them.
-    fn return_members(&mut self, order: &Order, now: Time, out: &mut Vec<Action>) {
+    /// Returns the tasks of an order that have found no room and may not wait for it: the other
+    /// members of a gang would wait for them, and a long-running task may never find room here.
+    fn return_waiting(&mut self, order: &Order, now: Time, out: &mut Vec<Action>) {
         for &index in &order.indexes {
             let task = TaskKey {
                 job: order.job.clone(),
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -36,6 +36,25 @@
         let patience = (u64::from(expected) / Self::STANDING_PART).max(Self::STANDING_MS);
         percent < 100 && now.millis_since(self.changed) > patience
     }
+
+    /// Takes a value for a run that goes on until it is stopped; returns whether it stands still.
+    /// Such a run is at work at 100 percent, and takes a while to get there.
+    pub(super) fn see_long(&mut self, percent: u8, now: Time) -> bool {
+        if percent != self.percent {
+            self.percent = percent;
+            self.changed = now;
+        }
+        percent < 100 && now.millis_since(self.changed) > Self::STARTUP_MS
+    }
+
+    /// Returns whether the endpoint has told that all is done, or that a long-running task is at work.
+    pub(super) const fn is_complete(&self) -> bool {
+        self.percent >= 100
+    }
+
+    /// The longest time without progress of a long-running task that is not at work, in
+    /// milliseconds.
+    const STARTUP_MS: u64 = 3_000;
 }
 
 /// A task that an entry ordered.
@@ -64,6 +83,8 @@
     pub(super) kept: bool,
     /// Whether it works only together with the other tasks of its step.
     pub(super) gang: bool,
+    /// Whether it goes on until it is stopped.
+    pub(super) long_running: bool,
     /// What shows that the endpoint may run it.
     pub(super) ticket: Option<String>,
     /// Whether its objective could be met when it was ordered.
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -205,7 +205,10 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        if let Some(state) = &mut job.state
+        // What a long-running task has saved is of use to its next run only, and would take a write
+        // for each task every few seconds.
+        if !job.is_long_running(key.step)
+            && let Some(state) = &mut job.state
             && let Some(step) = state.steps.get_mut(usize::from(key.step))
         {
             step.set_checkpoint(key.index, value.clone());
@@ -221,6 +224,11 @@
     /// Takes the end of a task, and goes on with its job.
     pub(super) fn ended(&mut self, link: LinkNo, end: &TaskEnd, now: Time, out: &mut Vec<Action>) {
         let id = &end.task.job;
+        let job = self.jobs.get(id);
+        if job.is_some_and(|job| job.is_long_running(end.task.step)) {
+            self.long_run_ended(link, end, now);
+            return;
+        }
         if !self.note_outcome(link, end) {
             return;
         }
@@ -392,13 +400,13 @@
             let retried = job.release_lost(now);
             self.counters.retried += u64::from(retried);
             info!(job = %id, tasks = retried, kept = job.state.is_some(), "lost runs are over");
-            match &job.state {
+            if job.is_confirming()
+                && let Some(state) = &job.state
+            {
                 // An end may have been noted unseen; the store tells when it takes the new epoch.
-                Some(state) => self.ledger.change(&id, state.clone()),
-                None => {
-                    self.place(&id, now, out);
-                }
+                self.ledger.change(&id, state.clone());
             }
+            self.place(&id, now, out);
         }
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -71,7 +71,8 @@
         if self.load.backlog.is_clear() && needs.fits(free) {
             return 0.0;
         }
-        let cores = f64::from(self.capacity.cpu.max(1)) / 1_000.0;
+        let shared = self.capacity.cpu.saturating_sub(self.load.reserved_cpu);
+        let cores = f64::from(shared.max(1)) / 1_000.0;
         let unseen: u64 = self.unseen.iter().map(|unseen| unseen.work).sum();
         let ahead = self.load.backlog.ahead(slack) + unseen;
         let next = f64::from(self.load.next_end.min(10_000));
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -22,6 +22,8 @@
     Lost(Time),
     /// It waits until the store has the new epoch of its runs.
     Confirming,
+    /// Its run has ended, and it is started again then.
+    Resting(Time),
     /// It is done.
     Done,
 }
@@ -41,6 +43,8 @@
     pub(super) epoch: u16,
     /// The number of the last run whose failure was counted.
     pub(super) failed_run: u32,
+    /// How many runs in a row have ended soon after their start, of a task that should go on.
+    pub(super) short_runs: u32,
     /// The agent that it was sent to last.
     pub(super) last: Option<LinkNo>,
 }
@@ -93,6 +97,7 @@
                     checkpoint: None,
                     epoch: 0,
                     failed_run: 0,
+                    short_runs: 0,
                     last: None,
                 });
             }
@@ -158,7 +163,10 @@
         for task in self.tasks.iter().filter(|task| task.step == step) {
             let there = match task.state {
                 TaskState::Sent(_) | TaskState::Done => task.last,
-                TaskState::Waiting | TaskState::Lost(_) | TaskState::Confirming => None,
+                TaskState::Waiting
+                | TaskState::Lost(_)
+                | TaskState::Confirming
+                | TaskState::Resting(_) => None,
             };
             if let Some(link) = there {
                 *counts.entry(link).or_insert(0) += 1;
@@ -167,16 +175,22 @@
         counts
     }
 
-    /// Takes back the tasks whose lost runs are over, and returns their number. Those of a kept job
-    /// begin a new epoch.
+    /// Takes back the tasks whose lost runs are over and those that have rested, and returns their
+    /// number. Those of a kept job begin a new epoch, unless their ends are of no account.
     pub(super) fn release_lost(&mut self, now: Time) -> u32 {
         let mut released = 0;
         for task in &mut self.tasks {
-            if !matches!(task.state, TaskState::Lost(over) if over <= now) {
+            let (TaskState::Lost(over) | TaskState::Resting(over)) = task.state else {
+                continue;
+            };
+            if over > now {
                 continue;
             }
             released += 1;
             task.state = TaskState::Waiting;
+            if self.submission.steps[usize::from(task.step)].long_running {
+                continue;
+            }
             let Some(state) = &mut self.state else {
                 continue;
             };
@@ -189,6 +203,12 @@
         released
     }
 
+    /// Returns whether tasks wait until the store has the epoch of their runs.
+    pub(super) fn is_confirming(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        tasks.any(|task| task.state == TaskState::Confirming)
+    }
+
     /// Lets tasks be placed whose epoch is in the store; returns whether there are any.
     pub(super) fn confirm(&mut self, stored: &JobState) -> bool {
         let mut any = false;
--- a/crates/fulmarpond-dispatch/src/entry/kept_ends.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept_ends.rs
@@ -75,7 +75,7 @@
                 .get(&end.task.job)
                 .is_some_and(|job| job.state.is_some())
             {
-                if self.is_noted(end) {
+                if self.is_noted(end) || self.is_of_no_account(end) {
                     noted.push(run);
                 } else {
                     self.late_end(link, end, now, out);
@@ -127,6 +127,12 @@
         step.is_some_and(|step| step.is_done(end.task.index))
     }
 
+    /// Returns whether an end is that of a task which is started again however it ends.
+    fn is_of_no_account(&self, end: &TaskEnd) -> bool {
+        let job = self.jobs.get(&end.task.job);
+        job.is_some_and(|job| job.is_long_running(end.task.step))
+    }
+
     /// Returns whether another entry owns a job.
     fn is_foreign(&self, id: &JobId) -> bool {
         let state = self.ledger.state(id);
--- a/crates/fulmarpond-dispatch/src/entry/kept_events.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept_events.rs
@@ -124,7 +124,8 @@
             task.failures = step.failures(task.index);
             task.epoch = step.epoch(task.index);
             task.checkpoint = step.checkpoint(task.index).map(str::to_owned);
-            if step.is_done(task.index) {
+            let about = &job.submission.steps[usize::from(task.step)];
+            if step.is_done(task.index) && !about.long_running {
                 task.state = TaskState::Done;
             } else if hold_until > now {
                 task.state = TaskState::Lost(hold_until);
@@ -193,7 +194,8 @@
         };
         for task in &mut job.tasks {
             let step = stored.steps.get(usize::from(task.step));
-            if !step.is_some_and(|step| step.is_done(task.index)) {
+            let about = &job.submission.steps[usize::from(task.step)];
+            if about.long_running || !step.is_some_and(|step| step.is_done(task.index)) {
                 continue;
             }
             // The end may have been lost on the way here, or another run may go on.
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod kept;
 mod kept_ends;
 mod kept_events;
+mod long_running;
 mod placement;
 mod placing;
 mod series;
--- a/crates/fulmarpond-dispatch/src/entry/placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placement.rs
@@ -98,8 +98,10 @@
     let within = demand
         .within
         .is_none_or(|label| view.labels.iter().any(|known| known == label));
-    // All members of a gang start at once.
-    let now = !demand.step.gang || view.wait(demand.step.needs, demand.slack) == 0.0;
+    // All members of a gang start at once, and a long-running task would keep others from starting
+    // while it waits.
+    let at_once = demand.step.gang || demand.step.long_running;
+    let now = !at_once || view.wait(demand.step.needs, demand.slack) == 0.0;
     view.serves(demand.service)
         && labelled
         && now
--- a/crates/fulmarpond-dispatch/src/entry/placing.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placing.rs
@@ -260,9 +260,10 @@
             slack: u32::try_from(slack).unwrap_or(u32::MAX),
             remaining: u32::try_from(remaining).unwrap_or(u32::MAX),
             limit: Self::limit(job, step, expected),
-            kept: job.state.is_some(),
+            kept: job.state.is_some() && !about.long_running,
             epoch,
             gang: about.gang,
+            long_running: about.long_running,
             ticket: self.ticket(job, step, link, now).map(str::to_owned),
         };
         out.push(Action::Send {
--- a/crates/fulmarpond-dispatch/src/entry/submission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/submission.rs
@@ -26,6 +26,8 @@
     pub gang: bool,
     /// Whether the tasks of a gang take longer on more than one rack.
     pub colocated: bool,
+    /// Whether its tasks run until the job is cancelled, and are started again however they end.
+    pub long_running: bool,
 }
 
 /// A job as submitted.
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -94,6 +94,8 @@
     pub failures: u32,
     /// Whether runs are overdue without any end.
     pub stalled: bool,
+    /// Processor of runs that go on until they are stopped, in thousandths of a core.
+    pub reserved_cpu: u32,
 }
 
 /// Waiting work by the time that is left until it has to start, in core-milliseconds.
@@ -201,6 +203,8 @@
     pub checkpoints: Vec<(u16, String)>,
     /// Whether the tasks work only together: then all have the same run number, and none waits.
     pub gang: bool,
+    /// Whether the tasks run until they are stopped. None of them waits.
+    pub long_running: bool,
     /// What shows that the endpoint may run the step, if its queue has a policy.
     pub ticket: Option<String>,
 }
--- a/crates/fulmarpond-dispatch/tests/advice.rs
+++ b/crates/fulmarpond-dispatch/tests/advice.rs
@@ -19,6 +19,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -13,6 +13,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
@@ -23,6 +24,7 @@
     run_ms: 600,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
@@ -223,6 +225,7 @@
     run_ms: 3_000,
     saves: true,
     gang: false,
+    long_running: false,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/gangs.rs
+++ b/crates/fulmarpond-dispatch/tests/gangs.rs
@@ -15,6 +15,7 @@
     run_ms: 400,
     saves: false,
     gang: true,
+    long_running: false,
     times: None,
 };
 
@@ -25,6 +26,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -14,6 +14,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
@@ -24,6 +25,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
@@ -34,6 +36,7 @@
     run_ms: 600,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/load.rs
+++ b/crates/fulmarpond-dispatch/tests/load.rs
@@ -13,6 +13,7 @@
     run_ms: 200,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
@@ -23,6 +24,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/long_running.rs
@@ -0,0 +1,247 @@
+//! Tasks that run until their job is cancelled.
+
+mod support;
+
+use fulmarpond_dispatch::JobId;
+use fulmarpond_dispatch::entry::JobStatus;
+use proptest::prelude::*;
+use support::{Demand, Fault, Options, StoreTrouble, Trouble, World, schedules, traced};
+
+/// Takes half of the room of the stand-in.
+const SERVER: Demand = Demand {
+    route: 0,
+    tasks: 4,
+    cpu: 4_000,
+    run_ms: 300,
+    saves: false,
+    gang: false,
+    long_running: true,
+    times: None,
+};
+
+const SHORT: Demand = Demand {
+    route: 1,
+    tasks: 2,
+    cpu: 1_000,
+    run_ms: 60,
+    saves: false,
+    gang: false,
+    long_running: false,
+    times: None,
+};
+
+/// How long faults happen, in milliseconds.
+const LENGTH_MS: u64 = 6_000;
+
+/// By when all tasks run again after that, in milliseconds: an announcement of 6 s lapses, and the
+/// job is taken over.
+const FINISH_MS: u64 = 24_000;
+
+fn started(seed: u64) -> World {
+    let mut world = World::new(Options {
+        seed,
+        entries: 3,
+        kept: true,
+        ..Options::default()
+    });
+    world.run_ms(1_000);
+    world
+}
+
+fn with_server(seed: u64) -> (World, JobId) {
+    let mut world = started(seed);
+    let job = world.submit_at(0, SERVER);
+    world.run_ms(2_000);
+    assert_eq!(world.history.running(&job, SERVER.tasks), 4);
+    (world, job)
+}
+
+/// Guards against a job that is shown as ended, or that goes on after its cancelling.
+#[test]
+fn job_runs_until_it_is_cancelled() {
+    let (mut world, job) = with_server(1);
+    world.run_ms(20_000);
+    assert_eq!(world.status(&job), JobStatus::Running);
+    assert_eq!(world.history.starts_of(&job), 4);
+    world.cancel(&job);
+    world.run_ms(500);
+    assert_eq!(world.status(&job), JobStatus::Cancelled);
+    assert_eq!(world.history.running(&job, SERVER.tasks), 0);
+    world.run_ms(5_000);
+    assert_eq!(world.history.starts_of(&job), 4);
+    world.check_kept();
+    assert_eq!(world.history.broken, Vec::<String>::new());
+}
+
+/// Guards against short tasks that wait behind tasks which never end, and against estimates that
+/// the latter spoil.
+#[test]
+fn short_jobs_run_beside_long_running_tasks() {
+    let (mut world, _) = with_server(1);
+    let jobs: Vec<JobId> = (0..100).map(|n| world.submit_at(n * 60, SHORT)).collect();
+    world.run_ms(10_000);
+    world.check_kept();
+    assert_eq!(world.history.broken, Vec::<String>::new());
+    for job in jobs {
+        assert_eq!(world.status(&job), JobStatus::Completed);
+    }
+}
+
+struct Loss {
+    name: &'static str,
+    fault: Fault,
+    /// Within this time all tasks run again, in milliseconds.
+    within: u64,
+}
+
+/// Guards against a task that stays away after its end, or is given up after some failures. The
+/// platform asks for a task that has room to run again within 9 s of its last run.
+#[test]
+fn tasks_are_back_after_each_loss() {
+    let cases = [
+        Loss {
+            name: "runs failed",
+            fault: Fault::FailRuns(1),
+            within: 200,
+        },
+        Loss {
+            name: "runs fail at each start",
+            fault: Fault::Endpoint(1, Trouble::Fail, 3_000),
+            within: 9_000,
+        },
+        Loss {
+            name: "endpoint gone",
+            fault: Fault::Endpoint(1, Trouble::Gone, 3_000),
+            within: 9_000,
+        },
+        Loss {
+            name: "agent killed",
+            fault: Fault::KillAgent(1),
+            within: 9_000,
+        },
+        Loss {
+            name: "agent paused",
+            fault: Fault::PauseAgent(1, 2_000),
+            within: 9_000,
+        },
+        Loss {
+            name: "entry killed",
+            fault: Fault::KillEntry(0),
+            within: 9_000,
+        },
+        Loss {
+            name: "entry without power",
+            fault: Fault::PowerOffEntry(1),
+            within: 9_000,
+        },
+    ];
+    for case in &cases {
+        for seed in 1..5 {
+            let (mut world, job) = with_server(seed);
+            world.fault_at(0, case.fault);
+            world.run_ms(case.within);
+            let running = world.history.running(&job, SERVER.tasks);
+            assert_eq!(running, 4, "{} with seed {seed}", case.name);
+            world.run_ms(20_000);
+            world.check_kept();
+            assert_eq!(world.history.broken, Vec::<String>::new(), "{}", case.name);
+        }
+    }
+}
+
+/// Guards against a task that fails at each start and is started without a pause.
+#[test]
+fn task_that_fails_at_each_start_is_paced() {
+    let (mut world, job) = with_server(1);
+    for agent in 0..4 {
+        world.fault_at(0, Fault::Endpoint(agent, Trouble::Fail, 10_000));
+        world.fault_at(0, Fault::FailRuns(agent));
+    }
+    world.run_ms(10_000);
+    // 4 first starts, and for each task at most 5 in the first 1.6 s and one in each 1.6 s after.
+    let starts = world.history.starts_of(&job);
+    assert!((12..=4 + 4 * 12).contains(&starts), "{starts} starts");
+    world.run_ms(5_000);
+    assert_eq!(world.history.running(&job, SERVER.tasks), 4);
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..3_usize).prop_map(Fault::KillEntry),
+        (0..3_usize).prop_map(Fault::PowerOffEntry),
+        (0..3_usize, 50..8_000_u64).prop_map(|(entry, ms)| Fault::PauseEntry(entry, ms)),
+        (0..4_usize).prop_map(Fault::KillAgent),
+        (0..4_usize, 50..4_000_u64).prop_map(|(agent, ms)| Fault::PauseAgent(agent, ms)),
+        (0..4_usize, 0..3_usize, 100..4_000_u64)
+            .prop_map(|(agent, entry, ms)| Fault::Cut(agent, entry, ms)),
+        (0..4_usize, 0..3_usize).prop_map(|(agent, entry)| Fault::Silence(agent, entry)),
+        (0..4_usize).prop_map(Fault::FailRuns),
+        (0..4_usize, 300..3_000_u64).prop_map(|(agent, ms)| Fault::Endpoint(
+            agent,
+            Trouble::Gone,
+            ms
+        )),
+        (0..4_usize, 300..3_000_u64).prop_map(|(agent, ms)| Fault::Endpoint(
+            agent,
+            Trouble::Fail,
+            ms
+        )),
+        (0..4_usize, 5..40_u32, 300..3_000_u64).prop_map(|(agent, percent, ms)| Fault::Endpoint(
+            agent,
+            Trouble::LateOrders(percent),
+            ms
+        )),
+        (0..4_usize, 5..40_u32, 300..3_000_u64).prop_map(|(agent, percent, ms)| Fault::Endpoint(
+            agent,
+            Trouble::LostReplies(percent),
+            ms
+        )),
+        (10..60_u32, 300..4_000_u64)
+            .prop_map(|(percent, ms)| Fault::Store(StoreTrouble::Lost(percent), ms)),
+        (300..4_000_u64).prop_map(|ms| Fault::Store(StoreTrouble::Down { lapse: true }, ms)),
+        (0..3_usize, 300..9_000_u64, any::<bool>())
+            .prop_map(|(entry, ms, revoke)| Fault::StoreCut(entry, ms, revoke)),
+    ]
+}
+
+fn play(seed: u64, faults: &[(u64, Fault)]) -> Vec<String> {
+    traced(|| {
+        let mut world = started(seed);
+        let cancelled = world.submit_at(0, SERVER);
+        let long = Demand {
+            tasks: 2,
+            cpu: 2_000,
+            ..SERVER
+        };
+        for at in (0..LENGTH_MS).step_by(2_000) {
+            world.submit_at(at, long);
+        }
+        for at in (0..LENGTH_MS).step_by(300) {
+            world.submit_at(at, SHORT);
+        }
+        for &(at, fault) in faults {
+            world.fault_at(at, fault);
+        }
+        world.run_ms(LENGTH_MS);
+        world.cancel(&cancelled);
+        world.run_ms(FINISH_MS);
+        world.history.check_refusals();
+        world.check_kept();
+        std::mem::take(&mut world.history.broken)
+    })
+}
+
+proptest! {
+    #![proptest_config(schedules(24))]
+
+    /// Guards against a long-running task that runs twice at a time, stays away, or goes on after
+    /// its job was cancelled, under random faults.
+    #[test]
+    fn promises_hold(
+        seed in any::<u64>(),
+        faults in proptest::collection::vec((0..LENGTH_MS, fault()), 1..5),
+    ) {
+        let broken = play(seed, &faults);
+        prop_assert!(broken.is_empty(), "{broken:?}");
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/reasons.rs
+++ b/crates/fulmarpond-dispatch/tests/reasons.rs
@@ -110,6 +110,7 @@
         spread: None,
         gang: false,
         colocated: false,
+        long_running: false,
     };
     let submission = Submission {
         spec: String::new(),
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -12,6 +12,7 @@
     run_ms: 60,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
@@ -22,6 +23,7 @@
     run_ms: 600,
     saves: false,
     gang: false,
+    long_running: false,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/series.rs
+++ b/crates/fulmarpond-dispatch/tests/series.rs
@@ -14,6 +14,7 @@
     run_ms: 100,
     saves: false,
     gang: false,
+    long_running: false,
     times: Some((5, 1_000, 800)),
 };
 
--- a/crates/fulmarpond-dispatch/tests/support/caller.rs
+++ b/crates/fulmarpond-dispatch/tests/support/caller.rs
@@ -15,6 +15,8 @@
     pub saves: bool,
     /// Whether tasks work only together.
     pub gang: bool,
+    /// Whether tasks run until the job is cancelled.
+    pub long_running: bool,
     /// How often it runs, how long after it was sent first, and at which interval, in milliseconds.
     pub times: Option<(u16, u64, u64)>,
 }
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -119,6 +119,7 @@
                 spread: None,
                 gang: demand.gang,
                 colocated: false,
+                long_running: demand.long_running,
             }],
             patience,
             kept: self.options.kept,
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -40,8 +40,12 @@
     pub ends: Time,
     /// The work that earlier runs have saved, in milliseconds, if the task saves its progress.
     pub saved: Option<u64>,
+    pub long_running: bool,
 }
 
+/// How long a long-running task takes until it is at work, in milliseconds.
+pub const STARTUP_MS: u64 = 300;
+
 /// The interval at which progress is saved, in milliseconds of work.
 pub const SAVE_MS: u64 = 200;
 
@@ -54,9 +58,15 @@
     pub needs: Needs,
     pub ends: Time,
     pub saved: Option<u64>,
+    pub long_running: bool,
 }
 
 impl LiveRun {
+    /// Returns whether a long-running task is at work.
+    pub fn is_working(&self, now: Time) -> bool {
+        self.long_running && now >= self.began.after_millis(STARTUP_MS)
+    }
+
     /// Returns the checkpoint at a time: the work that is done in full intervals, or all of it when
     /// the run is stopped.
     fn checkpoint(&self, task: &TaskKey, now: Time, stopped: bool) -> Option<String> {
@@ -69,6 +79,9 @@
 
     /// Returns the share of the work that is done, in percent; a run that never ends does none.
     fn progress(&self, now: Time) -> u8 {
+        if self.long_running {
+            return if self.is_working(now) { 100 } else { 0 };
+        }
         if self.ends == Time::MAX {
             return 0;
         }
@@ -205,6 +218,13 @@
         }
     }
 
+    /// Returns when the lease of long-running tasks runs out, if there are any.
+    pub fn long_lapse(&self, now: Time) -> Option<Time> {
+        let any = self.runs.values().any(|run| run.long_running);
+        let left = (self.lease - self.clock(now)).max(0) as f64;
+        any.then(|| now.after_millis((left / self.rate) as u64 + 2))
+    }
+
     pub fn lists(&self, now: Time) -> EndpointReply {
         let running = self.runs.iter().map(|(task, run)| RunEntry {
             task: task.clone(),
@@ -266,6 +286,7 @@
                     began: now,
                     ends: work.ends,
                     saved: work.saved,
+                    long_running: work.long_running,
                 };
                 self.runs.insert(task.clone(), live);
                 (EndpointReply::Done { clock }, Effect::Started(task.clone()))
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -105,6 +105,12 @@
         of_job.map(|(_, count)| count).sum()
     }
 
+    /// Returns how many tasks of a job run now.
+    pub fn running(&self, job: &JobId, tasks: u16) -> usize {
+        let live = |task: &TaskKey| self.live.get(task).is_some_and(|at| !at.is_empty());
+        Self::tasks(job, tasks).filter(live).count()
+    }
+
     pub fn all_done(&self, job: &JobId, tasks: u16) -> bool {
         Self::tasks(job, tasks).all(|task| self.done.contains(&task))
     }
--- a/crates/fulmarpond-dispatch/tests/support/stored.rs
+++ b/crates/fulmarpond-dispatch/tests/support/stored.rs
@@ -281,7 +281,19 @@
             };
             match self.store.state(&name).map(|state| state.status) {
                 None => broken.push(format!("{id} was accepted and is gone")),
+                Some(Status::Open) if job.demand.long_running => {
+                    let running = self.history.running(id, tasks);
+                    if running < usize::from(tasks) {
+                        broken.push(format!("{running} of {tasks} tasks of {id} run"));
+                    }
+                }
                 Some(Status::Open) => broken.push(format!("{id} was accepted and does not end")),
+                Some(Status::Completed | Status::Failed) if job.demand.long_running => {
+                    broken.push(format!("{id} has ended by itself"));
+                }
+                Some(Status::Cancelled) if self.history.running(id, tasks) > 0 => {
+                    broken.push(format!("{id} runs on after it was cancelled"));
+                }
                 Some(Status::Completed) if !self.occurrences(id).all(done) => {
                     broken.push(format!("{id} is shown as completed and is not"));
                 }
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -51,6 +51,8 @@
     Silence(usize, usize),
     Endpoint(usize, Trouble, u64),
     Drain(usize),
+    /// Everything that runs at an endpoint fails.
+    FailRuns(usize),
     Store(StoreTrouble, u64),
     /// The store turns an entry away for a while, and may take its announcement.
     StoreCut(usize, u64, bool),
@@ -71,6 +73,7 @@
     Answer(usize, u32, CallNo, Result<EndpointReply, CallFailure>),
     HoldEnds(usize, u32, u64),
     Check(usize),
+    Lapse(usize),
     StopEnds(usize, u32, TaskKey, u32),
     Beat(usize, u32),
     Submit(JobId, u32),
@@ -536,6 +539,7 @@
             }
             Event::HoldEnds(agent, incarnation, call) => self.hold_ends(agent, incarnation, call),
             Event::Check(agent) => self.check_endpoint(agent),
+            Event::Lapse(agent) => self.lapse(agent),
             Event::StopEnds(agent, incarnation, task, run) => {
                 let endpoint = &self.endpoints[agent];
                 let same = endpoint.incarnation == incarnation
