fix(ledger): let others take a job that a stopping entry gives away

A stopping entry releases jobs that run nothing, so that others take them at once. Each job is taken by the announced entry of the highest rank. The releasing entry is announced until it has stopped, 3 to 6 s later, and had the highest rank for its share of the jobs: those waited until it was gone.

Found by long-running tasks that lost their entry to a graceful stop; its log shows the release at 3.0 s and the next owner at 6.8 s. Ruled out: the store, which had the released state 3 ms later.

Change: a released job names who released it, with life 0, and that entry does not count. It does not take the job back either while it stops.

The test fails without the filter for job 0 (of 8).

--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -16,7 +16,7 @@
 use super::job::{Job, TaskState};
 use super::submission::Submission;
 use super::{Action, Answer, RequestNo};
-use crate::ledger::{JobSpec, JobState, Owner, Status, StepProgress};
+use crate::ledger::{JobSpec, JobState, Status, StepProgress};
 use crate::{EntryFrame, JobId, LinkNo, Refusal, TaskRun};
 
 /// How long a job runs before the store is told that it has begun, in milliseconds.
@@ -161,7 +161,7 @@
         };
         let state = JobState {
             owner: if self.kept.stopping {
-                Owner::none()
+                self.ledger.owner().released()
             } else {
                 self.ledger.owner().clone()
             },
@@ -303,7 +303,7 @@
             };
             if let Some(mut state) = job.state {
                 info!(job = %id, "job released");
-                state.owner = Owner::none();
+                state.owner = self.ledger.owner().released();
                 self.ledger.change(&id, state);
             }
         }
--- a/crates/fulmarpond-dispatch/src/entry/series.rs
+++ b/crates/fulmarpond-dispatch/src/entry/series.rs
@@ -16,7 +16,7 @@
 use super::submission::{Repeat, Submission};
 use super::{Action, Answer};
 use crate::JobId;
-use crate::ledger::{JobState, Owner, Status, StepProgress};
+use crate::ledger::{JobState, Status, StepProgress};
 
 /// The interval of looks at all series, in milliseconds.
 const CHECK_MS: u64 = 20;
@@ -190,7 +190,7 @@
         for (id, series) in std::mem::take(&mut self.series.known) {
             info!(job = %id, "series released");
             let mut state = series.state;
-            state.owner = Owner::none();
+            state.owner = self.ledger.owner().released();
             self.ledger.change(&id, state);
         }
     }
--- a/crates/fulmarpond-dispatch/src/ledger/record.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/record.rs
@@ -16,17 +16,18 @@
 }
 
 impl Owner {
-    /// Returns the owner of a job that no entry runs: it was released by an entry that stops.
-    pub const fn none() -> Self {
+    /// Returns the owner of a job that this entry gives away, since it stops.
+    #[must_use]
+    pub fn released(&self) -> Self {
         Self {
-            name: String::new(),
+            name: self.name.clone(),
             life: 0,
         }
     }
 
-    /// Returns whether no entry runs the job.
-    pub fn is_none(&self) -> bool {
-        self.name.is_empty()
+    /// Returns whether the job was given away, and no entry runs it.
+    pub const fn is_released(&self) -> bool {
+        self.life == 0
     }
 }
 
--- a/crates/fulmarpond-dispatch/src/ledger/takeover.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/takeover.rs
@@ -5,7 +5,7 @@
 
 use super::commits::Change;
 use super::ledger::{Event, Ledger};
-use super::record::JobSpec;
+use super::record::{JobSpec, Owner};
 use crate::directory::StoreReply;
 use crate::rendezvous::weight;
 use crate::{JobId, decode};
@@ -32,13 +32,14 @@
             if *owner == self.options.owner {
                 continue;
             }
-            if owner.name == self.options.owner.name || self.is_abandoned(&owner.name, job, now) {
+            let own = owner.name == self.options.owner.name && !self.stopping;
+            if own || self.is_abandoned(owner, job, now) {
                 wanted.push(job.clone());
             }
         }
         for known in self.jobs.values().filter(|known| known.ended.is_none()) {
             let name = &known.state.owner.name;
-            let released = known.state.owner.is_none();
+            let released = known.state.owner.is_released();
             if !released && !self.entries.contains(name) && *name != self.options.owner.name {
                 self.missing.entry(name.clone()).or_insert(now);
             }
@@ -68,11 +69,11 @@
     const SCAN_MS: u64 = 500;
 
     /// Returns whether a job's owner is away for so long that this entry takes the job over.
-    pub(super) fn is_abandoned(&self, name: &str, job: &JobId, now: Time) -> bool {
-        let released = name.is_empty();
+    pub(super) fn is_abandoned(&self, owner: &Owner, job: &JobId, now: Time) -> bool {
+        let released = owner.is_released();
         let gone = self
             .missing
-            .get(name)
+            .get(&owner.name)
             .is_some_and(|since| now.millis_since(*since) >= self.options.takeover_ms);
         if !released && !gone {
             return false;
@@ -82,10 +83,10 @@
             return false;
         }
         // Each live entry takes a part; which one does not matter, since a change is conditional.
+        // The entry that gave a job away is announced until it has stopped, and does not count.
         let own = weight(&self.options.owner.name, &job.0);
-        self.entries
-            .iter()
-            .all(|entry| weight(entry, &job.0) <= own)
+        let mut others = self.entries.iter().filter(|entry| **entry != owner.name);
+        others.all(|entry| weight(entry, &job.0) <= own)
     }
 
     pub(super) fn read_answered(
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -362,3 +362,25 @@
         assert_eq!(earlier, case.taken, "{}", case.name);
     }
 }
+
+/// Guards against a job that waits until the entry which gave it away has left: that entry is still
+/// announced for some seconds, and has the highest rank for half of its jobs.
+#[test]
+fn released_jobs_are_taken_over_at_once() {
+    for number in 0..8 {
+        let mut store = Store::default();
+        store.commit(&[CommitRow {
+            job: job(number),
+            expected: 0,
+            spec: None,
+            state: Some(encode(&open(owner("two", 1).released()))),
+        }]);
+        let mut ledger = ledger("one", 2);
+        load(&mut ledger, &store, START);
+        let due = calls(&mut ledger, START.after_millis(600));
+        let read = due
+            .iter()
+            .any(|(_, call)| matches!(call, StoreCall::ReadJob { .. }));
+        assert!(read, "job {number}");
+    }
+}
