feat(dispatch): keep long-running tasks while their entry is away

Such tasks were stopped with their entry, its link or its stop, and started again: twice as many starts as tasks in each of six kinds of absence (long_running.rs, 8 instead of 4).

The owner of the job claims them; an entry that knows that nobody needs them stops them. An owner that gives its jobs away, or has lost them to another entry, releases its runs instead of stopping them.

No task runs twice: an owner that lost a link, or took the job over, waits 3 s longer before it starts a long-running task anew, unless the agent of that host says that it has no run of it.

A cancelled job ends within 3 s without its entry.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -82,6 +82,8 @@
     pub(super) ends: HashMap<LinkNo, Vec<TaskEnd>>,
     pub(super) starts: HashMap<LinkNo, Vec<TaskKey>>,
     pub(super) saved: HashMap<LinkNo, Vec<Checkpoint>>,
+    /// When the tasks without an owner are told again.
+    pub(super) next_unowned: Time,
     pub(super) changed: bool,
     pub(super) last_status: Time,
     pub(super) next_check: Time,
@@ -114,6 +116,7 @@
             ends: HashMap::new(),
             starts: HashMap::new(),
             saved: HashMap::new(),
+            next_unowned: now,
             changed: true,
             last_status: Time::default(),
             next_check: now,
@@ -194,6 +197,9 @@
             link,
             frame: self.describe(),
         });
+        if let Some(frame) = self.unowned() {
+            out.push(Action::Send { link, frame });
+        }
         self.send_status(now, out);
     }
 
@@ -209,9 +215,7 @@
             runs = tasks.len(),
             "link to entry lost"
         );
-        for task in tasks {
-            self.end_run(&task, Then::Forget, now, out);
-        }
+        self.end_or_disown(&tasks, now, out);
         self.ends.remove(&link);
         self.starts.remove(&link);
         self.saved.remove(&link);
@@ -263,6 +267,8 @@
                 }
             }
             EntryFrame::Withdraw(job) => self.withdraw(link, &job, now, out),
+            EntryFrame::Release(job) => self.release(link, &job, now, out),
+            EntryFrame::Adopt(tasks) => self.adopt_runs(link, &tasks, out),
             EntryFrame::Entries(addrs) => self.links.learn(&addrs, now),
         }
     }
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -60,6 +60,7 @@
         self.numbers
             .retain(|_, (_, at)| now.millis_since(*at) < NUMBER_MEMORY_MS);
         self.repeat_held(now, out);
+        self.check_unowned(now, out);
         self.lapse_for_void(now);
         self.fill(now, out);
         self.send_news(out);
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -166,6 +166,7 @@
             endpoint.settled = true;
             info!(endpoint = %endpoint.about.id, "endpoint takes tasks");
             self.changed = true;
+            self.tell_unowned(out);
         } else if orphans > 0 && !endpoint.settled {
             self.delay_hold(now);
         }
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -16,6 +16,7 @@
 mod queue;
 mod run;
 mod starts_and_stops;
+mod unowned;
 
 pub use action::{Action, CallNo};
 pub use agent::{Agent, AgentOptions};
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -50,6 +50,7 @@
                 kept: order.kept,
                 gang: order.gang,
                 long_running: order.long_running,
+                unowned: None,
                 ticket: order.ticket.clone(),
                 fresh: order.slack > 0 && !order.kept && !order.long_running,
                 phase: Phase::Queued,
@@ -209,7 +210,8 @@
     }
 
     pub(super) fn tasks_of(&self, link: LinkNo) -> Vec<TaskKey> {
-        let of_link = self.runs.iter().filter(|(_, run)| run.link == link);
+        let owned = |run: &Run| run.link == link && run.unowned.is_none();
+        let of_link = self.runs.iter().filter(|(_, run)| owned(run));
         of_link.map(|(task, _)| task.clone()).collect()
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -85,6 +85,8 @@
     pub(super) gang: bool,
     /// Whether it goes on until it is stopped.
     pub(super) long_running: bool,
+    /// Until when it waits for an owner, if it has lost its entry.
+    pub(super) unowned: Option<Time>,
     /// What shows that the endpoint may run it.
     pub(super) ticket: Option<String>,
     /// Whether its objective could be met when it was ordered.
--- a/crates/fulmarpond-dispatch/src/bounds.rs
+++ b/crates/fulmarpond-dispatch/src/bounds.rs
@@ -87,6 +87,16 @@
         self.run_ms * (100 + Self::DRIFT_PERCENT) / 100 + Self::MARGIN_MS / 2
     }
 
+    /// How long a long-running task waits for the next owner of its job, in milliseconds: an entry
+    /// that starts again is back within that, and so are the jobs that a stopping one gives away.
+    pub(crate) const ADOPTION_MS: u64 = 3_000;
+
+    /// Returns after what time a long-running task is surely over once its agent no longer hears its
+    /// entry.
+    pub const fn adoption_ms(&self) -> u64 {
+        self.orphan_ms() + Self::ADOPTION_MS
+    }
+
     /// Returns after what time a run is surely over once its agent no longer hears its entry.
     pub const fn orphan_ms(&self) -> u64 {
         self.link_ms + self.lapse_ms() + self.stop_ms + Self::MARGIN_MS / 2
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -56,8 +56,12 @@
         let over = over.max(now);
         // Another entry may note what has ended there.
         let over_kept = over.after_millis(MERGE_MS);
+        let over_long = view.heard.after_millis(self.options.bounds.adoption_ms());
         let mut hit = Vec::new();
         for (id, job) in &mut self.jobs {
+            if job.lose_long_runs(link, &view.name, over_long.max(now)) {
+                self.lost.insert((over_long.max(now), id.clone()));
+            }
             let mut any = false;
             for task in &mut job.tasks {
                 if task.state == TaskState::Sent(link) {
@@ -169,6 +173,7 @@
                 }
             }
             AgentFrame::Held(ends) => self.held(link, &ends, now, out),
+            AgentFrame::Unowned(tasks) => self.unowned(link, &tasks, now, out),
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -243,8 +243,8 @@
         }
     }
 
-    /// Removes a job and stops what is left of it.
-    pub(super) fn take_job(&mut self, id: &JobId, out: &mut Vec<Action>) -> Option<Job> {
+    /// Removes a job; what runs of it goes on.
+    fn remove_job(&mut self, id: &JobId) -> Option<Job> {
         let job = self.jobs.remove(id)?;
         self.advice.forget(id);
         if let Some(request) = job.request {
@@ -252,6 +252,22 @@
         }
         self.unplaced
             .remove(&(job.route.priority, job.start_by, id.clone()));
+        Some(job)
+    }
+
+    /// Removes a job that another entry will run.
+    pub(super) fn release_job(&mut self, id: &JobId, out: &mut Vec<Action>) -> Option<Job> {
+        let job = self.remove_job(id)?;
+        for link in job.links() {
+            let frame = EntryFrame::Release(id.clone());
+            out.push(Action::Send { link, frame });
+        }
+        Some(job)
+    }
+
+    /// Removes a job and stops what is left of it.
+    pub(super) fn take_job(&mut self, id: &JobId, out: &mut Vec<Action>) -> Option<Job> {
+        let job = self.remove_job(id)?;
         for link in job.links() {
             out.push(Action::Send {
                 link,
@@ -373,7 +389,7 @@
         self.close_silent(now, out);
         self.check_lease(now, out);
         self.check_series(now);
-        self.release_kept();
+        self.release_kept(out);
         self.release_lost(now, out);
         self.place_waiting(now, out);
         self.expire(now, out);
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -47,6 +47,8 @@
     pub(super) short_runs: u32,
     /// The agent that it was sent to last.
     pub(super) last: Option<LinkNo>,
+    /// The host of the agent that a long-running task was lost with.
+    pub(super) lost_at: Option<String>,
 }
 
 /// A job.
@@ -99,6 +101,7 @@
                     failed_run: 0,
                     short_runs: 0,
                     last: None,
+                    lost_at: None,
                 });
             }
         }
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -288,17 +288,18 @@
         }
     }
 
-    /// Gives jobs without runs to the other entries, when this one stops.
-    pub(super) fn release_kept(&mut self) {
+    /// Gives jobs to the other entries when this one stops: those that run nothing but tasks which
+    /// go on until they are stopped.
+    pub(super) fn release_kept(&mut self, out: &mut Vec<Action>) {
         if !self.kept.stopping {
             return;
         }
         self.release_series();
-        let idle = |job: &Job| job.state.is_some() && job.links().is_empty();
+        let idle = |job: &Job| job.state.is_some() && !job.has_ending_runs();
         let jobs = self.jobs.iter().filter(|(_, job)| idle(job));
         let released: Vec<JobId> = jobs.map(|(id, _)| id.clone()).collect();
         for id in released {
-            let Some(job) = self.take_job(&id, &mut Vec::new()) else {
+            let Some(job) = self.release_job(&id, out) else {
                 continue;
             };
             if let Some(mut state) = job.state {
@@ -311,16 +312,18 @@
 
     fn stop_kept(&mut self, now: Time, out: &mut Vec<Action>) {
         let over = now.after_millis(self.options.bounds.orphan_ms());
+        let over_long = now.after_millis(self.options.bounds.adoption_ms());
         let mut stopped = Vec::new();
         for (id, job) in self.jobs.iter_mut().filter(|(_, job)| job.state.is_some()) {
             for link in job.links() {
-                let frame = EntryFrame::Stop {
-                    job: id.clone(),
-                    tasks: Vec::new(),
-                    report: false,
-                };
+                let frame = EntryFrame::Release(id.clone());
                 out.push(Action::Send { link, frame });
-                stopped.push(id.clone());
+                stopped.push((over, id.clone()));
+                let agent = self.fleet.views.get(&link);
+                let name = agent.map_or("", |view| view.name.as_str());
+                if job.lose_long_runs(link, name, over_long) {
+                    stopped.push((over_long, id.clone()));
+                }
             }
             for task in &mut job.tasks {
                 if matches!(task.state, TaskState::Sent(_)) {
@@ -328,7 +331,7 @@
                 }
             }
         }
-        for id in stopped {
+        for (over, id) in stopped {
             self.wait_for_lost(over, id);
         }
     }
--- a/crates/fulmarpond-dispatch/src/entry/kept_ends.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept_ends.rs
@@ -134,12 +134,13 @@
     }
 
     /// Returns whether another entry owns a job.
-    fn is_foreign(&self, id: &JobId) -> bool {
+    pub(super) fn is_foreign(&self, id: &JobId) -> bool {
         let state = self.ledger.state(id);
         state.is_some_and(|state| state.owner != *self.ledger.owner())
     }
 
-    fn is_obsolete(&self, id: &JobId, now: Time) -> bool {
+    /// Returns whether nobody needs the tasks of a job any more.
+    pub(super) fn is_obsolete(&self, id: &JobId, now: Time) -> bool {
         let waits = self.kept.pending.contains_key(id) || self.kept.unnoted.contains_key(id);
         match self.ledger.state(id) {
             Some(state) => state.status != Status::Open && !waits,
--- a/crates/fulmarpond-dispatch/src/entry/kept_events.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept_events.rs
@@ -243,9 +243,15 @@
                 Self::answer(request, Answer::Cancelled, out);
             }
         }
-        if self.jobs.get(id).is_some_and(|job| job.state.is_some()) {
-            info!(job = %id, "job has ended or has another owner, its runs are stopped");
+        if self.jobs.get(id).is_none_or(|job| job.state.is_none()) {
+            return;
+        }
+        if ended {
+            info!(job = %id, "job has ended, its runs are stopped");
             self.take_job(id, out);
+        } else {
+            info!(job = %id, "job has another owner");
+            self.release_job(id, out);
         }
     }
 
@@ -263,7 +269,14 @@
             return;
         }
         // Runs for the last owner may go on, and agents tell the ends that nobody took note of.
-        let hold_until = now.after_millis(self.options.bounds.orphan_ms());
+        let bounds = self.options.bounds;
+        let long_running = spec.submission.steps.iter().any(|step| step.long_running);
+        let hold = if long_running {
+            bounds.adoption_ms()
+        } else {
+            bounds.orphan_ms()
+        };
+        let hold_until = now.after_millis(hold);
         self.run_kept(id, &route, spec.submission, state, hold_until, now, out);
     }
 
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -74,6 +74,8 @@
     Ended(Vec<TaskEnd>),
     /// Ends that no entry has taken note of yet.
     Held(Vec<TaskEnd>),
+    /// All long-running tasks here that wait for the next owner of their jobs.
+    Unowned(Vec<TaskKey>),
 }
 
 /// The load of an endpoint.
@@ -161,6 +163,10 @@
     },
     /// Returns the tasks of a job that have not begun.
     Withdraw(JobId),
+    /// Another entry will run this job: its long-running tasks wait for it, and the others end.
+    Release(JobId),
+    /// This entry owns the long-running tasks from now on.
+    Adopt(Vec<TaskKey>),
     /// The ends of these runs are in the store.
     Noted(Vec<TaskRun>),
     /// Nobody needs the ends of these runs.
--- a/crates/fulmarpond-dispatch/tests/long_running.rs
+++ b/crates/fulmarpond-dispatch/tests/long_running.rs
@@ -149,6 +149,69 @@
     }
 }
 
+struct Absence {
+    name: &'static str,
+    fault: fn(usize) -> Fault,
+}
+
+/// Guards against tasks that are stopped because their entry is away for a moment.
+#[test]
+fn tasks_go_on_while_their_entry_is_away() {
+    let cases = [
+        Absence {
+            name: "killed",
+            fault: Fault::KillEntry,
+        },
+        Absence {
+            name: "without power",
+            fault: Fault::PowerOffEntry,
+        },
+        Absence {
+            name: "paused",
+            fault: |entry| Fault::PauseEntry(entry, 2_000),
+        },
+        Absence {
+            name: "replaced",
+            fault: Fault::RollEntry,
+        },
+        Absence {
+            name: "link silent",
+            fault: |entry| Fault::Silence(1, entry),
+        },
+        Absence {
+            name: "link cut",
+            fault: |entry| Fault::Cut(2, entry, 1_000),
+        },
+    ];
+    for Absence { name, fault } in cases {
+        for seed in 1..4 {
+            let (mut world, job) = with_server(seed);
+            // One of them owns the job.
+            for entry in 0..3_u64 {
+                world.fault_at(entry * 8_000, fault(entry as usize));
+            }
+            world.run_ms(30_000);
+            assert_eq!(world.history.starts_of(&job), 4, "{name} with seed {seed}");
+            world.check_kept();
+            assert_eq!(world.history.broken, Vec::<String>::new(), "{name}");
+        }
+    }
+}
+
+/// Guards against tasks that go on although their job was cancelled while nobody owned them.
+#[test]
+fn tasks_of_a_cancelled_job_end_without_their_entry() {
+    for entry in 0..3 {
+        let (mut world, job) = with_server(1);
+        world.fault_at(0, Fault::PowerOffEntry(entry));
+        world.run_ms(300);
+        world.cancel_at(&job, (entry + 1) % 3);
+        // The bound of the platform is 3 s.
+        world.run_ms(3_000);
+        assert_eq!(world.history.running(&job, SERVER.tasks), 0);
+    }
+}
+
 /// Guards against a task that fails at each start and is started without a pause.
 #[test]
 fn task_that_fails_at_each_start_is_paced() {
@@ -169,6 +232,7 @@
     prop_oneof![
         (0..3_usize).prop_map(Fault::KillEntry),
         (0..3_usize).prop_map(Fault::PowerOffEntry),
+        (0..3_usize).prop_map(Fault::RollEntry),
         (0..3_usize, 50..8_000_u64).prop_map(|(entry, ms)| Fault::PauseEntry(entry, ms)),
         (0..4_usize).prop_map(Fault::KillAgent),
         (0..4_usize, 50..4_000_u64).prop_map(|(agent, ms)| Fault::PauseAgent(agent, ms)),
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -6,11 +6,18 @@
 use super::endpoint::{Endpoint, Trouble};
 use super::world::{Event, Fault, LOCAL_US, World};
 
+/// How long a process takes to stop gracefully, in milliseconds.
+const STOPPING_MS: u64 = 3_000;
+
 impl World {
     pub(super) fn fault(&mut self, fault: Fault) {
         match fault {
             Fault::KillEntry(entry) => self.kill_entry(entry, true),
             Fault::PowerOffEntry(entry) => self.kill_entry(entry, false),
+            Fault::RollEntry(entry) => {
+                self.with_entry(entry, |core, _, _| core.stop());
+                self.after_ms(STOPPING_MS, Event::Fault(Fault::KillEntry(entry)));
+            }
             Fault::PauseEntry(entry, millis) => {
                 self.entries[entry].paused = self.now.after_millis(millis);
             }
--- a/crates/fulmarpond-dispatch/tests/support/stored.rs
+++ b/crates/fulmarpond-dispatch/tests/support/stored.rs
@@ -260,9 +260,14 @@
 
     /// Cancels a job at the first entry.
     pub fn cancel(&mut self, job: &JobId) {
+        self.cancel_at(job, 0);
+    }
+
+    /// Cancels a job at an entry.
+    pub fn cancel_at(&mut self, job: &JobId, entry: usize) {
         self.next += 1;
         let request = RequestNo(self.next);
-        self.with_entry(0, |core, now, out| core.cancel(request, job, now, out));
+        self.with_entry(entry, |core, now, out| core.cancel(request, job, now, out));
     }
 
     /// Adds the promises that the jobs in the store break: accepted ones that are gone, not ended,
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     KillEntry(usize),
+    /// Stops gracefully, and starts anew.
+    RollEntry(usize),
     /// As a kill, but nobody is told.
     PowerOffEntry(usize),
     PauseEntry(usize, u64),
