fix(ledger): do not take a job over that was cancelled in the meantime

An entry that takes a job over reads what was submitted first. While that read is under way, up to a second or more when the store is away, the caller may cancel the job, or another entry may take it. The answer to the read made this entry the owner all the same: it wrote its ownership in place of a cancelling that waited, or ran a job that the store has as cancelled.

Found by a random schedule with a graceful stop and an outage of the store (long_running.rs): the job was cancelled at 7.0 s, taken over at 7.3 s, and its tasks were sent at 11.6 s. Ruled out: the agents, which had stopped the runs by 7.25 s.

Change: the reasons to take a job over are looked at again when the read is answered.

job_that_is_cancelled_during_a_takeover_is_not_run fails before (the job is owned) and passes after.

--- a/crates/fulmarpond-dispatch/src/ledger/takeover.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/takeover.rs
@@ -29,11 +29,7 @@
                 }
                 continue;
             }
-            if *owner == self.options.owner {
-                continue;
-            }
-            let own = owner.name == self.options.owner.name && !self.stopping;
-            if own || self.is_abandoned(owner, job, now) {
+            if self.may_take_over(job, now) {
                 wanted.push(job.clone());
             }
         }
@@ -59,7 +55,7 @@
             );
         }
         for job in wanted {
-            if !self.commits.is_waiting(&job) && self.reading.as_ref() != Some(&job) {
+            if self.reading.as_ref() != Some(&job) {
                 self.wanted.insert(job);
             }
         }
@@ -103,13 +99,31 @@
             Some(Ok(StoreReply::Job { spec })) => {
                 self.read.succeeded(now);
                 self.reading = None;
-                self.take_over(job, spec, out);
+                if self.may_take_over(&job, now) {
+                    self.take_over(job, spec, out);
+                } else {
+                    info!(%job, "job has ended or has another owner, it is not taken over");
+                }
             }
             Some(Ok(_)) => self.reading = None,
             _ => self.read.failed(now),
         }
     }
 
+    /// Returns whether a job is still to be taken over: while it was read, its caller may have
+    /// cancelled it, or another entry may have taken it.
+    fn may_take_over(&self, job: &JobId, now: Time) -> bool {
+        let Some(known) = self.jobs.get(job) else {
+            return false;
+        };
+        let owner = &known.state.owner;
+        let own = owner.name == self.options.owner.name && !self.stopping;
+        known.ended.is_none()
+            && !self.commits.is_waiting(job)
+            && *owner != self.options.owner
+            && (own || self.is_abandoned(owner, job, now))
+    }
+
     pub(super) fn take_over(&mut self, job: JobId, spec: Option<Vec<u8>>, out: &mut Vec<Event>) {
         let Some(known) = self.jobs.get(&job) else {
             return;
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -384,3 +384,30 @@
         assert!(read, "job {number}");
     }
 }
+
+/// Guards against a job that runs after it was cancelled: its cancelling came while its text was
+/// being read for a takeover.
+#[test]
+fn job_that_is_cancelled_during_a_takeover_is_not_run() {
+    let mut store = Store::default();
+    store.commit(&[CommitRow {
+        job: job(1),
+        expected: 0,
+        spec: None,
+        state: Some(encode(&open(owner("two", 1).released()))),
+    }]);
+    let mut ledger = ledger("one", 2);
+    load(&mut ledger, &store, START);
+    let due = calls(&mut ledger, START.after_millis(600));
+    let reads = |(_, call): &(Duty, StoreCall)| matches!(call, StoreCall::ReadJob { .. });
+    assert!(due.iter().any(reads));
+    ledger.cancel(&job(1));
+    let reply = StoreReply::Job {
+        spec: Some(encode(&spec())),
+    };
+    let events = answer(&mut ledger, Duty::Job, Some(reply), START.after_millis(610));
+    assert_eq!(events, []);
+    let rows = commit(&mut ledger, START.after_millis(700));
+    store.commit(&rows);
+    assert_eq!(store.state(&job(1)).status, Status::Cancelled);
+}
