feat(dispatch): move long-running tasks away from what is about to leave

Such tasks stayed at an endpoint until it had left, and an agent that was replaced stopped all of its tasks at once: with one task allowed to be away, up to five others were (long_running.rs).

An agent now tells whether a task is at work, and whether its endpoint or itself is about to leave. The entry stops a task there when another endpoint has room for it, and off a stopping agent only while so many others of its step are at work that MayMiss holds.

Random schedules with replaced agents found short tasks that waited for ever at an agent whose room long-running tasks had taken. An agent gives such tasks back now, entries count on the shared room only, and a job that fits nowhere beside long-running tasks is refused at once instead of at its objective.

The stand-in checks the rule for every stop.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -15,7 +15,7 @@
 use crate::entry::Configuration;
 use crate::{
     AgentFrame, Bounds, Checkpoint, Counters, EndpointId, EntryFrame, LinkNo, Needs, Outcome,
-    Registration, TaskEnd, TaskKey,
+    Registration, TaskEnd, TaskKey, Working,
 };
 
 /// How long a start or a stop may go without a reply, in milliseconds. The endpoint is on the same
@@ -82,6 +82,7 @@
     pub(super) ends: HashMap<LinkNo, Vec<TaskEnd>>,
     pub(super) starts: HashMap<LinkNo, Vec<TaskKey>>,
     pub(super) saved: HashMap<LinkNo, Vec<Checkpoint>>,
+    pub(super) working: HashMap<LinkNo, Vec<Working>>,
     /// When the tasks without an owner are told again.
     pub(super) next_unowned: Time,
     pub(super) changed: bool,
@@ -116,6 +117,7 @@
             ends: HashMap::new(),
             starts: HashMap::new(),
             saved: HashMap::new(),
+            working: HashMap::new(),
             next_unowned: now,
             changed: true,
             last_status: Time::default(),
@@ -219,6 +221,7 @@
         self.ends.remove(&link);
         self.starts.remove(&link);
         self.saved.remove(&link);
+        self.working.remove(&link);
         self.fill(now, out);
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -6,7 +6,7 @@
 use super::Action;
 use super::agent::{Agent, LOST_OUTCOME_MS, ORDER_TIMEOUT_MS, STATUS_MS};
 use super::run::{Phase, Then};
-use crate::{AgentFrame, Backlog, EndpointStatus, Outcome, TaskKey};
+use crate::{AgentFrame, Backlog, EndpointState, EndpointStatus, Needs, Outcome, TaskKey};
 
 /// How long run numbers of ended tasks are remembered, in milliseconds.
 const NUMBER_MEMORY_MS: u64 = 20_000;
@@ -188,17 +188,35 @@
         let (count, work) = ending.fold((0_u64, 0_u64), |(count, work), run| {
             (count + 1, work + u64::from(run.expected))
         });
-        if count == 0 && self.reserved_cpu() > 0 {
+        if count == 0 && self.reserved() != Needs::default() {
             return NO_END_MS;
         }
         work / (count * count).max(1)
     }
 
-    /// Returns the processor of runs that go on until they are stopped, in thousandths of a core.
-    fn reserved_cpu(&self) -> u32 {
+    /// Returns the room of runs that go on until they are stopped.
+    pub(super) fn reserved(&self) -> Needs {
         let at_endpoint = self.runs.values().filter(|run| run.phase.uses_room());
         let long = at_endpoint.filter(|run| run.long_running);
-        long.map(|run| run.needs.cpu).fold(0, u32::saturating_add)
+        long.fold(Needs::default(), |sum, run| sum.plus(run.needs))
+    }
+
+    /// Returns waiting tasks that can't find room beside the long-running ones here.
+    pub(super) fn return_blocked(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(endpoint) = &self.endpoint else {
+            return;
+        };
+        let shared = endpoint.about.capacity.minus(self.reserved());
+        let waiting = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Queued);
+        let blocked = waiting.filter(|(_, run)| !run.needs.fits(shared));
+        let blocked: Vec<TaskKey> = blocked.map(|(task, _)| task.clone()).collect();
+        for task in blocked {
+            info!(job = %task.job, %task, "task can't find room beside long-running ones");
+            self.end_run(&task, Then::Report(Outcome::Unavailable), now, out);
+        }
     }
 
     pub(super) fn status(&self, now: Time) -> EndpointStatus {
@@ -229,7 +247,9 @@
             free: endpoint.about.capacity.minus(self.used),
             backlog,
             next_end: u32::try_from(next_end).unwrap_or(u32::MAX),
-            reserved_cpu: self.reserved_cpu(),
+            reserved: self.reserved(),
+            draining: endpoint.about.state == EndpointState::Draining,
+            stopping: self.leaving,
             slowness: self.health.slowness_percent(),
             failures: self.health.failure_percent(),
             stalled: now < self.stalled_until || (overdue >= 2 && overdue * 2 >= running),
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -185,15 +185,19 @@
         }
         // A gang works from the moment when all of it is there.
         let waits = run.gang && percent == 0;
+        let worked = run.progress.is_complete();
         let stands = if run.long_running {
             run.progress.see_long(percent, now)
         } else {
             !waits && run.progress.see(percent, run.expected, now)
         };
+        let expected = run.expected;
+        if run.long_running && run.progress.is_complete() != worked {
+            self.tell_working(&entry.task);
+        }
         if !stands {
             return;
         }
-        let expected = run.expected;
         warn!(
             job = %entry.task.job,
             task = %entry.task,
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -7,7 +7,9 @@
 use super::run::{Phase, Progress, Run, Then};
 use super::{Action, EndpointCall};
 use crate::epoch::before_first;
-use crate::{AgentFrame, Checkpoint, JobId, LinkNo, Order, Outcome, TaskEnd, TaskKey};
+use crate::{
+    AgentFrame, Checkpoint, JobId, LinkNo, Needs, Order, Outcome, TaskEnd, TaskKey, Working,
+};
 
 impl Agent {
     pub(super) fn order(&mut self, link: LinkNo, order: &Order, now: Time, out: &mut Vec<Action>) {
@@ -63,6 +65,9 @@
         if order.gang || order.long_running {
             self.return_waiting(order, now, out);
         }
+        if self.reserved() != Needs::default() {
+            self.return_blocked(now, out);
+        }
         self.send_news(out);
     }
 
@@ -302,6 +307,18 @@
         self.saved.entry(run.link).or_default().push(saved);
     }
 
+    /// Tells the entry of a long-running task whether it is at work.
+    pub(super) fn tell_working(&mut self, task: &TaskKey) {
+        let Some(run) = self.runs.get(task) else {
+            return;
+        };
+        let news = Working {
+            task: task.clone(),
+            working: run.progress.is_complete(),
+        };
+        self.working.entry(run.link).or_default().push(news);
+    }
+
     pub(super) fn send_news(&mut self, out: &mut Vec<Action>) {
         for (link, starts) in self.starts.drain() {
             out.push(Action::Send {
@@ -315,6 +332,12 @@
                 frame: AgentFrame::Saved(saved),
             });
         }
+        for (link, working) in self.working.drain() {
+            out.push(Action::Send {
+                link,
+                frame: AgentFrame::Working(working),
+            });
+        }
         for (link, ends) in self.ends.drain() {
             out.push(Action::Send {
                 link,
--- a/crates/fulmarpond-dispatch/src/agent/unowned.rs
+++ b/crates/fulmarpond-dispatch/src/agent/unowned.rs
@@ -53,6 +53,7 @@
                 Some(run) if run.unowned.is_some() => {
                     info!(%task, run = run.number, ?link, "run has an owner again");
                     run.adopted(link);
+                    self.tell_working(task);
                 }
                 // Another entry may own it; its loss is told to this one as well.
                 Some(_) => {}
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -10,7 +10,7 @@
 use super::entry::{Entry, RETRY_S, ROUTINE};
 use super::gangs::gang_fits;
 use super::job::Job;
-use super::placement::ever_fits;
+use super::placement::{ever_fits, fits_beside};
 use super::submission::{Step, Submission};
 use super::{Action, Answer, RequestNo};
 use crate::{JobId, Refusal};
@@ -189,6 +189,10 @@
         if steps.iter().any(|step| !self.step_fits(service, step)) {
             return Err(Refusal::NeverFits);
         }
+        let beside = |step: &Step| fits_beside(&self.fleet, service, step.needs);
+        if !steps.iter().all(beside) {
+            return Err(Refusal::Overloaded);
+        }
         Ok(())
     }
 
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -8,6 +8,7 @@
 use super::{Action, Answer, StepKey};
 use crate::{
     AgentFrame, Checkpoint, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd,
+    Working,
 };
 
 /// How long an entry waits for ends at an agent that it has lost, in milliseconds.
@@ -167,6 +168,11 @@
                     self.saved(checkpoint);
                 }
             }
+            AgentFrame::Working(news) => {
+                for Working { task, working } in news {
+                    self.note_working(link, &task, working);
+                }
+            }
             AgentFrame::Ended(ends) => {
                 for end in ends {
                     self.ended(link, &end, now, out);
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -391,6 +391,7 @@
         self.check_series(now);
         self.release_kept(out);
         self.release_lost(now, out);
+        self.evacuate(now, out);
         self.place_waiting(now, out);
         self.expire(now, out);
         self.answers
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -64,6 +64,11 @@
         free
     }
 
+    /// Returns the room that tasks which end share.
+    pub(super) fn shared(&self) -> Needs {
+        self.capacity.minus(self.load.reserved)
+    }
+
     /// Returns how long a task with `slack` milliseconds left would wait for room, in
     /// milliseconds.
     pub(super) fn wait(&self, needs: Needs, slack: u64) -> f64 {
@@ -71,8 +76,7 @@
         if self.load.backlog.is_clear() && needs.fits(free) {
             return 0.0;
         }
-        let shared = self.capacity.cpu.saturating_sub(self.load.reserved_cpu);
-        let cores = f64::from(shared.max(1)) / 1_000.0;
+        let cores = f64::from(self.shared().cpu.max(1)) / 1_000.0;
         let unseen: u64 = self.unseen.iter().map(|unseen| unseen.work).sum();
         let ahead = self.load.backlog.ahead(slack) + unseen;
         let next = f64::from(self.load.next_end.min(10_000));
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -47,6 +47,10 @@
     pub(super) short_runs: u32,
     /// The agent that it was sent to last.
     pub(super) last: Option<LinkNo>,
+    /// Whether it is at work, of a task that runs until it is stopped.
+    pub(super) working: bool,
+    /// Whether it is stopped so that it can run elsewhere.
+    pub(super) moving: bool,
     /// The host of the agent that a long-running task was lost with.
     pub(super) lost_at: Option<String>,
 }
@@ -101,6 +105,8 @@
                     failed_run: 0,
                     short_runs: 0,
                     last: None,
+                    working: false,
+                    moving: false,
                     lost_at: None,
                 });
             }
--- a/crates/fulmarpond-dispatch/src/entry/long_running.rs
+++ b/crates/fulmarpond-dispatch/src/entry/long_running.rs
@@ -125,6 +125,20 @@
         agent.map_or("", |view| view.name.as_str())
     }
 
+    /// Notes whether a long-running task is at work.
+    pub(super) fn note_working(&mut self, link: LinkNo, key: &TaskKey, working: bool) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(task) = job.task(key.step, key.index) else {
+            return;
+        };
+        if task.state == TaskState::Sent(link) {
+            info!(task = %key, working, "long-running task changed");
+            task.working = working && !task.moving;
+        }
+    }
+
     /// Starts a task again whose run has ended, after a pause that grows with each short run.
     pub(super) fn long_run_ended(&mut self, link: LinkNo, end: &TaskEnd, now: Time) {
         let id = &end.task.job;
@@ -140,6 +154,8 @@
         let pause = task.pause_after(end);
         let over = now.after_millis(pause);
         task.state = TaskState::Resting(over);
+        task.working = false;
+        task.moving = false;
         self.counters.retried += 1;
         let short_runs = task.short_runs;
         info!(
@@ -181,6 +197,8 @@
         for task in self.tasks.iter_mut().filter(|task| long(task)) {
             if task.state == TaskState::Sent(link) {
                 task.state = TaskState::Lost(over);
+                task.working = false;
+                task.moving = false;
                 task.lost_at = Some(agent.to_owned());
                 any = true;
             }
@@ -214,6 +232,7 @@
     /// Returns the pause before the next start after a run has ended, in milliseconds.
     fn pause_after(&mut self, end: &TaskEnd) -> u64 {
         match end.outcome {
+            Outcome::Aborted if self.moving => 0,
             Outcome::Unavailable | Outcome::NoRoom | Outcome::NoTicket => REFUSED_MS,
             Outcome::Done | Outcome::Failed | Outcome::Aborted if end.elapsed >= STEADY_MS => {
                 self.short_runs = 0;
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -8,6 +8,7 @@
 #[allow(clippy::module_inception)]
 mod entry;
 mod estimates;
+mod evacuation;
 mod fleet;
 mod gangs;
 mod job;
--- a/crates/fulmarpond-dispatch/src/entry/placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placement.rs
@@ -90,6 +90,12 @@
     of_service.any(|view| needs.fits(view.capacity))
 }
 
+/// Returns whether any endpoint of a service can hold a task beside the long-running ones there.
+pub(super) fn fits_beside(fleet: &Fleet, service: &str, needs: Needs) -> bool {
+    let mut of_service = fleet.views.values().filter(|view| view.service == service);
+    of_service.any(|view| needs.fits(view.shared()))
+}
+
 fn suits(view: &View, demand: Demand<'_>) -> bool {
     let labelled = match &demand.step.label {
         Some(label) => view.labels.contains(label),
@@ -106,7 +112,7 @@
         && labelled
         && now
         && within
-        && demand.step.needs.fits(view.capacity)
+        && demand.step.needs.fits(view.shared())
 }
 
 fn run_time(view: &View, demand: Demand<'_>, usual: f64) -> f64 {
--- a/crates/fulmarpond-dispatch/src/entry/placing.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placing.rs
@@ -197,6 +197,7 @@
             let task = &mut job.tasks[position];
             task.state = TaskState::Sent(link);
             task.last = Some(link);
+            task.working = false;
             let batch = Batch {
                 link,
                 step: task.step,
--- a/crates/fulmarpond-dispatch/src/entry/submission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/submission.rs
@@ -28,6 +28,8 @@
     pub colocated: bool,
     /// Whether its tasks run until the job is cancelled, and are started again however they end.
     pub long_running: bool,
+    /// The most of its tasks that may be away at a time because the system stopped them.
+    pub may_miss: Option<u16>,
 }
 
 /// A job as submitted.
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -70,6 +70,8 @@
     Started(Vec<TaskKey>),
     /// Tasks of this entry have saved their progress.
     Saved(Vec<Checkpoint>),
+    /// Long-running tasks of this entry are at work now, or are not any more.
+    Working(Vec<Working>),
     /// Tasks of this entry ended.
     Ended(Vec<TaskEnd>),
     /// Ends that no entry has taken note of yet.
@@ -96,8 +98,12 @@
     pub failures: u32,
     /// Whether runs are overdue without any end.
     pub stalled: bool,
-    /// Processor of runs that go on until they are stopped, in thousandths of a core.
-    pub reserved_cpu: u32,
+    /// The room of runs that go on until they are stopped.
+    pub reserved: Needs,
+    /// Whether the endpoint is about to leave.
+    pub draining: bool,
+    /// Whether the agent is about to stop.
+    pub stopping: bool,
 }
 
 /// Waiting work by the time that is left until it has to start, in core-milliseconds.
@@ -243,6 +249,16 @@
     pub value: String,
 }
 
+/// Whether a long-running task is at work.
+#[message]
+#[derive(Eq)]
+pub struct Working {
+    /// The task.
+    pub task: TaskKey,
+    /// Whether it is at work.
+    pub working: bool,
+}
+
 /// The end of a task at an agent.
 #[message]
 pub struct TaskEnd {
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -30,7 +30,7 @@
 pub use counters::{Counters, Refusal};
 pub use frame::{
     AgentFrame, Backlog, Checkpoint, EndpointStatus, EntryFrame, FrameError, Order, Outcome,
-    TaskEnd, TaskRun, decode, encode,
+    TaskEnd, TaskRun, Working, decode, encode,
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use needs::Needs;
--- a/crates/fulmarpond-dispatch/tests/advice.rs
+++ b/crates/fulmarpond-dispatch/tests/advice.rs
@@ -20,6 +20,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -14,6 +14,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
@@ -25,6 +26,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
@@ -226,6 +228,7 @@
     saves: true,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/gangs.rs
+++ b/crates/fulmarpond-dispatch/tests/gangs.rs
@@ -16,6 +16,7 @@
     saves: false,
     gang: true,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
@@ -27,6 +28,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -15,6 +15,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
@@ -26,6 +27,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
@@ -37,6 +39,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/load.rs
+++ b/crates/fulmarpond-dispatch/tests/load.rs
@@ -14,6 +14,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
@@ -25,6 +26,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/long_running.rs
+++ b/crates/fulmarpond-dispatch/tests/long_running.rs
@@ -16,6 +16,7 @@
     saves: false,
     gang: false,
     long_running: true,
+    may_miss: None,
     times: None,
 };
 
@@ -27,6 +28,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
@@ -198,6 +200,61 @@
     }
 }
 
+/// Has two tasks at each endpoint, and room for two more.
+const FLEET: Demand = Demand {
+    tasks: 8,
+    cpu: 2_000,
+    may_miss: Some(1),
+    ..SERVER
+};
+
+/// Guards against an agent that stops all of its tasks at once when it is replaced: only so many of
+/// a job may be away at a time.
+#[test]
+fn tasks_of_a_stopping_agent_are_moved_one_by_one() {
+    for seed in 1..4 {
+        let mut world = started(seed);
+        let job = world.submit_at(0, FLEET);
+        for agent in 0..4_u64 {
+            world.fault_at(2_000 + agent * 8_000, Fault::RollAgent(agent as usize));
+        }
+        for step in 0..70 {
+            world.run_ms(500);
+            let running = world.history.running(&job, FLEET.tasks);
+            assert!(step < 4 || running >= 7, "{running} tasks run, seed {seed}");
+        }
+        world.check_kept();
+        assert_eq!(world.history.broken, Vec::<String>::new());
+    }
+}
+
+/// Guards against tasks that stay at an endpoint until it has left.
+#[test]
+fn tasks_are_moved_away_from_an_endpoint_that_leaves() {
+    let mut world = started(1);
+    let job = world.submit_at(0, FLEET);
+    world.run_ms(2_000);
+    let there = world.endpoints[1].runs.len();
+    world.fault_at(0, Fault::Drain(1));
+    // The endpoint says so with its next heartbeat, and serves on for 2 s.
+    world.run_ms(1_500 + 1_000);
+    assert!(there > 0 && world.endpoints[1].runs.is_empty());
+    assert_eq!(world.history.running(&job, FLEET.tasks), 8);
+    assert_eq!(world.history.starts_of(&job), 8 + there as u32);
+}
+
+/// Guards against tasks that are stopped at an endpoint that leaves although no other has room.
+#[test]
+fn tasks_stay_where_they_are_without_room_elsewhere() {
+    let mut world = started(1);
+    let full = Demand { tasks: 16, ..FLEET };
+    let job = world.submit_at(0, full);
+    world.fault_at(2_000, Fault::Drain(1));
+    world.run_ms(6_000);
+    assert_eq!(world.history.running(&job, full.tasks), 16);
+    assert_eq!(world.history.starts_of(&job), 16);
+}
+
 /// Guards against tasks that go on although their job was cancelled while nobody owned them.
 #[test]
 fn tasks_of_a_cancelled_job_end_without_their_entry() {
@@ -235,6 +292,7 @@
         (0..3_usize).prop_map(Fault::RollEntry),
         (0..3_usize, 50..8_000_u64).prop_map(|(entry, ms)| Fault::PauseEntry(entry, ms)),
         (0..4_usize).prop_map(Fault::KillAgent),
+        (0..4_usize).prop_map(Fault::RollAgent),
         (0..4_usize, 50..4_000_u64).prop_map(|(agent, ms)| Fault::PauseAgent(agent, ms)),
         (0..4_usize, 0..3_usize, 100..4_000_u64)
             .prop_map(|(agent, entry, ms)| Fault::Cut(agent, entry, ms)),
@@ -309,3 +367,36 @@
         prop_assert!(broken.is_empty(), "{broken:?}");
     }
 }
+
+struct Regression {
+    cause: &'static str,
+    seed: u64,
+    faults: &'static [(u64, Fault)],
+}
+
+/// Guards against the return of faults that the schedules have found.
+#[test]
+fn schedules_that_once_failed_hold() {
+    let cases = [
+        Regression {
+            cause: "short tasks waited at an agent whose room long-running ones had taken",
+            seed: 9_168_222_374_174_629_139,
+            faults: &[(32, Fault::RollAgent(2))],
+        },
+        Regression {
+            cause: "a job was taken over after it was cancelled",
+            seed: 12_372_486_958_856_833_502,
+            faults: &[
+                (
+                    4_448,
+                    Fault::Store(StoreTrouble::Down { lapse: true }, 1_183),
+                ),
+                (3_881, Fault::RollEntry(1)),
+            ],
+        },
+    ];
+    for case in cases {
+        let broken = play(case.seed, case.faults);
+        assert_eq!(broken, Vec::<String>::new(), "{}", case.cause);
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/reasons.rs
+++ b/crates/fulmarpond-dispatch/tests/reasons.rs
@@ -111,6 +111,7 @@
         gang: false,
         colocated: false,
         long_running: false,
+        may_miss: None,
     };
     let submission = Submission {
         spec: String::new(),
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -13,6 +13,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
@@ -24,6 +25,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: None,
 };
 
--- a/crates/fulmarpond-dispatch/tests/series.rs
+++ b/crates/fulmarpond-dispatch/tests/series.rs
@@ -15,6 +15,7 @@
     saves: false,
     gang: false,
     long_running: false,
+    may_miss: None,
     times: Some((5, 1_000, 800)),
 };
 
--- a/crates/fulmarpond-dispatch/tests/support/caller.rs
+++ b/crates/fulmarpond-dispatch/tests/support/caller.rs
@@ -17,6 +17,8 @@
     pub gang: bool,
     /// Whether tasks run until the job is cancelled.
     pub long_running: bool,
+    /// The most of these that may be away at a time because they were stopped.
+    pub may_miss: Option<u16>,
     /// How often it runs, how long after it was sent first, and at which interval, in milliseconds.
     pub times: Option<(u16, u64, u64)>,
 }
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -120,6 +120,7 @@
                 gang: demand.gang,
                 colocated: false,
                 long_running: demand.long_running,
+                may_miss: demand.may_miss,
             }],
             patience,
             kept: self.options.kept,
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -1,6 +1,6 @@
 //! Faults of processes, links and endpoints, and their ends.
 
-use fulmarpond_dispatch::agent::{CallFailure, EndHow};
+use fulmarpond_dispatch::agent::{Agent, CallFailure, EndHow};
 use fulmarpond_dispatch::{JobId, LinkNo, TaskKey};
 
 use super::endpoint::{Endpoint, Trouble};
@@ -9,6 +9,9 @@
 /// How long a process takes to stop gracefully, in milliseconds.
 const STOPPING_MS: u64 = 3_000;
 
+/// How long the runs of an agent that stops may go on, in milliseconds.
+const LAST_RUNS_MS: u64 = 4_500;
+
 impl World {
     pub(super) fn fault(&mut self, fault: Fault) {
         match fault {
@@ -22,6 +25,14 @@
                 self.entries[entry].paused = self.now.after_millis(millis);
             }
             Fault::KillAgent(agent) => self.kill_agent(agent),
+            Fault::RollAgent(agent) => {
+                self.with_agent(agent, Agent::stop);
+                self.after_ms(LAST_RUNS_MS, Event::Fault(Fault::StopRuns(agent)));
+                self.after_ms(LAST_RUNS_MS + 500, Event::Fault(Fault::KillAgent(agent)));
+            }
+            Fault::StopRuns(agent) => {
+                self.with_agent(agent, Agent::stop_runs);
+            }
             Fault::PauseAgent(agent, millis) => {
                 self.agents[agent].paused = self.now.after_millis(millis);
             }
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -36,6 +36,10 @@
     pub rejected: u32,
     /// How many gangs have waited in vain for a member.
     pub alone: u32,
+    /// Long-running tasks of which a run was stopped by an order, with its agent and number.
+    pub stopped: HashMap<TaskKey, (usize, u32)>,
+    /// Jobs that were cancelled.
+    pub cancelled: HashSet<JobId>,
 }
 
 impl History {
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -82,6 +82,7 @@
             Effect::None => {}
             Effect::Started(task) => self.started(agent, &task, work.ends),
             Effect::Stopped(task) => {
+                self.check_available(agent, &task);
                 let run = self.endpoints[agent].runs[&task].number;
                 let wait = self.rng.random_range(1..=STOP_MS);
                 self.after_ms(wait, Event::StopEnds(agent, incarnation, task, run));
@@ -161,6 +162,44 @@
         }
     }
 
+    /// Notes an order that stops a task at work while too many others of its job are away.
+    fn check_available(&mut self, agent: usize, task: &TaskKey) {
+        let demand = self.demand(&task.job);
+        let works = self.endpoints[agent].runs[task].is_working(self.now);
+        if !works || self.history.cancelled.contains(&task.job) {
+            return;
+        }
+        let others = (0..demand.tasks).map(|index| TaskKey {
+            index,
+            ..task.clone()
+        });
+        let away = others.filter(|other| other != task && self.is_stopped(other));
+        let away = away.count();
+        let draining = self.endpoints[agent].draining;
+        if !draining
+            && demand
+                .may_miss
+                .is_some_and(|most| away >= usize::from(most))
+        {
+            let at = self.elapsed_ms();
+            self.history.broken.push(format!(
+                "{task} is stopped while {away} others are away, {at} ms"
+            ));
+        }
+        let number = self.endpoints[agent].runs[task].number;
+        self.history.stopped.insert(task.clone(), (agent, number));
+    }
+
+    /// Returns whether a task was stopped by an order, and is not at work again.
+    fn is_stopped(&self, task: &TaskKey) -> bool {
+        let Some(&stopped) = self.history.stopped.get(task) else {
+            return false;
+        };
+        let endpoints = self.endpoints.iter().enumerate();
+        let mut runs = endpoints.filter_map(|(agent, at)| Some((agent, at.runs.get(task)?)));
+        !runs.any(|(agent, run)| (agent, run.number) != stopped && run.is_working(self.now))
+    }
+
     pub(super) fn started(&mut self, agent: usize, task: &TaskKey, ends: Time) {
         let at = self.elapsed_ms();
         tracing::debug!(%task, "endpoint starts a run");
--- a/crates/fulmarpond-dispatch/tests/support/stored.rs
+++ b/crates/fulmarpond-dispatch/tests/support/stored.rs
@@ -266,6 +266,7 @@
     /// Cancels a job at an entry.
     pub fn cancel_at(&mut self, job: &JobId, entry: usize) {
         self.next += 1;
+        self.history.cancelled.insert(job.clone());
         let request = RequestNo(self.next);
         self.with_entry(entry, |core, now, out| core.cancel(request, job, now, out));
     }
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -42,6 +42,10 @@
     KillEntry(usize),
     /// Stops gracefully, and starts anew.
     RollEntry(usize),
+    /// Stops gracefully, and starts anew.
+    RollAgent(usize),
+    /// An agent that stops ends what still runs at its endpoint.
+    StopRuns(usize),
     /// As a kill, but nobody is told.
     PowerOffEntry(usize),
     PauseEntry(usize, u64),
