refactor(dispatch): look at the steps of a job once for each placement; shorter test demands

Job::ready built two lists over all tasks for each call. One list says now which steps may start. Tests name only what their jobs differ in from a plain one.

--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -131,39 +131,26 @@
 
     /// Returns the positions of the tasks that can be placed now.
     pub(super) fn ready(&self) -> Vec<usize> {
-        let step_done: Vec<bool> = (0..self.submission.steps.len())
-            .map(|step| {
-                let mut of_step = self
-                    .tasks
-                    .iter()
-                    .filter(|task| usize::from(task.step) == step);
-                of_step.all(|task| task.state == TaskState::Done)
-            })
-            .collect();
-        // A gang is placed as a whole.
-        let complete: Vec<bool> = (0..self.submission.steps.len())
-            .map(|step| {
-                let mut of_step = self
-                    .tasks
-                    .iter()
-                    .filter(|task| usize::from(task.step) == step);
-                !self.submission.steps[step].gang
-                    || of_step.all(|task| task.state == TaskState::Waiting)
-            })
-            .collect();
-        let is_ready = |task: &Task| {
-            let after = &self.submission.steps[usize::from(task.step)].after;
-            task.state == TaskState::Waiting
-                && complete[usize::from(task.step)]
-                && after
-                    .iter()
-                    .all(|&step| step_done.get(usize::from(step)).copied().unwrap_or(true))
-        };
+        let steps = 0..self.submission.steps.len();
+        let can_start: Vec<bool> = steps.map(|step| self.can_start(step)).collect();
         let numbered = self.tasks.iter().enumerate();
-        numbered
-            .filter(|(_, task)| is_ready(task))
-            .map(|(position, _)| position)
-            .collect()
+        let ready = numbered.filter(|(_, task)| {
+            task.state == TaskState::Waiting && can_start[usize::from(task.step)]
+        });
+        ready.map(|(position, _)| position).collect()
+    }
+
+    /// Returns whether the waiting tasks of a step may start: after the steps before it, and those
+    /// of a gang only together.
+    fn can_start(&self, step: usize) -> bool {
+        let about = &self.submission.steps[step];
+        let state_of_all = |step: usize, state: TaskState| {
+            let mut tasks = self.tasks.iter();
+            tasks.all(|task| usize::from(task.step) != step || task.state == state)
+        };
+        let mut before = about.after.iter();
+        let after = before.all(|&step| state_of_all(usize::from(step), TaskState::Done));
+        after && (!about.gang || state_of_all(step, TaskState::Waiting))
     }
 
     /// Returns how many tasks of a step each agent runs or has done.
--- a/crates/fulmarpond-dispatch/tests/advice.rs
+++ b/crates/fulmarpond-dispatch/tests/advice.rs
@@ -13,15 +13,8 @@
 };
 
 const JOB: Demand = Demand {
-    route: 0,
     tasks: 3,
-    cpu: 1_000,
-    run_ms: 60,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const LONG: Demand = Demand {
--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -7,27 +7,15 @@
 use support::{Demand, Fault, Options, Trouble, World};
 
 const JOB: Demand = Demand {
-    route: 0,
     tasks: 4,
-    cpu: 1_000,
-    run_ms: 60,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const LONG: Demand = Demand {
     route: 2,
     tasks: 2,
-    cpu: 1_000,
     run_ms: 600,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 fn steady(world: &mut World, from: u64, until: u64) -> Vec<JobId> {
@@ -223,13 +211,9 @@
 const SAVING: Demand = Demand {
     route: 2,
     tasks: 2,
-    cpu: 1_000,
     run_ms: 3_000,
     saves: true,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 struct Interruption {
--- a/crates/fulmarpond-dispatch/tests/gangs.rs
+++ b/crates/fulmarpond-dispatch/tests/gangs.rs
@@ -9,27 +9,16 @@
 
 /// Takes six of the eight places that the stand-in has for such tasks.
 const GANG: Demand = Demand {
-    route: 0,
     tasks: 6,
     cpu: 4_000,
     run_ms: 400,
-    saves: false,
     gang: true,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const SINGLE: Demand = Demand {
-    route: 0,
     tasks: 2,
-    cpu: 1_000,
-    run_ms: 60,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const LENGTH_MS: u64 = 5_000;
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -8,39 +8,21 @@
 use support::{Demand, Fault, Options, StoreTrouble, Trouble, World, schedules, traced};
 
 const PLATE: Demand = Demand {
-    route: 0,
     tasks: 3,
-    cpu: 1_000,
-    run_ms: 60,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const SMALL: Demand = Demand {
     route: 1,
-    tasks: 1,
     cpu: 500,
-    run_ms: 60,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const STOCK: Demand = Demand {
     route: 2,
     tasks: 2,
-    cpu: 1_000,
     run_ms: 600,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 /// How long traffic goes on, in milliseconds.
--- a/crates/fulmarpond-dispatch/tests/load.rs
+++ b/crates/fulmarpond-dispatch/tests/load.rs
@@ -9,25 +9,13 @@
 const CHECK: Demand = Demand {
     route: 1,
     tasks: 2,
-    cpu: 1_000,
     run_ms: 200,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const PLATE: Demand = Demand {
-    route: 0,
     tasks: 4,
-    cpu: 1_000,
-    run_ms: 60,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 /// Core-milliseconds of a job.
--- a/crates/fulmarpond-dispatch/tests/long_running.rs
+++ b/crates/fulmarpond-dispatch/tests/long_running.rs
@@ -9,27 +9,17 @@
 
 /// Takes half of the room of the stand-in.
 const SERVER: Demand = Demand {
-    route: 0,
     tasks: 4,
     cpu: 4_000,
     run_ms: 300,
-    saves: false,
-    gang: false,
     long_running: true,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const SHORT: Demand = Demand {
     route: 1,
     tasks: 2,
-    cpu: 1_000,
-    run_ms: 60,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 /// How long faults happen, in milliseconds.
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -6,27 +6,15 @@
 use support::{Demand, Fault, Options, Trouble, World, schedules};
 
 const PLATE: Demand = Demand {
-    route: 0,
     tasks: 4,
-    cpu: 1_000,
-    run_ms: 60,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 const STOCK: Demand = Demand {
     route: 2,
     tasks: 2,
-    cpu: 1_000,
     run_ms: 600,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
-    times: None,
+    ..Demand::PLAIN
 };
 
 /// How long traffic goes on, in milliseconds.
--- a/crates/fulmarpond-dispatch/tests/series.rs
+++ b/crates/fulmarpond-dispatch/tests/series.rs
@@ -8,15 +8,10 @@
 
 /// Five occurrences, every 800 ms, the first 1 s after the job was sent.
 const SERIES: Demand = Demand {
-    route: 0,
     tasks: 2,
-    cpu: 1_000,
     run_ms: 100,
-    saves: false,
-    gang: false,
-    long_running: false,
-    may_miss: None,
     times: Some((5, 1_000, 800)),
+    ..Demand::PLAIN
 };
 
 /// Occurrences that overlap.
--- a/crates/fulmarpond-dispatch/tests/support/caller.rs
+++ b/crates/fulmarpond-dispatch/tests/support/caller.rs
@@ -24,6 +24,19 @@
 }
 
 impl Demand {
+    /// A job of one short task.
+    pub const PLAIN: Self = Self {
+        route: 0,
+        tasks: 1,
+        cpu: 1_000,
+        run_ms: 60,
+        saves: false,
+        gang: false,
+        long_running: false,
+        may_miss: None,
+        times: None,
+    };
+
     /// Returns when the job runs, given the time of day when it was sent first.
     pub fn repeat(self, sent: u64) -> Option<Repeat> {
         let (count, after, interval) = self.times?;
