feat(dispatch): maintain hosts in the waves that the operator asks for

Waves were not looked at. One entry at a time now has the duty: it holds a key in the store under the lease of its announcement, whose revision is the fencing token of its orders. It drains a host, orders its maintenance, and goes on when the host is back; a new holder begins anew.

Entries see waves with the watch that they have for the configuration, which now covers all that the operator writes; without a wave that costs one read at the start and one after each change.

Long-running tasks of a step are spread over the endpoints: eight of them went to one endpoint before, where a host with one task that may be away could not be maintained in time.

The stand-in has hosts and their service, and notes hosts away beyond the bound, holders that take turns within the handover, and waves that are over too early. Its long-running tasks fail, and are not done, when the trouble that makes them fail ends in the same millisecond.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -29,6 +29,10 @@
 /// milliseconds.
 pub(super) const LOST_OUTCOME_MS: u64 = 10;
 
+/// How long a host stays drained unless that is said again, in milliseconds: the entry that has the
+/// duty to maintain it may be gone.
+const DRAIN_MS: u64 = 2_000;
+
 /// How an agent is set up.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AgentOptions {
@@ -171,6 +175,25 @@
         self.send_status(now, out);
     }
 
+    /// Starts no task for a while, since the host is about to be maintained.
+    fn drain(&mut self, now: Time, out: &mut Vec<Action>) {
+        let until = now.after_millis(DRAIN_MS);
+        let Some(endpoint) = &mut self.endpoint else {
+            return;
+        };
+        let new = endpoint.drained.is_none();
+        endpoint.drained = Some(until);
+        if new {
+            info!(
+                runs = self.runs.len(),
+                "host is drained for its maintenance"
+            );
+            self.return_queue(now);
+            self.send_status(now, out);
+            self.send_news(out);
+        }
+    }
+
     /// Ends everything that still runs.
     pub fn stop_runs(&mut self, now: Time, out: &mut Vec<Action>) {
         let tasks: Vec<TaskKey> = self.runs.keys().cloned().collect();
@@ -273,6 +296,7 @@
             EntryFrame::Release(job) => self.release(link, &job, now, out),
             EntryFrame::Adopt(tasks) => self.adopt_runs(link, &tasks, out),
             EntryFrame::Entries(addrs) => self.links.learn(&addrs, now),
+            EntryFrame::Drain => self.drain(now, out),
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -75,6 +75,11 @@
             self.lose_endpoint(now, out);
             return;
         }
+        if endpoint.drained.is_some_and(|until| now >= until) {
+            info!(endpoint = %endpoint.about.id, "host is not maintained, taking tasks again");
+            endpoint.drained = None;
+            self.changed = true;
+        }
         if endpoint.reachable && now >= endpoint.answer_by {
             warn!(endpoint = %endpoint.about.id, "endpoint does not answer");
             endpoint.reachable = false;
@@ -249,7 +254,7 @@
             next_end: u32::try_from(next_end).unwrap_or(u32::MAX),
             reserved: self.reserved(),
             draining: endpoint.about.state == EndpointState::Draining,
-            stopping: self.leaving,
+            stopping: self.leaving || endpoint.drained.is_some(),
             slowness: self.health.slowness_percent(),
             failures: self.health.failure_percent(),
             stalled: now < self.stalled_until || (overdue >= 2 && overdue * 2 >= running),
--- a/crates/fulmarpond-dispatch/src/agent/endpoint.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint.rs
@@ -44,6 +44,8 @@
     /// Its lease has to lapse once before void ends are taken note of: at this time at the latest,
     /// and earlier if nothing runs.
     pub(super) lapse_by: Option<Time>,
+    /// Until when it gets no new task since its host is about to be maintained.
+    pub(super) drained: Option<Time>,
     /// Until when it gets no new task since it called itself unhealthy.
     pub(super) unhealthy: Time,
     /// When it counts as unreachable unless it answers a call; `Time::MAX` without open calls.
@@ -67,6 +69,7 @@
             reachable: true,
             lapse: now,
             lapse_by: None,
+            drained: None,
             unhealthy: now,
             answer_by: Time::MAX,
             beat_by: now.after_millis(beat_ms * MISSED_BEATS),
@@ -88,6 +91,7 @@
         self.settled
             && self.reachable
             && self.lapse_by.is_none()
+            && self.drained.is_none()
             && self.about.state == EndpointState::Ready
             && now >= self.unhealthy
             && now < self.beat_by
--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -11,6 +11,7 @@
 
 use crate::JobId;
 use crate::entry::Configuration;
+use crate::maintenance::{Lease, Wave};
 use crate::pacing::Pacing;
 
 /// How long a watch of the configuration waits, in milliseconds.
@@ -40,8 +41,8 @@
 pub enum StoreCall {
     /// Reads the configuration.
     ReadConfiguration,
-    /// Waits for a change of the configuration after a revision.
-    WatchConfiguration {
+    /// Waits for a change of what the operator writes after a revision.
+    WatchOperator {
         /// The revision.
         after: u64,
         /// How long to wait, in milliseconds.
@@ -98,6 +99,24 @@
         /// The jobs.
         rows: Vec<CommitRow>,
     },
+    /// Reads the waves of maintenance that the operator asks for.
+    ListWaves,
+    /// Reads which waves are over.
+    ListWaveStates,
+    /// Takes the duty to maintain hosts, if nobody has it.
+    TakeDuty {
+        /// The lease that it ends with.
+        lease: u64,
+    },
+    /// Tells the operator how far a wave is, if this entry still has the duty.
+    WriteWaveState {
+        /// The number of the wave.
+        wave: u64,
+        /// Whether it is over.
+        completed: bool,
+        /// The revision at which this entry took the duty.
+        duty: u64,
+    },
 }
 
 /// A change of a job in the store.
@@ -138,7 +157,11 @@
     pub const fn as_str(&self) -> &'static str {
         match self {
             Self::ReadConfiguration => "read_configuration",
-            Self::WatchConfiguration { .. } => "watch_configuration",
+            Self::WatchOperator { .. } => "watch_operator",
+            Self::ListWaves => "list_waves",
+            Self::ListWaveStates => "list_wave_states",
+            Self::TakeDuty { .. } => "take_duty",
+            Self::WriteWaveState { .. } => "write_wave_state",
             Self::ListEntries => "list_entries",
             Self::WatchEntries { .. } => "watch_entries",
             Self::Grant { .. } => "grant",
@@ -211,12 +234,16 @@
         /// The job as written.
         spec: Option<Vec<u8>>,
     },
-    /// Jobs were written.
+    /// The waves of maintenance that the operator asks for.
+    Waves(Vec<Wave>),
+    /// The waves that are over.
+    CompletedWaves(Vec<u64>),
+    /// A conditional change was made.
     Committed {
         /// The revision of the change.
         revision: u64,
     },
-    /// No job was written, since some state has another revision.
+    /// Nothing was written, since some item has another revision.
     Conflict {
         /// The present states of the jobs in the change.
         items: Vec<JobItem>,
@@ -242,6 +269,8 @@
     Commit(Lane),
     /// Reads jobs that are taken over.
     Job,
+    /// Maintains hosts.
+    Maintenance,
 }
 
 impl Duty {
@@ -265,6 +294,8 @@
     Configured(Configuration),
     /// The entries were listed.
     Listed(Vec<Announced>),
+    /// The operator has written something, or may have.
+    OperatorWrote,
 }
 
 #[derive(Debug)]
@@ -336,6 +367,15 @@
         self.announced.then_some(self.lease_end)
     }
 
+    /// Returns the lease of the announcement, while this entry is announced and does not leave.
+    pub fn lease(&self) -> Option<Lease> {
+        let number = self.lease.filter(|_| self.announced && !self.leaving)?;
+        Some(Lease {
+            number,
+            end: self.lease_end,
+        })
+    }
+
     /// Withdraws the announcement.
     pub const fn leave(&mut self, now: Time) {
         self.leaving = true;
@@ -369,7 +409,9 @@
         match duty {
             Duty::Configuration => &mut self.configuration,
             Duty::Entries => &mut self.entries,
-            Duty::Announcement | Duty::Jobs | Duty::Commit(_) | Duty::Job => &mut self.announcement,
+            Duty::Announcement | Duty::Jobs | Duty::Commit(_) | Duty::Job | Duty::Maintenance => {
+                &mut self.announcement
+            }
         }
     }
 
@@ -378,7 +420,7 @@
             (Duty::Configuration, None, _) => Some((StoreCall::ReadConfiguration, 0)),
             (Duty::Configuration, Some(after), _) => {
                 let wait = CONFIGURATION_WAIT_MS;
-                Some((StoreCall::WatchConfiguration { after, wait }, wait))
+                Some((StoreCall::WatchOperator { after, wait }, wait))
             }
             (Duty::Entries, _, None) => Some((StoreCall::ListEntries, 0)),
             (Duty::Entries, _, Some(after)) => {
@@ -386,7 +428,7 @@
                 Some((StoreCall::WatchEntries { after, wait }, wait))
             }
             (Duty::Announcement, _, _) => self.next_announcement().map(|call| (call, 0)),
-            (Duty::Jobs | Duty::Commit(_) | Duty::Job, _, _) => None,
+            (Duty::Jobs | Duty::Commit(_) | Duty::Job | Duty::Maintenance, _, _) => None,
         }
     }
 
@@ -445,11 +487,17 @@
                 out.push(Action::Listed(entries));
             }
             (Duty::Configuration | Duty::Entries, StoreReply::Changed { any, at }) => {
+                if any && duty == Duty::Configuration {
+                    out.push(Action::OperatorWrote);
+                }
                 // Both values are small, so a change is read in full.
                 self.progress(duty).at = if any { None } else { Some(at) };
             }
             (Duty::Configuration | Duty::Entries, StoreReply::Compacted) => {
                 debug!(?duty, "history is gone, reading again");
+                if duty == Duty::Configuration {
+                    out.push(Action::OperatorWrote);
+                }
                 self.progress(duty).at = None;
             }
             (Duty::Announcement, StoreReply::Leased { lease }) => {
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod advice;
 mod agents;
 mod configuration;
+mod drains;
 #[allow(clippy::module_inception)]
 mod entry;
 mod estimates;
--- a/crates/fulmarpond-dispatch/src/entry/placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placement.rs
@@ -57,6 +57,7 @@
     demand: Demand<'_>,
     avoided: &[LinkNo],
     full: impl Fn(LinkNo) -> bool,
+    extra: impl Fn(LinkNo) -> f64,
 ) -> Option<Choice> {
     let usual = f64::from(fleet.usual_slowness(demand.service));
     let mut best: Option<(f64, Choice)> = None;
@@ -66,7 +67,7 @@
         }
         let wait = view.wait(demand.step.needs, demand.slack);
         let finish = wait + run_time(view, demand, usual);
-        let mut cost = finish + unease(view, demand);
+        let mut cost = finish + unease(view, demand) + extra(link);
         if avoided.contains(&link) {
             cost += AVOIDED_MS;
         }
--- a/crates/fulmarpond-dispatch/src/entry/placing.rs
+++ b/crates/fulmarpond-dispatch/src/entry/placing.rs
@@ -15,6 +15,10 @@
 /// waits at the entry instead, where it can still go elsewhere.
 const KEPT_WAIT_MS: f64 = 40.0;
 
+/// What it costs that an endpoint runs another long-running task of the step, in milliseconds of
+/// waiting: more than a fully used endpoint in another zone.
+const CROWDING_MS: f64 = 15.0;
+
 /// The pause between two attempts to place waiting tasks, in milliseconds.
 const PUMP_MS: u64 = 5;
 
@@ -62,18 +66,31 @@
         let task = &job.tasks[position];
         let step = &job.submission.steps[usize::from(task.step)];
         let demand = self.demand(job, task.step, label, now);
-        let spread = step.spread.map(|most| (most, job.spread(task.step)));
+        let counts = step.spread.is_some() || step.long_running;
+        let given = if counts {
+            job.spread(task.step)
+        } else {
+            BTreeMap::new()
+        };
+        let placed = |link: LinkNo| {
+            let here = given.get(&link).copied().unwrap_or_default();
+            let new = taken.iter().filter(|(other, _)| *other == link).count();
+            usize::from(here) + new
+        };
         let full = |link: LinkNo| {
-            if !self.is_allowed(job, task.step, link, now) {
-                return true;
+            let most = step.spread.map(usize::from);
+            !self.is_allowed(job, task.step, link, now)
+                || most.is_some_and(|most| placed(link) >= most)
+        };
+        // Long-running tasks of a step that share an endpoint are lost together.
+        let crowding = |link: LinkNo| {
+            if step.long_running {
+                placed(link) as f64 * CROWDING_MS
+            } else {
+                0.0
             }
-            spread.as_ref().is_some_and(|(most, given)| {
-                let here = given.get(&link).copied().unwrap_or_default();
-                let new = taken.iter().filter(|(other, _)| *other == link).count();
-                usize::from(here) + new >= usize::from(*most)
-            })
         };
-        choose(&self.fleet, demand, &job.avoided, full)
+        choose(&self.fleet, demand, &job.avoided, full, crowding)
     }
 
     /// Returns what it costs to run a task of a step at an agent, in milliseconds; nothing if it can't.
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -182,6 +182,8 @@
     Void(Vec<TaskRun>),
     /// The link addresses of all entries.
     Entries(Vec<SocketAddr>),
+    /// The host is about to be maintained: no task is to start there for a while.
+    Drain,
 }
 
 /// Tasks of one step that an agent is to start.
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 mod epoch;
 pub mod ledger;
+pub mod maintenance;
 
 mod bounds;
 mod clock;
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -57,6 +57,14 @@
                 }
             }
             Fault::Store(..) | Fault::StoreCut(..) | Fault::Compact => self.store_fault(fault),
+            Fault::HostReplies(percent, millis) => {
+                self.hosts.lost = percent;
+                self.after_ms(millis, Event::Heal(fault));
+            }
+            Fault::HostService(millis) => {
+                self.hosts.away = true;
+                self.after_ms(millis, Event::Heal(fault));
+            }
         }
     }
 
@@ -86,6 +94,8 @@
                 }
             }
             Fault::Store(..) | Fault::StoreCut(..) => self.heal_store(fault),
+            Fault::HostReplies(..) => self.hosts.lost = 0,
+            Fault::HostService(_) => self.hosts.away = false,
             _ => {}
         }
     }
@@ -104,6 +114,7 @@
             return;
         }
         self.directories[entry] = None;
+        self.maintenance[entry] = None;
         self.entries[entry].life += 1;
         for number in 0..self.links.len() {
             if self.links[number].entry != entry || !self.links[number].open {
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -14,6 +14,7 @@
 mod faults;
 mod gangs;
 mod history;
+mod hosts;
 mod network;
 mod options;
 mod runs;
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -18,6 +18,8 @@
     pub spread: f64,
     /// Whether there is a store and all jobs are kept in it.
     pub kept: bool,
+    /// Whether there is a service that maintains hosts.
+    pub hosts: bool,
     /// The policy of all queues, if they have one.
     pub advice: Option<AdvicePolicy>,
     /// The share of the calls for advice that are refused, in percent.
@@ -35,6 +37,7 @@
             patience_ms: 4_000,
             spread: 1.3,
             kept: false,
+            hosts: false,
             advice: None,
             advice_busy: 0,
         }
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -163,7 +163,7 @@
     }
 
     /// Notes an order that stops a task at work while too many others of its job are away.
-    fn check_available(&mut self, agent: usize, task: &TaskKey) {
+    pub(super) fn check_available(&mut self, agent: usize, task: &TaskKey) {
         let demand = self.demand(&task.job);
         let works = self.endpoints[agent].runs[task].is_working(self.now);
         if !works || self.history.cancelled.contains(&task.job) {
@@ -249,12 +249,12 @@
             .filter(|(_, run)| run.ends <= now)
             .map(|(task, _)| task.clone())
             .collect();
-        let how = if self.endpoints[agent].trouble == Trouble::Fail {
-            EndHow::Failed
-        } else {
-            EndHow::Done
-        };
+        let fails = self.endpoints[agent].trouble == Trouble::Fail;
         for task in ended {
+            // A long-running task ends by itself only if it fails, whatever became of the trouble.
+            let run = self.endpoints[agent].runs.get(&task);
+            let failed = fails || run.is_some_and(|run| run.long_running);
+            let how = if failed { EndHow::Failed } else { EndHow::Done };
             self.end_run(agent, &task, how);
         }
         let pending = self.queue.len() < 50_000;
--- a/crates/fulmarpond-dispatch/tests/support/store.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store.rs
@@ -5,6 +5,7 @@
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::directory::{Announced, CommitRow, JobItem, StoreCall, StoreReply};
 use fulmarpond_dispatch::entry::Configuration;
+use fulmarpond_dispatch::maintenance::Wave;
 use fulmarpond_dispatch::{JobId, decode, ledger};
 
 /// What goes wrong at the store.
@@ -41,6 +42,7 @@
 enum Change {
     Job(JobId),
     Entries,
+    Operator,
 }
 
 #[derive(Debug, Default)]
@@ -55,6 +57,11 @@
     /// History up to this revision is gone.
     compacted: u64,
     next_lease: u64,
+    pub waves: Vec<Wave>,
+    /// The waves that were told to run, and whether they are over.
+    pub wave_states: BTreeMap<u64, bool>,
+    /// The lease and the revision of the duty to maintain hosts.
+    duty: Option<(u64, u64)>,
 }
 
 impl Store {
@@ -68,7 +75,20 @@
                 at,
             },
             // The configuration does not change here.
-            StoreCall::WatchConfiguration { .. } => return None,
+            StoreCall::WatchOperator { after, .. } => {
+                self.since(*after, |change| *change == Change::Operator)?
+            }
+            StoreCall::ListWaves => StoreReply::Waves(self.waves.clone()),
+            StoreCall::ListWaveStates => {
+                let completed = self.wave_states.iter().filter(|(_, over)| **over);
+                StoreReply::CompletedWaves(completed.map(|(number, _)| *number).collect())
+            }
+            StoreCall::TakeDuty { lease } => self.take_duty(*lease),
+            StoreCall::WriteWaveState {
+                wave,
+                completed,
+                duty,
+            } => self.write_wave_state(*wave, *completed, *duty),
             StoreCall::ListEntries => StoreReply::Entries {
                 entries: self
                     .entries
@@ -117,7 +137,11 @@
     pub const fn is_write(call: &StoreCall) -> bool {
         matches!(
             call,
-            StoreCall::CommitJobs { .. } | StoreCall::Announce { .. } | StoreCall::Grant { .. }
+            StoreCall::CommitJobs { .. }
+                | StoreCall::Announce { .. }
+                | StoreCall::Grant { .. }
+                | StoreCall::TakeDuty { .. }
+                | StoreCall::WriteWaveState { .. }
         )
     }
 
@@ -185,7 +209,7 @@
         let mut jobs: Vec<&JobId> = later
             .filter_map(|(_, change)| match change {
                 Change::Job(job) => Some(job),
-                Change::Entries => None,
+                Change::Entries | Change::Operator => None,
             })
             .collect();
         jobs.sort();
@@ -232,8 +256,36 @@
         StoreReply::Written
     }
 
+    /// Writes what the operator wants maintained.
+    pub fn add_wave(&mut self, wave: Wave) {
+        self.waves.push(wave);
+        self.changed([Change::Operator]);
+    }
+
+    fn take_duty(&mut self, lease: u64) -> StoreReply {
+        if !self.leases.contains_key(&lease) {
+            return StoreReply::NoLease;
+        }
+        if self.duty.is_some() {
+            return StoreReply::Conflict { items: Vec::new() };
+        }
+        let revision = self.changed([]);
+        self.duty = Some((lease, revision));
+        StoreReply::Committed { revision }
+    }
+
+    fn write_wave_state(&mut self, wave: u64, completed: bool, duty: u64) -> StoreReply {
+        if self.duty.is_none_or(|(_, revision)| revision != duty) {
+            return StoreReply::Conflict { items: Vec::new() };
+        }
+        self.wave_states.insert(wave, completed);
+        let revision = self.changed([]);
+        StoreReply::Committed { revision }
+    }
+
     fn end_lease(&mut self, number: u64) {
         self.leases.remove(&number);
+        self.duty = self.duty.filter(|(lease, _)| *lease != number);
         let before = self.entries.len();
         self.entries.retain(|_, (_, lease)| *lease != number);
         if self.entries.len() != before {
--- a/crates/fulmarpond-dispatch/tests/support/stored.rs
+++ b/crates/fulmarpond-dispatch/tests/support/stored.rs
@@ -103,7 +103,7 @@
 
     fn wait_for_change(&mut self, sent: Sent) {
         let wait = match sent.call {
-            StoreCall::WatchConfiguration { wait, .. }
+            StoreCall::WatchOperator { wait, .. }
             | StoreCall::WatchEntries { wait, .. }
             | StoreCall::WatchJobs { wait, .. } => wait,
             _ => 0,
@@ -166,6 +166,11 @@
             });
             return;
         }
+        if duty == Duty::Maintenance {
+            self.maintenance_answered(entry, outcome.and_then(Result::ok));
+            self.with_entry(entry, |_, _, _| {});
+            return;
+        }
         let now = self.now;
         let mut tasks = Vec::new();
         let mut end = None;
@@ -197,6 +202,11 @@
                 directory::Action::Configured(configuration) => {
                     self.with_entry(entry, |core, _, out| core.configure(configuration, out));
                 }
+                directory::Action::OperatorWrote => {
+                    if let Some(maintenance) = &mut self.maintenance[entry] {
+                        maintenance.operator_wrote();
+                    }
+                }
                 directory::Action::Listed(entries) => {
                     self.with_entry(entry, |core, now, out| {
                         core.set_entries(&entries, now, out);
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -12,6 +12,7 @@
 use fulmarpond_dispatch::entry::{
     self, AdviceFailure, Allowed, Configuration, Entry, EntryOptions, RequestNo, Route,
 };
+use fulmarpond_dispatch::maintenance::{HostCall, HostReply, Maintenance, Wave};
 use fulmarpond_dispatch::{AgentFrame, Bounds, EntryFrame, JobId, LinkNo, TaskKey, decode, encode};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -20,6 +21,7 @@
 use super::endpoint::{Endpoint, Trouble};
 use super::gangs::GangKey;
 use super::history::{ATTEMPTS, History};
+use super::hosts::Hosts;
 use super::network::Link;
 use super::options::Options;
 use super::store::{Store, StoreTrouble};
@@ -64,6 +66,10 @@
     StoreCut(usize, u64, bool),
     /// The history of the store is dropped.
     Compact,
+    /// The service for hosts loses this share of its replies to orders, in percent.
+    HostReplies(u32, u64),
+    /// The service for hosts answers nothing.
+    HostService(u64),
 }
 
 #[derive(Debug, Clone)]
@@ -93,6 +99,9 @@
     WatchEnds(Caller),
     GangMisses(GangKey),
     Advised(usize, u32, Result<Vec<Allowed>, AdviceFailure>),
+    Wave(Wave),
+    ToHosts(Caller, HostCall),
+    FromHosts(Caller, Option<HostReply>),
 }
 
 pub(super) struct Node<T> {
@@ -142,6 +151,8 @@
     pub(super) store_cuts: HashSet<usize>,
     pub(super) directories: Vec<Option<Directory>>,
     pub(super) watches: Vec<Sent>,
+    pub(super) maintenance: Vec<Option<Maintenance>>,
+    pub hosts: Hosts,
     /// The members of each gang that are present: their agents and tasks.
     pub(super) gangs: HashMap<GangKey, Vec<(usize, TaskKey)>>,
     pub(super) store_answered: HashSet<Caller>,
@@ -187,6 +198,8 @@
             store_cuts: HashSet::new(),
             directories: Vec::new(),
             watches: Vec::new(),
+            maintenance: Vec::new(),
+            hosts: Hosts::default(),
             gangs: HashMap::new(),
             store_answered: HashSet::new(),
             history: History::default(),
@@ -194,6 +207,7 @@
         world.store.configuration = Some(world.configuration.clone());
         for entry in 0..options.entries {
             world.directories.push(None);
+            world.maintenance.push(None);
             world.entries.push(Node::new());
             world.start_entry(entry);
         }
@@ -286,6 +300,7 @@
         let mut core = Entry::new(options, self.now);
         core.configure(self.configuration.clone(), &mut Vec::new());
         self.directories[entry] = self.new_directory(self.now);
+        self.maintenance[entry] = self.new_maintenance(entry);
         self.entries[entry].start(core);
         let life = self.entries[entry].life;
         self.after_us(1, Event::WakeEntry(entry, life));
@@ -335,6 +350,7 @@
             self.entry_action(entry, action);
         }
         self.tick_directory(entry);
+        self.tick_maintenance(entry);
         self.plan_entry(entry);
     }
 
@@ -573,6 +589,9 @@
                 }
             }
             Event::GangMisses(gang) => self.gang_misses(&gang),
+            Event::Wave(wave) => self.begin_wave(wave),
+            Event::ToHosts(by, call) => self.arrive_at_hosts(by, &call),
+            Event::FromHosts(by, reply) => self.hosts_reply(by, reply),
         }
     }
 
--- a/crates/fulmarpond-settings/src/leased/leased_settings.rs
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -18,6 +18,7 @@
     ("cluster", &["seeds", "link_port"]),
     ("store", &["addr", "writes"]),
     ("advice", &["addr"]),
+    ("hosts", &["addr", "handover"]),
     (
         "timing",
         &["resend", "hold_max", "stop", "heartbeat", "grace", "keep"],
@@ -32,6 +33,9 @@
 /// The writes a second that the store takes, if the settings do not say.
 const DEFAULT_WRITES: u64 = 400;
 
+/// How long a new holder of the duty to maintain hosts waits, if the settings do not say.
+const DEFAULT_HANDOVER: Duration = Duration::from_secs(3);
+
 /// Times that hold if the settings do not say.
 const DEFAULT_RESEND: Duration = Duration::from_millis(1_300);
 const DEFAULT_HOLD_MAX: Duration = Duration::from_secs(1);
@@ -60,6 +64,10 @@
         writes: u64,
         /// The service that knows the policies of queues, if there is one.
         advice: Option<SocketAddr>,
+        /// The service that maintains hosts, if there is one.
+        hosts: Option<SocketAddr>,
+        /// How long a new holder of the duty to maintain hosts waits before its first order.
+        handover: Duration,
     },
     /// Stands beside an endpoint.
     Agent {
@@ -163,6 +171,8 @@
     let store = reader.required("store", "addr", parse);
     let writes = reader.optional("store", "writes", parse::<f64>);
     let advice = reader.optional("advice", "addr", parse);
+    let hosts = reader.optional("hosts", "addr", parse);
+    let handover = reader.optional("hosts", "handover", fraction);
     Some(LeasedRole::Entry {
         callers: callers?,
         readiness: readiness?,
@@ -170,6 +180,8 @@
         store: store?,
         writes: writes.map_or(DEFAULT_WRITES, |writes| writes as u64),
         advice,
+        hosts,
+        handover: handover.unwrap_or(DEFAULT_HANDOVER),
     })
 }
 
--- a/crates/fulmarpond-settings/tests/leased.rs
+++ b/crates/fulmarpond-settings/tests/leased.rs
@@ -21,6 +21,8 @@
         ("platform.Address", "10.200.1.7:8169"),
         ("platform.WritesPerS", "400"),
         ("Advice", "10.200.1.9:8169"),
+        ("CloudApi.Address", "10.200.0.79:8169"),
+        ("Bounds.LeaseMs", "3000"),
         ("Bounds.ResendMs", "1300"),
         ("Bounds.HoldMaxMs", "1000"),
         ("Bounds.StopMs", "50"),
@@ -53,6 +55,8 @@
         link,
         writes,
         advice,
+        hosts,
+        handover,
         ..
     } = entry.role
     else {
@@ -60,6 +64,8 @@
     };
     assert_eq!((link.to_string().as_str(), writes), ("10.1.0.13:7720", 400));
     assert_eq!(advice.map(|addr| addr.port()), Some(8169));
+    assert_eq!(hosts.map(|addr| addr.port()), Some(8169));
+    assert_eq!(handover, Duration::from_secs(3));
     assert_eq!(entry.timing.resend, Duration::from_millis(1_300));
     assert_eq!(entry.timing.keep, Duration::from_secs(120));
 
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -11,6 +11,7 @@
 use fulmarpond_dispatch::entry::{
     Action, Answer, CallerLimits, Entry, EntryOptions, RequestNo, StepKey,
 };
+use fulmarpond_dispatch::maintenance::{self, MaintenanceOptions};
 use fulmarpond_dispatch::{AgentFrame, EndpointId, LinkNo, Refusal, decode, encode};
 use fulmarpond_platform::advice;
 use fulmarpond_platform::caller::{self, Ask};
@@ -21,6 +22,7 @@
 use tracing::{debug, info, warn};
 
 use super::clock::BootClock;
+use super::host_maintenance::HostMaintenance;
 use super::log::Log;
 use super::shell::Shell;
 use super::{Result, bounds};
@@ -33,7 +35,7 @@
 const LAST_MS: u64 = 700;
 
 /// The most connections to the store: one for each duty.
-const STORE_CONNECTIONS: usize = 9;
+const STORE_CONNECTIONS: usize = 10;
 
 /// The process of an entry.
 pub(super) struct EntryProcess {
@@ -43,6 +45,7 @@
     announcer: Announcer,
     store: SocketAddr,
     advice: Option<SocketAddr>,
+    maintenance: Option<HostMaintenance>,
     callers: ListenerId,
     readiness: ListenerId,
     calls: HashMap<CallId, (Duty, StoreCall)>,
@@ -63,6 +66,8 @@
             store,
             writes,
             advice,
+            hosts,
+            handover,
         } = settings.role
         else {
             return Err(io::Error::other("the role is not that of an entry").into());
@@ -95,6 +100,13 @@
             },
             store,
             advice,
+            maintenance: hosts.map(|addr| {
+                let options = MaintenanceOptions {
+                    holder: settings.name.clone(),
+                    handover: handover.as_millis() as u64,
+                };
+                HostMaintenance::new(addr, options, now)
+            }),
             callers,
             readiness,
             calls: HashMap::new(),
@@ -124,6 +136,7 @@
             self.entry.tick(now, &mut self.actions);
             self.directory.tick(now, &mut self.tasks);
             self.carry_out(now);
+            self.maintain_hosts(now);
             self.check_signals(now);
             if self.is_finished(now) {
                 break;
@@ -284,6 +297,13 @@
             self.advised(outcome, now);
             return;
         }
+        if let Some(maintenance) = &mut self.maintenance
+            && let Some(order) = maintenance.take_call(call)
+        {
+            let metrics = &self.shell.metrics;
+            maintenance.answered(&order, outcome, metrics, now);
+            return;
+        }
         let Some((duty, call)) = self.calls.remove(&call) else {
             return;
         };
@@ -304,6 +324,12 @@
             return;
         }
         let reply = reply.and_then(Result::ok);
+        if duty == Duty::Maintenance {
+            if let Some(maintenance) = &mut self.maintenance {
+                maintenance.state.store_answered(reply, now);
+            }
+            return;
+        }
         self.directory.answered(duty, reply, now, &mut self.tasks);
         self.directory.tick(now, &mut self.tasks);
         self.entry.set_lease(self.directory.lease_end());
@@ -356,6 +382,36 @@
         }
     }
 
+    /// Maintains hosts if this entry has the duty.
+    fn maintain_hosts(&mut self, now: Time) {
+        let Some(maintenance) = &mut self.maintenance else {
+            return;
+        };
+        if !maintenance.state.is_active() {
+            return;
+        }
+        let (entry, lease) = (&self.entry, self.directory.lease());
+        let mut due = Vec::new();
+        let work = |endpoint: &EndpointId| entry.work_at(endpoint);
+        maintenance.state.tick(lease, work, now, &mut due);
+        for action in due {
+            match action {
+                maintenance::Action::Store { call, timeout } => {
+                    self.call_store(Duty::Maintenance, call, timeout);
+                }
+                maintenance::Action::Hosts { call, timeout } => {
+                    if let Some(maintenance) = &mut self.maintenance {
+                        maintenance.call(&mut self.reactor, call, timeout);
+                    }
+                }
+                maintenance::Action::Drain(endpoint) => {
+                    self.entry.drain(&endpoint, &mut self.actions);
+                }
+            }
+        }
+        self.carry_out(now);
+    }
+
     fn ask_advice(&mut self, step: &StepKey, endpoints: &[EndpointId], timeout: u64) {
         // Without an address no such job is accepted.
         let Some(addr) = self.advice else {
@@ -403,6 +459,11 @@
                 }
                 self.entry.configure(configuration, &mut self.actions);
             }
+            directory::Action::OperatorWrote => {
+                if let Some(maintenance) = &mut self.maintenance {
+                    maintenance.state.operator_wrote();
+                }
+            }
             directory::Action::Listed(entries) => {
                 self.entry.set_entries(&entries, now, &mut self.actions);
             }
--- a/crates/fulmarpondd/src/leased/mod.rs
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -6,6 +6,7 @@
 mod agent_process;
 mod clock;
 mod entry_process;
+mod host_maintenance;
 mod log;
 mod metrics;
 mod reload;
