fix(entry): look a job up before its cancelling is answered as unknown

An entry sees changes of other entries up to 120 ms late, and later while the store turns it away. A cancelling of a job that it did not know was answered with 410, which callers take for an acknowledgement; the job ran on.

Change: a job that is not known is read from the store; 410 follows only if it is not there, 503 with Retry-After if the store does not tell. A state is answered as unknown only while the watch of the jobs is answered in time.

The stand-in cancels jobs, and notes starts and runs after an acknowledged cancelling. It checks leases of all runs that last for long, since the lapse of a paused agent's lease went unseen. cancelling_reaches_the_job_through_any_entry and cancelled_jobs_end fail before and pass after.

--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -89,6 +89,11 @@
         /// How long to wait, in milliseconds.
         wait: u64,
     },
+    /// Reads the state of a job.
+    ReadState {
+        /// The job.
+        job: JobId,
+    },
     /// Reads what was submitted as a job.
     ReadJob {
         /// The job.
@@ -170,6 +175,7 @@
             Self::End { .. } => "end",
             Self::ListJobs { .. } => "list_jobs",
             Self::WatchJobs { .. } => "watch_jobs",
+            Self::ReadState { .. } => "read_state",
             Self::ReadJob { .. } => "read_job",
             Self::CommitJobs { .. } => "commit_jobs",
         }
@@ -229,6 +235,8 @@
         /// The revision to go on from.
         at: u64,
     },
+    /// The state of a job; nothing if there is no such job.
+    State(Option<JobItem>),
     /// What was submitted as a job; nothing if it is gone.
     Job {
         /// The job as written.
@@ -269,6 +277,8 @@
     Commit(Lane),
     /// Reads jobs that are taken over.
     Job,
+    /// Reads the states of jobs that are not known here.
+    Lookup,
     /// Maintains hosts.
     Maintenance,
 }
@@ -409,9 +419,12 @@
         match duty {
             Duty::Configuration => &mut self.configuration,
             Duty::Entries => &mut self.entries,
-            Duty::Announcement | Duty::Jobs | Duty::Commit(_) | Duty::Job | Duty::Maintenance => {
-                &mut self.announcement
-            }
+            Duty::Announcement
+            | Duty::Jobs
+            | Duty::Commit(_)
+            | Duty::Job
+            | Duty::Lookup
+            | Duty::Maintenance => &mut self.announcement,
         }
     }
 
@@ -428,7 +441,9 @@
                 Some((StoreCall::WatchEntries { after, wait }, wait))
             }
             (Duty::Announcement, _, _) => self.next_announcement().map(|call| (call, 0)),
-            (Duty::Jobs | Duty::Commit(_) | Duty::Job | Duty::Maintenance, _, _) => None,
+            (Duty::Jobs | Duty::Commit(_) | Duty::Job | Duty::Lookup | Duty::Maintenance, _, _) => {
+                None
+            }
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -41,6 +41,14 @@
     Unsure,
 }
 
+/// What the store told about a job that is not known here.
+#[value]
+pub(super) enum Lookup {
+    Found,
+    Missing,
+    NotRead,
+}
+
 /// A submission whose first write is under way.
 #[derive(Debug)]
 pub(super) struct Pending {
@@ -64,6 +72,8 @@
     pub(super) pending: HashMap<JobId, Pending>,
     pub(super) unnoted: HashMap<JobId, Vec<Unnoted>>,
     pub(super) cancels: HashMap<JobId, Vec<RequestNo>>,
+    /// Requests that cancel jobs which are being looked up.
+    pub(super) lookups: HashMap<JobId, Vec<RequestNo>>,
     /// Whether the announcement has lapsed or is not made yet.
     pub(super) fenced: bool,
     /// Whether the jobs are listed again after the announcement was renewed.
@@ -85,7 +95,8 @@
     pub(super) fn attended(&self) -> usize {
         let pending = self.pending.values();
         let waiting = pending.filter(|pending| pending.request.is_some()).count();
-        waiting + self.cancels.values().map(Vec::len).sum::<usize>()
+        let cancels = self.cancels.values().chain(self.lookups.values());
+        waiting + cancels.map(Vec::len).sum::<usize>()
     }
 
     /// Returns whether the first write of a job is under way.
@@ -100,7 +111,7 @@
                 pending.request = None;
             }
         }
-        for requests in self.cancels.values_mut() {
+        for requests in self.cancels.values_mut().chain(self.lookups.values_mut()) {
             requests.retain(|&known| known != request);
         }
     }
@@ -193,7 +204,7 @@
     }
 
     /// Returns what a caller is told about a job.
-    pub fn status_of(&self, id: &JobId) -> JobStatus {
+    pub fn status_of(&self, id: &JobId, now: Time) -> JobStatus {
         if let Some(status) = self.series_status(id) {
             return status;
         }
@@ -212,7 +223,7 @@
                 Status::Failed => JobStatus::Failed,
                 Status::Cancelled => JobStatus::Cancelled,
             },
-            None if self.ledger.is_loaded() => JobStatus::Unknown,
+            None if self.ledger.is_synced(now) => JobStatus::Unknown,
             None => JobStatus::Unsure,
         }
     }
@@ -250,8 +261,39 @@
                 self.tick_ledger(now, out);
             }
             Some(false) => Self::answer(request, Answer::Cancelled, out),
-            None if self.ledger.is_loaded() => Self::answer(request, Answer::Unknown, out),
-            None => self.refuse(request, Refusal::NoStore, out),
+            // Its first write may still be made.
+            None if self.kept.is_pending(id) => self.refuse(request, Refusal::NoStore, out),
+            None => {
+                info!(job = %id, "job is not known here, looking it up");
+                let requests = self.kept.lookups.entry(id.clone()).or_default();
+                requests.push(request);
+                self.ledger.look_up(id);
+                self.tick_ledger(now, out);
+            }
+        }
+    }
+
+    /// Goes on with requests whose job was looked up.
+    pub(super) fn looked_up(
+        &mut self,
+        job: &JobId,
+        found: Lookup,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let id = job.occurrence(0);
+        let known = self.ledger.state(job).is_some();
+        if found == Lookup::Missing && *job == id {
+            // It may be a series.
+            self.ledger.look_up(&id.series());
+            return;
+        }
+        for request in self.kept.lookups.remove(&id).unwrap_or_default() {
+            match found {
+                Lookup::Found if known => self.cancel(request, &id, now, out),
+                Lookup::Missing => Self::answer(request, Answer::Unknown, out),
+                Lookup::Found | Lookup::NotRead => self.refuse(request, Refusal::NoStore, out),
+            }
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/entry/kept_events.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept_events.rs
@@ -9,7 +9,7 @@
 use super::configuration::Route;
 use super::entry::Entry;
 use super::job::TaskState;
-use super::kept::Unnoted;
+use super::kept::{Lookup, Unnoted};
 use super::submission::Submission;
 use super::{Action, Answer};
 use crate::directory::{Duty, StoreReply};
@@ -72,6 +72,9 @@
             Event::Written(id, state) => self.is_written(&id, &state, now, out),
             Event::Lost(id) => self.is_lost(&id, now, out),
             Event::Merged(id, state) => self.merged(&id, &state, now, out),
+            Event::Found(id) => self.looked_up(&id, Lookup::Found, now, out),
+            Event::Missing(id) => self.looked_up(&id, Lookup::Missing, now, out),
+            Event::NotRead(id) => self.looked_up(&id, Lookup::NotRead, now, out),
             Event::Owned(id, spec, state) => self.take_over(&id, *spec, state, now, out),
         }
     }
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -6,6 +6,7 @@
 use tracing::{debug, info};
 
 use super::commits::{Change, Commits};
+use super::lookups::Lookups;
 use super::record::{JobSpec, JobState, Owner, Status};
 use crate::directory::{Duty, JobItem, StoreCall, StoreReply};
 use crate::epoch::epoch_of;
@@ -26,7 +27,7 @@
 pub(super) const REPLY_MS: u64 = 500;
 
 /// The first and the longest pause after a failed call, in milliseconds.
-const PAUSE_MS: (u64, u64) = (40, 800);
+pub(super) const PAUSE_MS: (u64, u64) = (40, 800);
 
 /// How a ledger is set up.
 #[derive(Debug, Clone, PartialEq)]
@@ -57,6 +58,12 @@
     Lost(JobId),
     /// Another entry has noted ends in the state of a job of this entry.
     Merged(JobId, JobState),
+    /// A job that was looked up is in the store.
+    Found(JobId),
+    /// There is no such job in the store.
+    Missing(JobId),
+    /// The store did not tell whether there is such a job.
+    NotRead(JobId),
     /// This entry is now the owner of a job.
     Owned(JobId, Box<JobSpec>, JobState),
 }
@@ -104,6 +111,7 @@
     /// Jobs to take over, and the one that is being read.
     pub(super) wanted: BTreeSet<JobId>,
     pub(super) reading: Option<JobId>,
+    pub(super) lookups: Lookups,
     /// The live entries.
     pub(super) entries: BTreeSet<String>,
     /// Entries whose announcement is missing, since when.
@@ -130,6 +138,7 @@
             read: Pacing::new(PAUSE_MS, now),
             wanted: BTreeSet::new(),
             reading: None,
+            lookups: Lookups::new(now),
             entries: BTreeSet::new(),
             missing: BTreeMap::new(),
             next_scan: now,
@@ -276,7 +285,7 @@
         if !self.read.busy && !self.wanted.is_empty() {
             wake = wake.min(self.read.due);
         }
-        wake
+        wake.min(self.lookups.wake())
     }
 
     /// Makes the calls that are due, and looks for jobs without an owner.
@@ -289,6 +298,7 @@
             out.push(self.next_watch());
         }
         self.send_commits(now, out);
+        self.send_lookup(now, out);
         if !self.read.busy && now >= self.read.due && self.reading.is_none() {
             self.reading = self.wanted.pop_first();
         }
@@ -330,6 +340,7 @@
             Duty::Jobs => self.watch_answered(reply, now, out),
             Duty::Commit(lane) => self.commit_answered(lane, reply, now, out),
             Duty::Job => self.read_answered(reply, now, out),
+            Duty::Lookup => self.lookup_answered(reply, now, out),
             _ => {}
         }
     }
@@ -419,7 +430,7 @@
         self.next_scan = now;
     }
 
-    fn see(&mut self, item: JobItem, now: Time, out: &mut Vec<Event>) {
+    pub(super) fn see(&mut self, item: JobItem, now: Time, out: &mut Vec<Event>) {
         if let Some(known) = read_item(&item, now) {
             self.learn(item.job, known, out);
         }
--- a/crates/fulmarpond-dispatch/src/ledger/mod.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 mod commits;
 #[allow(clippy::module_inception)]
 mod ledger;
+mod lookups;
 mod record;
 mod takeover;
 mod writing;
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -25,6 +25,14 @@
     ..Demand::PLAIN
 };
 
+/// Is still at work when its cancelling has to be in force.
+const BULK: Demand = Demand {
+    route: 2,
+    tasks: 2,
+    run_ms: 6_000,
+    ..Demand::PLAIN
+};
+
 /// How long traffic goes on, in milliseconds.
 const LENGTH_MS: u64 = 6_000;
 
@@ -127,6 +135,53 @@
     }
 }
 
+/// Guards against a cancelling that is acknowledged by an entry which has not heard of the job yet,
+/// while the job runs on.
+#[test]
+fn cancelling_reaches_the_job_through_any_entry() {
+    for entry in 0..3 {
+        let mut world = started(1);
+        let jobs: Vec<JobId> = (0..10).map(|n| world.submit_at(n * 200, BULK)).collect();
+        for (n, job) in jobs.iter().enumerate() {
+            // Changes of other entries are seen within 120 ms.
+            world.cancel_later(n as u64 * 200 + 60, job, entry);
+        }
+        world.run_ms(10_000);
+        world.check_kept();
+        assert_eq!(world.history.broken, Vec::<String>::new());
+        assert_eq!(world.history.cancels.len(), jobs.len());
+    }
+}
+
+proptest! {
+    #![proptest_config(schedules(16))]
+
+    /// Guards against a job that runs on after its cancelling was acknowledged.
+    #[test]
+    fn cancelled_jobs_end(
+        seed in any::<u64>(),
+        faults in proptest::collection::vec((0..LENGTH_MS, fault()), 1..6),
+    ) {
+        let world = traced(|| {
+            let mut world = started(seed);
+            let bulk = (0..LENGTH_MS).step_by(500);
+            let bulk: Vec<JobId> = bulk.map(|at| world.submit_at(at, BULK)).collect();
+            submit(&mut world);
+            for (n, job) in bulk.iter().enumerate() {
+                let delay = [30, 60, 400, 2_500][n % 4];
+                world.cancel_later(world.first_ms(job) + delay, job, n % 3);
+            }
+            for &(at, fault) in &faults {
+                world.fault_at(at, fault);
+            }
+            world.run_ms(LENGTH_MS + FINISH_MS);
+            world.check_kept();
+            world
+        });
+        prop_assert!(world.history.broken.is_empty(), "{:?}", world.history.broken);
+    }
+}
+
 /// Guards against a stand-in that accepts nothing, under which every promise holds.
 #[test]
 fn calm_schedule_completes_all_jobs() {
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -37,6 +37,11 @@
         id
     }
 
+    /// Returns when a planned job is sent first, in milliseconds from now.
+    pub fn first_ms(&self, job: &JobId) -> u64 {
+        self.jobs[job].first.millis_since(self.now)
+    }
+
     pub fn reply(&self, job: &JobId) -> Option<Reply> {
         self.jobs.get(job).and_then(|job| job.reply)
     }
@@ -54,6 +59,10 @@
 
     pub(super) fn answer(&mut self, entry: usize, request: RequestNo, answer: Answer) {
         let life = self.entries[entry].life;
+        if let Some(job) = self.cancels.remove(&(entry, life, request)) {
+            self.cancel_answered(job, answer);
+            return;
+        }
         let Some((id, attempt)) = self.requests.remove(&(entry, life, request)) else {
             return;
         };
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -46,6 +46,9 @@
 /// How long a long-running task takes until it is at work, in milliseconds.
 pub const STARTUP_MS: u64 = 300;
 
+/// Runs that end later than that are checked for the lapse of their lease, in milliseconds.
+pub const LONG_MS: u64 = 1_500;
+
 /// The interval at which progress is saved, in milliseconds of work.
 pub const SAVE_MS: u64 = 200;
 
@@ -218,9 +221,10 @@
         }
     }
 
-    /// Returns when the lease of long-running tasks runs out, if there are any.
+    /// Returns when the lease runs out, if runs don't end before that.
     pub fn long_lapse(&self, now: Time) -> Option<Time> {
-        let any = self.runs.values().any(|run| run.long_running);
+        let soon = now.after_millis(LONG_MS);
+        let any = self.runs.values().any(|run| run.ends > soon);
         let left = (self.lease - self.clock(now)).max(0) as f64;
         any.then(|| now.after_millis((left / self.rate) as u64 + 2))
     }
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -6,9 +6,15 @@
 use fulmarpond_dispatch::entry::Answer;
 use fulmarpond_dispatch::{JobId, TaskKey};
 
+use super::world::STOP_MS;
+
 /// How often a task may fail.
 pub const ATTEMPTS: u32 = 4;
 
+/// How long after the acknowledgement of a cancelling a task of the job may still start, in
+/// milliseconds.
+const CANCEL_MS: u64 = 3_000;
+
 /// The events that the promises speak about.
 #[derive(Debug, Default)]
 pub struct History {
@@ -40,6 +46,8 @@
     pub stopped: HashMap<TaskKey, (usize, u32)>,
     /// Jobs that were cancelled.
     pub cancelled: HashSet<JobId>,
+    /// When the cancelling of a job was acknowledged, in milliseconds.
+    pub cancels: HashMap<JobId, u64>,
 }
 
 impl History {
@@ -55,6 +63,12 @@
             let text = format!("{task} started at {endpoint} after its end was noted, {at_ms} ms");
             self.broken.push(text);
         }
+        if let Some(at) = self.cancels.get(&task.job)
+            && at_ms > at + CANCEL_MS
+        {
+            let text = format!("{task} started at {at_ms} ms, it was cancelled at {at} ms");
+            self.broken.push(text);
+        }
         self.started_at.insert(task.clone(), at_ms);
         *self.starts.entry(task.job.clone()).or_default() += 1;
     }
@@ -65,6 +79,12 @@
         {
             live.remove(position);
         }
+        if let Some(at) = self.cancels.get(&task.job)
+            && at_ms > at + CANCEL_MS + STOP_MS
+        {
+            let text = format!("{task} ran until {at_ms} ms, it was cancelled at {at} ms");
+            self.broken.push(text);
+        }
         if how == EndHow::Done {
             self.done.insert(task.clone());
             self.done_at.insert((task.clone(), endpoint), at_ms);
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -227,7 +227,7 @@
         if !self.endpoints[agent].runs.is_empty() {
             self.after_ms(5, Event::Check(agent));
         }
-        // No end of its own leads to a check of a run that goes on until it is stopped.
+        // No end of its own leads to a check of a run that goes on for long.
         if let Some(lapse) = self.endpoints[agent].long_lapse(self.now) {
             self.at(lapse, Event::Lapse(agent));
         }
--- a/crates/fulmarpond-dispatch/tests/support/store.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store.rs
@@ -113,6 +113,7 @@
                 at,
             },
             StoreCall::WatchJobs { after, .. } => self.job_changes(*after)?,
+            StoreCall::ReadState { job } => StoreReply::State(self.item(job)),
             StoreCall::ReadJob { job } => StoreReply::Job {
                 spec: self.jobs.get(job).map(|item| item.spec.clone()),
             },
--- a/crates/fulmarpond-dispatch/tests/support/stored.rs
+++ b/crates/fulmarpond-dispatch/tests/support/stored.rs
@@ -3,7 +3,7 @@
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::JobId;
 use fulmarpond_dispatch::directory::{self, Announced, Directory, Duty, StoreCall, StoreReply};
-use fulmarpond_dispatch::entry::{JobStatus, RequestNo};
+use fulmarpond_dispatch::entry::{Answer, JobStatus, RequestNo};
 use fulmarpond_dispatch::ledger::Status;
 use rand::RngExt;
 
@@ -160,7 +160,10 @@
             return;
         }
         self.store_answered.insert(by);
-        if matches!(duty, Duty::Jobs | Duty::Commit(_) | Duty::Job) {
+        if matches!(
+            duty,
+            Duty::Jobs | Duty::Commit(_) | Duty::Job | Duty::Lookup
+        ) {
             self.with_entry(entry, |core, now, out| {
                 core.store_answered(duty, outcome, now, out);
             });
@@ -265,7 +268,7 @@
     /// Returns what the first entry tells about a job.
     pub fn status(&self, job: &JobId) -> JobStatus {
         let core = self.entries[0].core.as_ref();
-        core.map_or(JobStatus::Unsure, |core| core.status_of(job))
+        core.map_or(JobStatus::Unsure, |core| core.status_of(job, self.now))
     }
 
     /// Cancels a job at the first entry.
@@ -278,9 +281,32 @@
         self.next += 1;
         self.history.cancelled.insert(job.clone());
         let request = RequestNo(self.next);
+        let life = self.entries[entry].life;
+        self.cancels.insert((entry, life, request), job.clone());
         self.with_entry(entry, |core, now, out| core.cancel(request, job, now, out));
     }
 
+    /// Plans the cancelling of a job, if it is accepted by then.
+    pub fn cancel_later(&mut self, millis: u64, job: &JobId, entry: usize) {
+        self.after_ms(millis, Event::Cancel(job.clone(), entry));
+    }
+
+    pub(super) fn cancel_accepted(&mut self, job: &JobId, entry: usize) {
+        let up = self.entries[entry].core.is_some() && self.entries[entry].paused <= self.now;
+        if up && self.history.accepted.contains(job) {
+            self.cancel_at(job, entry);
+        }
+    }
+
+    /// Takes the answer to a cancelling.
+    pub(super) fn cancel_answered(&mut self, job: JobId, answer: Answer) {
+        // A caller takes both for an acknowledgement.
+        if matches!(answer, Answer::Cancelled | Answer::Unknown) {
+            let at = self.elapsed_ms();
+            self.history.cancels.entry(job).or_insert(at);
+        }
+    }
+
     /// Adds the promises that the jobs in the store break: accepted ones that are gone, not ended,
     /// or have another end than their tasks.
     pub fn check_kept(&mut self) {
@@ -297,6 +323,11 @@
             };
             match self.store.state(&name).map(|state| state.status) {
                 None => broken.push(format!("{id} was accepted and is gone")),
+                Some(Status::Open) if self.history.cancels.contains_key(id) => {
+                    broken.push(format!(
+                        "{id} is open after its cancelling was acknowledged"
+                    ));
+                }
                 Some(Status::Open) if job.demand.long_running => {
                     let running = self.history.running(id, tasks);
                     if running < usize::from(tasks) {
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -90,6 +90,7 @@
     Beat(usize, u32),
     Submit(JobId, u32),
     Left(JobId, u32),
+    Cancel(JobId, usize),
     Fault(Fault),
     Heal(Fault),
     StartEntry(usize),
@@ -141,6 +142,8 @@
     pub(super) answered: HashSet<(usize, u32, CallNo)>,
     pub(super) jobs: HashMap<JobId, Job>,
     pub(super) requests: HashMap<(usize, u32, RequestNo), (JobId, u32)>,
+    /// Requests that cancel a job.
+    pub(super) cancels: HashMap<(usize, u32, RequestNo), JobId>,
     pub(super) needs: HashMap<JobId, Demand>,
     pub(super) configuration: Configuration,
     /// When an agent acknowledged that its endpoint drains, and when the agent last started.
@@ -190,6 +193,7 @@
             answered: HashSet::new(),
             jobs: HashMap::new(),
             requests: HashMap::new(),
+            cancels: HashMap::new(),
             needs: HashMap::new(),
             configuration: Configuration::new(1, routes.collect(), None),
             drained: HashMap::new(),
@@ -576,6 +580,7 @@
             Event::Beat(agent, incarnation) => self.beat(agent, incarnation),
             Event::Submit(id, attempt) => self.submit(&id, attempt),
             Event::Left(id, attempt) => self.leave(&id, attempt),
+            Event::Cancel(id, entry) => self.cancel_accepted(&id, entry),
             Event::Fault(fault) => self.fault(fault),
             Event::Heal(fault) => self.heal(fault),
             Event::StartEntry(entry) => self.start_entry(entry),
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -35,7 +35,7 @@
 const LAST_MS: u64 = 700;
 
 /// The most connections to the store: one for each duty.
-const STORE_CONNECTIONS: usize = 10;
+const STORE_CONNECTIONS: usize = 11;
 
 /// The process of an entry.
 pub(super) struct EntryProcess {
@@ -272,7 +272,7 @@
                 }
             },
             Ask::State(job) => {
-                let status = self.entry.status_of(&job);
+                let status = self.entry.status_of(&job, now);
                 self.reactor.respond(id, &caller::state(status));
             }
             Ask::Cancel(job) => self.entry.cancel(number, &job, now, &mut self.actions),
@@ -318,7 +318,10 @@
                 error.refusal().map(Err)
             }
         };
-        if matches!(duty, Duty::Jobs | Duty::Commit(_) | Duty::Job) {
+        if matches!(
+            duty,
+            Duty::Jobs | Duty::Commit(_) | Duty::Job | Duty::Lookup
+        ) {
             self.entry
                 .store_answered(duty, reply, now, &mut self.actions);
             return;
