--- a/crates/fulmarpond-dispatch/tests/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/faults.rs
@@ -51,6 +51,60 @@
     back: u64,
 }
 
+/// The interval of jobs that measure when service is as before, in milliseconds.
+const PROBE_MS: u64 = 20;
+
+/// Returns after what time all jobs were served in time again, in milliseconds after the faults.
+fn recovery_ms(seed: u64, faults: &[Fault]) -> u64 {
+    let mut world = World::new(Options {
+        seed,
+        ..Options::default()
+    });
+    world.run_ms(500);
+    for &fault in faults {
+        world.fault_at(0, fault);
+    }
+    let times = (0..6_000).step_by(PROBE_MS as usize);
+    let jobs: Vec<_> = times.map(|at| (at, world.submit_at(at, JOB))).collect();
+    world.run_ms(16_000);
+    assert_eq!(world.history.broken, Vec::<String>::new());
+    let in_time = |job: &JobId| world.on_time(std::slice::from_ref(job)) == 1.0;
+    let mut jobs = jobs.iter();
+    let late = jobs.rfind(|(_, job)| !in_time(job));
+    late.map_or(0, |(at, _)| at + PROBE_MS)
+}
+
+/// Guards against a fleet that does not serve as before after the loss of a zone or of all power.
+///
+/// `--nocapture` prints the times.
+#[test]
+fn service_returns_after_larger_losses() {
+    let host = |agent| {
+        let crash = Fault::Endpoint(agent, Trouble::Gone, 2_000);
+        [Fault::KillAgent(agent), crash]
+    };
+    let zone: Vec<Fault> = [0, 2].into_iter().flat_map(host).collect();
+    let zone = [vec![Fault::PowerOffEntry(0)], zone].concat();
+    let all: Vec<Fault> = (0..4).flat_map(host).collect();
+    let all = [vec![Fault::PowerOffEntry(0), Fault::PowerOffEntry(1)], all].concat();
+    // The platform's bound is 12 s after the machines are back, which takes 2 s here.
+    let losses = [
+        ("one entry", vec![Fault::KillEntry(0)], 1_500),
+        ("one agent", vec![Fault::KillAgent(1)], 2_500),
+        ("one host with its endpoint", host(1).to_vec(), 4_500),
+        ("a zone", zone, 4_500),
+        ("all power", all, 4_500),
+    ];
+    for (name, faults, bound) in losses {
+        let times: Vec<u64> = (1..6).map(|seed| recovery_ms(seed, &faults)).collect();
+        println!("{name}: {times:?} ms");
+        assert!(
+            times.iter().all(|&time| time <= bound),
+            "{name}: {times:?} ms"
+        );
+    }
+}
+
 /// Guards against a slow return: service is as before soon after each kind of loss.
 #[test]
 fn service_returns_after_each_loss() {
