fix(maintenance): take the duty again that the store still has for this entry

A holder whose renewals are not answered gives the duty up.

Change: an entry asks for the revision under which it had the duty last, if its lease is the same. The key is written anew, so its token rises.

The checks of the stand-in for cancelled jobs hold 3 s after the last fault, as the platform's rule says: an owner that the store turns away learns of a cancelling later.

--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -108,10 +108,12 @@
     ListWaves,
     /// Reads which waves are over.
     ListWaveStates,
-    /// Takes the duty to maintain hosts, if nobody has it.
+    /// Takes the duty to maintain hosts, if nobody else has it.
     TakeDuty {
         /// The lease that it ends with.
         lease: u64,
+        /// The revision at which this entry took it last, if it may still have it; 0 otherwise.
+        expected: u64,
     },
     /// Tells the operator how far a wave is, if this entry still has the duty.
     WriteWaveState {
--- a/crates/fulmarpond-dispatch/src/maintenance/duty.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/duty.rs
@@ -19,6 +19,9 @@
 #[derive(Debug)]
 pub(super) struct Duty {
     held: Option<Held>,
+    /// The lease and the token under which this entry had the duty last: the store may still have it
+    /// if only its answers were missing.
+    last: Option<(u64, u64)>,
     /// When the duty may be asked for again.
     retry: Time,
 }
@@ -37,10 +40,17 @@
     pub(super) const fn new(now: Time) -> Self {
         Self {
             held: None,
+            last: None,
             retry: now,
         }
     }
 
+    /// Returns the revision that the duty must have to be taken under a lease.
+    pub(super) fn expected(&self, lease: u64) -> u64 {
+        let own = self.last.filter(|(known, _)| *known == lease);
+        own.map_or(0, |(_, fence)| fence)
+    }
+
     /// Gives the duty up if the lease that it was taken under has ended or may have. Returns whether
     /// it was held until now.
     pub(super) fn check(&mut self, lease: Option<Lease>, now: Time) -> bool {
@@ -69,9 +79,16 @@
     pub(super) fn taken(&mut self, lease: u64, fence: u64, from: Time) {
         info!(fence, "duty to maintain hosts is taken");
         self.held = Some(Held { lease, fence, from });
+        self.last = Some((lease, fence));
+    }
+
+    /// Notes that another entry has the duty.
+    pub(super) fn refused(&mut self, now: Time) {
+        self.last = None;
+        self.missed(now);
     }
 
-    /// Notes that another entry has the duty, or that the store did not answer.
+    /// Notes that the store did not answer.
     pub(super) fn missed(&mut self, now: Time) {
         self.retry = now.after_millis(RETRY_MS);
     }
--- a/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
@@ -208,8 +208,9 @@
         let Some(fence) = self.duty.fence(now) else {
             let lease = lease.filter(|lease| now < lease.end)?;
             let wanted = self.duty.is_wanted(now);
-            return wanted.then_some(StoreCall::TakeDuty {
+            return wanted.then(|| StoreCall::TakeDuty {
                 lease: lease.number,
+                expected: self.duty.expected(lease.number),
             });
         };
         let mut waves = self.waves.values();
@@ -240,13 +241,13 @@
             (StoreCall::ListWaveStates, StoreReply::CompletedWaves(completed)) => {
                 self.states_read(completed, now);
             }
-            (StoreCall::TakeDuty { lease }, StoreReply::Committed { revision }) => {
+            (StoreCall::TakeDuty { lease, .. }, StoreReply::Committed { revision }) => {
                 let from = now.after_millis(self.options.handover);
                 self.duty.taken(lease, revision, from);
                 self.lose_progress(now);
             }
             (StoreCall::TakeDuty { .. }, _) => {
-                self.duty.missed(now);
+                self.duty.refused(now);
                 // The holder may have completed the waves.
                 self.stale = true;
             }
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -6,14 +6,38 @@
 use super::endpoint::{Endpoint, Trouble};
 use super::world::{Event, Fault, LOCAL_US, World};
 
+/// How long after a fault all processes are in touch again, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+
 /// How long a process takes to stop gracefully, in milliseconds.
 const STOPPING_MS: u64 = 3_000;
 
 /// How long the runs of an agent that stops may go on, in milliseconds.
 const LAST_RUNS_MS: u64 = 4_500;
 
+impl Fault {
+    /// Returns how long it lasts, in milliseconds.
+    const fn length_ms(self) -> u64 {
+        match self {
+            Self::PauseEntry(_, millis)
+            | Self::PauseAgent(_, millis)
+            | Self::Cut(_, _, millis)
+            | Self::Endpoint(_, _, millis)
+            | Self::Store(_, millis)
+            | Self::StoreCut(_, millis, _)
+            | Self::HostReplies(_, millis)
+            | Self::HostService(millis) => millis,
+            Self::RollEntry(_) => STOPPING_MS,
+            Self::RollAgent(_) => LAST_RUNS_MS,
+            _ => 0,
+        }
+    }
+}
+
 impl World {
     pub(super) fn fault(&mut self, fault: Fault) {
+        let over = self.elapsed_ms() + fault.length_ms() + CONTACT_MS;
+        self.history.disturbed_until = self.history.disturbed_until.max(over);
         match fault {
             Fault::KillEntry(entry) => self.kill_entry(entry, true),
             Fault::PowerOffEntry(entry) => self.kill_entry(entry, false),
