fix(ledger): keep the condition of a change that is sent again

Each waiting change of a job shares one condition, the revision of the state it is derived from. A cancelling replaced it while another change of the job had no outcome yet; that change was then sent again under the new condition and overwrote a state that it did not know.

Found by random schedules with cancellings (kept.rs): the first write of a job, refused by an entry that the store turned away, overwrote the same job that another entry had accepted meanwhile, and its tasks ran twice. Ruled out: the leases, which were all in force.

Change: a cancelling keeps the condition of a change under way; a conflict with that change does not drop a cancelling that waits behind it.

cancelling_keeps_the_condition_of_a_change_that_is_sent_again loses an end that another entry noted before, and keeps it after; the schedule holds.

--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -245,6 +245,12 @@
             .ledger
             .state(id)
             .map(|state| state.status == Status::Open);
+        if self.kept.is_pending(id) {
+            // Its first write may still be made, and would run it.
+            info!(job = %id, "job is being kept, its cancelling has to come again");
+            self.refuse(request, Refusal::NoStore, out);
+            return;
+        }
         match open {
             Some(true) => {
                 info!(job = %id, "job is being cancelled");
@@ -261,8 +267,6 @@
                 self.tick_ledger(now, out);
             }
             Some(false) => Self::answer(request, Answer::Cancelled, out),
-            // Its first write may still be made.
-            None if self.kept.is_pending(id) => self.refuse(request, Refusal::NoStore, out),
             None => {
                 info!(job = %id, "job is not known here, looking it up");
                 let requests = self.kept.lookups.entry(id.clone()).or_default();
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -236,7 +236,10 @@
         }
         let mut state = known.state.clone();
         state.status = Status::Cancelled;
-        self.bases.insert(job.clone(), known.revision);
+        // A change without an outcome is sent again under its own condition.
+        if !self.commits.is_sent(job) {
+            self.bases.insert(job.clone(), known.revision);
+        }
         self.change(job, state);
         true
     }
--- a/crates/fulmarpond-dispatch/src/ledger/writing.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/writing.rs
@@ -196,10 +196,8 @@
             let was_fresh = self.settle(&job);
             let own = known.state.owner == self.options.owner;
             let open = known.state.status == Status::Open;
-            let cancels = change
-                .state
-                .as_ref()
-                .is_some_and(|state| state.status == Status::Cancelled);
+            let wanted = newer.as_ref().unwrap_or(&change).state.as_ref();
+            let cancels = wanted.is_some_and(|state| state.status == Status::Cancelled);
             let state = known.state.clone();
             self.jobs.insert(job.clone(), known);
             if was_fresh {
--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -162,26 +162,49 @@
         seed in any::<u64>(),
         faults in proptest::collection::vec((0..LENGTH_MS, fault()), 1..6),
     ) {
-        let world = traced(|| {
-            let mut world = started(seed);
-            let bulk = (0..LENGTH_MS).step_by(500);
-            let bulk: Vec<JobId> = bulk.map(|at| world.submit_at(at, BULK)).collect();
-            submit(&mut world);
-            for (n, job) in bulk.iter().enumerate() {
-                let delay = [30, 60, 400, 2_500][n % 4];
-                world.cancel_later(world.first_ms(job) + delay, job, n % 3);
-            }
-            for &(at, fault) in &faults {
-                world.fault_at(at, fault);
-            }
-            world.run_ms(LENGTH_MS + FINISH_MS);
-            world.check_kept();
-            world
-        });
+        let world = play_cancels(seed, &faults);
         prop_assert!(world.history.broken.is_empty(), "{:?}", world.history.broken);
     }
 }
 
+/// Plays a schedule in which jobs that take long are cancelled through all entries.
+fn play_cancels(seed: u64, faults: &[(u64, Fault)]) -> World {
+    traced(|| {
+        let mut world = started(seed);
+        let bulk = (0..LENGTH_MS).step_by(500);
+        let bulk: Vec<JobId> = bulk.map(|at| world.submit_at(at, BULK)).collect();
+        submit(&mut world);
+        for (n, job) in bulk.iter().enumerate() {
+            let delay = [30, 60, 400, 2_500][n % 4];
+            world.cancel_later(world.first_ms(job) + delay, job, n % 3);
+        }
+        for &(at, fault) in faults {
+            world.fault_at(at, fault);
+        }
+        world.run_ms(LENGTH_MS + FINISH_MS);
+        world.check_kept();
+        world
+    })
+}
+
+/// Guards against the return of faults that the schedules of cancellings have found.
+#[test]
+fn schedules_of_cancellings_that_once_failed_hold() {
+    let cases = [Regression {
+        cause: "a cancelling gave the first write of its job the condition of another state",
+        seed: 14_442_333_707_024_354_729,
+        faults: &[
+            (2_007, Fault::Endpoint(2, Trouble::Hang, 476)),
+            (5_155, Fault::StoreCut(2, 2_127, false)),
+            (2_573, Fault::KillEntry(1)),
+        ],
+    }];
+    for case in cases {
+        let world = play_cancels(case.seed, case.faults);
+        assert_eq!(world.history.broken, Vec::<String>::new(), "{}", case.cause);
+    }
+}
+
 /// Guards against a stand-in that accepts nothing, under which every promise holds.
 #[test]
 fn calm_schedule_completes_all_jobs() {
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -8,7 +8,7 @@
 use fulmarpond_dispatch::ledger::{
     Event, JobSpec, JobState, Ledger, LedgerOptions, Owner, Status, StepProgress,
 };
-use fulmarpond_dispatch::{JobId, decode, encode};
+use fulmarpond_dispatch::{JobId, Outcome, TaskEnd, TaskKey, decode, encode};
 
 /// The lane of the first change.
 const COMMIT: Duty = Duty::Commit(Lane(0));
@@ -411,3 +411,58 @@
     store.commit(&rows);
     assert_eq!(store.state(&job(1)).status, Status::Cancelled);
 }
+
+/// Guards against a change that overwrites a newer state: its answer was lost, the state has changed
+/// since, and the job is cancelled here before the change is sent again.
+#[test]
+fn cancelling_keeps_the_condition_of_a_change_that_is_sent_again() {
+    let mut store = Store::default();
+    store.commit(&[CommitRow {
+        job: job(1),
+        expected: 0,
+        spec: None,
+        state: Some(encode(&open(owner("two", 1)))),
+    }]);
+    let mut ledger = ledger("one", 2);
+    load(&mut ledger, &store, START);
+    let end = TaskEnd {
+        task: TaskKey {
+            job: job(1),
+            step: 0,
+            index: 4,
+        },
+        outcome: Outcome::Done,
+        run: 1,
+        elapsed: 0,
+    };
+    assert!(ledger.merge(&end));
+    commit(&mut ledger, START);
+    let mut newer = open(owner("two", 1));
+    newer.steps[0].set_done(7);
+    store.commit(&[CommitRow {
+        job: job(1),
+        expected: 1,
+        spec: None,
+        state: Some(encode(&newer)),
+    }]);
+    let seen = StoreReply::JobChanges {
+        items: vec![store.item(&job(1)).expect("a state")],
+        removed: Vec::new(),
+        at: 2,
+    };
+    answer(&mut ledger, Duty::Jobs, Some(seen), START);
+    ledger.cancel(&job(1));
+    answer(&mut ledger, COMMIT, None, START);
+    for round in 1..4 {
+        let now = START.after_millis(round * 1_000);
+        let rows = commit(&mut ledger, now);
+        let reply = store.commit(&rows);
+        answer(&mut ledger, COMMIT, Some(reply), now);
+        if store.state(&job(1)).status == Status::Cancelled {
+            break;
+        }
+    }
+    let state = store.state(&job(1));
+    assert_eq!(state.status, Status::Cancelled);
+    assert!(state.steps[0].is_done(7));
+}
