fix(directory): ask for the configuration often while there is none

The entries were back at 43.02 s and refused 169 requests without a configuration until 43.96 s; their reads failed at 0.01, 0.07, 0.19, 0.43 s and got an answer at 0.92 s. Each pause was twice as long as the one before.

Ruled out: the agents, which had lost their copies with the power and were linked at 43.04 s.

Change: until a configuration was read, the pause after a failed read is at most 80 ms. An entry that has one asks as before.

Test: the longest pause in 5 s without an answer is 800 ms before and 80 ms after.

--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -26,6 +26,10 @@
 /// The first and the longest pause after a failed call, in milliseconds.
 const PAUSE_MS: (u64, u64) = (60, 800);
 
+/// The longest pause after a failed read of the configuration while there is none, in milliseconds:
+/// the entry refuses everything until then.
+const FIRST_PAUSE_MS: u64 = 80;
+
 /// The time to live of an announcement, in milliseconds.
 pub const LEASE_MS: u64 = 6_000;
 
@@ -330,6 +334,8 @@
 #[derive(Debug)]
 pub struct Directory {
     configuration: Progress,
+    /// Whether a configuration was read.
+    configured: bool,
     entries: Progress,
     announcement: Progress,
     lease: Option<u64>,
@@ -349,6 +355,7 @@
     pub const fn new(now: Time) -> Self {
         Self {
             configuration: Progress::new(now),
+            configured: false,
             entries: Progress::new(now),
             announcement: Progress::new(now),
             lease: None,
@@ -471,6 +478,10 @@
         progress.pacing.busy = false;
         let Some(reply) = reply else {
             progress.pacing.failed(now);
+            if duty == Duty::Configuration && !self.configured {
+                let due = &mut self.configuration.pacing.due;
+                *due = (*due).min(now.after_millis(FIRST_PAUSE_MS));
+            }
             self.lost(duty, now);
             return;
         };
@@ -495,7 +506,10 @@
             (Duty::Configuration, StoreReply::Configuration { value, at }) => {
                 self.configuration.at = Some(at);
                 match value {
-                    Some(value) => out.push(Action::Configured(value)),
+                    Some(value) => {
+                        self.configured = true;
+                        out.push(Action::Configured(value));
+                    }
                     None => warn!(at, "no readable configuration in the store"),
                 }
             }
