fix(maintenance): wait for the last order of an entry whose key was taken away

The store may take the keys of an entry away without telling it. It went on with its orders until its lease could be over, up to 5.5 s, while the next holder began after 3 s: two hosts were away where one may be (maintenance.rs), since tokens are compared for each host separately.

Change: a new holder waits 7 s if another entry may have had the duty, and not at all if none has had it: the first holder leaves a key that stays.

--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -118,6 +118,8 @@
         lease: u64,
         /// The revision at which this entry took it last, if it may still have it; 0 otherwise.
         expected: u64,
+        /// Whether no entry may have had it before.
+        first: bool,
     },
     /// Tells the operator how far a wave is, if this entry still has the duty.
     WriteWaveState {
--- a/crates/fulmarpond-dispatch/src/maintenance/duty.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/duty.rs
@@ -22,6 +22,8 @@
     /// The lease and the token under which this entry had the duty last: the store may still have it
     /// if only its answers were missing.
     last: Option<(u64, u64)>,
+    /// Whether another entry is known to have had the duty.
+    inherited: bool,
     /// When the duty may be asked for again.
     retry: Time,
 }
@@ -41,6 +43,7 @@
         Self {
             held: None,
             last: None,
+            inherited: false,
             retry: now,
         }
     }
@@ -70,6 +73,11 @@
         self.held.is_none() && now >= self.retry
     }
 
+    /// Returns whether no entry is known to have had the duty before.
+    pub(super) const fn is_first(&self) -> bool {
+        !self.inherited && self.last.is_none()
+    }
+
     /// Returns the fencing token, if orders may be given.
     pub(super) fn fence(&self, now: Time) -> Option<u64> {
         let held = self.held.filter(|held| now >= held.from)?;
@@ -82,10 +90,15 @@
         self.last = Some((lease, fence));
     }
 
-    /// Notes that another entry has the duty.
+    /// Notes that another entry has the duty, or has had it.
     pub(super) fn refused(&mut self, now: Time) {
         self.last = None;
-        self.missed(now);
+        if self.inherited {
+            self.missed(now);
+        } else {
+            // The key of the present holder may be gone: that is asked for at once.
+            self.inherited = true;
+        }
     }
 
     /// Notes that the store did not answer.
--- a/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
@@ -9,7 +9,7 @@
 use super::duty::{Duty, Lease};
 use super::wave::{Progress, Step, Wave, Work};
 use crate::EndpointId;
-use crate::directory::{StoreCall, StoreReply};
+use crate::directory::{LEASE_MS, StoreCall, StoreReply};
 use crate::pacing::Pacing;
 
 /// How long a call to the store may take, in milliseconds.
@@ -30,12 +30,16 @@
 /// The pause after the service for hosts has refused a call as one too many, in milliseconds.
 const TOO_MANY_MS: u64 = 1_000;
 
+/// How long an earlier holder of the duty may still give orders, in milliseconds: its announcement may
+/// have been taken away without its knowledge, and its last order may be on its way.
+const LAST_ORDER_MS: u64 = LEASE_MS + HOSTS_MS;
+
 /// How maintenance is set up.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MaintenanceOptions {
     /// The name of the entry.
     pub holder: String,
-    /// How long a new holder of the duty waits before its first order, in milliseconds.
+    /// How long a new holder of the duty waits at least before its first order, in milliseconds.
     pub handover: u64,
 }
 
@@ -211,6 +215,7 @@
             return wanted.then(|| StoreCall::TakeDuty {
                 lease: lease.number,
                 expected: self.duty.expected(lease.number),
+                first: self.duty.is_first(),
             });
         };
         let mut waves = self.waves.values();
@@ -241,9 +246,20 @@
             (StoreCall::ListWaveStates, StoreReply::CompletedWaves(completed)) => {
                 self.states_read(completed, now);
             }
-            (StoreCall::TakeDuty { lease, .. }, StoreReply::Committed { revision }) => {
-                let from = now.after_millis(self.options.handover);
-                self.duty.taken(lease, revision, from);
+            (
+                StoreCall::TakeDuty {
+                    lease,
+                    expected,
+                    first,
+                },
+                StoreReply::Committed { revision },
+            ) => {
+                let wait = if first || expected > 0 {
+                    0
+                } else {
+                    self.options.handover.max(LAST_ORDER_MS)
+                };
+                self.duty.taken(lease, revision, now.after_millis(wait));
                 self.lose_progress(now);
             }
             (StoreCall::TakeDuty { .. }, _) => {
