--- a/crates/fulmarpond-dispatch/tests/kept.rs
+++ b/crates/fulmarpond-dispatch/tests/kept.rs
@@ -5,7 +5,7 @@
 use fulmarpond_dispatch::JobId;
 use fulmarpond_dispatch::entry::Answer;
 use proptest::prelude::*;
-use support::{Demand, Fault, Options, StoreTrouble, Trouble, World, schedules, traced};
+use support::{Demand, Fault, Regression, StoreTrouble, Trouble, World, schedules, traced};
 
 const PLATE: Demand = Demand {
     tasks: 3,
@@ -82,17 +82,6 @@
     ]
 }
 
-fn started(seed: u64) -> World {
-    let mut world = World::new(Options {
-        seed,
-        entries: 3,
-        kept: true,
-        ..Options::default()
-    });
-    world.run_ms(1_000);
-    world
-}
-
 fn submit(world: &mut World) -> Vec<JobId> {
     let mut jobs = Vec::new();
     for at in (0..LENGTH_MS).step_by(110) {
@@ -109,7 +98,7 @@
 }
 
 fn schedule(seed: u64, faults: &[(u64, Fault)]) -> World {
-    let mut world = started(seed);
+    let mut world = World::with_store(seed);
     submit(&mut world);
     for &(at, fault) in faults {
         world.fault_at(at, fault);
@@ -140,7 +129,7 @@
 #[test]
 fn cancelling_reaches_the_job_through_any_entry() {
     for entry in 0..3 {
-        let mut world = started(1);
+        let mut world = World::with_store(1);
         let jobs: Vec<JobId> = (0..10).map(|n| world.submit_at(n * 200, BULK)).collect();
         for (n, job) in jobs.iter().enumerate() {
             // Changes of other entries are seen within 120 ms.
@@ -170,7 +159,7 @@
 /// Plays a schedule in which jobs that take long are cancelled through all entries.
 fn play_cancels(seed: u64, faults: &[(u64, Fault)]) -> World {
     traced(|| {
-        let mut world = started(seed);
+        let mut world = World::with_store(seed);
         let bulk = (0..LENGTH_MS).step_by(500);
         let bulk: Vec<JobId> = bulk.map(|at| world.submit_at(at, BULK)).collect();
         submit(&mut world);
@@ -208,7 +197,7 @@
 /// Guards against a stand-in that accepts nothing, under which every promise holds.
 #[test]
 fn calm_schedule_completes_all_jobs() {
-    let mut world = started(1);
+    let mut world = World::with_store(1);
     let jobs = submit(&mut world);
     world.run_ms(LENGTH_MS + FINISH_MS);
     world.check_kept();
@@ -216,12 +205,6 @@
     assert_eq!(world.history.accepted.len(), jobs.len());
 }
 
-struct Regression {
-    cause: &'static str,
-    seed: u64,
-    faults: &'static [(u64, Fault)],
-}
-
 /// Guards against the return of faults that the schedules have found.
 #[test]
 fn schedules_that_once_failed_hold() {
@@ -277,7 +260,7 @@
 /// one change at a time limited an entry to some 25 jobs a second.
 #[test]
 fn slow_store_accepts_what_its_rate_allows() {
-    let mut world = started(1);
+    let mut world = World::with_store(1);
     world.fault_at(0, Fault::Store(StoreTrouble::Slow(240), 60_000));
     // 100 jobs a second at three entries.
     let jobs: Vec<JobId> = (0..600)
--- a/crates/fulmarpond-dispatch/tests/long_running.rs
+++ b/crates/fulmarpond-dispatch/tests/long_running.rs
@@ -5,7 +5,7 @@
 use fulmarpond_dispatch::JobId;
 use fulmarpond_dispatch::entry::JobStatus;
 use proptest::prelude::*;
-use support::{Demand, Fault, Options, StoreTrouble, Trouble, World, schedules, traced};
+use support::{Demand, Fault, Regression, StoreTrouble, Trouble, World, schedules, traced};
 
 /// Takes half of the room of the stand-in.
 const SERVER: Demand = Demand {
@@ -29,19 +29,8 @@
 /// job is taken over.
 const FINISH_MS: u64 = 24_000;
 
-fn started(seed: u64) -> World {
-    let mut world = World::new(Options {
-        seed,
-        entries: 3,
-        kept: true,
-        ..Options::default()
-    });
-    world.run_ms(1_000);
-    world
-}
-
 fn with_server(seed: u64) -> (World, JobId) {
-    let mut world = started(seed);
+    let mut world = World::with_store(seed);
     let job = world.submit_at(0, SERVER);
     world.run_ms(2_000);
     assert_eq!(world.history.running(&job, SERVER.tasks), 4);
@@ -203,7 +192,7 @@
 #[test]
 fn tasks_of_a_stopping_agent_are_moved_one_by_one() {
     for seed in 1..4 {
-        let mut world = started(seed);
+        let mut world = World::with_store(seed);
         let job = world.submit_at(0, FLEET);
         for agent in 0..4_u64 {
             world.fault_at(2_000 + agent * 8_000, Fault::RollAgent(agent as usize));
@@ -221,7 +210,7 @@
 /// Guards against tasks that stay at an endpoint until it has left.
 #[test]
 fn tasks_are_moved_away_from_an_endpoint_that_leaves() {
-    let mut world = started(1);
+    let mut world = World::with_store(1);
     let job = world.submit_at(0, FLEET);
     world.run_ms(2_000);
     let there = world.endpoints[1].runs.len();
@@ -236,7 +225,7 @@
 /// Guards against tasks that are stopped at an endpoint that leaves although no other has room.
 #[test]
 fn tasks_stay_where_they_are_without_room_elsewhere() {
-    let mut world = started(1);
+    let mut world = World::with_store(1);
     let full = Demand { tasks: 16, ..FLEET };
     let job = world.submit_at(0, full);
     world.fault_at(2_000, Fault::Drain(1));
@@ -318,7 +307,7 @@
 
 fn play(seed: u64, faults: &[(u64, Fault)]) -> Vec<String> {
     traced(|| {
-        let mut world = started(seed);
+        let mut world = World::with_store(seed);
         let cancelled = world.submit_at(0, SERVER);
         let long = Demand {
             tasks: 2,
@@ -358,12 +347,6 @@
     }
 }
 
-struct Regression {
-    cause: &'static str,
-    seed: u64,
-    faults: &'static [(u64, Fault)],
-}
-
 /// Guards against the return of faults that the schedules have found.
 #[test]
 fn schedules_that_once_failed_hold() {
--- a/crates/fulmarpond-dispatch/tests/series.rs
+++ b/crates/fulmarpond-dispatch/tests/series.rs
@@ -4,7 +4,7 @@
 
 use fulmarpond_dispatch::entry::JobStatus;
 use proptest::prelude::*;
-use support::{Demand, Fault, Options, StoreTrouble, World, schedules, traced};
+use support::{Demand, Fault, StoreTrouble, World, schedules, traced};
 
 /// Five occurrences, every 800 ms, the first 1 s after the job was sent.
 const SERIES: Demand = Demand {
@@ -21,21 +21,10 @@
     ..SERIES
 };
 
-fn started(seed: u64) -> World {
-    let mut world = World::new(Options {
-        seed,
-        entries: 3,
-        kept: true,
-        ..Options::default()
-    });
-    world.run_ms(1_000);
-    world
-}
-
 /// Guards against occurrences that start early, late, or not at all.
 #[test]
 fn occurrences_start_when_they_are_due() {
-    let mut world = started(1);
+    let mut world = World::with_store(1);
     let job = world.submit_at(0, SERIES);
     let other = world.submit_at(100, OVERLAPPING);
     world.run_ms(500);
@@ -54,7 +43,7 @@
 /// Guards against occurrences that start after their series was cancelled.
 #[test]
 fn cancelled_series_starts_nothing_more() {
-    let mut world = started(1);
+    let mut world = World::with_store(1);
     let job = world.submit_at(0, SERIES);
     world.run_ms(1_500);
     let before = world.history.starts_of(&job);
@@ -91,7 +80,7 @@
         faults in proptest::collection::vec((0..5_000_u64, fault()), 1..5),
     ) {
         let broken = traced(|| {
-            let mut world = started(seed);
+            let mut world = World::with_store(seed);
             for at in (0..3_000).step_by(500) {
                 world.submit_at(at, SERIES);
                 world.submit_at(at + 100, OVERLAPPING);
--- a/crates/fulmarpond-dispatch/tests/support/cases.rs
+++ b/crates/fulmarpond-dispatch/tests/support/cases.rs
@@ -2,6 +2,8 @@
 
 use proptest::test_runner::{Config, RngSeed};
 
+use super::world::Fault;
+
 /// The seed of the schedules that CI plays.
 const SEED: u64 = 20_261_203;
 
@@ -16,6 +18,14 @@
     }
 }
 
+/// A schedule that has found a fault.
+pub struct Regression {
+    /// What was wrong.
+    pub cause: &'static str,
+    pub seed: u64,
+    pub faults: &'static [(u64, Fault)],
+}
+
 /// Reads a number from the environment.
 fn number(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -26,9 +26,10 @@
 #[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use caller::{Demand, Reply};
 #[allow(unused_imports, reason = "each test file uses a part of it")]
-pub use cases::schedules;
+pub use cases::{Regression, schedules};
 #[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use endpoint::Trouble;
+#[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use options::Options;
 #[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use store::StoreTrouble;
--- a/crates/fulmarpond-dispatch/tests/support/world.rs
+++ b/crates/fulmarpond-dispatch/tests/support/world.rs
@@ -227,6 +227,18 @@
         world
     }
 
+    /// Returns a stand-in with a store and three entries, after its start.
+    pub fn with_store(seed: u64) -> Self {
+        let mut world = Self::new(Options {
+            seed,
+            entries: 3,
+            kept: true,
+            ..Options::default()
+        });
+        world.run_ms(1_000);
+        world
+    }
+
     // Time.
 
     pub(super) fn at(&mut self, time: Time, event: Event) {
