fix(maintenance): find out that an earlier attempt to get the duty was made

The answer to an attempt was lost.

Change: the refusal tells the lease of the holder. If it is the own one, the duty is taken again over that revision. Both schedules hold.

--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -254,6 +254,11 @@
     Waves(Vec<Wave>),
     /// The waves that are over.
     CompletedWaves(Vec<u64>),
+    /// The duty to maintain hosts was not taken.
+    DutyTaken {
+        /// The lease of its holder and the revision at which it was taken; nothing if nobody has it.
+        holder: Option<(u64, u64)>,
+    },
     /// A conditional change was made.
     Committed {
         /// The revision of the change.
--- a/crates/fulmarpond-dispatch/src/maintenance/duty.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/duty.rs
@@ -90,14 +90,14 @@
         self.last = Some((lease, fence));
     }
 
-    /// Notes that another entry has the duty, or has had it.
-    pub(super) fn refused(&mut self, now: Time) {
-        self.last = None;
-        if self.inherited {
+    /// Notes that the duty was not taken: another entry has it or has had it, or an earlier attempt
+    /// under the own lease was made and its answer was lost.
+    pub(super) fn refused(&mut self, lease: u64, holder: Option<(u64, u64)>, now: Time) {
+        self.last = holder.filter(|(known, _)| *known == lease);
+        let at_once = self.last.is_some() || (holder.is_none() && !self.inherited);
+        self.inherited = true;
+        if !at_once {
             self.missed(now);
-        } else {
-            // The key of the present holder may be gone: that is asked for at once.
-            self.inherited = true;
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
@@ -262,8 +262,8 @@
                 self.duty.taken(lease, revision, now.after_millis(wait));
                 self.lose_progress(now);
             }
-            (StoreCall::TakeDuty { .. }, _) => {
-                self.duty.refused(now);
+            (StoreCall::TakeDuty { lease, .. }, StoreReply::DutyTaken { holder }) => {
+                self.duty.refused(lease, holder, now);
                 // The holder may have completed the waves.
                 self.stale = true;
             }
@@ -277,6 +277,8 @@
                 self.duty.fenced(now);
                 self.lose_duty(now);
             }
+            // The announcement has lapsed; it is renewed first.
+            (StoreCall::TakeDuty { .. }, StoreReply::NoLease) => self.duty.missed(now),
             (call, reply) => {
                 warn!(?call, ?reply, "unexpected reply of the store");
                 self.store.failed(now);
--- a/crates/fulmarpond-dispatch/tests/maintenance.rs
+++ b/crates/fulmarpond-dispatch/tests/maintenance.rs
@@ -179,6 +179,20 @@
 fn schedules_that_once_failed_hold() {
     let down = Fault::Store(StoreTrouble::Down { lapse: false }, 5_451);
     assert_eq!(play(0, 1, &[(510, down)]), Vec::<String>::new());
+    // An entry had the duty without knowing it: the answer to its attempt was lost.
+    let faults = [
+        (7_102, Fault::Store(StoreTrouble::Lost(36), 2_480)),
+        (4_595, Fault::KillEntry(0)),
+    ];
+    let broken = play(14_181_691_481_574_726_592, 1, &faults);
+    assert_eq!(broken, Vec::<String>::new());
+    let faults = [
+        (3_410, Fault::Store(StoreTrouble::Late(56), 1_136)),
+        (609, Fault::Store(StoreTrouble::Lost(40), 1_938)),
+        (7_552, Fault::StoreCut(0, 300, true)),
+    ];
+    let broken = play(12_016_300_072_250_709_888, 1, &faults);
+    assert_eq!(broken, Vec::<String>::new());
     // An entry went on although its key was taken away and another one had the duty.
     let revoked = Fault::StoreCut(0, 2_890, true);
     let broken = play(956_071_661_017_630_009, 1, &[(891, revoked)]);
--- a/crates/fulmarpond-dispatch/tests/support/store.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store.rs
@@ -275,7 +275,7 @@
         }
         let present = self.duty.map_or(0, |(_, revision)| revision);
         if present != expected || (first && self.had_duty) {
-            return StoreReply::Conflict { items: Vec::new() };
+            return StoreReply::DutyTaken { holder: self.duty };
         }
         let revision = self.changed([]);
         self.had_duty = true;
