refactor(dispatch): one place for the name of an agent, long-running jobs and the restart of waves

The last read found the host name of a link written out four times, the question whether a job has long-running tasks twice, two functions that restart the waves in nearly the same words, and the room of long-running runs summed twice for each order. Behaviour is unchanged.

--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -208,10 +208,14 @@
 
     /// Returns waiting tasks that can't find room beside the long-running ones here.
     pub(super) fn return_blocked(&mut self, now: Time, out: &mut Vec<Action>) {
+        let reserved = self.reserved();
         let Some(endpoint) = &self.endpoint else {
             return;
         };
-        let shared = endpoint.about.capacity.minus(self.reserved());
+        if reserved == Needs::default() {
+            return;
+        }
+        let shared = endpoint.about.capacity.minus(reserved);
         let waiting = self
             .runs
             .iter()
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -7,9 +7,7 @@
 use super::run::{Phase, Progress, Run, Then};
 use super::{Action, EndpointCall};
 use crate::epoch::before_first;
-use crate::{
-    AgentFrame, Checkpoint, JobId, LinkNo, Needs, Order, Outcome, TaskEnd, TaskKey, Working,
-};
+use crate::{AgentFrame, Checkpoint, JobId, LinkNo, Order, Outcome, TaskEnd, TaskKey, Working};
 
 impl Agent {
     pub(super) fn order(&mut self, link: LinkNo, order: &Order, now: Time, out: &mut Vec<Action>) {
@@ -65,9 +63,7 @@
         if order.gang || order.long_running {
             self.return_waiting(order, now, out);
         }
-        if self.reserved() != Needs::default() {
-            self.return_blocked(now, out);
-        }
+        self.return_blocked(now, out);
         self.send_news(out);
     }
 
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -345,12 +345,11 @@
         let task = job.task(end.task.step, end.task.index);
         let failures = task.map_or(0, |task| task.failures);
         self.counters.retried += 1;
-        let agent = self.fleet.views.get(&link);
         info!(
             task = %end.task,
             outcome = ?end.outcome,
             failures,
-            agent = agent.map_or("", |view| view.name.as_str()),
+            agent = self.fleet.name(link),
             "task is placed again"
         );
         if failures >= most {
--- a/crates/fulmarpond-dispatch/src/entry/evacuation.rs
+++ b/crates/fulmarpond-dispatch/src/entry/evacuation.rs
@@ -33,8 +33,8 @@
         if leaving.is_empty() || !self.kept.runs() {
             return;
         }
-        let long = |job: &Job| job.submission.steps.iter().any(|step| step.long_running);
-        let jobs = self.jobs.iter().filter(|(_, job)| long(job));
+        let jobs = self.jobs.iter();
+        let jobs = jobs.filter(|(_, job)| job.submission.is_long_running());
         let jobs: Vec<JobId> = jobs.map(|(id, _)| id.clone()).collect();
         for id in jobs {
             if let Some(mut job) = self.jobs.remove(&id) {
@@ -87,12 +87,11 @@
             let task = &mut job.tasks[position];
             task.moving = true;
             task.working = false;
-            let agent = self.fleet.views.get(&from);
             info!(
                 job = %id,
                 step = task.step,
                 index = task.index,
-                agent = agent.map_or("", |view| view.name.as_str()),
+                agent = self.fleet.name(from),
                 "moving a long-running task away from an agent that leaves"
             );
             let frame = EntryFrame::Stop {
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -142,6 +142,12 @@
         self.views.insert(link, view);
     }
 
+    /// Returns the host name of an agent; empty if it is not linked.
+    pub(super) fn name(&self, link: LinkNo) -> &str {
+        let view = self.views.get(&link);
+        view.map_or("", |view| view.name.as_str())
+    }
+
     pub(super) fn has_service(&self, service: &str) -> bool {
         self.views.values().any(|view| view.serves(service))
     }
--- a/crates/fulmarpond-dispatch/src/entry/kept.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept.rs
@@ -365,9 +365,7 @@
                 let frame = EntryFrame::Release(id.clone());
                 out.push(Action::Send { link, frame });
                 stopped.push((over, id.clone()));
-                let agent = self.fleet.views.get(&link);
-                let name = agent.map_or("", |view| view.name.as_str());
-                if job.lose_long_runs(link, name, over_long) {
+                if job.lose_long_runs(link, self.fleet.name(link), over_long) {
                     stopped.push((over_long, id.clone()));
                 }
             }
--- a/crates/fulmarpond-dispatch/src/entry/kept_events.rs
+++ b/crates/fulmarpond-dispatch/src/entry/kept_events.rs
@@ -273,8 +273,7 @@
         }
         // Runs for the last owner may go on, and agents tell the ends that nobody took note of.
         let bounds = self.options.bounds;
-        let long_running = spec.submission.steps.iter().any(|step| step.long_running);
-        let hold = if long_running {
+        let hold = if spec.submission.is_long_running() {
             bounds.adoption_ms()
         } else {
             bounds.orphan_ms()
--- a/crates/fulmarpond-dispatch/src/entry/long_running.rs
+++ b/crates/fulmarpond-dispatch/src/entry/long_running.rs
@@ -62,7 +62,7 @@
         adopted.extend_from_slice(&ended);
         if !adopted.is_empty() {
             info!(
-                agent = self.agent_name(link),
+                agent = self.fleet.name(link),
                 tasks = adopted.len(),
                 "runs adopted"
             );
@@ -108,7 +108,7 @@
 
     /// Starts tasks again that were lost with an agent which has no run of them any more.
     fn release_missing(&mut self, link: LinkNo, listed: &[TaskKey], now: Time) {
-        let name = self.agent_name(link).to_owned();
+        let name = self.fleet.name(link).to_owned();
         let mut over = Vec::new();
         for (id, job) in &mut self.jobs {
             if job.end_missing(&name, listed, now) {
@@ -120,11 +120,6 @@
         }
     }
 
-    fn agent_name(&self, link: LinkNo) -> &str {
-        let agent = self.fleet.views.get(&link);
-        agent.map_or("", |view| view.name.as_str())
-    }
-
     /// Notes whether a long-running task is at work.
     pub(super) fn note_working(&mut self, link: LinkNo, key: &TaskKey, working: bool) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
@@ -165,7 +160,7 @@
             elapsed_ms = end.elapsed,
             short_runs,
             pause_ms = pause,
-            agent = self.agent_name(link),
+            agent = self.fleet.name(link),
             "long-running task is started again"
         );
         self.wait_for_lost(over, id.clone());
--- a/crates/fulmarpond-dispatch/src/entry/submission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/submission.rs
@@ -48,6 +48,13 @@
     pub repeat: Option<Repeat>,
 }
 
+impl Submission {
+    /// Returns whether some of its tasks run until the job is cancelled.
+    pub fn is_long_running(&self) -> bool {
+        self.steps.iter().any(|step| step.long_running)
+    }
+}
+
 /// When the steps of a job run.
 #[message]
 #[derive(Copy, Eq)]
--- a/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
@@ -160,12 +160,17 @@
     }
 
     fn lose_duty(&mut self, now: Time) {
+        self.restart_waves(now);
+        self.listing = None;
+        self.stale = true;
+    }
+
+    /// Forgets how far the hosts are: another entry may have had the duty.
+    fn restart_waves(&mut self, now: Time) {
         for wave in self.waves.values_mut() {
             wave.restart(now);
         }
-        self.listing = None;
         self.hosts.clear();
-        self.stale = true;
     }
 
     /// Tells the agents of hosts that are drained, again and again.
@@ -260,7 +265,8 @@
                     self.options.handover.max(LAST_ORDER_MS)
                 };
                 self.duty.taken(lease, revision, now.after_millis(wait));
-                self.lose_progress(now);
+                self.restart_waves(now);
+                self.next_list = now;
             }
             (StoreCall::TakeDuty { lease, .. }, StoreReply::DutyTaken { holder }) => {
                 self.duty.refused(lease, holder, now);
@@ -314,15 +320,6 @@
         self.waves.retain(|number, _| !completed.contains(number));
     }
 
-    /// Begins anew: another entry may have had the duty.
-    fn lose_progress(&mut self, now: Time) {
-        for wave in self.waves.values_mut() {
-            wave.restart(now);
-        }
-        self.hosts.clear();
-        self.next_list = now;
-    }
-
     fn state_written(&mut self, number: u64, completed: bool) {
         if completed {
             info!(wave = number, "wave of maintenance is completed");
