fix(dispatch): count hosts of a wave that were ordered before the duty was acquired

Cause: an entry whose lease lapsed while the store was down acquired the duty again and reset the progress of the wave. A host that was still in maintenance by its earlier order counted as waiting, so one more than allowed was ordered. Change: hosts of the wave that the list of the host service shows as not up count as out of service.

--- a/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/maintenance.rs
@@ -151,7 +151,7 @@
         for wave in self.waves.values_mut() {
             wave.drain_next(&self.hosts, now);
             let hosts = &self.hosts;
-            wave.order_drained(now, |name| {
+            wave.order_drained(hosts, now, |name| {
                 let endpoint = hosts.get(name).and_then(|host| host.endpoint.as_ref());
                 endpoint.map_or(Work::Ending, &work)
             });
--- a/crates/fulmarpond-dispatch/src/maintenance/wave.rs
+++ b/crates/fulmarpond-dispatch/src/maintenance/wave.rs
@@ -148,7 +148,12 @@
     /// Marks drained hosts to be ordered, up to as many as may be out of service at a time. A host
     /// whose time limit is over counts as drained, and the tasks that it still runs are lost,
     /// except that a host with long-running tasks is postponed.
-    pub(super) fn order_drained(&mut self, now: Time, work: impl Fn(&str) -> Work) {
+    pub(super) fn order_drained(
+        &mut self,
+        hosts: &BTreeMap<String, ListedHost>,
+        now: Time,
+        work: impl Fn(&str) -> Work,
+    ) {
         let limit_ms = self.drain_limit_ms();
         let is_overdue = |step: &Step| match step {
             Step::Draining(since) => now.millis_since(*since) >= limit_ms,
@@ -163,7 +168,7 @@
                 self.postpone(&host, now);
             }
         }
-        let away = self.count(|step| matches!(step, Step::Ordered | Step::Away { .. }));
+        let away = self.out_of_service(hosts);
         let is_drained = |name: &str, step: &Step| {
             let is_idle = matches!(step, Step::Draining(_)) && work(name) == Work::None;
             is_idle || is_overdue(step)
@@ -175,6 +180,23 @@
         }
     }
 
+    /// Returns the number of hosts that are out of service or ordered to be.
+    ///
+    /// A host that the list shows as away counts as well: it may have been ordered before this entry
+    /// acquired the duty.
+    fn out_of_service(&self, hosts: &BTreeMap<String, ListedHost>) -> usize {
+        let is_listed_away = |name: &str| {
+            let host = hosts.get(name);
+            host.is_some_and(|host| host.state != HostState::Up)
+        };
+        let is_out = |(name, step): &(&String, &Step)| match step {
+            Step::Ordered | Step::Away { .. } => true,
+            Step::Done => false,
+            Step::Waiting(_) | Step::Draining(_) => is_listed_away(name),
+        };
+        self.steps.iter().filter(is_out).count()
+    }
+
     /// Returns the hosts whose step matches a predicate.
     pub(super) fn hosts_at(&self, matches: impl Fn(&Step) -> bool) -> Vec<String> {
         let steps = self.steps.iter().filter(|(_, step)| matches(step));
--- a/crates/fulmarpond-dispatch/tests/maintenance.rs
+++ b/crates/fulmarpond-dispatch/tests/maintenance.rs
@@ -214,4 +214,18 @@
     let store_unreachable = Fault::StoreUnreachable(0, 2_890, true);
     let violations = play_schedule(956_071_661_017_630_009, 1, &[(891, store_unreachable)]);
     assert_eq!(violations, Vec::<String>::new());
+    // A holder that acquired the duty again did not count the host that was still in maintenance.
+    let store_down = Fault::Store(
+        StoreFault::Down {
+            leases_expire: false,
+        },
+        5_351,
+    );
+    let faults = [
+        (3_083, Fault::HostReplies(59, 3_880)),
+        (8_125, store_down),
+        (5_904, Fault::KillEntry(1)),
+    ];
+    let violations = play_schedule(5_498_047_531_061_683_690, 2, &faults);
+    assert_eq!(violations, Vec::<String>::new());
 }
