fix(dispatch): check leases before each event, since the process may have been paused

Cause: a process that was paused (SIGSTOP, suspension) finds frames, replies and heartbeats in the buffers of its sockets and handled them before the tick that closes expired links. An agent so started a task by an order whose entry had placed the task elsewhere meanwhile: two runs at a time. An entry could place tasks of durable jobs by an announcement that had lapsed. The virtual-time stand-in hid this: it dropped frames in the buffer of a paused process once the peer had closed the link, and ticked a resumed process first. Change: an agent closes expired links before each frame, reply and heartbeat; an entry compares the lease with the current time when it places; the daemon reads the clock for each event. The stand-in delivers buffered frames and ticks last. A pause between reading the clock and the system call remains; the endpoint refuses such a start as its lease has passed by then.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -283,6 +283,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        self.close_expired_links(now, out);
         let Some(peer) = self.links.established.get_mut(&link) else {
             return;
         };
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -30,11 +30,7 @@
         for addr in self.links.take_due_dials(now) {
             out.push(Action::Dial { addr });
         }
-        for link in self.links.expired(now) {
-            warn!(?link, "entry is silent, closing its link");
-            out.push(Action::Close { link });
-            self.link_down(link, now, out);
-        }
+        self.close_expired_links(now, out);
         if now >= self.next_check {
             self.run_checks(now, out);
         }
@@ -45,6 +41,18 @@
         }
     }
 
+    /// Closes the links whose lease has expired.
+    ///
+    /// This comes before each frame, reply and heartbeat: a process that was paused finds orders in
+    /// the buffers of its sockets whose entry has placed the tasks elsewhere meanwhile.
+    pub(super) fn close_expired_links(&mut self, now: Time, out: &mut Vec<Action>) {
+        for link in self.links.expired(now) {
+            warn!(?link, "entry is silent, closing its link");
+            out.push(Action::Close { link });
+            self.link_down(link, now, out);
+        }
+    }
+
     /// The interval between checks of all runs, in milliseconds.
     pub(super) const CHECK_INTERVAL_MS: u64 = 50;
 
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -133,6 +133,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        self.close_expired_links(now, out);
         let Some(PendingCall {
             purpose,
             sent,
--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -19,6 +19,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        self.close_expired_links(now, out);
         let Some(endpoint) = &mut self.endpoint else {
             self.attach_endpoint(registration, now, out);
             return;
--- a/crates/fulmarpond-dispatch/src/entry/durable_jobs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/durable_jobs.rs
@@ -91,8 +91,15 @@
 
 impl DurableJobs {
     /// Returns whether tasks of durable jobs may be placed.
-    pub(super) const fn can_place_tasks(&self) -> bool {
-        !self.is_fenced && !self.is_stopping
+    ///
+    /// The lease of the announcement is compared with the current time, since it may have expired
+    /// while the process was paused, before the check that fences the jobs.
+    pub(super) fn can_place_tasks(&self, now: Time) -> bool {
+        !self.is_fenced && !self.is_stopping && self.has_lease(now)
+    }
+
+    fn has_lease(&self, now: Time) -> bool {
+        self.lease_end.is_some_and(|end| now < end)
     }
 
     /// Returns the number of requests whose answer depends on a pending call to the store.
@@ -319,7 +326,7 @@
     /// Stops the runs of durable jobs once the announcement may have lapsed, and resumes the jobs
     /// when it is valid again and they have been listed again.
     pub(super) fn check_lease(&mut self, now: Time, out: &mut Vec<Action>) {
-        let is_valid = self.durable.lease_end.is_some_and(|end| now < end);
+        let is_valid = self.durable.has_lease(now);
         if !self.durable.is_started {
             // Nothing has run yet, so the first listing suffices and no reload is needed.
             self.durable.is_started = true;
--- a/crates/fulmarpond-dispatch/src/entry/evacuation.rs
+++ b/crates/fulmarpond-dispatch/src/entry/evacuation.rs
@@ -31,7 +31,7 @@
         let leaving: BTreeMap<LinkNo, bool> = leaving
             .map(|(&link, view)| (link, view.load.draining))
             .collect();
-        if leaving.is_empty() || !self.durable.can_place_tasks() {
+        if leaving.is_empty() || !self.durable.can_place_tasks(now) {
             return;
         }
         let jobs = self.jobs.iter();
--- a/crates/fulmarpond-dispatch/src/entry/long_running.rs
+++ b/crates/fulmarpond-dispatch/src/entry/long_running.rs
@@ -83,7 +83,7 @@
 
     /// Decides on an orphaned run, and marks its task as sent if this entry adopts it.
     fn claim_run(&mut self, link: LinkNo, key: &TaskKey, now: Time) -> Claim {
-        let can_place = self.durable.can_place_tasks();
+        let can_place = self.durable.can_place_tasks(now);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return if self.is_obsolete(&key.job, now) {
                 Claim::Stop
--- a/crates/fulmarpond-dispatch/src/entry/series.rs
+++ b/crates/fulmarpond-dispatch/src/entry/series.rs
@@ -89,7 +89,7 @@
 
     /// Starts the occurrences that are due, and records those that have ended.
     pub(super) fn check_series(&mut self, now: Time) {
-        if now < self.series.next_check || self.unix_ms == 0 || !self.durable.can_place_tasks() {
+        if now < self.series.next_check || self.unix_ms == 0 || !self.durable.can_place_tasks(now) {
             return;
         }
         self.series.next_check = now.after_millis(CHECK_MS);
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use proptest::prelude::*;
-use support::{Demand, EndpointFault, Fault, Options, Simulation, proptest_config};
+use support::{Demand, EndpointFault, Fault, Options, Regression, Simulation, proptest_config};
 
 const SHORT_JOB: Demand = Demand {
     tasks: 4,
@@ -100,3 +100,18 @@
         sim.on_time_share(&jobs)
     );
 }
+
+/// Guards against regressions of failures that random schedules found; each case names its cause.
+#[test]
+fn guarantees_hold_in_regression_schedules() {
+    let cases = [Regression {
+        cause: "an agent that was paused started a task by an order in its socket's buffer",
+        seed: 3_701_603_400_764_599_171,
+        faults: &[(485, Fault::PauseAgent(2, 1_815))],
+    }];
+    for case in cases {
+        let sim = play_schedule(case.seed, case.faults);
+        let violations = &sim.history.violations;
+        assert_eq!(*violations, Vec::<String>::new(), "{}", case.cause);
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -92,8 +92,10 @@
 pub(super) enum Event {
     WakeEntry(usize, u32),
     WakeAgent(usize, u32),
-    FrameArrivesAtEntry(usize, Vec<u8>),
-    FrameArrivesAtAgent(usize, Vec<u8>),
+    /// Link, the frame, and the generation of the receiver if the frame waits in the buffer of its
+    /// socket while it is paused. Such a frame is received even if the link is closed meanwhile.
+    FrameArrivesAtEntry(usize, Vec<u8>, Option<u32>),
+    FrameArrivesAtAgent(usize, Vec<u8>, Option<u32>),
     /// A link is established, at its entry if the flag is set or else at its agent.
     LinkUp(usize, bool),
     LinkDownAtAgent(usize, u32, LinkNo),
@@ -382,11 +384,15 @@
 
     /// Postpones an event of a paused process to the end of the pause; returns whether it was
     /// postponed.
+    ///
+    /// A wake-up comes last: the event loop handles the frames that have arrived before it ticks.
     pub(super) fn postpone_if_paused(&mut self, paused_until: Time, event: &Event) -> bool {
         if paused_until <= self.now {
             return false;
         }
-        self.schedule_at(paused_until, event.clone());
+        let is_wake = matches!(event, Event::WakeEntry(..) | Event::WakeAgent(..));
+        let at = paused_until.after_micros(u64::from(is_wake));
+        self.schedule_at(at, event.clone());
         true
     }
 
@@ -569,9 +575,9 @@
             .max(state.last_arrival[direction].after_micros(1));
         state.last_arrival[direction] = arrival;
         let event = if direction == 0 {
-            Event::FrameArrivesAtEntry(number, bytes)
+            Event::FrameArrivesAtEntry(number, bytes, None)
         } else {
-            Event::FrameArrivesAtAgent(number, bytes)
+            Event::FrameArrivesAtAgent(number, bytes, None)
         };
         self.schedule_at(arrival, event);
     }
@@ -626,8 +632,12 @@
                     self.with_agent(agent, |_, _, _| {});
                 }
             }
-            Event::FrameArrivesAtEntry(link, bytes) => self.deliver_to_entry(link, &bytes),
-            Event::FrameArrivesAtAgent(link, bytes) => self.deliver_to_agent(link, &bytes),
+            Event::FrameArrivesAtEntry(link, bytes, buffered_for) => {
+                self.deliver_to_entry(link, &bytes, buffered_for);
+            }
+            Event::FrameArrivesAtAgent(link, bytes, buffered_for) => {
+                self.deliver_to_agent(link, &bytes, buffered_for);
+            }
             Event::LinkUp(link, at_entry) => self.link_up(link, at_entry),
             Event::LinkDownAtAgent(agent, generation, link) => {
                 let paused = self.agents[agent].paused_until;
@@ -732,17 +742,22 @@
         }
     }
 
-    pub(super) fn deliver_to_entry(&mut self, number: usize, bytes: &[u8]) {
-        let (entry, is_usable) = {
-            let link = &self.links[number];
-            (link.entry, link.is_open && !link.is_silent)
+    pub(super) fn deliver_to_entry(
+        &mut self,
+        number: usize,
+        bytes: &[u8],
+        buffered_for: Option<u32>,
+    ) {
+        let link = &self.links[number];
+        let entry = link.entry;
+        let process = &self.entries[entry];
+        let generation = process.generation;
+        let is_received = match buffered_for {
+            Some(receiver) => receiver == generation,
+            None => link.is_open && !link.is_silent,
         };
-        if !is_usable
-            || self.postpone_if_paused(
-                self.entries[entry].paused_until,
-                &Event::FrameArrivesAtEntry(number, bytes.to_vec()),
-            )
-        {
+        let event = Event::FrameArrivesAtEntry(number, bytes.to_vec(), Some(generation));
+        if !is_received || self.postpone_if_paused(process.paused_until, &event) {
             return;
         }
         let frame: AgentFrame = decode(bytes).expect("a valid frame from an agent");
@@ -752,17 +767,22 @@
         });
     }
 
-    pub(super) fn deliver_to_agent(&mut self, number: usize, bytes: &[u8]) {
-        let (agent, is_usable) = {
-            let link = &self.links[number];
-            (link.agent, link.is_open && !link.is_silent)
+    pub(super) fn deliver_to_agent(
+        &mut self,
+        number: usize,
+        bytes: &[u8],
+        buffered_for: Option<u32>,
+    ) {
+        let link = &self.links[number];
+        let agent = link.agent;
+        let process = &self.agents[agent];
+        let generation = process.generation;
+        let is_received = match buffered_for {
+            Some(receiver) => receiver == generation,
+            None => link.is_open && !link.is_silent,
         };
-        if !is_usable
-            || self.postpone_if_paused(
-                self.agents[agent].paused_until,
-                &Event::FrameArrivesAtAgent(number, bytes.to_vec()),
-            )
-        {
+        let event = Event::FrameArrivesAtAgent(number, bytes.to_vec(), Some(generation));
+        if !is_received || self.postpone_if_paused(process.paused_until, &event) {
             return;
         }
         let frame: EntryFrame = decode(bytes).expect("a valid frame from an entry");
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -84,10 +84,12 @@
             let now = BootClock::now();
             let deadline = self.runtime.poll_deadline(self.agent.next_wake(), now);
             self.reactor.poll(deadline, &mut events)?;
-            let now = BootClock::now();
+            // The clock is read for each event: a pause may come between any two, and a lease may
+            // expire during it.
             for event in events.drain(..) {
-                self.handle_event(event, now);
+                self.handle_event(event, BootClock::now());
             }
+            let now = BootClock::now();
             self.agent.tick(now, &mut self.actions);
             self.execute_actions();
             self.check_signals(now);
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -129,13 +129,15 @@
             let wake = self.entry.next_wake().min(self.directory.next_wake());
             let deadline = self.runtime.poll_deadline(wake, now);
             self.reactor.poll(deadline, &mut events)?;
-            let now = BootClock::now();
             // After a pause of the process, requests abandoned by their callers are handled first,
             // so that no other event advances the jobs of callers that have left.
             events.sort_by_key(|event| !matches!(event, Event::Abandoned { .. }));
+            // The clock is read for each event: a pause may come between any two, and a lease may
+            // expire during it.
             for event in events.drain(..) {
-                self.handle_event(event, now);
+                self.handle_event(event, BootClock::now());
             }
+            let now = BootClock::now();
             self.entry.set_unix_ms(unix_millis());
             self.entry.tick(now, &mut self.actions);
             self.directory.tick(now, &mut self.directory_actions);
