--- a/crates/fulmarpond-dispatch/src/agent/action.rs
+++ b/crates/fulmarpond-dispatch/src/agent/action.rs
@@ -5,6 +5,7 @@
 use fulmarpond_derive::value;
 
 use super::EndpointCall;
+use crate::directory::StoreCall;
 use crate::{AgentFrame, EndpointId, LinkNo};
 
 /// Identifies a call of an agent to its endpoint.
@@ -51,4 +52,14 @@
         /// How long to wait for a reply, in milliseconds.
         timeout: u64,
     },
+    /// Call the store, and report the outcome with
+    /// [`Agent::handle_store_reply`](super::Agent::handle_store_reply).
+    Store {
+        /// The number of the call.
+        number: u64,
+        /// The call.
+        call: StoreCall,
+        /// How long to wait for a reply, in milliseconds.
+        timeout: u64,
+    },
 }
--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -11,6 +11,7 @@
 use super::links::Links;
 use super::queue::Queue;
 use super::run::{AfterStop, Phase, Run};
+use super::zone_evacuation::ZoneState;
 use super::{Action, CallNo};
 use crate::entry::Configuration;
 use crate::{
@@ -121,6 +122,7 @@
     /// The newest configuration received from entries. The agent only stores it for entries that
     /// start without access to the store.
     pub(super) configuration: Option<Configuration>,
+    pub(super) zone_state: ZoneState,
     /// Counts of decisions since the start of the process.
     pub counters: Counters,
 }
@@ -154,6 +156,7 @@
             next_check: now,
             is_shutting_down: false,
             configuration: None,
+            zone_state: ZoneState::default(),
             counters: Counters::default(),
         }
     }
@@ -170,7 +173,10 @@
         } else {
             self.last_status.after_millis(STATUS_INTERVAL_MS.1)
         };
-        status.min(self.next_check).min(self.links.next_dial())
+        status
+            .min(self.next_check)
+            .min(self.links.next_dial())
+            .min(self.zone_state.next_wake())
     }
 
     /// Returns whether the agent has no queued or running task.
@@ -244,6 +250,8 @@
             version: self.configuration_version(),
         };
         out.push(Action::Send { link, frame: hello });
+        self.send_evacuations(link, out);
+        self.send_cold(link, now, out);
         out.push(Action::Send {
             link,
             frame: self.endpoint_frame(),
@@ -330,6 +338,9 @@
             EntryFrame::Adopt(tasks) => self.adopt_runs(link, &tasks, out),
             EntryFrame::Entries(addrs) => self.links.add_addresses(&addrs, now),
             EntryFrame::Drain => self.drain(now, out),
+            EntryFrame::Evacuations(list) => {
+                self.update_evacuations(&list, Some(link), now, out);
+            }
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -35,6 +35,7 @@
             out.push(Action::Close { link });
             self.link_down(link, now, out);
         }
+        self.tick_evacuation_watch(now, out);
         if now >= self.next_check {
             self.run_checks(now, out);
         }
@@ -263,7 +264,9 @@
             next_end_ms: u32::try_from(next_end_ms).unwrap_or(u32::MAX),
             reserved: self.reserved_capacity(),
             draining: endpoint.registration.state == EndpointState::Draining,
-            stopping: self.is_shutting_down || endpoint.drained_until.is_some(),
+            stopping: self.is_shutting_down
+                || endpoint.drained_until.is_some()
+                || self.is_evacuated(),
             slowness: self.health.slowness_percent(),
             failures: self.health.failure_percent(),
             stalled: now < self.stalled_until || (overdue >= 2 && overdue * 2 >= running),
--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -19,6 +19,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        let cold_ms = registration.cold_remaining_ms;
         let Some(endpoint) = &mut self.endpoint else {
             self.attach_endpoint(registration, now, out);
             return;
@@ -42,6 +43,7 @@
                 self.return_queued_tasks(now);
             }
         }
+        self.record_cold(cold_ms, now, out);
         if self
             .endpoint
             .as_ref()
@@ -73,6 +75,7 @@
     ) {
         info!(endpoint = %registration.id, service = registration.service, cpu = registration.capacity.cpu, "endpoint found");
         self.health = Health::new(now);
+        self.record_cold(registration.cold_remaining_ms, now, out);
         self.endpoint = Some(Endpoint::new(
             registration,
             now,
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -19,6 +19,7 @@
 mod speed;
 mod starts_and_stops;
 mod unacknowledged_ends;
+mod zone_evacuation;
 
 pub use action::{Action, CallNo};
 pub use agent::{Agent, AgentOptions};
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -103,6 +103,7 @@
             return Some(Outcome::Unavailable);
         };
         if self.is_shutting_down
+            || self.is_evacuated()
             || !endpoint.accepts_tasks(now)
             || endpoint.registration.service != order.service
         {
@@ -114,11 +115,18 @@
 
     pub(super) fn is_ready(&self, now: Time) -> bool {
         let endpoint = self.endpoint.as_ref();
-        !self.is_shutting_down && endpoint.is_some_and(|endpoint| endpoint.accepts_tasks(now))
+        let is_blocked = self.is_shutting_down || self.is_start_blocked(now);
+        !is_blocked && endpoint.is_some_and(|endpoint| endpoint.accepts_tasks(now))
     }
 
-    /// Starts queued tasks while free capacity lasts.
+    /// Starts queued tasks while free capacity lasts, or returns them if the zone is evacuated.
     pub(super) fn start_queued_tasks(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.is_evacuated() {
+            self.return_queued_tasks(now);
+        }
+        if self.is_start_blocked(now) {
+            return;
+        }
         loop {
             let Some(endpoint) = &self.endpoint else {
                 return;
@@ -412,7 +420,7 @@
         match after_stop {
             AfterStop::Discard => self.finish_run(task, None, 0),
             AfterStop::Report(outcome) => self.finish_run(task, Some(outcome), 0),
-            AfterStop::Restart if self.is_shutting_down => {
+            AfterStop::Restart if self.is_shutting_down || self.is_evacuated() => {
                 self.finish_run(task, Some(Outcome::Aborted), 0);
             }
             AfterStop::Restart => {
--- a/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
+++ b/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
@@ -98,6 +98,7 @@
         out: &mut Vec<Action>,
     ) {
         info!(job = %task.job, %task, run, ?reason, "start refused");
+        let is_blocked = self.is_start_blocked(now);
         let Some(known) = self.runs.get_mut(task) else {
             return;
         };
@@ -122,6 +123,9 @@
             return;
         }
         match reason {
+            StartRefusal::OldRun | StartRefusal::LeasePassed if is_blocked => {
+                self.requeue(task);
+            }
             StartRefusal::OldRun | StartRefusal::LeasePassed => {
                 known.number += 1;
                 self.send_start(task, now, out);
--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -27,11 +27,13 @@
     Stopping,
     /// The store is unavailable.
     NoStore,
+    /// All endpoints that could run the job are in evacuated zones.
+    Evacuated,
 }
 
 impl Refusal {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::Invalid,
@@ -43,6 +45,7 @@
         Self::RunsLost,
         Self::Stopping,
         Self::NoStore,
+        Self::Evacuated,
     ];
 
     /// Returns the name of the reason in logs and metrics.
@@ -59,6 +62,7 @@
             Self::RunsLost => "runs_lost",
             Self::Stopping => "stopping",
             Self::NoStore => "no_store",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -85,6 +89,8 @@
     pub stopped: u64,
     /// Calls to the endpoint that got no reply.
     pub unanswered: u64,
+    /// Evacuations that took effect: of any zone at an entry, of its own zone at an agent.
+    pub evacuations: u64,
 }
 
 impl Counters {
--- a/crates/fulmarpond-dispatch/src/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory.rs
@@ -11,6 +11,7 @@
 
 use crate::JobId;
 use crate::entry::Configuration;
+use crate::evacuation::{Evacuations, ListReader};
 use crate::maintenance::{Lease, Wave};
 use crate::pacing::Pacing;
 
@@ -122,6 +123,18 @@
         /// Whether to acquire it only if no entry has held it before.
         first: bool,
     },
+    /// Lists the evacuated zones after the given name.
+    ListEvacuations {
+        /// The last name of the previous page.
+        after: Option<String>,
+    },
+    /// Waits for a change of the evacuated zones after a revision.
+    WatchEvacuations {
+        /// The revision.
+        after: u64,
+        /// The longest time to wait, in milliseconds.
+        wait: u64,
+    },
     /// Reports the progress of a wave to the operator if this entry still holds the duty.
     WriteWaveState {
         /// The number of the wave.
@@ -174,6 +187,8 @@
             Self::WatchOperator { .. } => "watch_operator",
             Self::ListWaves => "list_waves",
             Self::ListWaveStates => "list_wave_states",
+            Self::ListEvacuations { .. } => "list_evacuations",
+            Self::WatchEvacuations { .. } => "watch_evacuations",
             Self::TakeDuty { .. } => "take_duty",
             Self::WriteWaveState { .. } => "write_wave_state",
             Self::ListEntries => "list_entries",
@@ -251,6 +266,15 @@
         /// The encoded specification; `None` if the job does not exist.
         spec: Option<Vec<u8>>,
     },
+    /// A page of the evacuated zones.
+    EvacuationPage {
+        /// The names in the keys, which are not checked.
+        names: Vec<String>,
+        /// The last name of the page, if there are more pages.
+        next: Option<String>,
+        /// The revision of the store.
+        at: u64,
+    },
     /// The waves of maintenance that the operator has requested.
     Waves(Vec<Wave>),
     /// The numbers of the completed waves.
@@ -282,6 +306,8 @@
 pub enum Activity {
     /// Watches the configuration.
     Configuration,
+    /// Reads the evacuated zones when the watch of the configuration reports a change.
+    Evacuations,
     /// Watches the entries.
     Entries,
     /// Maintains the announcement of this entry.
@@ -300,7 +326,12 @@
 
 impl Activity {
     /// The activities of the directory itself.
-    const OWN: [Self; 3] = [Self::Configuration, Self::Entries, Self::Announcement];
+    const OWN: [Self; 4] = [
+        Self::Configuration,
+        Self::Evacuations,
+        Self::Entries,
+        Self::Announcement,
+    ];
 }
 
 /// An action for the driver to carry out, or a value that was read.
@@ -317,6 +348,8 @@
     },
     /// The configuration was read.
     Configured(Configuration),
+    /// The evacuated zones were read.
+    Evacuated(Evacuations),
     /// The entries were listed.
     Listed(Vec<AnnouncedEntry>),
     /// Keys of the operator have changed, or may have.
@@ -346,6 +379,12 @@
     configuration: ActivityState,
     /// Whether a configuration has been read.
     has_configuration: bool,
+    /// Its revision is that of the last list.
+    evacuations: ActivityState,
+    evacuation_list: ListReader,
+    /// The revision that the list of evacuations must have at least. The watch of the configuration
+    /// reports only later changes.
+    evacuations_required: u64,
     entries: ActivityState,
     announcement: ActivityState,
     lease: Option<u64>,
@@ -362,10 +401,13 @@
 
 impl Directory {
     /// Creates a directory that has read nothing and is not announced.
-    pub const fn new(now: Time) -> Self {
+    pub fn new(now: Time) -> Self {
         Self {
             configuration: ActivityState::new(now),
             has_configuration: false,
+            evacuations: ActivityState::new(now),
+            evacuation_list: ListReader::default(),
+            evacuations_required: 0,
             entries: ActivityState::new(now),
             announcement: ActivityState::new(now),
             lease: None,
@@ -380,7 +422,12 @@
 
     /// Returns when [`tick`](Self::tick) is due at the latest.
     pub fn next_wake(&self) -> Time {
-        let activities = [&self.configuration, &self.entries, &self.announcement];
+        let activities = [
+            &self.configuration,
+            &self.evacuations,
+            &self.entries,
+            &self.announcement,
+        ];
         let wakes = activities.map(|state| state.pacing.next_wake());
         wakes.into_iter().min().unwrap_or(Time::MAX)
     }
@@ -421,6 +468,11 @@
                 continue;
             }
             let Some((call, wait)) = self.next_call(activity) else {
+                if activity == Activity::Evacuations {
+                    // Until the watch of the configuration requires another list.
+                    self.evacuations.pacing.due = Time::MAX;
+                    continue;
+                }
                 self.state_mut(activity).pacing.due = now.after_millis(RENEW_INTERVAL_MS);
                 continue;
             };
@@ -439,6 +491,7 @@
     const fn state_mut(&mut self, activity: Activity) -> &mut ActivityState {
         match activity {
             Activity::Configuration => &mut self.configuration,
+            Activity::Evacuations => &mut self.evacuations,
             Activity::Entries => &mut self.entries,
             Activity::Announcement
             | Activity::Jobs
@@ -456,6 +509,11 @@
                 let wait = CONFIGURATION_WATCH_WAIT_MS;
                 Some((StoreCall::WatchOperator { after, wait }, wait))
             }
+            (Activity::Evacuations, _, _) => {
+                let revision = self.evacuations.revision;
+                let is_due = revision.is_none_or(|known| known < self.evacuations_required);
+                is_due.then(|| (self.evacuation_list.next_call(), 0))
+            }
             (Activity::Entries, _, None) => Some((StoreCall::ListEntries, 0)),
             (Activity::Entries, _, Some(after)) => {
                 let wait = ENTRIES_WATCH_WAIT_MS;
@@ -496,6 +554,9 @@
         state.pacing.in_flight = false;
         let Some(reply) = reply else {
             state.pacing.record_failure(now);
+            if activity == Activity::Evacuations {
+                self.evacuation_list.restart();
+            }
             if activity == Activity::Configuration && !self.has_configuration {
                 let due = &mut self.configuration.pacing.due;
                 *due = (*due).min(now.after_millis(INITIAL_MAX_BACKOFF_MS));
@@ -512,6 +573,15 @@
         self.apply_reply(activity, reply, now, out);
     }
 
+    /// Requires a list of evacuations that is not older than a revision.
+    fn require_evacuations(&mut self, revision: u64, now: Time) {
+        if revision > self.evacuations_required {
+            self.evacuations_required = revision;
+            let due = &mut self.evacuations.pacing.due;
+            *due = (*due).min(now);
+        }
+    }
+
     fn record_unreachable(&mut self, activity: Activity, now: Time) {
         if self.is_reachable {
             warn!(duty = ?activity, age_ms = self.age(now), "store does not answer");
@@ -529,6 +599,7 @@
         match (activity, reply) {
             (Activity::Configuration, StoreReply::Configuration { value, at }) => {
                 self.configuration.revision = Some(at);
+                self.require_evacuations(at, now);
                 match value {
                     Some(value) => {
                         self.has_configuration = true;
@@ -537,6 +608,16 @@
                     None => warn!(at, "no readable configuration in the store"),
                 }
             }
+            (Activity::Evacuations, StoreReply::EvacuationPage { names, next, at }) => {
+                let Some(list) = self.evacuation_list.add_page(names, next, at) else {
+                    return;
+                };
+                if list.revision() < self.evacuations_required {
+                    self.evacuations.pacing.record_failure(now);
+                }
+                self.evacuations.revision = Some(list.revision());
+                out.push(Action::Evacuated(list));
+            }
             (Activity::Entries, StoreReply::Entries { entries, at }) => {
                 self.entries.revision = Some(at);
                 out.push(Action::Listed(entries));
@@ -544,6 +625,7 @@
             (Activity::Configuration | Activity::Entries, StoreReply::Changed { any, at }) => {
                 if any && activity == Activity::Configuration {
                     out.push(Action::OperatorWrote);
+                    self.require_evacuations(at, now);
                 }
                 // Both values are small, so a change triggers a full read.
                 self.state_mut(activity).revision = if any { None } else { Some(at) };
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -188,12 +188,23 @@
     pub(super) fn check_servable(&self, job: &Job) -> Result<(), Refusal> {
         let service = &job.route.service;
         if !self.fleet.has_service(service) {
-            return Err(Refusal::NoEndpoint);
+            let is_evacuated = self.fleet.is_service_evacuated(service);
+            return Err(if is_evacuated {
+                Refusal::Evacuated
+            } else {
+                Refusal::NoEndpoint
+            });
         }
         let steps = &job.submission.steps;
         if steps.iter().any(|step| !self.step_fits(service, step)) {
             return Err(Refusal::NeverFits);
         }
+        if steps
+            .iter()
+            .any(|step| !self.step_fits_outside(service, step))
+        {
+            return Err(Refusal::Evacuated);
+        }
         let fits_now = |step: &Step| fits_shared_capacity(&self.fleet, service, step.needs);
         if !steps.iter().all(fits_now) {
             return Err(Refusal::Overloaded);
--- a/crates/fulmarpond-dispatch/src/entry/agent_selection.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agent_selection.rs
@@ -1,5 +1,7 @@
 //! Selection of an agent for a task by expected completion time and penalties.
 
+use fulmarpond_core::Time;
+
 use super::fleet::{AgentView, Fleet};
 use super::submission::Step;
 use crate::{LinkNo, Resources};
@@ -27,6 +29,10 @@
 /// An endpoint counts as slow if its slowness exceeds this multiple of the median.
 const SLOW_FACTOR: f64 = 1.4;
 
+/// The factor by which a run is expected to take longer at a cold endpoint, as long as its own runs
+/// do not show that it is slower.
+const COLD_FACTOR: f64 = 1.5;
+
 /// The penalty for an agent at which a task of the job ended without success, in milliseconds.
 const AVOIDED_COST_MS: f64 = 2_000.0;
 
@@ -44,6 +50,7 @@
     pub(super) slack_ms: u64,
     /// The factor by which a task takes longer away from its data.
     pub(super) remote_factor: f64,
+    pub(super) now: Time,
 }
 
 /// The selected agent, with the expected queueing time there.
@@ -97,9 +104,20 @@
     of_service.any(|view| needs.fits(view.capacity))
 }
 
+/// Does the same as [`fits_when_empty`] for the endpoints outside evacuated zones.
+pub(super) fn fits_outside(fleet: &Fleet, service: &str, needs: Resources) -> bool {
+    let usable = |view: &&AgentView| view.service == service && !view.is_evacuated;
+    fleet
+        .views
+        .values()
+        .filter(usable)
+        .any(|view| needs.fits(view.capacity))
+}
+
 /// Returns whether any endpoint of a service can hold a task in addition to its long-running tasks.
 pub(super) fn fits_shared_capacity(fleet: &Fleet, service: &str, needs: Resources) -> bool {
-    let mut of_service = fleet.views.values().filter(|view| view.service == service);
+    let usable = |view: &&AgentView| view.service == service && !view.is_evacuated;
+    let mut of_service = fleet.views.values().filter(usable);
     of_service.any(|view| needs.fits(view.shared_capacity()))
 }
 
@@ -136,7 +154,12 @@
         None => true,
     };
     let location_factor = if is_local { 1.0 } else { demand.remote_factor };
-    f64::from(demand.expected_ms) * factor * location_factor
+    let cold_factor = if demand.now < view.cold_until {
+        COLD_FACTOR
+    } else {
+        1.0
+    };
+    f64::from(demand.expected_ms) * factor.max(cold_factor) * location_factor
 }
 
 /// Returns the penalty for usage, distance and failures, in milliseconds.
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -146,8 +146,13 @@
                 version,
             } => {
                 info!(agent = name, zone, "link to agent established");
+                let is_evacuated = self.evacuations.contains(&zone);
                 self.fleet.add_agent(link, name, zone, version, now);
+                if let Some(view) = self.fleet.views.get_mut(&link) {
+                    view.is_evacuated = is_evacuated;
+                }
                 self.send_configuration(link, out);
+                self.send_evacuations(link, out);
                 if !self.entries.is_empty() {
                     out.push(Action::Send {
                         link,
@@ -204,11 +209,20 @@
                 for end in ends {
                     self.handle_task_end(link, &end, now, out);
                 }
+                self.place_waiting_jobs(now, out);
             }
             AgentFrame::UnacknowledgedEnds(ends) => {
                 self.handle_unacknowledged_ends(link, &ends, now, out);
             }
             AgentFrame::Orphaned(tasks) => self.handle_orphaned_runs(link, &tasks, now, out),
+            AgentFrame::Evacuations(list) => {
+                self.update_evacuations(&list, Some(link), now, out);
+            }
+            AgentFrame::Cold(remaining_ms) => {
+                if let Some(view) = self.fleet.views.get_mut(&link) {
+                    view.cold_until = now.after_millis(u64::from(remaining_ms));
+                }
+            }
         }
     }
 
@@ -235,7 +249,7 @@
             );
         }
         view.update(orders, load, now);
-        if load.ready && !self.unplaced.is_empty() {
+        if view.takes_tasks() && !self.unplaced.is_empty() {
             self.place_waiting_jobs(now, out);
         }
     }
@@ -301,7 +315,11 @@
             self.break_gang(id, end.task.step, out);
         }
         if job_continues {
-            self.place(id, now, out);
+            if self.is_returned_by_evacuation(link, end) {
+                self.replace_returned_task(id, now, out);
+            } else {
+                self.place(id, now, out);
+            }
         }
     }
 
@@ -349,8 +367,9 @@
         out: &mut Vec<Action>,
     ) -> bool {
         let view = self.fleet.views.get(&link);
-        let is_representative =
-            view.is_some_and(|view| view.load.slowness < MAX_LEARNING_SLOWNESS_PERCENT);
+        let is_representative = view.is_some_and(|view| {
+            view.load.slowness < MAX_LEARNING_SLOWNESS_PERCENT && now >= view.cold_until
+        });
         let Some(job) = self.jobs.get(&end.task.job) else {
             return false;
         };
@@ -376,12 +395,14 @@
         out: &mut Vec<Action>,
     ) -> bool {
         let id = &end.task.job;
+        let was_evacuated = self.is_returned_by_evacuation(link, end);
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
         };
-        // An agent is not to blame for the end of a member that was stopped with its gang, or for
-        // an expired ticket.
+        // An agent is not to blame for the end of a member that was stopped with its gang, for an
+        // expired ticket, or for the evacuation of its zone.
         let counts_against_agent = end.outcome != Outcome::NoTicket
+            && !was_evacuated
             && !job.broken_gangs.contains(&end.task.step)
             || end.outcome == Outcome::Failed;
         if counts_against_agent {
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -15,6 +15,7 @@
 use super::series::OwnedSeries;
 use super::{Action, Answer, RequestNo};
 use crate::directory::AnnouncedEntry;
+use crate::evacuation::Evacuations;
 use crate::ledger::{Ledger, LedgerOptions, Owner};
 use crate::{Counters, EntryFrame, JobId, LeaseTimes, LinkNo, Refusal};
 
@@ -72,6 +73,7 @@
     /// Jobs with lost runs or delayed restarts, by the time at which their tasks are requeued.
     pub(super) lost_runs: BTreeSet<(Time, JobId)>,
     pub(super) final_answers: HashMap<JobId, (Answer, Time)>,
+    pub(super) evacuations: Evacuations,
     pub(super) estimates: Estimates,
     pub(super) advice: Advice,
     pub(super) entries: Vec<SocketAddr>,
@@ -115,6 +117,7 @@
             unplaced: BTreeSet::new(),
             lost_runs: BTreeSet::new(),
             final_answers: HashMap::new(),
+            evacuations: Evacuations::default(),
             estimates: Estimates::default(),
             advice: Advice::default(),
             entries: Vec::new(),
@@ -144,7 +147,7 @@
 
     /// Returns whether there is a configuration and an endpoint that takes tasks.
     pub fn is_ready(&self) -> bool {
-        self.configuration.is_some() && self.fleet.views.values().any(|view| view.load.ready)
+        self.configuration.is_some() && self.ready_agents() > 0
     }
 
     /// Returns the number of jobs in progress.
@@ -178,7 +181,7 @@
     /// Returns the number of agents whose endpoint takes tasks.
     pub fn ready_agents(&self) -> usize {
         let views = self.fleet.views.values();
-        views.filter(|view| view.load.ready).count()
+        views.filter(|view| view.takes_tasks()).count()
     }
 
     /// Returns the version of the current configuration, or 0 if there is none.
@@ -422,6 +425,7 @@
         self.release_durable(out);
         self.retry_lost_tasks(now, out);
         self.evacuate(now, out);
+        self.advance_zone_returns(now);
         self.place_waiting_jobs(now, out);
         self.expire_jobs(now, out);
         self.final_answers
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -4,6 +4,7 @@
 
 use fulmarpond_core::Time;
 
+use super::zone_return::ZoneReturn;
 use crate::{EndpointId, EndpointStatus, LinkNo, Resources};
 
 /// A task that was planned or sent and is not yet included in the agent's status.
@@ -30,6 +31,12 @@
     pub(super) load: EndpointStatus,
     /// When its last status arrived.
     pub(super) last_status_at: Time,
+    /// Whether its zone is evacuated.
+    pub(super) is_evacuated: bool,
+    /// The return of its zone from an evacuation.
+    pub(super) zone_return: ZoneReturn,
+    /// Until when its endpoint is cold.
+    pub(super) cold_until: Time,
     orders_sent: u64,
     unacknowledged: VecDeque<UnacknowledgedTask>,
 }
@@ -58,7 +65,7 @@
 
     /// Returns the free capacity after all sent and planned tasks have started.
     pub(super) fn free(&self) -> Resources {
-        let mut free = self.load.free;
+        let mut free = self.zone_return.limit(self.load.free);
         for task in &self.unacknowledged {
             free = free.minus(task.needs);
         }
@@ -77,11 +84,12 @@
         if self.load.backlog.is_empty() && needs.fits(free) {
             return 0.0;
         }
+        let return_wait = self.zone_return.wait_ms(needs, free, self.load.free);
         let cores = f64::from(self.shared_capacity().cpu.max(1)) / 1_000.0;
         let unacknowledged_work: u64 = self.unacknowledged.iter().map(|task| task.work).sum();
         let work_ahead = self.load.backlog.work_ahead(slack_ms) + unacknowledged_work;
         let next_end_ms = f64::from(self.load.next_end_ms.min(10_000));
-        next_end_ms + work_ahead as f64 / cores
+        (next_end_ms + work_ahead as f64 / cores).max(return_wait)
     }
 
     /// Releases the capacity reserved since the last order.
@@ -100,9 +108,14 @@
         1.0 - f64::from(self.free().cpu) / f64::from(self.capacity.cpu.max(1))
     }
 
-    /// Returns whether the endpoint is ready and belongs to a service.
+    /// Returns whether the endpoint is ready and its zone is not evacuated.
+    pub(super) const fn takes_tasks(&self) -> bool {
+        self.load.ready && !self.is_evacuated
+    }
+
+    /// Returns whether the endpoint takes tasks and belongs to a service.
     pub(super) fn serves(&self, service: &str) -> bool {
-        self.load.ready && self.service == service
+        self.takes_tasks() && self.service == service
     }
 }
 
@@ -137,6 +150,9 @@
             labels: Vec::new(),
             load: EndpointStatus::default(),
             last_status_at: now,
+            is_evacuated: false,
+            zone_return: ZoneReturn::default(),
+            cold_until: now,
             orders_sent: 0,
             unacknowledged: VecDeque::new(),
         };
--- a/crates/fulmarpond-dispatch/src/entry/gangs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/gangs.rs
@@ -11,7 +11,7 @@
 
 use super::Action;
 use super::entry::Entry;
-use super::fleet::Fleet;
+use super::fleet::{AgentView, Fleet};
 use super::job::{Job, Task, TaskState};
 use super::submission::Step;
 use crate::{EntryFrame, JobId, LinkNo, Outcome, TaskEnd};
@@ -207,12 +207,26 @@
 
 /// Returns whether the endpoints of a service could hold all tasks of a gang if they were idle.
 pub(super) fn gang_fits(fleet: &Fleet, service: &str, step: &Step) -> bool {
-    let service_views = fleet.views.values().filter(|view| view.service == service);
-    let fitting_tasks: u32 = service_views
+    tasks_of_gang_that_fit(fleet, step, |view| view.service == service) >= u32::from(step.count)
+}
+
+/// Returns whether the endpoints of a service outside evacuated zones could hold all tasks of a
+/// gang if they were idle.
+pub(super) fn gang_fits_outside(fleet: &Fleet, service: &str, step: &Step) -> bool {
+    let usable = |view: &AgentView| view.service == service && !view.is_evacuated;
+    tasks_of_gang_that_fit(fleet, step, usable) >= u32::from(step.count)
+}
+
+fn tasks_of_gang_that_fit(
+    fleet: &Fleet,
+    step: &Step,
+    is_usable: impl Fn(&AgentView) -> bool,
+) -> u32 {
+    let service_views = fleet.views.values().filter(|view| is_usable(view));
+    service_views
         .map(|view| {
             let max_per_endpoint = step.spread.map_or(u32::MAX, u32::from);
             step.needs.times_in(view.capacity).min(max_per_endpoint)
         })
-        .fold(0, u32::saturating_add);
-    fitting_tasks >= u32::from(step.count)
+        .fold(0, u32::saturating_add)
 }
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -21,6 +21,8 @@
 mod series;
 mod submission;
 mod task_placement;
+mod zone_evacuation;
+mod zone_return;
 
 pub use action::{Action, Answer, RequestNo};
 pub use advice::{AdviceFailure, AdvicePolicy, Allowed, StepKey};
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -123,6 +123,7 @@
             expected_ms: self.expected_run_ms(job, step),
             slack_ms: job.start_by.remaining_millis(now),
             remote_factor: self.options.remote_factor,
+            now,
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::entry::Configuration;
+use crate::evacuation::Evacuations;
 use crate::{EndpointId, JobId, Resources, TaskKey};
 
 /// An error for a frame that cannot be decoded.
@@ -84,6 +85,10 @@
     /// All orphaned tasks at this agent: long-running ones that wait for the next owner of their
     /// jobs.
     Orphaned(Vec<TaskKey>),
+    /// The evacuated zones, for entries whose list is older.
+    Evacuations(Evacuations),
+    /// The time until the endpoint is warm, in milliseconds; sent while it is cold.
+    Cold(u32),
 }
 
 /// The load of an endpoint.
@@ -192,6 +197,8 @@
     Entries(Vec<SocketAddr>),
     /// Drains the host before its maintenance: the agent starts no tasks for a while.
     Drain,
+    /// The evacuated zones, sent when they change and to an agent whose list is older.
+    Evacuations(Evacuations),
 }
 
 /// An order to start tasks of one step.
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod entry;
 mod epoch;
+pub mod evacuation;
 pub mod ledger;
 pub mod maintenance;
 
--- a/crates/fulmarpond-dispatch/src/registration.rs
+++ b/crates/fulmarpond-dispatch/src/registration.rs
@@ -30,6 +30,9 @@
     pub labels: Vec<String>,
     /// Whether it accepts new tasks.
     pub state: EndpointState,
+    /// The time until it runs at its usual speed after a cold start, in milliseconds; 0 if it is
+    /// warm.
+    pub cold_remaining_ms: u64,
     /// The sequence number of the heartbeat within the incarnation.
     pub sequence: u64,
 }
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -47,6 +47,7 @@
                 accelerators: 0,
             },
             labels: Vec::new(),
+            cold_remaining_ms: 0,
             state: EndpointState::Ready,
             sequence: 1,
         };
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -118,6 +118,8 @@
     pub capacity: Resources,
     pub fault: EndpointFault,
     pub is_draining: bool,
+    /// Until when it is cold.
+    pub cold_until: Time,
     pub sequence: u64,
     /// Speed of the clock relative to virtual time.
     pub clock_rate: f64,
@@ -150,6 +152,7 @@
             },
             fault: EndpointFault::None,
             is_draining: false,
+            cold_until: Time::default(),
             sequence: 0,
             clock_rate,
             highest_fence: 0,
@@ -170,7 +173,7 @@
         EndpointId(format!("e-{}-{}", self.number, self.incarnation))
     }
 
-    pub fn next_registration(&mut self) -> Registration {
+    pub fn next_registration(&mut self, now: Time) -> Registration {
         self.sequence += 1;
         Registration {
             id: self.id(),
@@ -183,6 +186,7 @@
             } else {
                 EndpointState::Ready
             },
+            cold_remaining_ms: self.cold_until.remaining_millis(now),
             sequence: self.sequence,
         }
     }
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -26,7 +26,9 @@
             | Self::Store(_, millis)
             | Self::StoreUnreachable(_, millis, _)
             | Self::HostReplies(_, millis)
-            | Self::HostService(millis) => millis,
+            | Self::HostService(millis)
+            | Self::Evacuate(_, millis, _)
+            | Self::StoreUnreachableFromAgent(_, millis) => millis,
             Self::RestartEntry(_) => GRACEFUL_STOP_MS,
             Self::RestartAgent(_) => STOPPING_RUNS_MS,
             _ => 0,
@@ -93,6 +95,14 @@
                 self.hosts.lost_reply_percent = percent;
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
             }
+            Fault::Evacuate(zone, millis, cold) => {
+                self.write_evacuation(zone, true, false);
+                self.schedule_in_ms(millis, Event::WriteEvacuation(zone, false, cold));
+            }
+            Fault::StoreUnreachableFromAgent(agent, millis) => {
+                self.set_store_unreachable(agent, true);
+                self.schedule_in_ms(millis, Event::FaultEnds(fault));
+            }
             Fault::HostService(millis) => {
                 self.hosts.is_down = true;
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
@@ -128,6 +138,7 @@
             Fault::Store(..) | Fault::StoreUnreachable(..) => self.end_store_fault(fault),
             Fault::HostReplies(..) => self.hosts.lost_reply_percent = 0,
             Fault::HostService(_) => self.hosts.is_down = false,
+            Fault::StoreUnreachableFromAgent(agent, _) => self.set_store_unreachable(agent, false),
             _ => {}
         }
     }
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod cases;
 mod demand;
 mod endpoint;
+mod evacuations;
 mod faults;
 mod gangs;
 mod history;
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -18,6 +18,9 @@
     pub max_run_time_factor: f64,
     /// Whether the simulation has a key-value store, in which all jobs are persisted.
     pub is_durable: bool,
+    /// Bound for evacuations of zones, if the agents read the list of evacuations from the store, in
+    /// milliseconds. The simulation then has a store, even without durable jobs.
+    pub evacuation_ms: Option<u64>,
     /// Whether the simulation has a host service, which carries out maintenance.
     pub hosts: bool,
     /// Advice policy of all routes, if any.
@@ -37,6 +40,7 @@
             timeout_ms: 4_000,
             max_run_time_factor: 1.3,
             is_durable: false,
+            evacuation_ms: None,
             hosts: false,
             advice: None,
             advice_busy: 0,
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -13,6 +13,9 @@
     DRAIN_GRACE_MS, Event, HEARTBEAT_MS, LOCAL_DELAY_US, MAX_STOP_MS, Simulation,
 };
 
+/// Factor by which runs take longer at a cold endpoint.
+const COLD_SLOWDOWN: f64 = 1.5;
+
 /// Delay of a delayed call, in milliseconds.
 const DELAYED_CALL_MS: u64 = 2_000;
 
@@ -155,7 +158,9 @@
         let demand = self.demand_of(&task.job);
         let max_factor = self.options.max_run_time_factor;
         let factor = self.rng.random_range(1.0 / max_factor..=max_factor);
+        let is_cold = self.now < self.endpoints[agent].cold_until;
         let slowdown = match self.endpoints[agent].fault {
+            EndpointFault::None if is_cold => COLD_SLOWDOWN,
             EndpointFault::Slow(times) => f64::from(times),
             EndpointFault::Fail => 0.0,
             _ => 1.0,
@@ -242,6 +247,7 @@
         tracing::debug!(%task, "endpoint starts a run");
         self.check_start_time(task);
         self.history.record_start(task, agent, at);
+        self.check_evacuated_start(agent, task);
         if let Some(&drained) = self.drain_acked_at.get(&agent) {
             let restarted = self.agent_started_at[&agent];
             if self.now > drained.after_millis(DRAIN_GRACE_MS)
@@ -387,7 +393,8 @@
             let now = self.now;
             self.drain_acked_at.entry(agent).or_insert(now);
         }
-        let registration: Registration = self.endpoints[agent].next_registration();
+        let now = self.now;
+        let registration: Registration = self.endpoints[agent].next_registration(now);
         self.with_agent(agent, |core, now, out| {
             core.handle_heartbeat(registration, now, out);
         });
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -8,7 +8,7 @@
 use fulmarpond_dispatch::agent::{
     self, Agent, AgentOptions, CallFailure, CallNo, EndReason, EndpointCall, EndpointReply,
 };
-use fulmarpond_dispatch::directory::{Activity, Directory};
+use fulmarpond_dispatch::directory::{Activity, Directory, StoreReply};
 use fulmarpond_dispatch::entry::{
     self, AdviceFailure, Allowed, Configuration, Entry, EntryOptions, RequestNo, Route,
 };
@@ -21,6 +21,7 @@
 
 use super::demand::{Demand, Reply};
 use super::endpoint::{Endpoint, EndpointFault};
+use super::evacuations::{AgentStoreCall, EvacuationState};
 use super::gangs::GangKey;
 use super::history::{History, MAX_ATTEMPTS};
 use super::hosts::HostService;
@@ -84,6 +85,11 @@
     HostReplies(u32, u64),
     /// The host service answers nothing.
     HostService(u64),
+    /// The operator evacuates a zone for some time; if the flag is set, its endpoints are cold at
+    /// the end.
+    Evacuate(usize, u64, bool),
+    /// The store does not answer an agent during this time.
+    StoreUnreachableFromAgent(usize, u64),
 }
 
 /// A scheduled event. Most events of a process carry its generation and are dropped after a
@@ -126,6 +132,11 @@
     AddWave(Wave),
     HostCallArrives(CallKey, HostCall),
     HostCallAnswered(CallKey, Option<HostReply>),
+    /// Zone, whether it is evacuated, and whether its endpoints become cold.
+    WriteEvacuation(usize, bool, bool),
+    AgentStoreCallArrives(AgentStoreCall),
+    AgentStoreAnswered(AgentStoreCall, Option<StoreReply>),
+    AgentWatchTimesOut(AgentStoreCall),
 }
 
 /// A simulated process.
@@ -200,6 +211,7 @@
     pub(super) active_gangs: HashMap<GangKey, Vec<(usize, TaskKey)>>,
     /// Store calls whose outcome was delivered.
     pub(super) answered_store_calls: HashSet<CallKey>,
+    pub evacuations: EvacuationState,
     pub history: History,
 }
 
@@ -248,6 +260,7 @@
             hosts: HostService::default(),
             active_gangs: HashMap::new(),
             answered_store_calls: HashSet::new(),
+            evacuations: EvacuationState::default(),
             history: History::default(),
         };
         sim.store.configuration = Some(sim.configuration.clone());
@@ -373,7 +386,10 @@
             heartbeat_interval_ms: HEARTBEAT_MS,
             fence: self.now.as_millis() << 8,
         };
-        let core = Agent::new(options, self.now);
+        let mut core = Agent::new(options, self.now);
+        if let Some(bound_ms) = self.options.evacuation_ms {
+            core.watch_evacuations(bound_ms, self.now);
+        }
         self.agents[agent].start(core);
         self.agent_started_at.insert(agent, self.now);
         let generation = self.agents[agent].generation;
@@ -490,6 +506,11 @@
             agent::Action::Observe { .. } => {}
             agent::Action::Close { link } => self.close_link(link, true),
             agent::Action::Send { link, frame } => self.send_frame(link, 0, encode(&frame)),
+            agent::Action::Store {
+                number,
+                call,
+                timeout,
+            } => self.call_store_from_agent(agent, number, call, timeout),
             agent::Action::Call {
                 number,
                 to,
@@ -705,6 +726,12 @@
             Event::AddWave(wave) => self.add_wave(wave),
             Event::HostCallArrives(by, call) => self.host_call_arrives(by, &call),
             Event::HostCallAnswered(by, reply) => self.host_call_answered(by, reply),
+            Event::WriteEvacuation(zone, is_evacuated, cold) => {
+                self.write_evacuation(zone, is_evacuated, cold);
+            }
+            Event::AgentStoreCallArrives(sent) => self.agent_store_call_arrives(sent),
+            Event::AgentStoreAnswered(sent, reply) => self.agent_store_answered(sent, reply),
+            Event::AgentWatchTimesOut(sent) => self.agent_watch_times_out(sent),
         }
     }
 
--- a/crates/fulmarpond-dispatch/tests/support/store.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store.rs
@@ -1,6 +1,6 @@
 //! The simulated key-value store: conditional writes, leases, watches and faults.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::directory::{AnnouncedEntry, CommitRow, JobItem, StoreCall, StoreReply};
@@ -44,6 +44,13 @@
     Job(JobId),
     Entries,
     Operator,
+    Evacuations,
+}
+
+impl Change {
+    const fn is_by_operator(&self) -> bool {
+        matches!(self, Self::Operator | Self::Evacuations)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -59,6 +66,8 @@
     compacted_revision: u64,
     next_lease: u64,
     pub waves: Vec<Wave>,
+    /// The evacuated zones.
+    evacuations: BTreeSet<String>,
     /// State of the waves by number: whether they are completed.
     pub wave_states: BTreeMap<u64, bool>,
     /// Lease and revision of the maintenance duty, while an entry holds it.
@@ -84,7 +93,11 @@
             },
             // The configuration never changes in the simulation; only waves do.
             StoreCall::WatchOperator { after, .. } => {
-                self.changes_after(*after, |change| *change == Change::Operator)?
+                self.changes_after(*after, Change::is_by_operator)?
+            }
+            StoreCall::ListEvacuations { after } => self.evacuation_page(after.as_deref()),
+            StoreCall::WatchEvacuations { after, .. } => {
+                self.changes_after(*after, |change| *change == Change::Evacuations)?
             }
             StoreCall::ListWaves => StoreReply::Waves(self.waves.clone()),
             StoreCall::ListWaveStates => {
@@ -238,7 +251,7 @@
         let mut jobs: Vec<&JobId> = later
             .filter_map(|(_, change)| match change {
                 Change::Job(job) => Some(job),
-                Change::Entries | Change::Operator => None,
+                Change::Entries | Change::Operator | Change::Evacuations => None,
             })
             .collect();
         jobs.sort();
@@ -292,6 +305,29 @@
         self.record_changes([Change::Operator]);
     }
 
+    /// Begins or ends the evacuation of a zone, as an operator does.
+    pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool) {
+        if is_evacuated {
+            self.evacuations.insert(zone.to_owned());
+        } else {
+            self.evacuations.remove(zone);
+        }
+        self.record_changes([Change::Evacuations]);
+    }
+
+    /// Returns one name a page, so that lists of several zones have several pages.
+    fn evacuation_page(&self, after: Option<&str>) -> StoreReply {
+        let is_later = |name: &&String| after.is_none_or(|after| name.as_str() > after);
+        let mut later = self.evacuations.iter().filter(is_later);
+        let names: Vec<String> = later.next().cloned().into_iter().collect();
+        let next = names.last().cloned().filter(|_| later.next().is_some());
+        StoreReply::EvacuationPage {
+            names,
+            next,
+            at: self.revision,
+        }
+    }
+
     fn take_duty(&mut self, lease: u64, expected: u64, first: bool) -> StoreReply {
         if !self.leases.contains_key(&lease) {
             return StoreReply::NoLease;
--- a/crates/fulmarpond-dispatch/tests/support/store_calls.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store_calls.rs
@@ -13,7 +13,7 @@
 use super::store::{Store, StoreFault};
 
 /// One-way delay between an entry and the store, in microseconds.
-const STORE_DELAY_US: u64 = 1_500;
+pub(super) const STORE_DELAY_US: u64 = 1_500;
 
 /// Delay of a late write, in milliseconds.
 const DELAYED_CALL_MS: std::ops::Range<u64> = 1_000..6_000;
@@ -44,7 +44,7 @@
 pub type StoreOutcome = Option<Result<StoreReply, u16>>;
 
 impl Simulation {
-    fn announcement(entry: usize) -> AnnouncedEntry {
+    pub(super) fn announcement(entry: usize) -> AnnouncedEntry {
         AnnouncedEntry {
             name: format!("entry-{entry}"),
             addr: Self::entry_addr(entry),
@@ -221,6 +221,11 @@
                 directory::Action::Configured(configuration) => {
                     self.with_entry(entry, |core, _, out| core.configure(configuration, out));
                 }
+                directory::Action::Evacuated(list) => {
+                    self.with_entry(entry, |core, now, out| {
+                        core.set_evacuations(&list, now, out);
+                    });
+                }
                 directory::Action::OperatorWrote => {
                     if let Some(maintenance) = &mut self.maintenance[entry] {
                         maintenance.schedule_reload();
@@ -236,7 +241,8 @@
     }
 
     pub(super) fn new_directory(&self, now: Time) -> Option<Directory> {
-        self.options.is_durable.then(|| Directory::new(now))
+        let has_store = self.options.is_durable || self.options.evacuation_ms.is_some();
+        has_store.then(|| Directory::new(now))
     }
 
     pub(super) fn set_store_fault(&mut self, fault: Fault) {
@@ -262,6 +268,7 @@
         match fault {
             Fault::Store(store_fault, millis) => {
                 self.store.fault = StoreFault::None;
+                self.record_store_fault_end();
                 if store_fault
                     == (StoreFault::Down {
                         leases_expire: false,
@@ -270,6 +277,7 @@
                     self.store.extend_leases(millis);
                 }
                 self.answer_ready_watches();
+                self.answer_agent_watches();
             }
             Fault::StoreUnreachable(entry, ..) => {
                 self.store_unreachable_from.remove(&entry);
--- a/crates/fulmarpond-settings/src/leased/leased_settings.rs
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -19,6 +19,7 @@
     ("store", &["addr", "writes"]),
     ("advice", &["addr"]),
     ("hosts", &["addr", "handover"]),
+    ("evacuation", &["store", "bound"]),
     (
         "timing",
         &["resend", "hold_max", "stop", "heartbeat", "grace", "keep"],
@@ -50,6 +51,9 @@
 /// The minimum of `lines` in section `[log]`. With fewer lines, refusals would leave no trace.
 const MIN_LOG_LINES_PER_SECOND: u32 = 10;
 
+/// The minimum of `bound` in section `[evacuation]`.
+const MIN_EVACUATION_BOUND: Duration = Duration::from_secs(2);
+
 /// The maximum of `far` in section `[placement]`.
 const MAX_REMOTE_FACTOR: f64 = 1_000.0;
 
@@ -86,9 +90,20 @@
         heartbeats: SocketAddr,
         /// The link addresses of some entries, through which the agent joins the cluster.
         seeds: Vec<SocketAddr>,
+        /// How the agent reads evacuations of zones, if the platform asks for a bound.
+        evacuation: Option<EvacuationSettings>,
     },
 }
 
+/// How an agent reads evacuations of zones from the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EvacuationSettings {
+    /// The address of the store.
+    pub store: SocketAddr,
+    /// The time after which nothing may start in an evacuated zone.
+    pub bound: Duration,
+}
+
 /// Time limits and intervals of the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeasedTiming {
@@ -211,13 +226,42 @@
     let seeds = reader.read_required("cluster", "seeds", |text| {
         parse_seeds(text, port.unwrap_or_default())
     });
+    let evacuation = read_evacuation(reader);
     port?;
     Some(LeasedRole::Agent {
         heartbeats: heartbeats?,
         seeds: seeds?,
+        evacuation: evacuation?,
     })
 }
 
+/// Reads section `[evacuation]`, which is absent if the platform doesn't specify a bound. Returns
+/// `None` if it is invalid.
+fn read_evacuation(reader: &mut Reader<'_>) -> Option<Option<EvacuationSettings>> {
+    if !reader.has_section("evacuation") {
+        return Some(None);
+    }
+    let store = reader.read_required("evacuation", "store", parse_value);
+    let bound = reader.read_required("evacuation", "bound", parse_evacuation_bound);
+    Some(Some(EvacuationSettings {
+        store: store?,
+        bound: bound?,
+    }))
+}
+
+/// Parses the bound for evacuations. A shorter one than the minimum cannot be kept, since a lost
+/// call to the store alone may take that long.
+fn parse_evacuation_bound(text: &str) -> Result<Duration, String> {
+    let bound = parse_fractional_duration(text)?;
+    if bound < MIN_EVACUATION_BOUND {
+        return Err(format!(
+            "expected at least {} ms, got `{text}`",
+            MIN_EVACUATION_BOUND.as_millis()
+        ));
+    }
+    Ok(bound)
+}
+
 /// Parses a comma-separated list of addresses and replaces their ports with `port`, the port for
 /// links.
 fn parse_seeds(text: &str, port: u16) -> Result<Vec<SocketAddr>, String> {
--- a/crates/fulmarpond-settings/src/reader.rs
+++ b/crates/fulmarpond-settings/src/reader.rs
@@ -16,6 +16,12 @@
         }
     }
 
+    /// Returns whether the document has a section.
+    pub(crate) fn has_section(&self, section: &str) -> bool {
+        let mut sections = self.document.sections().iter();
+        sections.any(|header| header.name == section)
+    }
+
     /// Reads an optional key. Returns `None` if the key is absent, or if its value is invalid,
     /// which is reported.
     pub(crate) fn read_optional<T>(
--- a/crates/fulmarpond-settings/tests/leased.rs
+++ b/crates/fulmarpond-settings/tests/leased.rs
@@ -29,6 +29,7 @@
         ("Bounds.StopMs", "50"),
         ("Bounds.GraceS", "6"),
         ("Bounds.FarX", "1.5"),
+        ("Bounds.EvacMs", "5000"),
         ("Bounds.status_s", "120"),
         ("HeartbeatMs", "1500"),
     ];
@@ -75,9 +76,15 @@
     assert_eq!(entry.timing.job_retention, Duration::from_secs(120));
 
     let agent = read_settings(&render_template(AGENT)).expect("settings of an agent");
-    let LeasedRole::Agent { seeds, .. } = agent.role else {
+    let LeasedRole::Agent {
+        seeds, evacuation, ..
+    } = agent.role
+    else {
         panic!("expected an agent");
     };
+    let evacuation = evacuation.expect("settings of evacuations");
+    assert_eq!(evacuation.store.to_string(), "10.200.1.7:8169");
+    assert_eq!(evacuation.bound, Duration::from_secs(5));
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     assert_eq!(seeds, ["10.1.0.13:7720", "10.2.0.30:7720"]);
 }
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -9,9 +10,10 @@
 use fulmarpond_dispatch::agent::{
     Action, Agent, AgentOptions, CallFailure, CallNo, EndpointCall, EndpointReply,
 };
+use fulmarpond_dispatch::directory::StoreCall;
 use fulmarpond_dispatch::{EntryFrame, LinkNo, decode, encode};
-use fulmarpond_platform::endpoint;
 use fulmarpond_platform::heartbeat::{Heartbeat, parse_heartbeat};
+use fulmarpond_platform::{endpoint, store};
 use fulmarpond_reactor::http::{Request, Response};
 use fulmarpond_reactor::{CallId, Event, Limits, LinkId, ListenerId, Reactor, RequestId};
 use fulmarpond_settings::{LeasedRole, LeasedSettings};
@@ -28,6 +30,10 @@
 /// The lane of start and stop calls and its maximum number of connections.
 const START_STOP_LANE: (u8, usize) = (1, 4);
 
+/// The lane of calls to the store and its maximum number of connections. A call that timed out may
+/// still hold its connection when the next one is made.
+const STORE_LANE: (u8, usize) = (2, 2);
+
 /// How long before the end of the grace period the remaining runs are stopped, in milliseconds.
 const STOP_RUNS_MARGIN_MS: u64 = 1_500;
 
@@ -40,6 +46,9 @@
     reactor: Reactor,
     heartbeat_listener: ListenerId,
     calls: HashMap<CallId, (CallNo, EndpointCall, Instant)>,
+    /// The address of the store, if the agent reads evacuations there.
+    store: Option<SocketAddr>,
+    store_calls: HashMap<CallId, (u64, StoreCall)>,
     runtime: Runtime,
     grace_ms: u64,
     has_stopped_runs: bool,
@@ -48,7 +57,12 @@
 
 impl AgentProcess {
     pub(super) fn new(settings: &LeasedSettings, path: &Path, log: Log) -> Result<Self> {
-        let LeasedRole::Agent { heartbeats, seeds } = &settings.role else {
+        let LeasedRole::Agent {
+            heartbeats,
+            seeds,
+            evacuation,
+        } = &settings.role
+        else {
             return Err(io::Error::other("the settings are not those of an agent").into());
         };
         let now = BootClock::now();
@@ -65,11 +79,17 @@
         if let Some(addr) = settings.metrics {
             reactor.listen_http(addr)?;
         }
+        let mut agent = Agent::new(options, now);
+        if let Some(evacuation) = evacuation {
+            agent.watch_evacuations(evacuation.bound.as_millis() as u64, now);
+        }
         Ok(Self {
-            agent: Agent::new(options, now),
+            agent,
             reactor,
             heartbeat_listener,
             calls: HashMap::new(),
+            store: evacuation.map(|evacuation| evacuation.store),
+            store_calls: HashMap::new(),
             runtime: Runtime::new(settings, path, log, now)?,
             grace_ms: settings.timing.grace.as_millis() as u64,
             has_stopped_runs: false,
@@ -140,7 +160,14 @@
             } => self.handle_request(listener, id, &request, now),
             Event::Abandoned { .. } => {}
             Event::Replied { call, outcome } => {
-                if let Some((call_no, call, sent_at)) = self.calls.remove(&call) {
+                if let Some((number, store_call)) = self.store_calls.remove(&call) {
+                    let reply = store::decode_reply(&store_call, outcome);
+                    let result = if reply.is_ok() { "answered" } else { "failed" };
+                    let metrics = &self.runtime.metrics;
+                    metrics.count_call("store", store_call.as_str(), result);
+                    self.agent
+                        .handle_store_reply(number, reply.ok(), now, &mut self.actions);
+                } else if let Some((call_no, call, sent_at)) = self.calls.remove(&call) {
                     let outcome = endpoint::decode_reply(&call, outcome);
                     self.record_call(&call, &outcome, sent_at);
                     self.agent
@@ -180,6 +207,8 @@
                 ("waiting", waiting as u64),
                 ("running", running as u64),
                 ("entries", self.agent.links() as u64),
+                ("evacuated_zones", self.agent.evacuated_zones() as u64),
+                ("evacuated", u64::from(self.agent.is_evacuated())),
                 ("log_lines_dropped", self.runtime.dropped_lines()),
             ];
             let response = self.runtime.metrics.render(&self.agent.counters, &levels);
@@ -247,6 +276,11 @@
                 Action::Send { link, frame } => {
                     self.reactor.send(LinkId(link.0), &encode(&frame));
                 }
+                Action::Store {
+                    number,
+                    call,
+                    timeout,
+                } => self.call_store(number, call, timeout),
                 Action::Call {
                     number,
                     to,
@@ -266,6 +300,18 @@
             }
         }
     }
+
+    fn call_store(&mut self, number: u64, call: StoreCall, timeout: u64) {
+        // Calls are made only if the settings name the store.
+        let Some(addr) = self.store else {
+            return;
+        };
+        let deadline = Instant::now() + Duration::from_millis(timeout);
+        let request = store::encode_read(&call, deadline);
+        let (lane, limit) = STORE_LANE;
+        let id = self.reactor.call(addr, lane, limit, &request);
+        self.store_calls.insert(id, (number, call));
+    }
 }
 
 /// Returns the initial fencing token of this process, which is derived from the time of day.
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -255,6 +255,8 @@
                 ("jobs", self.entry.jobs() as u64),
                 ("agents", self.entry.agents() as u64),
                 ("ready_agents", self.entry.ready_agents() as u64),
+                ("evacuated_zones", self.entry.evacuated_zones() as u64),
+                ("evacuated_agents", self.entry.evacuated_agents() as u64),
                 ("configuration_version", self.entry.version()),
                 ("store_age_ms", self.directory.age(now)),
                 ("oldest_view_ms", self.entry.oldest_status_age_ms(now)),
@@ -502,6 +504,9 @@
                 }
                 self.entry.configure(configuration, &mut self.actions);
             }
+            directory::Action::Evacuated(list) => {
+                self.entry.set_evacuations(&list, now, &mut self.actions);
+            }
             directory::Action::OperatorWrote => {
                 if let Some(maintenance) = &mut self.maintenance {
                     maintenance.state.schedule_reload();
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -114,6 +114,7 @@
             ("stopped", counters.stopped),
             ("unanswered", counters.unanswered),
             ("links_lost", counters.links_lost),
+            ("evacuations", counters.evacuations),
         ] {
             let counter = self.decisions.get_or_create_owned(&[("kind", kind)]);
             counter.inner().store(value, Ordering::Relaxed);
--- a/crates/fulmarpondd/src/leased/reload.rs
+++ b/crates/fulmarpondd/src/leased/reload.rs
@@ -111,12 +111,20 @@
             ("hosts", (hosts, handover) != (new_hosts, new_handover)),
         ]),
         (
-            LeasedRole::Agent { heartbeats, .. },
+            LeasedRole::Agent {
+                heartbeats,
+                evacuation,
+                ..
+            },
             LeasedRole::Agent {
                 heartbeats: new_heartbeats,
+                evacuation: new_evacuation,
                 ..
             },
-        ) => changes.push(("listen.heartbeats", heartbeats != new_heartbeats)),
+        ) => changes.extend([
+            ("listen.heartbeats", heartbeats != new_heartbeats),
+            ("evacuation", evacuation != new_evacuation),
+        ]),
         _ => changes.push(("daemon.role", true)),
     }
     let changed = changes.into_iter().filter(|(_, is_changed)| *is_changed);
