--- a/crates/fulmarpond-standins/src/fleet/executor.rs
+++ b/crates/fulmarpond-standins/src/fleet/executor.rs
@@ -63,6 +63,8 @@
     pub(super) is_draining: bool,
     /// Whether newly started runs never finish.
     pub(super) is_hanging: bool,
+    /// Until when it reports itself as cold.
+    pub(super) cold_until: Instant,
     clock_origin: Instant,
     fencing_token: u64,
     lease_deadline_ms: i64,
@@ -82,6 +84,7 @@
             sequence: 0,
             is_draining: false,
             is_hanging: false,
+            cold_until: now,
             clock_origin: now,
             fencing_token: 0,
             lease_deadline_ms: 0,
@@ -103,7 +106,7 @@
             "Version": "v1",
             "Slots": 8,
             "State": if self.is_draining { "draining" } else { "ready" },
-            "ColdRemainingMs": 0,
+            "ColdRemainingMs": self.cold_remaining_ms(now),
             "Capacity": {"Cpu": self.options.cpu, "MemMb": 65_536, "Gpu": 0},
             "Labels": ["a", "r1-1"],
             "ClockMs": self.clock_ms(now),
@@ -111,6 +114,11 @@
         })
     }
 
+    fn cold_remaining_ms(&self, now: Instant) -> u64 {
+        let remaining = self.cold_until.saturating_duration_since(now);
+        u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn clock_ms(&self, now: Instant) -> i64 {
         let elapsed = now.duration_since(self.clock_origin).as_millis();
         // Each executor's clock has its own origin, unrelated to wall-clock time.
--- a/crates/fulmarpond-standins/src/fleet/platform.rs
+++ b/crates/fulmarpond-standins/src/fleet/platform.rs
@@ -51,6 +51,8 @@
     Compact,
     Drain(usize),
     Hang(usize, bool),
+    Evacuate(String, bool),
+    Cool(usize, Duration),
     Stop,
 }
 
@@ -136,6 +138,16 @@
         self.send_command(Command::Hang(executor, hang));
     }
 
+    /// Writes or removes the key that asks for the evacuation of a zone, as the operator does.
+    pub fn set_evacuated(&self, zone: &str, is_evacuated: bool) {
+        self.send_command(Command::Evacuate(zone.to_owned(), is_evacuated));
+    }
+
+    /// Makes an executor report in its heartbeats that it is cold for some time.
+    pub fn cool(&self, executor: usize, duration: Duration) {
+        self.send_command(Command::Cool(executor, duration));
+    }
+
     /// Stops the emulator.
     pub fn stop(mut self) {
         self.shut_down();
@@ -212,6 +224,18 @@
                 Command::Hang(index, hang) => {
                     self.with_executor(index, |executor| executor.is_hanging = hang);
                 }
+                Command::Evacuate(zone, is_evacuated) => {
+                    let key = format!("op/evacuate/{zone}");
+                    if is_evacuated {
+                        self.store.put(&key, b"{}", 0);
+                    } else {
+                        self.store.delete(&key);
+                    }
+                }
+                Command::Cool(index, duration) => self.with_executor(index, |executor| {
+                    executor.cold_until = Instant::now() + duration;
+                    executor.next_heartbeat = Instant::now();
+                }),
                 Command::Stop => return false,
             }
         }
--- a/crates/fulmarpond-standins/src/fleet/store.rs
+++ b/crates/fulmarpond-standins/src/fleet/store.rs
@@ -12,6 +12,9 @@
 /// Maximum wait of a watch.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// Number of items in a page of a range.
+const PAGE_ITEMS: usize = 500;
+
 /// Number of changes kept for watches.
 const MAX_HISTORY_CHANGES: usize = 1_000;
 
@@ -92,7 +95,8 @@
         self.record_change(key, event);
     }
 
-    fn delete(&mut self, key: &str) {
+    /// Removes an item unconditionally, as the operator does.
+    pub(super) fn delete(&mut self, key: &str) {
         self.revision += 1;
         self.remove(key);
     }
@@ -136,7 +140,9 @@
         let prefix = parameter("Prefix").unwrap_or_default();
         match (request.method, path) {
             (Method::Get, "/v1/kv-key") => Outcome::Reply(self.get(key)),
-            (Method::Get, "/v1/kv-range") => Outcome::Reply(self.range(prefix)),
+            (Method::Get, "/v1/kv-range") => {
+                Outcome::Reply(self.range(prefix, parameter("After").unwrap_or_default()))
+            }
             (Method::Get, "/v1/kv-watch") => {
                 let wait = Duration::from_millis(number("WaitMs").unwrap_or(0)).min(MAX_WATCH_WAIT);
                 self.watch(id, prefix, number("After").unwrap_or(0), now + wait)
@@ -154,12 +160,14 @@
         }
     }
 
-    fn range(&self, prefix: &str) -> Response {
-        let found = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let items: Vec<Value> = found
-            .map(|(key, item)| item_json(key, item, None))
-            .collect();
-        ok(&json!({"items": items, "HasMore": false, "At": self.revision}))
+    fn range(&self, prefix: &str, after: &str) -> Response {
+        let in_range =
+            |(key, _): &(&String, &Item)| key.starts_with(prefix) && key.as_str() > after;
+        let mut found = self.items.iter().filter(in_range);
+        let page = found.by_ref().take(PAGE_ITEMS);
+        let items: Vec<Value> = page.map(|(key, item)| item_json(key, item, None)).collect();
+        let has_more = found.next().is_some();
+        ok(&json!({"items": items, "HasMore": has_more, "At": self.revision}))
     }
 
     fn watch(
--- a/crates/fulmarpondd/tests/leased.rs
+++ b/crates/fulmarpondd/tests/leased.rs
@@ -486,3 +486,67 @@
     let refused = r#"fulmarpond_refusals_total{reason="invalid"} 3000"#;
     assert!(metrics.contains(refused), "{metrics}");
 }
+
+/// Guards against processes that do not read the operator's request to evacuate a zone, that keep
+/// it after the key is removed, or that forget it when they restart while the store is away.
+#[test]
+fn evacuated_zone_starts_nothing_until_its_key_is_removed() {
+    let mut system = System::start_in_zones(1, 2, true, &["Saga", "Uma"]);
+    let executors_of = |system: &System, id: &str| {
+        let prefix = format!("{id}.");
+        let ledger = system.emulator.ledger().into_iter();
+        let of_job = ledger.filter(|row| row.task.starts_with(&prefix));
+        let mut executors: Vec<usize> = of_job.map(|row| row.executor).collect();
+        executors.sort_unstable();
+        executors.dedup();
+        executors
+    };
+    let evacuated = |count: u32| format!(r#"fulmarpond_level{{name="evacuated_zones"}} {count}"#);
+    let knows = |system: &System, count: u32| {
+        get(system.metrics[0], "/metrics").is_some_and(|(_, text)| text.contains(&evacuated(count)))
+    };
+    system.emulator.set_evacuated("Uma", true);
+    wait_until("the entry knows the evacuation", || knows(&system, 1));
+    let (status, _) = system
+        .submit(0, "00000000000000e0", 8, "ms=30")
+        .expect("an answer");
+    assert_eq!(
+        (status, executors_of(&system, "00000000000000e0")),
+        (200, vec![0])
+    );
+
+    system.emulator.set_store_down(true);
+    system.agents[1].kill();
+    system.agents[1] = system.start_agent(1);
+    wait_until("the agent knows the evacuation", || {
+        system.agents[1].has_line(&["zone is evacuated"])
+    });
+    let (status, _) = system
+        .submit(0, "00000000000000e1", 8, "ms=30")
+        .expect("an answer");
+    assert_eq!(
+        (status, executors_of(&system, "00000000000000e1")),
+        (200, vec![0])
+    );
+
+    system.emulator.set_store_down(false);
+    system.emulator.set_evacuated("Saga", true);
+    wait_until("the entry knows both evacuations", || knows(&system, 2));
+    let (status, body) = system
+        .submit(0, "00000000000000e2", 1, "ms=30")
+        .expect("an answer");
+    assert_eq!((status, body.contains("evacuated")), (503, true), "{body}");
+
+    system.emulator.set_evacuated("Saga", false);
+    system.emulator.set_evacuated("Uma", false);
+    wait_until("the zones take tasks again", || knows(&system, 0));
+    system.wait_until_ready(0, 2);
+    std::thread::sleep(Duration::from_secs(1));
+    let (status, _) = system
+        .submit(0, "00000000000000e3", 12, "ms=60")
+        .expect("an answer");
+    assert_eq!(
+        (status, executors_of(&system, "00000000000000e3")),
+        (200, vec![0, 1])
+    );
+}
--- a/crates/fulmarpondd/tests/leased_system/mod.rs
+++ b/crates/fulmarpondd/tests/leased_system/mod.rs
@@ -135,6 +135,8 @@
     pub metrics: Vec<SocketAddr>,
     controls: Vec<SocketAddr>,
     links: Vec<SocketAddr>,
+    /// The zones of the agents, in turn.
+    zones: Vec<&'static str>,
     reads_log: bool,
 }
 
@@ -146,11 +148,23 @@
     /// Starts a system. If `reads_log` is false, nothing reads the standard output of the
     /// processes.
     pub fn start_with(entries: usize, agents: usize, reads_log: bool) -> Self {
+        Self::start_in_zones(entries, agents, reads_log, &["Saga"])
+    }
+
+    /// Starts a system whose agents stand in several zones, in turn. They read evacuations from the
+    /// store if there is more than one zone.
+    pub fn start_in_zones(
+        entries: usize,
+        agents: usize,
+        reads_log: bool,
+        zones: &[&'static str],
+    ) -> Self {
         let controls: Vec<SocketAddr> = (0..agents).map(|_| free_addr()).collect();
-        let executors = controls.iter().map(|&control| ExecutorOptions {
+        let executors = controls.iter().enumerate();
+        let executors = executors.map(|(agent, &control)| ExecutorOptions {
             listen: free_addr(),
             control,
-            zone: "Saga".to_owned(),
+            zone: zones[agent % zones.len()].to_owned(),
             cpu: 8_000,
         });
         let emulator = Emulator::start(EmulatorOptions {
@@ -169,6 +183,7 @@
             metrics: (0..entries).map(|_| free_addr()).collect(),
             controls,
             links: (0..entries).map(|_| free_addr()).collect(),
+            zones: zones.to_vec(),
             reads_log,
         };
         for entry in 0..entries {
@@ -212,9 +227,16 @@
     /// others.
     pub fn start_agent(&self, agent: usize) -> Process {
         let seed = self.links[0];
+        let zone = self.zones[agent % self.zones.len()];
+        let evacuation = if self.zones.len() > 1 {
+            let store = self.emulator.store_addr();
+            format!("[evacuation]\nstore = {store}\nbound = 5000ms\n")
+        } else {
+            String::new()
+        };
         let settings = format!(
-            "[daemon]\nmode = leased\nrole = agent\nname = agent-{agent}\nzone = Saga\n[listen]\n\
-             heartbeats = {}\n[cluster]\nseeds = {seed}\nlink_port = {}\n{}",
+            "[daemon]\nmode = leased\nrole = agent\nname = agent-{agent}\nzone = {zone}\n[listen]\n\
+             heartbeats = {}\n[cluster]\nseeds = {seed}\nlink_port = {}\n{evacuation}{}",
             self.controls[agent],
             seed.port(),
             Self::timing(),
