--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -417,6 +417,7 @@
             outcome = ?end.outcome,
             failures,
             agent = self.fleet.name(link),
+            evacuated = was_evacuated,
             "task is placed again"
         );
         if failures >= max_attempts {
