--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -20,6 +20,7 @@
         out: &mut Vec<Action>,
     ) {
         self.close_expired_links(now, out);
+        let cold_ms = registration.cold_remaining_ms;
         let Some(endpoint) = &mut self.endpoint else {
             self.attach_endpoint(registration, now, out);
             return;
@@ -43,6 +44,7 @@
                 self.return_queued_tasks(now);
             }
         }
+        self.record_cold(cold_ms, now, out);
         if self
             .endpoint
             .as_ref()
@@ -74,6 +76,7 @@
     ) {
         info!(endpoint = %registration.id, service = registration.service, cpu = registration.capacity.cpu, "endpoint found");
         self.health = Health::new(now);
+        self.record_cold(registration.cold_remaining_ms, now, out);
         self.endpoint = Some(Endpoint::new(
             registration,
             now,
