--- a/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
+++ b/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
@@ -6,7 +6,7 @@
     Action, Agent, AgentOptions, CallNo, EndpointCall, EndpointReply,
 };
 use fulmarpond_dispatch::directory::{StoreCall, StoreReply};
-use fulmarpond_dispatch::evacuation::{EvacuationWatch, Evacuations, WatchAction};
+use fulmarpond_dispatch::evacuation::{EvacuationWatch, Evacuations, Update, WatchAction};
 use fulmarpond_dispatch::{
     EndpointId, EndpointState, EntryFrame, JobId, LeaseTimes, LinkNo, Order, Registration,
     Resources,
@@ -240,3 +240,29 @@
     ]);
     assert_eq!(calls, [list(), watch(5), list(), watch(6), list()]);
 }
+
+/// Guards against stale reads and late messages that bring back an earlier state, and against
+/// messages about lists that name the same zones.
+#[test]
+fn only_a_list_of_a_higher_revision_replaces_another() {
+    let cases = [
+        (6, &[][..], Update::Changed, false),
+        (6, &["Saga"][..], Update::Unchanged, true),
+        (5, &[][..], Update::Unchanged, true),
+        (4, &[][..], Update::Outdated, true),
+        (4, &["Saga"][..], Update::Unchanged, true),
+    ];
+    for (revision, zones, update, contains) in cases {
+        let list = |revision, zones: &[&str]| {
+            Evacuations::new(revision, zones.iter().map(ToString::to_string))
+        };
+        let mut known = list(5, &["Saga"]);
+        let found = known.update(&list(revision, zones));
+        let outcome = (found, known.contains("Saga"), known.revision());
+        assert_eq!(
+            outcome,
+            (update, contains, revision.max(5)),
+            "{revision}, {zones:?}"
+        );
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/evacuations.rs
+++ b/crates/fulmarpond-dispatch/tests/evacuations.rs
@@ -13,8 +13,13 @@
 };
 
 fn simulation(seed: u64) -> Simulation {
+    simulation_with(seed, false)
+}
+
+fn simulation_with(seed: u64, is_durable: bool) -> Simulation {
     let mut sim = Simulation::new(Options {
         seed,
+        is_durable,
         evacuation_ms: Some(5_000),
         ..Options::default()
     });
@@ -207,6 +212,41 @@
     }
 }
 
+/// Guards against durable work that is left in an evacuated zone, lost with it, or started there
+/// again, and against more long-running tasks away at a time than their job allows.
+#[test]
+fn durable_work_moves_to_the_other_zone() {
+    let cases = [
+        ("durable", JOB),
+        ("gang", Demand { gang: true, ..JOB }),
+        (
+            "long-running",
+            Demand {
+                cpu: 500,
+                run_ms: 300,
+                long_running: true,
+                may_miss: Some(1),
+                ..JOB
+            },
+        ),
+    ];
+    for (name, demand) in cases {
+        let mut sim = simulation_with(5, true);
+        let jobs: Vec<_> = (0..6).map(|n| sim.submit_at(n * 150, demand)).collect();
+        sim.fault_at(800, Fault::Evacuate(0, 12_000, false));
+        sim.run_ms(9_000);
+        let left = sim.endpoints[0].runs.len() + sim.endpoints[2].runs.len();
+        assert_eq!(left, 0, "{name}");
+        if demand.long_running {
+            let running = |job| sim.history.running_count(job, demand.tasks);
+            assert!(jobs.iter().all(|job| running(job) == 4), "{name}");
+        }
+        sim.run_ms(8_000);
+        sim.check_durable_jobs();
+        assert_eq!(sim.history.violations, Vec::<String>::new(), "{name}");
+    }
+}
+
 fn any_fault() -> impl Strategy<Value = Fault> {
     let store_fault = prop_oneof![
         Just(StoreFault::Down {
@@ -251,20 +291,24 @@
     #[test]
     fn nothing_starts_after_the_bound_under_random_faults(
         seed in any::<u64>(),
+        is_durable in any::<bool>(),
         evacuation in (0..2_usize, 1_000..5_000_u64, 6_000..11_000_u64),
         faults in proptest::collection::vec((0..9_000_u64, any_fault()), 1..7),
     ) {
         let (zone, at, ms) = evacuation;
-        let mut sim = simulation(seed);
-        for at in (0..13_000).step_by(60) {
+        let mut sim = simulation_with(seed, is_durable);
+        for at in (0..13_000).step_by(if is_durable { 200 } else { 60 }) {
             sim.submit_at(at, JOB);
         }
         sim.fault_at(at, Fault::Evacuate(zone, ms, false));
         for &(at, fault) in &faults {
             sim.fault_at(at, fault);
         }
-        sim.run_ms(20_000);
+        sim.run_ms(if is_durable { 44_000 } else { 20_000 });
         sim.history.check_refusals();
+        if is_durable {
+            sim.check_durable_jobs();
+        }
         prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
     }
 }
