test(core): compare the addressee of a delayed call when it arrives

Cause: the stand-in compared the incarnation that a call is addressed to when the call was sent. A delayed hold for a crashed endpoint was then applied by the next incarnation, and acknowledged ends there that the agent had not seen. The platform's endpoints compare the addressee at arrival.

Change: the event carries the addressee, and the endpoint compares it when the call arrives.

--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -4,7 +4,7 @@
 use fulmarpond_dispatch::agent::{
     CallFailure, CallNo, EndReason, EndpointCall, EndpointReply, StartRefusal,
 };
-use fulmarpond_dispatch::{Registration, Resources, TaskKey};
+use fulmarpond_dispatch::{EndpointId, Registration, Resources, TaskKey};
 use rand::RngExt;
 
 use super::callers::TASK_MEMORY;
@@ -29,7 +29,7 @@
         number: CallNo,
         call: EndpointCall,
         delays: u64,
-        same_incarnation: bool,
+        to: EndpointId,
     ) {
         let endpoint = &self.endpoints[agent];
         if matches!(
@@ -39,7 +39,8 @@
         {
             return;
         }
-        if !same_incarnation {
+        // The endpoint compares the addressee when a call arrives, however late.
+        if to != endpoint.id() {
             let reply = Ok(EndpointReply::OtherIncarnation);
             self.schedule_in_us(
                 LOCAL_DELAY_US,
@@ -52,8 +53,7 @@
             _ => 0,
         };
         if self.rng.random_range(0..100) < percent {
-            let late =
-                Event::EndpointCallArrives(agent, generation, number, call, 1, same_incarnation);
+            let late = Event::EndpointCallArrives(agent, generation, number, call, 1, to);
             self.schedule_in_ms(DELAYED_CALL_MS, late);
             return;
         }
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -14,7 +14,7 @@
 };
 use fulmarpond_dispatch::maintenance::{HostCall, HostReply, Maintenance, Wave};
 use fulmarpond_dispatch::{
-    AgentFrame, EntryFrame, JobId, LeaseTimes, LinkNo, TaskKey, decode, encode,
+    AgentFrame, EndpointId, EntryFrame, JobId, LeaseTimes, LinkNo, TaskKey, decode, encode,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -104,9 +104,9 @@
     LinkUp(usize, bool),
     LinkDownAtAgent(usize, u32, LinkNo),
     LinkDownAtEntry(usize, u32, LinkNo),
-    /// Agent, its generation, number of the call, the call, how often it was delayed, and whether
-    /// it is addressed to the current incarnation of the endpoint.
-    EndpointCallArrives(usize, u32, CallNo, EndpointCall, u64, bool),
+    /// Agent, its generation, number of the call, the call, how often it was delayed, and the
+    /// incarnation of the endpoint that it is addressed to.
+    EndpointCallArrives(usize, u32, CallNo, EndpointCall, u64, EndpointId),
     EndpointCallAnswered(usize, u32, CallNo, Result<EndpointReply, CallFailure>),
     /// Endpoint, its incarnation, and the hold whose wait time is over.
     EndHold(usize, u32, u64),
@@ -519,7 +519,6 @@
                 ..
             } => {
                 let generation = self.agents[agent].generation;
-                let same_incarnation = to == self.endpoints[agent].id();
                 let is_silent = self.endpoints[agent].fault == EndpointFault::Silent;
                 if self.endpoints[agent].fault == EndpointFault::Crashed {
                     let refused = Err(CallFailure::Refused);
@@ -528,14 +527,7 @@
                         Event::EndpointCallAnswered(agent, generation, number, refused),
                     );
                 } else if !is_silent {
-                    let arrive = Event::EndpointCallArrives(
-                        agent,
-                        generation,
-                        number,
-                        call,
-                        0,
-                        same_incarnation,
-                    );
+                    let arrive = Event::EndpointCallArrives(agent, generation, number, call, 0, to);
                     self.schedule_in_us(LOCAL_DELAY_US, arrive);
                 }
                 let lost = Err(CallFailure::NoReply);
@@ -668,22 +660,8 @@
                     self.with_entry(entry, |core, now, out| core.link_down(link, now, out));
                 }
             }
-            Event::EndpointCallArrives(
-                agent,
-                generation,
-                number,
-                call,
-                delays,
-                same_incarnation,
-            ) => {
-                self.endpoint_call_arrives(
-                    agent,
-                    generation,
-                    number,
-                    call,
-                    delays,
-                    same_incarnation,
-                );
+            Event::EndpointCallArrives(agent, generation, number, call, delays, to) => {
+                self.endpoint_call_arrives(agent, generation, number, call, delays, to);
             }
             Event::EndpointCallAnswered(agent, generation, number, outcome) => {
                 self.endpoint_call_answered(agent, generation, number, outcome);
