feat(core): tell incarnations of an endpoint apart by the time of its start

Cause: an endpoint may restart under its id.

Change: heartbeats and replies to holds carry `born`. A hold reply with another one replaces the incarnation: runs that the earlier one has listed are aborted at once, and others are stopped at the new one first, with a higher fencing token and under run numbers that are not used again. A heartbeat with another `born` is verified by a call, whose reply decides; until a heartbeat of the new incarnation the endpoint takes no task. A deregistration without `born` withdraws the endpoint until calls or later heartbeats show whether it has ended. Tickets of the advice service belong to an incarnation. A change of the service within an incarnation is refused.

Calls that are delayed in the network beyond a restart are not simulated: a restart closes their connections.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -1,6 +1,6 @@
 //! The state of an agent, its links to entries and the frames that it receives.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
@@ -14,8 +14,8 @@
 use super::{Action, CallNo};
 use crate::entry::Configuration;
 use crate::{
-    AgentFrame, Checkpoint, Counters, EndpointId, EntryFrame, LeaseTimes, LinkNo, Outcome,
-    Registration, Resources, TaskEnd, TaskKey, Working,
+    AgentFrame, Checkpoint, Counters, EndpointId, EntryFrame, Incarnation, LeaseTimes, LinkNo,
+    Outcome, Registration, Resources, TaskEnd, TaskKey, Working,
 };
 
 /// The minimum timeout of start and stop calls, in milliseconds. The endpoint is on the same host
@@ -94,6 +94,8 @@
     pub(super) fence_increment: u64,
     pub(super) links: Links,
     pub(super) endpoint: Option<Endpoint>,
+    /// The last incarnations of endpoints that are known to be over.
+    pub(super) ended_incarnations: VecDeque<Incarnation>,
     pub(super) runs: HashMap<TaskKey, Run>,
     pub(super) queue: Queue,
     /// The calls without a reply.
@@ -136,6 +138,7 @@
             options,
             links,
             endpoint: None,
+            ended_incarnations: VecDeque::new(),
             runs: HashMap::new(),
             queue: Queue::default(),
             pending_calls: HashMap::new(),
@@ -362,15 +365,18 @@
     }
 
     fn endpoint_frame(&self) -> AgentFrame {
-        match &self.endpoint {
+        let registered = self.endpoint.as_ref();
+        match registered.filter(|endpoint| endpoint.is_registered) {
             Some(endpoint) => AgentFrame::Endpoint {
                 id: endpoint.registration.id.clone(),
+                born: endpoint.registration.born,
                 service: endpoint.registration.service.clone(),
                 capacity: endpoint.registration.capacity,
                 labels: endpoint.registration.labels.clone(),
             },
             None => AgentFrame::Endpoint {
                 id: EndpointId(String::new()),
+                born: 0,
                 service: String::new(),
                 capacity: Resources::default(),
                 labels: Vec::new(),
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -262,7 +262,8 @@
             backlog,
             next_end_ms: u32::try_from(next_end_ms).unwrap_or(u32::MAX),
             reserved: self.reserved_capacity(),
-            draining: endpoint.registration.state == EndpointState::Draining,
+            draining: endpoint.is_registered
+                && endpoint.registration.state == EndpointState::Draining,
             stopping: self.is_shutting_down || endpoint.drained_until.is_some(),
             slowness: self.health.slowness_percent(),
             failures: self.health.failure_percent(),
--- a/crates/fulmarpond-dispatch/src/agent/endpoint.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint.rs
@@ -31,6 +31,14 @@
 #[derive(Debug)]
 pub(super) struct Endpoint {
     pub(super) registration: Registration,
+    /// Whether the registration is one of this incarnation. After a restart that a reply has shown,
+    /// it is that of the previous one until the first heartbeat.
+    pub(super) is_registered: bool,
+    /// Whether this incarnation has replied to a hold.
+    pub(super) has_replied: bool,
+    /// The number of the last heartbeat before the endpoint deregistered without saying which
+    /// incarnation did.
+    pub(super) deregistered_at: Option<u64>,
     pub(super) clock: RemoteClock,
     /// Until when holds wait only briefly, since calls got no reply.
     pub(super) cautious_until: Time,
@@ -71,6 +79,9 @@
     pub(super) fn new(registration: Registration, now: Time, heartbeat_ms: u64) -> Self {
         Self {
             registration,
+            is_registered: true,
+            has_replied: false,
+            deregistered_at: None,
             clock: RemoteClock::default(),
             cautious_until: now,
             last_list: now,
@@ -99,9 +110,17 @@
         now: Time,
         heartbeat_ms: u64,
     ) -> bool {
-        if registration.sequence < self.registration.sequence {
+        if self.is_registered && registration.sequence < self.registration.sequence {
             return false;
         }
+        // One heartbeat may have been on its way when the endpoint deregistered.
+        if self
+            .deregistered_at
+            .is_some_and(|last| registration.sequence > last.saturating_add(1))
+        {
+            self.deregistered_at = None;
+        }
+        self.is_registered = true;
         self.heartbeat_deadline = now.after_millis(heartbeat_ms * MAX_MISSED_HEARTBEATS);
         self.registration = registration;
         true
@@ -123,6 +142,8 @@
     /// Returns whether new tasks may start.
     pub(super) fn accepts_tasks(&self, now: Time) -> bool {
         self.has_no_unknown_runs
+            && self.is_registered
+            && self.deregistered_at.is_none()
             && self.is_reachable
             && self.forced_expiry_at.is_none()
             && self.drained_until.is_none()
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
@@ -132,6 +132,9 @@
     },
     /// The runs and ends listed by a hold.
     Held {
+        /// When the incarnation that replies was started, in Unix milliseconds; 0 if the endpoint
+        /// does not say.
+        born: u64,
         /// The endpoint's clock, in milliseconds.
         clock: i64,
         /// The current runs.
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -84,7 +84,8 @@
             || !endpoint.has_no_unknown_runs
             || !endpoint.unacknowledged_ends.is_empty()
             || endpoint.had_unacknowledged
-            || !endpoint.is_reachable;
+            || !endpoint.is_reachable
+            || endpoint.deregistered_at.is_some();
         if endpoint.pending_hold.is_some() || !is_needed || now < endpoint.next_hold {
             return;
         }
@@ -145,6 +146,11 @@
             self.handle_probe(registration, &outcome, now, out);
             return;
         }
+        if let Ok(EndpointReply::Held { born, .. }) = outcome
+            && self.update_incarnation(born, now, out)
+        {
+            return;
+        }
         let Some(endpoint) = &mut self.endpoint else {
             return;
         };
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -180,6 +180,9 @@
                     self.report_checkpoint(&task, value);
                 }
                 self.start_confirmed(&task, entry.run, now);
+                if let Some(run) = self.runs.get_mut(&task) {
+                    run.is_listed = true;
+                }
                 self.check_progress(entry, now, out);
                 continue;
             }
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -51,6 +51,7 @@
                     remaining_ms => now.after_millis(u64::from(remaining_ms)),
                 },
                 progress: Progress::new(now),
+                is_listed: false,
                 checkpoint: checkpoint(order, index),
                 is_resumed: false,
                 max_run_ms: order.max_run_ms,
@@ -146,6 +147,7 @@
         self.used_capacity = self.used_capacity.plus(run.needs);
         run.number += 1;
         run.phase = Phase::Starting;
+        run.is_listed = false;
         run.is_resumed = run.checkpoint.is_some();
         self.pending_starts
             .entry(run.link)
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -93,6 +93,9 @@
     /// When the caller stops waiting for the result.
     pub(super) deadline: Time,
     pub(super) progress: Progress,
+    /// Whether the current incarnation of the endpoint has listed this run, so that no start of it
+    /// is on its way any more.
+    pub(super) is_listed: bool,
     /// The newest checkpoint of this run or of an earlier one.
     pub(super) checkpoint: Option<String>,
     /// Whether the run was started from a checkpoint.
--- a/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
+++ b/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
@@ -49,6 +49,9 @@
             if running.iter().any(is_checked) {
                 debug!(%task, run, "run has started, only the reply is missing");
                 self.start_confirmed(task, *run, check.start_sent);
+                if let Some(known) = self.runs.get_mut(task) {
+                    known.is_listed |= known.number == *run;
+                }
             }
         }
         self.stop_unconfirmed(task, *run, now, out);
--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -85,6 +85,8 @@
     pub stopped: u64,
     /// Calls to the endpoint that got no reply.
     pub unanswered: u64,
+    /// Restarts of the endpoint under its id.
+    pub endpoint_restarts: u64,
 }
 
 impl Counters {
--- a/crates/fulmarpond-dispatch/src/entry/advice.rs
+++ b/crates/fulmarpond-dispatch/src/entry/advice.rs
@@ -15,7 +15,7 @@
 use super::configuration::Route;
 use super::entry::Entry;
 use super::job::Job;
-use crate::{EndpointId, JobId, LinkNo};
+use crate::{EndpointId, Incarnation, JobId, LinkNo};
 
 /// The maximum number of endpoints in a call. The service accepts 100, but each adds to the time of
 /// the call.
@@ -91,7 +91,7 @@
 #[derive(Debug)]
 struct Call {
     step: StepKey,
-    endpoints: Vec<EndpointId>,
+    endpoints: Vec<Incarnation>,
     sent_at: Time,
     valid_ms: u64,
 }
@@ -99,7 +99,7 @@
 /// The decisions received so far, and the steps that need a call.
 #[derive(Debug, Default)]
 pub(super) struct Advice {
-    verdicts: HashMap<StepKey, HashMap<EndpointId, Verdict>>,
+    verdicts: HashMap<StepKey, HashMap<Incarnation, Verdict>>,
     queue: VecDeque<StepKey>,
     in_flight: Option<Call>,
     /// The earliest time of the next call after a failed one.
@@ -108,14 +108,14 @@
 
 impl Advice {
     /// Returns the valid ticket of a step at an endpoint.
-    pub(super) fn ticket(&self, step: &StepKey, endpoint: &EndpointId, now: Time) -> Option<&str> {
+    pub(super) fn ticket(&self, step: &StepKey, endpoint: &Incarnation, now: Time) -> Option<&str> {
         match self.verdicts.get(step)?.get(endpoint)? {
             Verdict::Ticket { value, expires } if now < *expires => Some(value),
             _ => None,
         }
     }
 
-    fn is_forbidden(&self, step: &StepKey, endpoint: &EndpointId) -> bool {
+    fn is_forbidden(&self, step: &StepKey, endpoint: &Incarnation) -> bool {
         let verdict = self
             .verdicts
             .get(step)
@@ -140,7 +140,7 @@
     }
 
     /// Discards a ticket that its endpoint did not accept.
-    pub(super) fn discard_ticket(&mut self, step: &StepKey, endpoint: &EndpointId) {
+    pub(super) fn discard_ticket(&mut self, step: &StepKey, endpoint: &Incarnation) {
         if let Some(verdicts) = self.verdicts.get_mut(step) {
             verdicts.remove(endpoint);
         }
@@ -199,7 +199,7 @@
             debug!(job = %step.job, step = step.step, endpoints = endpoints.len(), "asking for advice");
             out.push(Action::Advise {
                 step: step.clone(),
-                endpoints: endpoints.clone(),
+                endpoints: endpoints.iter().map(|of| of.id.clone()).collect(),
                 timeout,
             });
             self.advice.in_flight = Some(Call {
@@ -213,8 +213,8 @@
     }
 
     /// Returns the endpoints to request advice for, by ascending placement cost.
-    fn advice_candidates(&self, job: &Job, step: &StepKey, now: Time) -> Vec<EndpointId> {
-        let mut ranked: BTreeMap<(u64, LinkNo), EndpointId> = BTreeMap::new();
+    fn advice_candidates(&self, job: &Job, step: &StepKey, now: Time) -> Vec<Incarnation> {
+        let mut ranked: BTreeMap<(u64, LinkNo), Incarnation> = BTreeMap::new();
         for (&link, view) in &self.fleet.views {
             let is_decided = self.advice.is_forbidden(step, &view.endpoint)
                 || self.advice.ticket(step, &view.endpoint, now).is_some();
@@ -266,14 +266,13 @@
             return;
         }
         let verdicts = self.advice.verdicts.entry(step.clone()).or_default();
+        // Endpoints that were not asked about are ignored: which incarnation is meant is not known.
         for endpoint in endpoints {
-            verdicts.insert(endpoint, Verdict::Forbidden);
-        }
-        for Allowed { endpoint, ticket } in allowed {
-            let verdict = Verdict::Ticket {
-                value: ticket,
+            let ticket = allowed.iter().find(|of| of.endpoint == endpoint.id);
+            let verdict = ticket.map_or(Verdict::Forbidden, |of| Verdict::Ticket {
+                value: of.ticket.clone(),
                 expires,
-            };
+            });
             verdicts.insert(endpoint, verdict);
         }
         self.place(&step.job, now, out);
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -7,8 +7,8 @@
 use super::job::TaskState;
 use super::{Action, Answer, StepKey};
 use crate::{
-    AgentFrame, Checkpoint, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd,
-    Working,
+    AgentFrame, Checkpoint, EndpointStatus, EntryFrame, Incarnation, JobId, LinkNo, Outcome,
+    Refusal, TaskEnd, Working,
 };
 
 /// How long a durable job waits for other entries to record ends that a lost agent reported to
@@ -158,6 +158,7 @@
             AgentFrame::Configuration(configuration) => self.configure(configuration, out),
             AgentFrame::Endpoint {
                 id,
+                born,
                 service,
                 capacity,
                 labels,
@@ -169,7 +170,7 @@
                         cpu = capacity.cpu,
                         "endpoint announced"
                     );
-                    view.endpoint = id;
+                    view.endpoint = Incarnation { id, born };
                     view.service = service;
                     view.capacity = capacity;
                     view.labels = labels;
--- a/crates/fulmarpond-dispatch/src/entry/drains.rs
+++ b/crates/fulmarpond-dispatch/src/entry/drains.rs
@@ -40,7 +40,7 @@
 
     fn view_of_endpoint(&self, endpoint: &EndpointId) -> Option<(LinkNo, &AgentView)> {
         let mut views = self.fleet.views.iter();
-        let found = views.find(|(_, view)| view.endpoint == *endpoint);
+        let found = views.find(|(_, view)| view.endpoint.id == *endpoint);
         found.map(|(&link, view)| (link, view))
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -4,7 +4,7 @@
 
 use fulmarpond_core::Time;
 
-use crate::{EndpointId, EndpointStatus, LinkNo, Resources};
+use crate::{EndpointId, EndpointStatus, Incarnation, LinkNo, Resources};
 
 /// A task that was planned or sent and is not yet included in the agent's status.
 #[derive(Debug)]
@@ -23,7 +23,7 @@
     pub(super) zone: String,
     /// The version of the configuration that the agent holds.
     pub(super) version: u64,
-    pub(super) endpoint: EndpointId,
+    pub(super) endpoint: Incarnation,
     pub(super) service: String,
     pub(super) capacity: Resources,
     pub(super) labels: Vec<String>,
@@ -131,7 +131,10 @@
             name,
             zone,
             version,
-            endpoint: EndpointId(String::new()),
+            endpoint: Incarnation {
+                id: EndpointId(String::new()),
+                born: 0,
+            },
             service: String::new(),
             capacity: Resources::default(),
             labels: Vec::new(),
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -53,8 +53,10 @@
     Configuration(Configuration),
     /// A change of the endpoint, or its absence.
     Endpoint {
-        /// The incarnation of the endpoint; empty if there is none.
+        /// The id of the endpoint; empty if there is none.
         id: EndpointId,
+        /// When its incarnation was started, in Unix milliseconds; 0 if unknown.
+        born: u64,
         /// The service of the endpoint; empty if there is none.
         service: String,
         /// Its total capacity.
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -36,5 +36,5 @@
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use lease_times::{InvalidLeaseTimes, LeaseTimes};
-pub use registration::{EndpointState, Registration};
+pub use registration::{EndpointState, Incarnation, Registration, RegistrationError};
 pub use resources::Resources;
--- a/crates/fulmarpond-dispatch/src/registration.rs
+++ b/crates/fulmarpond-dispatch/src/registration.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use fulmarpond_derive::value;
+use fulmarpond_derive::{key, value};
+use thiserror::Error;
 
 use crate::{EndpointId, Resources};
 
@@ -15,11 +16,22 @@
     Draining,
 }
 
+/// One life of an endpoint. An endpoint that restarts may keep its id, but not the time of its start.
+#[key]
+pub struct Incarnation {
+    /// The id of the endpoint.
+    pub id: EndpointId,
+    /// When it was started, in Unix milliseconds; 0 if the endpoint does not say.
+    pub born: u64,
+}
+
 /// A heartbeat of an endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
-    /// The incarnation of the endpoint.
+    /// The id of the endpoint.
     pub id: EndpointId,
+    /// When this incarnation was started, in Unix milliseconds; 0 if the heartbeat does not say.
+    pub born: u64,
     /// The service that it belongs to.
     pub service: String,
     /// The address of its API.
@@ -33,3 +45,21 @@
     /// The sequence number of the heartbeat within the incarnation.
     pub sequence: u64,
 }
+
+impl Registration {
+    /// Returns the incarnation that sent the heartbeat.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+}
+
+/// Why a heartbeat is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum RegistrationError {
+    /// An incarnation belongs to one service for its whole life.
+    #[error("the service differs from that of earlier heartbeats of this incarnation")]
+    ServiceChanged,
+}
--- a/crates/fulmarpond-dispatch/tests/gangs.rs
+++ b/crates/fulmarpond-dispatch/tests/gangs.rs
@@ -150,6 +150,8 @@
         (0..4_usize, 50..3_000_u64).prop_map(|(agent, ms)| Fault::PauseAgent(agent, ms)),
         (0..4_usize, 0..2_usize, 100..3_000_u64)
             .prop_map(|(agent, entry, ms)| Fault::BlockLinks(agent, entry, ms)),
+        (0..4_usize, prop_oneof![Just(0), 1..1_500_u64], 0..2_000_u64)
+            .prop_map(|(agent, down, late)| Fault::RestartEndpoint(agent, down, late)),
         (0..4_usize, 5..40_u32, 300..3_000_u64).prop_map(|(agent, percent, ms)| Fault::Endpoint(
             agent,
             EndpointFault::DelayedCalls(percent),
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -6,8 +6,8 @@
     EndpointReply, RunEntry,
 };
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointState, EntryFrame, JobId, LeaseTimes, LinkNo, Order,
-    Registration, Resources, TaskKey,
+    AgentFrame, EndpointId, EndpointState, EntryFrame, Incarnation, JobId, LeaseTimes, LinkNo,
+    Order, Outcome, Registration, RegistrationError, Resources, TaskKey,
 };
 
 const START: Time = Time::from_millis(10_000);
@@ -19,11 +19,22 @@
     calls: Vec<(CallNo, EndpointCall)>,
     /// The last reported slowness, in percent.
     slowness: u32,
+    /// The incarnation that replies to holds.
+    born: u64,
+    /// The last reported readiness.
+    is_ready: bool,
+    is_draining: bool,
+    /// The reported ends.
+    ends: Vec<(TaskKey, Outcome)>,
 }
 
 impl Host {
     /// Returns a host whose endpoint has capacity for all tasks of a job and runs nothing.
     fn new() -> Self {
+        Self::with_incarnation(0)
+    }
+
+    fn with_incarnation(born: u64) -> Self {
         let options = AgentOptions {
             name: "side-1".to_owned(),
             zone: "Saga".to_owned(),
@@ -36,21 +47,12 @@
             agent: Agent::new(options, START),
             calls: Vec::new(),
             slowness: 100,
+            born,
+            is_ready: false,
+            is_draining: false,
+            ends: Vec::new(),
         };
-        let registration = Registration {
-            id: EndpointId("e-1".to_owned()),
-            service: "service".to_owned(),
-            addr: ([127, 0, 0, 1], 9_000).into(),
-            capacity: Resources {
-                cpu: 8_000,
-                memory: 1_000,
-                accelerators: 0,
-            },
-            labels: Vec::new(),
-            state: EndpointState::Ready,
-            sequence: 1,
-        };
-        host.act(|agent, out| agent.handle_heartbeat(registration, START, out));
+        host.heartbeat(registration(born, 1), START);
         let hold = host.take_hold();
         host.reply(hold, START, &[], &[]);
         host.act(|agent, out| agent.link_up(LINK, START, out));
@@ -66,12 +68,30 @@
                 Action::Send {
                     frame: AgentFrame::Status { load, .. },
                     ..
-                } => self.slowness = load.slowness,
+                } => {
+                    self.slowness = load.slowness;
+                    self.is_ready = load.ready;
+                    self.is_draining = load.draining;
+                }
+                Action::Send {
+                    frame: AgentFrame::Ended(ends),
+                    ..
+                } => {
+                    let ends = ends.into_iter().map(|end| (end.task, end.outcome));
+                    self.ends.extend(ends);
+                }
                 _ => {}
             }
         }
     }
 
+    fn heartbeat(&mut self, registration: Registration, now: Time) {
+        self.act(|agent, out| {
+            let handled = agent.handle_heartbeat(registration, now, out);
+            handled.expect("a consistent heartbeat");
+        });
+    }
+
     /// Renews the lease of the link and ticks the agent.
     fn tick(&mut self, now: Time) {
         let renew = EntryFrame::Renew {
@@ -101,6 +121,7 @@
 
     fn reply(&mut self, number: CallNo, now: Time, running: &[RunEntry], ended: &[EndEntry]) {
         let reply = EndpointReply::Held {
+            born: self.born,
             clock: 0,
             running: running.to_vec(),
             ended: ended.to_vec(),
@@ -108,8 +129,7 @@
         self.act(|agent, out| agent.handle_reply(number, Ok(reply), now, out));
     }
 
-    /// Orders a job, and confirms the start of all of its tasks.
-    fn start_job(&mut self, number: u16, tasks: u16, expected_ms: u32, now: Time) {
+    fn order(&mut self, number: u16, tasks: u16, expected_ms: u32, now: Time) {
         let order = Order {
             job: job_id(number),
             step: 0,
@@ -133,6 +153,11 @@
             ticket: None,
         };
         self.act(|agent, out| agent.handle_frame(LINK, EntryFrame::Start(order), now, out));
+    }
+
+    /// Orders a job, and confirms the start of all of its tasks.
+    fn start_job(&mut self, number: u16, tasks: u16, expected_ms: u32, now: Time) {
+        self.order(number, tasks, expected_ms, now);
         for _ in 0..tasks {
             let start = self.take_call(|call| matches!(call, EndpointCall::Start { .. }));
             let done = EndpointReply::Done { clock: 0 };
@@ -141,6 +166,36 @@
     }
 }
 
+fn registration(born: u64, sequence: u64) -> Registration {
+    Registration {
+        id: EndpointId("e-1".to_owned()),
+        born,
+        service: "service".to_owned(),
+        addr: ([127, 0, 0, 1], 9_000).into(),
+        capacity: Resources {
+            cpu: 8_000,
+            memory: 1_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        state: EndpointState::Ready,
+        sequence,
+    }
+}
+
+fn running(job: u16) -> RunEntry {
+    RunEntry {
+        task: TaskKey {
+            job: job_id(job),
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+        progress: Some(0),
+        checkpoint: None,
+    }
+}
+
 fn job_id(number: u16) -> JobId {
     JobId(format!("{number:016x}"))
 }
@@ -250,3 +305,223 @@
     // With calm restored, holds wait long again, since each one costs processor time.
     assert!(host.hold_wait_ms() >= 60);
 }
+
+/// Guards against tasks that run twice after a restart: a run that the earlier incarnation has
+/// listed is over, but the start of another one may have reached the new incarnation, under the
+/// same number. And against ends that are missed since their numbers start anew.
+#[test]
+fn hold_of_a_new_incarnation_ends_all_runs_of_the_old_one() {
+    let mut host = Host::with_incarnation(1);
+    host.start_job(0, 1, 100, START);
+    let hold = host.take_hold();
+    host.reply(hold, START, &[running(0)], &all_ends(1, 0));
+    host.start_job(1, 1, 100, START);
+    host.born = 2;
+    let now = START.after_millis(20);
+    let hold = host.take_hold();
+    host.reply(hold, now, &[running(1)], &[]);
+    let aborted = |job| (running(job).task, Outcome::Aborted);
+    assert_eq!(host.ends, [aborted(0)]);
+    let stop = host.take_call(
+        |call| matches!(call, EndpointCall::Stop { task, fence, .. } if task.job == job_id(1) && *fence > 2),
+    );
+    assert!(!host.is_ready, "no heartbeat of the new incarnation yet");
+    host.act(|agent, out| {
+        agent.handle_reply(stop, Ok(EndpointReply::Done { clock: 0 }), now, out);
+    });
+    while host.ends.len() < 2 {
+        let hold = host.take_hold();
+        host.reply(hold, now, &[], &[]);
+    }
+    assert_eq!(host.ends[1], aborted(1));
+
+    host.heartbeat(registration(2, 1), now);
+    host.start_job(2, 1, 100, now);
+    host.tick(now.after_millis(10));
+    let end = EndEntry {
+        sequence: 1,
+        task: running(2).task,
+        run: 1,
+        reason: EndReason::Done,
+        checkpoint: None,
+    };
+    let hold = host.take_hold();
+    host.reply(hold, now.after_millis(60), &[], &[end]);
+    assert_eq!(host.ends[2], (running(2).task, Outcome::Done));
+}
+
+/// Guards against a run of the new incarnation that is taken for one of the old one, since a task
+/// that is ordered again at the same agent gets the same run number.
+#[test]
+fn run_numbers_are_not_used_again_after_a_restart() {
+    let mut host = Host::with_incarnation(1);
+    host.start_job(0, 1, 100, START);
+    host.born = 2;
+    host.heartbeat(registration(2, 1), START);
+    let probe = host.calls.pop().expect("a call").0;
+    host.reply(probe, START, &[], &[]);
+    let stop = host.take_call(|call| matches!(call, EndpointCall::Stop { .. }));
+    host.act(|agent, out| {
+        agent.handle_reply(stop, Ok(EndpointReply::Done { clock: 0 }), START, out);
+    });
+    while host.ends.is_empty() {
+        let hold = host.take_hold();
+        host.reply(hold, START, &[], &[]);
+    }
+    host.order(0, 1, 100, START);
+    let second = |call: &EndpointCall| matches!(call, EndpointCall::Start { run: 2, .. });
+    host.take_call(second);
+}
+
+struct Heartbeats {
+    name: &'static str,
+    /// The incarnation that was attached, and that of the next heartbeat.
+    born: (u64, u64),
+    /// The incarnation that the endpoint names in its reply.
+    replies: u64,
+    restarts: u64,
+    /// Whether the heartbeat, which says that the endpoint drains, takes effect.
+    is_draining: bool,
+}
+
+/// Guards against heartbeats of an earlier incarnation that take effect, and against those of a new
+/// one that do not.
+#[test]
+fn reply_decides_whether_a_heartbeat_takes_effect() {
+    let cases = [
+        ("same incarnation", (1, 1), 1, 0, true),
+        ("new incarnation", (1, 2), 2, 1, true),
+        (
+            "earlier incarnation, by a clock that was set back",
+            (1, 2),
+            1,
+            0,
+            false,
+        ),
+        ("another incarnation than either", (1, 2), 3, 1, false),
+        ("no incarnation in replies, later start", (1, 2), 0, 1, true),
+        (
+            "no incarnation in replies, earlier start",
+            (2, 1),
+            0,
+            0,
+            false,
+        ),
+        ("no incarnation in heartbeats", (0, 0), 0, 0, true),
+        (
+            "no incarnation in the heartbeat, another one replies",
+            (1, 0),
+            2,
+            1,
+            true,
+        ),
+    ];
+    let cases = cases.map(|(name, born, replies, restarts, is_draining)| Heartbeats {
+        name,
+        born,
+        replies,
+        restarts,
+        is_draining,
+    });
+    for case in cases {
+        let mut host = Host::with_incarnation(case.born.0);
+        host.tick(START);
+        assert!(host.is_ready, "{}", case.name);
+        host.born = case.replies;
+        let heartbeat = Registration {
+            state: EndpointState::Draining,
+            ..registration(case.born.1, 2)
+        };
+        host.heartbeat(heartbeat, START);
+        while let Some((call, _)) = host.calls.pop() {
+            host.reply(call, START, &[], &[]);
+        }
+        assert_eq!(host.is_draining, case.is_draining, "{}", case.name);
+        assert_eq!(
+            host.agent.counters.endpoint_restarts, case.restarts,
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// Guards against an endpoint that is used under a service to which it does not belong.
+#[test]
+fn heartbeat_with_another_service_is_refused() {
+    let mut host = Host::with_incarnation(1);
+    let heartbeat = Registration {
+        service: "other".to_owned(),
+        ..registration(1, 2)
+    };
+    host.act(|agent, out| {
+        let handled = agent.handle_heartbeat(heartbeat, START, out);
+        assert_eq!(handled, Err(RegistrationError::ServiceChanged));
+    });
+    host.tick(START);
+    assert!(host.is_ready);
+}
+
+struct Deregistration {
+    name: &'static str,
+    born: u64,
+    /// Whether connections to the endpoint are refused afterwards.
+    has_ended: bool,
+    /// Whether the endpoint takes tasks after the next heartbeats.
+    is_ready: [bool; 3],
+}
+
+/// Guards against an endpoint that has left and is in use again through a delayed heartbeat, and
+/// against one that is withdrawn by a delayed deregistration of its earlier life.
+#[test]
+fn endpoint_that_has_left_is_not_in_use_again() {
+    let cases = [
+        Deregistration {
+            name: "of this incarnation",
+            born: 2,
+            has_ended: true,
+            is_ready: [false; 3],
+        },
+        Deregistration {
+            name: "of an earlier incarnation",
+            born: 1,
+            has_ended: false,
+            is_ready: [true; 3],
+        },
+        Deregistration {
+            name: "unnamed, and the endpoint has ended",
+            born: 0,
+            has_ended: true,
+            is_ready: [false; 3],
+        },
+        Deregistration {
+            name: "unnamed, and the endpoint lives on",
+            born: 0,
+            has_ended: false,
+            is_ready: [false, true, true],
+        },
+    ];
+    for case in cases {
+        let mut host = Host::with_incarnation(2);
+        host.tick(START);
+        let left = Incarnation {
+            born: case.born,
+            ..registration(0, 0).incarnation()
+        };
+        host.act(|agent, out| agent.handle_deregistration(&left, START, out));
+        for (round, expected) in (0..).zip(case.is_ready) {
+            let now = START.after_millis(100 * (round + 1));
+            host.heartbeat(registration(2, 2 + round), now);
+            for (call, _) in std::mem::take(&mut host.calls) {
+                if case.has_ended {
+                    let refused = Err(CallFailure::Refused);
+                    host.act(|agent, out| agent.handle_reply(call, refused, now, out));
+                } else {
+                    host.reply(call, now, &[], &[]);
+                }
+            }
+            host.heartbeat(registration(2, 2 + round), now);
+            host.tick(now);
+            assert_eq!(host.is_ready, expected, "{}, heartbeat {round}", case.name);
+        }
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/reasons.rs
+++ b/crates/fulmarpond-dispatch/tests/reasons.rs
@@ -74,6 +74,7 @@
     };
     let endpoint = AgentFrame::Endpoint {
         id: EndpointId("i-1".to_owned()),
+        born: 0,
         service: "service".to_owned(),
         capacity,
         labels: Vec::new(),
--- a/crates/fulmarpond-dispatch/tests/schedules.rs
+++ b/crates/fulmarpond-dispatch/tests/schedules.rs
@@ -45,6 +45,8 @@
         (0..4_usize, 0..2_usize).prop_map(|(agent, entry)| Fault::SilenceLinks(agent, entry)),
         (0..4_usize, any_endpoint_fault(), 300..4_000_u64)
             .prop_map(|(agent, fault, ms)| Fault::Endpoint(agent, fault, ms)),
+        (0..4_usize, prop_oneof![Just(0), 1..1_500_u64], 0..2_000_u64)
+            .prop_map(|(agent, down, late)| Fault::RestartEndpoint(agent, down, late)),
         (0..4_usize).prop_map(Fault::Drain),
     ]
 }
--- a/crates/fulmarpond-dispatch/tests/submissions.rs
+++ b/crates/fulmarpond-dispatch/tests/submissions.rs
@@ -63,6 +63,7 @@
     };
     let endpoint = AgentFrame::Endpoint {
         id: EndpointId(format!("i-{}", link.0)),
+        born: 0,
         service: "service".to_owned(),
         capacity: CAPACITY,
         labels: Vec::new(),
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -56,6 +56,9 @@
 /// Interval between checkpoints, in milliseconds of work.
 pub const CHECKPOINT_INTERVAL_MS: u64 = 200;
 
+/// Longest lease of a run, in milliseconds.
+pub const MAX_LEASE_MS: i64 = 1_000;
+
 /// Time to restore a checkpoint, in milliseconds.
 pub const RESTORE_MS: u64 = 100;
 
@@ -114,6 +117,10 @@
 #[derive(Debug)]
 pub struct Endpoint {
     pub incarnation: u32,
+    /// The number of the incarnation that the id names; a restart may keep it.
+    id_number: u32,
+    /// When the incarnation was started, in Unix milliseconds; 0 if the endpoint does not say.
+    pub born: u64,
     pub number: usize,
     pub capacity: Resources,
     pub fault: EndpointFault,
@@ -121,6 +128,8 @@
     pub sequence: u64,
     /// Speed of the clock relative to virtual time.
     pub clock_rate: f64,
+    /// Virtual time at which the clock showed 0.
+    clock_origin: Time,
     highest_fence: u64,
     lease_expiry: i64,
     pub runs: BTreeMap<TaskKey, LiveRun>,
@@ -142,6 +151,8 @@
     pub fn new(number: usize, incarnation: u32, cpu: u32, clock_rate: f64) -> Self {
         Self {
             incarnation,
+            id_number: incarnation,
+            born: 0,
             number,
             capacity: Resources {
                 cpu,
@@ -152,6 +163,7 @@
             is_draining: false,
             sequence: 0,
             clock_rate,
+            clock_origin: Time::default(),
             highest_fence: 0,
             lease_expiry: 0,
             runs: BTreeMap::new(),
@@ -167,13 +179,24 @@
     }
 
     pub fn id(&self) -> EndpointId {
-        EndpointId(format!("e-{}-{}", self.number, self.incarnation))
+        EndpointId(format!("e-{}-{}", self.number, self.id_number))
+    }
+
+    /// Returns the endpoint after a restart under the same id, which knows nothing of this life.
+    pub fn restarted(&self, cpu: u32, born: u64, now: Time) -> Self {
+        Self {
+            id_number: self.id_number,
+            born,
+            clock_origin: now,
+            ..Self::new(self.number, self.incarnation + 1, cpu, self.clock_rate)
+        }
     }
 
     pub fn next_registration(&mut self) -> Registration {
         self.sequence += 1;
         Registration {
             id: self.id(),
+            born: self.born,
             service: "service".to_owned(),
             addr: ([127, 0, 0, 1], 9_000 + self.number as u16).into(),
             capacity: self.capacity,
@@ -188,7 +211,7 @@
     }
 
     pub fn clock(&self, now: Time) -> i64 {
-        (now.as_micros() as f64 * self.clock_rate / 1_000.0) as i64
+        (now.micros_since(self.clock_origin) as f64 * self.clock_rate / 1_000.0) as i64
     }
 
     fn free_capacity(&self) -> Resources {
@@ -249,6 +272,7 @@
             checkpoint: run.checkpoint(task, now, false),
         });
         EndpointReply::Held {
+            born: self.born,
             clock: self.clock(now),
             running: running.collect(),
             ended: self.unacknowledged_ends.clone(),
@@ -289,7 +313,7 @@
                 if *lease <= clock {
                     return (self.refused(clock, StartRefusal::LeasePassed), Effect::None);
                 }
-                self.lease_expiry = self.lease_expiry.max(*lease);
+                self.extend_lease(*lease, clock);
                 if self
                     .highest_runs
                     .get(task)
@@ -324,13 +348,19 @@
             EndpointCall::Hold { acked, lease, .. } => {
                 self.acknowledge_ends(*acked);
                 if let Some(lease) = lease {
-                    self.lease_expiry = self.lease_expiry.max(*lease);
+                    self.extend_lease(*lease, clock);
                 }
                 (self.hold_reply(now), Effect::None)
             }
         }
     }
 
+    /// Extends the lease, by no more than a lease may last: an agent that has not noticed a restart
+    /// computes it from the clock of the earlier life.
+    fn extend_lease(&mut self, lease: i64, clock: i64) {
+        self.lease_expiry = self.lease_expiry.max(lease.min(clock + MAX_LEASE_MS));
+    }
+
     /// Removes acknowledged ends from the list.
     fn acknowledge_ends(&mut self, acked: u64) {
         let (acknowledged, left): (Vec<EndEntry>, Vec<EndEntry>) =
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -19,6 +19,7 @@
     /// Returns the duration of the fault, in milliseconds.
     const fn duration_ms(self) -> u64 {
         match self {
+            Self::RestartEndpoint(_, down_ms, late_ms) => down_ms + late_ms,
             Self::PauseEntry(_, millis)
             | Self::PauseAgent(_, millis)
             | Self::BlockLinks(_, _, millis)
@@ -79,6 +80,20 @@
                 }
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
             }
+            Fault::RestartEndpoint(agent, down_ms, late_ms) => {
+                let late = self.endpoints[agent].next_registration();
+                self.schedule_in_ms(
+                    down_ms + late_ms,
+                    Event::LateHeartbeat(agent, Box::new(late)),
+                );
+                if down_ms == 0 {
+                    self.restart_endpoint_under_id(agent);
+                } else {
+                    self.endpoints[agent].fault = EndpointFault::Crashed;
+                    self.crash_endpoint(agent);
+                    self.schedule_in_ms(down_ms, Event::FaultEnds(fault));
+                }
+            }
             Fault::Drain(agent) => self.endpoints[agent].is_draining = true,
             Fault::FailRuns(agent) => {
                 let tasks: Vec<TaskKey> = self.endpoints[agent].runs.keys().cloned().collect();
@@ -125,6 +140,7 @@
                     self.schedule_in_ms(51, Event::CheckEndpoint(agent));
                 }
             }
+            Fault::RestartEndpoint(agent, ..) => self.restart_endpoint_under_id(agent),
             Fault::Store(..) | Fault::StoreUnreachable(..) => self.end_store_fault(fault),
             Fault::HostReplies(..) => self.hosts.lost_reply_percent = 0,
             Fault::HostService(_) => self.hosts.is_down = false,
@@ -220,7 +236,26 @@
         // The end of another fault may have let the endpoint accept runs since it crashed.
         self.crash_endpoint(agent);
         let old = &self.endpoints[agent];
-        let new = Endpoint::new(agent, old.incarnation + 1, self.options.cpu, old.clock_rate);
+        let mut new = Endpoint::new(agent, old.incarnation + 1, self.options.cpu, old.clock_rate);
+        if self.options.has_born {
+            new.born = self.unix_ms();
+        }
+        self.replace_endpoint(agent, new);
+    }
+
+    /// Restarts an endpoint under its id, if it says when it was started.
+    pub(super) fn restart_endpoint_under_id(&mut self, agent: usize) {
+        if !self.options.has_born {
+            self.restart_endpoint(agent);
+            return;
+        }
+        self.crash_endpoint(agent);
+        let born = self.unix_ms();
+        let new = self.endpoints[agent].restarted(self.options.cpu, born, self.now);
+        self.replace_endpoint(agent, new);
+    }
+
+    fn replace_endpoint(&mut self, agent: usize, new: Endpoint) {
         let incarnation = new.incarnation;
         self.endpoints[agent] = new;
         self.drain_acked_at.remove(&agent);
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -20,6 +20,8 @@
     pub is_durable: bool,
     /// Whether the simulation has a host service, which carries out maintenance.
     pub hosts: bool,
+    /// Whether endpoints say when they were started, and may restart under their id.
+    pub has_born: bool,
     /// Advice policy of all routes, if any.
     pub advice: Option<AdvicePolicy>,
     /// Percentage of the advice calls that fail because the service is busy.
@@ -38,6 +40,7 @@
             max_run_time_factor: 1.3,
             is_durable: false,
             hosts: false,
+            has_born: true,
             advice: None,
             advice_busy: 0,
         }
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -4,7 +4,7 @@
 use fulmarpond_dispatch::agent::{
     CallFailure, CallNo, EndReason, EndpointCall, EndpointReply, StartRefusal,
 };
-use fulmarpond_dispatch::{Registration, Resources, TaskKey};
+use fulmarpond_dispatch::{EndpointId, Registration, Resources, TaskKey};
 use rand::RngExt;
 
 use super::callers::TASK_MEMORY;
@@ -26,9 +26,13 @@
         number: CallNo,
         call: EndpointCall,
         delays: u64,
-        same_incarnation: bool,
+        to: (EndpointId, u32),
     ) {
         let endpoint = &self.endpoints[agent];
+        // A restart closes the connections on which calls are delayed.
+        if delays > 0 && endpoint.incarnation != to.1 {
+            return;
+        }
         if matches!(
             endpoint.fault,
             EndpointFault::Crashed | EndpointFault::Silent
@@ -36,7 +40,7 @@
         {
             return;
         }
-        if !same_incarnation {
+        if endpoint.id() != to.0 {
             let reply = Ok(EndpointReply::OtherIncarnation);
             self.schedule_in_us(
                 LOCAL_DELAY_US,
@@ -49,8 +53,7 @@
             _ => 0,
         };
         if self.rng.random_range(0..100) < percent {
-            let late =
-                Event::EndpointCallArrives(agent, generation, number, call, 1, same_incarnation);
+            let late = Event::EndpointCallArrives(agent, generation, number, call, 1, to);
             self.schedule_in_ms(DELAYED_CALL_MS, late);
             return;
         }
@@ -387,9 +390,17 @@
             let now = self.now;
             self.drain_acked_at.entry(agent).or_insert(now);
         }
-        let registration: Registration = self.endpoints[agent].next_registration();
+        let registration = self.endpoints[agent].next_registration();
+        self.deliver_heartbeat(agent, registration);
+    }
+
+    pub(super) fn deliver_heartbeat(&mut self, agent: usize, registration: Registration) {
+        if self.agents[agent].paused_until > self.now {
+            return;
+        }
         self.with_agent(agent, |core, now, out| {
-            core.handle_heartbeat(registration, now, out);
+            core.handle_heartbeat(registration, now, out)
+                .expect("a consistent heartbeat");
         });
     }
 }
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -14,7 +14,8 @@
 };
 use fulmarpond_dispatch::maintenance::{HostCall, HostReply, Maintenance, Wave};
 use fulmarpond_dispatch::{
-    AgentFrame, EntryFrame, JobId, LeaseTimes, LinkNo, TaskKey, decode, encode,
+    AgentFrame, EndpointId, EntryFrame, JobId, LeaseTimes, LinkNo, Registration, TaskKey, decode,
+    encode,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -70,6 +71,9 @@
     /// The existing links between an agent and an entry go silent for good; new ones work.
     SilenceLinks(usize, usize),
     Endpoint(usize, EndpointFault, u64),
+    /// An endpoint restarts under its id and is down for this time; a heartbeat of its earlier life
+    /// arrives later by the second time. Without a time of its start it gets a new id.
+    RestartEndpoint(usize, u64, u64),
     /// An endpoint starts to drain.
     Drain(usize),
     /// All current runs at an endpoint fail.
@@ -98,9 +102,9 @@
     LinkUp(usize, bool),
     LinkDownAtAgent(usize, u32, LinkNo),
     LinkDownAtEntry(usize, u32, LinkNo),
-    /// Agent, its generation, number of the call, the call, how often it was delayed, and whether
-    /// it is addressed to the current incarnation of the endpoint.
-    EndpointCallArrives(usize, u32, CallNo, EndpointCall, u64, bool),
+    /// Agent, its generation, number of the call, the call, how often it was delayed, the id that
+    /// it is addressed to, and the incarnation that the endpoint had when it was sent.
+    EndpointCallArrives(usize, u32, CallNo, EndpointCall, u64, (EndpointId, u32)),
     EndpointCallAnswered(usize, u32, CallNo, Result<EndpointReply, CallFailure>),
     /// Endpoint, its incarnation, and the hold whose wait time is over.
     EndHold(usize, u32, u64),
@@ -110,6 +114,8 @@
     RunStopped(usize, u32, TaskKey, u32),
     /// Endpoint and its incarnation.
     Heartbeat(usize, u32),
+    /// A heartbeat of an earlier life of an endpoint.
+    LateHeartbeat(usize, Box<Registration>),
     /// Job and number of the attempt.
     Submit(JobId, u32),
     AttemptTimesOut(JobId, u32),
@@ -259,8 +265,11 @@
         }
         for number in 0..options.agents {
             let clock_rate = 1.0 - 0.02 * sim.rng.random::<f64>();
-            sim.endpoints
-                .push(Endpoint::new(number, 0, options.cpu, clock_rate));
+            let mut endpoint = Endpoint::new(number, 0, options.cpu, clock_rate);
+            if options.has_born {
+                endpoint.born = sim.unix_ms();
+            }
+            sim.endpoints.push(endpoint);
             sim.agents.push(Process::new());
             sim.start_agent(number);
             sim.schedule_in_ms(20, Event::Heartbeat(number, 0));
@@ -498,7 +507,7 @@
                 ..
             } => {
                 let generation = self.agents[agent].generation;
-                let same_incarnation = to == self.endpoints[agent].id();
+                let incarnation = self.endpoints[agent].incarnation;
                 let is_silent = self.endpoints[agent].fault == EndpointFault::Silent;
                 if self.endpoints[agent].fault == EndpointFault::Crashed {
                     let refused = Err(CallFailure::Refused);
@@ -513,7 +522,7 @@
                         number,
                         call,
                         0,
-                        same_incarnation,
+                        (to, incarnation),
                     );
                     self.schedule_in_us(LOCAL_DELAY_US, arrive);
                 }
@@ -647,22 +656,8 @@
                     self.with_entry(entry, |core, now, out| core.link_down(link, now, out));
                 }
             }
-            Event::EndpointCallArrives(
-                agent,
-                generation,
-                number,
-                call,
-                delays,
-                same_incarnation,
-            ) => {
-                self.endpoint_call_arrives(
-                    agent,
-                    generation,
-                    number,
-                    call,
-                    delays,
-                    same_incarnation,
-                );
+            Event::EndpointCallArrives(agent, generation, number, call, delays, to) => {
+                self.endpoint_call_arrives(agent, generation, number, call, delays, to);
             }
             Event::EndpointCallAnswered(agent, generation, number, outcome) => {
                 self.endpoint_call_answered(agent, generation, number, outcome);
@@ -682,6 +677,9 @@
                 }
             }
             Event::Heartbeat(agent, incarnation) => self.heartbeat(agent, incarnation),
+            Event::LateHeartbeat(agent, registration) => {
+                self.deliver_heartbeat(agent, *registration);
+            }
             Event::Submit(id, attempt) => self.submit_attempt(&id, attempt),
             Event::AttemptTimesOut(id, attempt) => self.attempt_times_out(&id, attempt),
             Event::CancelIfAccepted(id, entry) => self.cancel_if_accepted(&id, entry),
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -188,13 +188,20 @@
         }
         let response = match parse_heartbeat(request) {
             Ok(Heartbeat::Alive(registration)) => {
-                self.agent
+                let handled = self
+                    .agent
                     .handle_heartbeat(registration, now, &mut self.actions);
-                Response::json(200, b"{}".to_vec())
+                match handled {
+                    Ok(()) => Response::json(200, b"{}".to_vec()),
+                    Err(error) => {
+                        warn!(path = request.path, %error, "heartbeat refused");
+                        Response::empty(400)
+                    }
+                }
             }
-            Ok(Heartbeat::Deregistered(id)) => {
+            Ok(Heartbeat::Deregistered(incarnation)) => {
                 self.agent
-                    .handle_deregistration(&id.0, now, &mut self.actions);
+                    .handle_deregistration(&incarnation, now, &mut self.actions);
                 Response::json(200, b"{}".to_vec())
             }
             Err(error) => {
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -113,6 +113,7 @@
             ("retried", counters.retried),
             ("stopped", counters.stopped),
             ("unanswered", counters.unanswered),
+            ("endpoint_restarts", counters.endpoint_restarts),
             ("links_lost", counters.links_lost),
         ] {
             let counter = self.decisions.get_or_create_owned(&[("kind", kind)]);
