test(daemon): restart an executor of the emulator under its id

Guards against an agent process that ignores the heartbeats of the new life or waits for the runs of the earlier one. A heartbeat of the earlier life arrives 200 ms after the restart.

--- a/crates/fulmarpond-standins/src/fleet/executor.rs
+++ b/crates/fulmarpond-standins/src/fleet/executor.rs
@@ -2,12 +2,15 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fulmarpond_reactor::RequestId;
 use fulmarpond_reactor::http::{Request, Response};
 use serde_json::{Value, json};
 
+/// How long after a restart a heartbeat of the earlier life arrives.
+const LATE_HEARTBEAT_DELAY: Duration = Duration::from_millis(200);
+
 /// Maximum wait of a `/v1/hold` call.
 const MAX_HOLD_WAIT: Duration = Duration::from_secs(2);
 
@@ -58,6 +61,10 @@
 pub(super) struct Executor {
     pub(super) options: ExecutorOptions,
     pub(super) id: String,
+    /// When this life was started, in Unix milliseconds.
+    born: u64,
+    /// A heartbeat of an earlier life that is still on its way, and when it arrives.
+    late_heartbeat: Option<(Instant, Value)>,
     pub(super) next_heartbeat: Instant,
     pub(super) sequence: u64,
     pub(super) is_draining: bool,
@@ -78,6 +85,8 @@
         Self {
             options,
             id: format!("i-{number:08x}"),
+            born: unix_ms(),
+            late_heartbeat: None,
             next_heartbeat: now,
             sequence: 0,
             is_draining: false,
@@ -93,8 +102,31 @@
         }
     }
 
+    /// Returns the executor after a restart under its id, which knows nothing of this life.
+    pub(super) fn restarted(&mut self, now: Instant) -> Self {
+        let late_heartbeat = self.heartbeat_body(now);
+        Self {
+            id: self.id.clone(),
+            born: unix_ms().max(self.born + 1),
+            late_heartbeat: Some((now + LATE_HEARTBEAT_DELAY, late_heartbeat)),
+            ..Self::new(self.options.clone(), 0, now)
+        }
+    }
+
+    /// Returns the heartbeats that are due.
+    pub(super) fn take_due_heartbeats(&mut self, interval: Duration, now: Instant) -> Vec<Value> {
+        let mut due = Vec::new();
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now + interval;
+            due.push(self.heartbeat_body(now));
+        }
+        let late = self.late_heartbeat.take_if(|(at, _)| now >= *at);
+        due.extend(late.map(|(_, body)| body));
+        due
+    }
+
     /// Returns the body of the next heartbeat.
-    pub(super) fn heartbeat_body(&mut self, now: Instant) -> Value {
+    fn heartbeat_body(&mut self, now: Instant) -> Value {
         self.sequence += 1;
         json!({
             "Service": "service",
@@ -108,6 +140,7 @@
             "Labels": ["a", "r1-1"],
             "ClockMs": self.clock_ms(now),
             "Seq": self.sequence,
+            "born": self.born,
         })
     }
 
@@ -270,7 +303,12 @@
             .iter()
             .map(|(task, run)| json!([task, run.number, "", run.progress(now), run.cpu]))
             .collect();
-        ok(&json!({"ClockMs": self.clock_ms(now), "Running": running, "Ended": self.ended_runs}))
+        ok(&json!({
+            "born": self.born,
+            "ClockMs": self.clock_ms(now),
+            "Running": running,
+            "Ended": self.ended_runs,
+        }))
     }
 
     fn accepted_response(&self, now: Instant) -> Response {
@@ -283,6 +321,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn ok(body: &Value) -> Response {
     Response::json(200, body.to_string().into_bytes())
 }
--- a/crates/fulmarpond-standins/src/fleet/platform.rs
+++ b/crates/fulmarpond-standins/src/fleet/platform.rs
@@ -51,6 +51,7 @@
     Compact,
     Drain(usize),
     Hang(usize, bool),
+    Restart(usize),
     Stop,
 }
 
@@ -136,6 +137,11 @@
         self.send_command(Command::Hang(executor, hang));
     }
 
+    /// Restarts an executor under its id. A heartbeat of its earlier life arrives later.
+    pub fn restart(&self, executor: usize) {
+        self.send_command(Command::Restart(executor));
+    }
+
     /// Stops the emulator.
     pub fn stop(mut self) {
         self.shut_down();
@@ -212,6 +218,9 @@
                 Command::Hang(index, hang) => {
                     self.with_executor(index, |executor| executor.is_hanging = hang);
                 }
+                Command::Restart(index) => self.with_executor(index, |executor| {
+                    *executor = executor.restarted(Instant::now());
+                }),
                 Command::Stop => return false,
             }
         }
@@ -277,19 +286,17 @@
 
     fn send_heartbeats(&mut self, now: Instant) {
         for (&listener, (_, executor)) in &mut self.executors {
-            if now < executor.next_heartbeat {
-                continue;
+            for body in executor.take_due_heartbeats(self.heartbeat, now) {
+                let call = Call {
+                    method: Method::Post,
+                    path: format!("/v1/instances/{}/heartbeat", executor.id),
+                    headers: Vec::new(),
+                    body: body.to_string().into_bytes(),
+                    deadline: now + HEARTBEAT_TIMEOUT,
+                };
+                let id = self.reactor.call(executor.options.control, 0, 1, &call);
+                self.heartbeat_calls.insert(id, listener);
             }
-            executor.next_heartbeat = now + self.heartbeat;
-            let call = Call {
-                method: Method::Post,
-                path: format!("/v1/instances/{}/heartbeat", executor.id),
-                headers: Vec::new(),
-                body: executor.heartbeat_body(now).to_string().into_bytes(),
-                deadline: now + HEARTBEAT_TIMEOUT,
-            };
-            let id = self.reactor.call(executor.options.control, 0, 1, &call);
-            self.heartbeat_calls.insert(id, listener);
         }
     }
 }
--- a/crates/fulmarpondd/tests/leased.rs
+++ b/crates/fulmarpondd/tests/leased.rs
@@ -245,6 +245,29 @@
     assert_eq!(status, 200);
 }
 
+/// Guards against an endpoint that is lost, or whose runs are waited for, after it has restarted
+/// under its id: an agent that does not tell its lives apart ignores the heartbeats of the new one.
+#[test]
+fn endpoint_that_restarts_under_its_id_is_in_use_again() {
+    let system = System::start(1, 1);
+    let id = "00000000000000e8";
+    std::thread::scope(|scope| {
+        let system = &system;
+        let job = scope.spawn(move || system.submit(0, id, 2, "ms=600"));
+        wait_until("the job runs", || system.starts(id).len() == 2);
+        std::thread::sleep(Duration::from_millis(100));
+        system.emulator.restart(0);
+        let (status, body) = job.join().expect("no panic").expect("an answer");
+        assert_eq!((status, body.as_str()), (200, r#"{"State":"completed"}"#));
+    });
+    assert_eq!(system.starts(id).len(), 4, "each task starts again once");
+    assert!(system.agents[0].has_line(&["endpoint has restarted under its id"]));
+    let (status, _) = system
+        .submit(0, "00000000000000e9", 2, "ms=50")
+        .expect("an answer");
+    assert_eq!(status, 200);
+}
+
 /// Guards against tasks that are started at an endpoint after it has announced that it is draining.
 #[test]
 fn leaving_endpoint_gets_no_new_task() {
