fix(core): bound clocks, run numbers and renewals that others send

Cause: a clock near the largest number, and a listed run with the largest run number, overflowed in the agent, which ended in a debug build. A renewal with a time that the agent has not sent extended the lease of its entry without limit. Change: the lease saturates, impossible run numbers are not counted on, and a renewal counts from now at the latest.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -297,7 +297,9 @@
             }
             EntryFrame::Configuration(configuration) => self.update_configuration(configuration),
             EntryFrame::Renew { sent } => {
-                let lease = Time::from_micros(sent).after_millis(self.options.lease_times.link_ms);
+                // A time that this process has not sent yet must not extend the lease without limit.
+                let sent = Time::from_micros(sent).min(now);
+                let lease = sent.after_millis(self.options.lease_times.link_ms);
                 peer.lease_expiry = peer.lease_expiry.max(lease);
             }
             EntryFrame::Start(order) => {
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -7,6 +7,7 @@
 use super::endpoint::Endpoint;
 use super::run::{AfterStop, Phase, Run};
 use super::{Action, EndEntry, EndReason, EndpointCall, RunEntry};
+use crate::epoch::MAX_RUN;
 use crate::{AgentFrame, Outcome, TaskEnd, TaskKey};
 
 /// The log target of routine lines about tasks without problems.
@@ -38,7 +39,10 @@
             }
             endpoint.last_seen_end = end.sequence;
             let task = end.task.clone();
-            self.last_run_numbers.insert(task.clone(), (end.run, now));
+            // A number that no agent gives would leave none for the next run.
+            if end.run <= MAX_RUN {
+                self.last_run_numbers.insert(task.clone(), (end.run, now));
+            }
             let known_run = self
                 .runs
                 .get(&task)
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -184,7 +184,7 @@
         };
         endpoint.lease_expiry = now.after_millis(lease_times.lease_expiry_ms());
         let clock = endpoint.clock.at(now).unwrap_or_default();
-        clock + i64::try_from(lease_times.run_ms).unwrap_or_default()
+        clock.saturating_add(i64::try_from(lease_times.run_ms).unwrap_or_default())
     }
 
     pub(super) fn stop_tasks(
--- a/crates/fulmarpond-dispatch/src/epoch.rs
+++ b/crates/fulmarpond-dispatch/src/epoch.rs
@@ -7,6 +7,9 @@
 /// The number of run numbers in an epoch.
 const RUNS_PER_EPOCH: u32 = 1 << 8;
 
+/// The highest number of a run that an agent of this deployment can have started.
+pub(crate) const MAX_RUN: u32 = (u16::MAX as u32 + 1) * RUNS_PER_EPOCH - 1;
+
 /// Returns the epoch that a run number belongs to.
 pub(crate) fn epoch_of(run: u32) -> u16 {
     u16::try_from(run / RUNS_PER_EPOCH).unwrap_or(u16::MAX)
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -525,3 +525,33 @@
         }
     }
 }
+
+/// Guards against an agent that ends, or can't number its next run, after a list names a run that no
+/// agent can have started.
+#[test]
+fn impossible_run_numbers_are_not_counted_on() {
+    let mut host = Host::new();
+    host.start_job(0, 1, 100, START);
+    let hold = host.take_hold();
+    let mut ends = all_ends(1, 1);
+    let impossible = EndEntry {
+        sequence: 2,
+        run: u32::MAX,
+        ..ends[0].clone()
+    };
+    ends.push(impossible);
+    host.reply(hold, START, &[], &ends);
+    host.order(0, 1, 100, START);
+    host.take_call(|call| matches!(call, EndpointCall::Start { run: 2, .. }));
+}
+
+/// Guards against runs of an entry that is gone and that go on: a time that the agent has not sent
+/// yet extended the lease of the entry without limit.
+#[test]
+fn lease_of_an_entry_is_not_extended_beyond_its_duration() {
+    let mut host = Host::new();
+    let renew = EntryFrame::Renew { sent: u64::MAX };
+    host.act(|agent, out| agent.handle_frame(LINK, renew, START, out));
+    host.act(|agent, out| agent.tick(START.after_millis(1_000), out));
+    assert_eq!(host.agent.links(), 0);
+}
