--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -91,6 +91,8 @@
     pub unanswered: u64,
     /// Evacuations that took effect: of any zone at an entry, of its own zone at an agent.
     pub evacuations: u64,
+    /// Restarts of the endpoint under its id.
+    pub endpoint_restarts: u64,
 }
 
 impl Counters {
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -23,6 +23,8 @@
     pub evacuation_ms: Option<u64>,
     /// Whether the simulation has a host service, which carries out maintenance.
     pub hosts: bool,
+    /// Whether endpoints say when they were started, and may restart under their id.
+    pub has_born: bool,
     /// Advice policy of all routes, if any.
     pub advice: Option<AdvicePolicy>,
     /// Percentage of the advice calls that fail because the service is busy.
@@ -42,6 +44,7 @@
             is_durable: false,
             evacuation_ms: None,
             hosts: false,
+            has_born: true,
             advice: None,
             advice_busy: 0,
         }
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -29,9 +29,13 @@
         number: CallNo,
         call: EndpointCall,
         delays: u64,
-        to: EndpointId,
+        to: (EndpointId, u32),
     ) {
         let endpoint = &self.endpoints[agent];
+        // A restart closes the connections on which calls are delayed.
+        if delays > 0 && endpoint.incarnation != to.1 {
+            return;
+        }
         if matches!(
             endpoint.fault,
             EndpointFault::Crashed | EndpointFault::Silent
@@ -39,8 +43,7 @@
         {
             return;
         }
-        // The endpoint compares the addressee when a call arrives, however late.
-        if to != endpoint.id() {
+        if endpoint.id() != to.0 {
             let reply = Ok(EndpointReply::OtherIncarnation);
             self.schedule_in_us(
                 LOCAL_DELAY_US,
@@ -394,9 +397,17 @@
             self.drain_acked_at.entry(agent).or_insert(now);
         }
         let now = self.now;
-        let registration: Registration = self.endpoints[agent].next_registration(now);
+        let registration = self.endpoints[agent].next_registration(now);
+        self.deliver_heartbeat(agent, registration);
+    }
+
+    pub(super) fn deliver_heartbeat(&mut self, agent: usize, registration: Registration) {
+        if self.agents[agent].paused_until > self.now {
+            return;
+        }
         self.with_agent(agent, |core, now, out| {
-            core.handle_heartbeat(registration, now, out);
+            core.handle_heartbeat(registration, now, out)
+                .expect("a consistent heartbeat");
         });
     }
 }
