feat(dispatch): shares, order and admission by priority class

Cause: where priorities compete for room, the most urgent work suffered most. An agent ordered its queue by latest start alone, so nearly overdue work of low priority went before fresh urgent work. An entry divided the work ahead by the cores, but short tasks behind long runs get room only at the pace at which those runs end, so it expected half of the actual wait or less.

Change: orders carry the priority. An agent queues by class (agent/shares.rs): classes that use less than their guaranteed share (weights 4, 2, 1) start first, in the order of priority, then the others. A task that is passed over for 200 ms blocks those behind it and the classes above their share, and by the turn of its share all others. The status reports waiting work by class and slack, and what runs by class while work waits. An entry derives the wait from the room that becomes free for the class (entry/queueing.rs), never longer than by its guaranteed share. With one class the order, the expected wait and admission are as before.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -9,8 +9,8 @@
 use super::endpoint::Endpoint;
 use super::health::Health;
 use super::links::Links;
-use super::queue::Queue;
 use super::run::{AfterStop, Phase, Run};
+use super::shares::Shares;
 use super::{Action, CallNo};
 use crate::entry::Configuration;
 use crate::{
@@ -95,7 +95,8 @@
     pub(super) links: Links,
     pub(super) endpoint: Option<Endpoint>,
     pub(super) runs: HashMap<TaskKey, Run>,
-    pub(super) queue: Queue,
+    /// The queued tasks, and the shares of the endpoint by class.
+    pub(super) shares: Shares,
     /// The calls without a reply.
     pub(super) pending_calls: HashMap<CallNo, PendingCall>,
     pub(super) next_call: u64,
@@ -137,7 +138,7 @@
             links,
             endpoint: None,
             runs: HashMap::new(),
-            queue: Queue::default(),
+            shares: Shares::default(),
             pending_calls: HashMap::new(),
             next_call: 1,
             last_run_numbers: HashMap::new(),
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -6,7 +6,9 @@
 use super::Action;
 use super::agent::{Agent, STATUS_INTERVAL_MS};
 use super::run::{AfterStop, Phase};
-use crate::{AgentFrame, Backlog, EndpointState, EndpointStatus, Outcome, Resources, TaskKey};
+use crate::{
+    AgentFrame, Backlog, Class, EndpointState, EndpointStatus, Outcome, Resources, TaskKey,
+};
 
 /// How long the run numbers of ended tasks are remembered, in milliseconds.
 const RUN_NUMBER_TTL_MS: u64 = 20_000;
@@ -233,6 +235,22 @@
         }
     }
 
+    /// Adds the room that the runs of each class use, and their mean expected run time.
+    fn add_running(&self, backlog: &mut Backlog) {
+        let mut sums = [(0_u64, 0_u64); Class::COUNT];
+        let at_endpoint = self.runs.values().filter(|run| run.phase.uses_capacity());
+        for run in at_endpoint.filter(|run| !run.is_long_running) {
+            let (cpu, work) = &mut sums[run.class.index()];
+            *cpu += u64::from(run.needs.cpu);
+            *work += u64::from(run.needs.cpu) * u64::from(run.expected_ms);
+        }
+        for (class, (cpu, work)) in Class::ALL.into_iter().zip(sums) {
+            let run_ms = work.checked_div(cpu).unwrap_or_default();
+            let bounded = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+            backlog.set_running(class, bounded(cpu), bounded(run_ms));
+        }
+    }
+
     pub(super) fn endpoint_status(&self, now: Time) -> EndpointStatus {
         let Some(endpoint) = &self.endpoint else {
             return EndpointStatus::default();
@@ -244,7 +262,7 @@
             match run.phase {
                 Phase::Queued => {
                     let work = expected_ms * u64::from(run.needs.cpu) / 1_000;
-                    backlog.add(run.start_by.remaining_millis(now), work);
+                    backlog.add(run.class, run.start_by.remaining_millis(now), work);
                 }
                 Phase::Running { .. } if run.is_long_running => {}
                 Phase::Running { since } => {
@@ -255,6 +273,9 @@
                 Phase::Starting | Phase::Stopping { .. } => {}
             }
         }
+        if !backlog.is_empty() {
+            self.add_running(&mut backlog);
+        }
         let next_end_ms = self.expected_next_end_ms();
         EndpointStatus {
             ready: self.is_ready(now),
@@ -262,6 +283,7 @@
             backlog,
             next_end_ms: u32::try_from(next_end_ms).unwrap_or(u32::MAX),
             reserved: self.reserved_capacity(),
+            weights: self.shares.weights,
             draining: endpoint.registration.state == EndpointState::Draining,
             stopping: self.is_shutting_down || endpoint.drained_until.is_some(),
             slowness: self.health.slowness_percent(),
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -16,6 +16,7 @@
 mod queue;
 mod reply_times;
 mod run;
+mod shares;
 mod speed;
 mod starts_and_stops;
 mod unacknowledged_ends;
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -5,9 +5,12 @@
 
 use super::agent::{Agent, Purpose, START_STOP_TIMEOUT_MS};
 use super::run::{AfterStop, Phase, Progress, Run};
+use super::shares::Need;
 use super::{Action, EndpointCall};
 use crate::epoch::run_before_first;
-use crate::{AgentFrame, Checkpoint, JobId, LinkNo, Order, Outcome, TaskEnd, TaskKey, Working};
+use crate::{
+    AgentFrame, Checkpoint, Class, JobId, LinkNo, Order, Outcome, TaskEnd, TaskKey, Working,
+};
 
 impl Agent {
     /// Queues the tasks of an order, or refuses them, and starts those that fit.
@@ -44,6 +47,7 @@
                 number: self.last_run_number(&task, order.epoch),
                 spec: order.spec.clone(),
                 needs: order.needs,
+                class: Class::of(order.priority),
                 expected_ms: order.expected_ms,
                 start_by,
                 deadline: match order.remaining_ms {
@@ -62,7 +66,7 @@
                 has_start_deadline: order.slack_ms > 0 && !order.is_durable && !order.long_running,
                 phase: Phase::Queued,
             };
-            self.queue.push(start_by, task.clone());
+            self.shares.push(run.class, start_by, task.clone());
             self.runs.insert(task, run);
         }
         self.status_changed = true;
@@ -123,15 +127,21 @@
             let Some(endpoint) = &self.endpoint else {
                 return;
             };
-            if self.queue.is_empty() || !endpoint.accepts_tasks(now) {
+            if self.shares.is_empty() || !endpoint.accepts_tasks(now) {
                 return;
             }
-            let free = endpoint.registration.capacity.minus(self.used_capacity);
-            let fits = |task: &TaskKey| {
+            let capacity = endpoint.registration.capacity;
+            let free = capacity.minus(self.used_capacity);
+            let reserved = self.used_capacity.minus(self.shares.total_used());
+            let shared = capacity.minus(reserved);
+            let need = |task: &TaskKey| {
                 let run = self.runs.get(task);
-                run.is_some_and(|run| run.needs.fits(free))
+                run.map(|run| Need {
+                    room: run.needs,
+                    run_ms: run.expected_ms,
+                })
             };
-            let Some(task) = self.queue.first_fitting(fits) else {
+            let Some(task) = self.shares.next(shared, free, now, need) else {
                 return;
             };
             self.start_run(&task, now, out);
@@ -142,7 +152,10 @@
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
-        self.queue.remove(run.start_by, task);
+        self.shares.remove(run.class, run.start_by, task);
+        if !run.is_long_running {
+            self.shares.occupy(run.class, run.needs);
+        }
         self.used_capacity = self.used_capacity.plus(run.needs);
         run.number += 1;
         run.phase = Phase::Starting;
@@ -252,7 +265,7 @@
         };
         match &mut run.phase {
             Phase::Queued => {
-                self.queue.remove(run.start_by, task);
+                self.shares.remove(run.class, run.start_by, task);
                 let report = (after_stop != AfterStop::Discard).then_some(Outcome::Unavailable);
                 self.finish_run(task, report, 0);
             }
@@ -294,6 +307,9 @@
         };
         if run.phase.uses_capacity() {
             self.used_capacity = self.used_capacity.minus(run.needs);
+            if !run.is_long_running {
+                self.shares.release(run.class, run.needs);
+            }
         }
         if let Some(outcome) = outcome {
             let elapsed = u32::try_from(elapsed).unwrap_or(u32::MAX);
@@ -403,7 +419,10 @@
         if let Some(run) = self.runs.get_mut(task) {
             run.phase = Phase::Queued;
             self.used_capacity = self.used_capacity.minus(run.needs);
-            self.queue.push(run.start_by, task.clone());
+            if !run.is_long_running {
+                self.shares.release(run.class, run.needs);
+            }
+            self.shares.push(run.class, run.start_by, task.clone());
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/queue.rs
+++ b/crates/fulmarpond-dispatch/src/agent/queue.rs
@@ -1,4 +1,4 @@
-//! The queue of tasks that wait for free capacity.
+//! The queue of the tasks of one class that wait for free capacity.
 
 use std::collections::BTreeSet;
 
@@ -30,6 +30,23 @@
         candidates.find(|task| fits(task)).cloned()
     }
 
+    /// Like [`first_fitting`](Self::first_fitting), for the tasks that have to start by a time.
+    pub(super) fn first_fitting_until(
+        &self,
+        start_by: Time,
+        fits: impl Fn(&TaskKey) -> bool,
+    ) -> Option<TaskKey> {
+        let candidates = self.tasks.iter().take(MAX_LOOKAHEAD);
+        let mut earlier = candidates.take_while(|(time, _)| *time <= start_by);
+        let found = earlier.find(|(_, task)| fits(task));
+        found.map(|(_, task)| task.clone())
+    }
+
+    /// Returns the first task and its latest start.
+    pub(super) fn first(&self) -> Option<(Time, &TaskKey)> {
+        self.tasks.first().map(|(start_by, task)| (*start_by, task))
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.tasks.is_empty()
     }
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -2,7 +2,7 @@
 
 use fulmarpond_core::Time;
 
-use crate::{LinkNo, Outcome, Resources};
+use crate::{Class, LinkNo, Outcome, Resources};
 
 /// The progress of a run.
 #[derive(Debug, Clone, Copy)]
@@ -84,6 +84,7 @@
     pub(super) number: u32,
     pub(super) spec: String,
     pub(super) needs: Resources,
+    pub(super) class: Class,
     /// The expected run time, in milliseconds.
     pub(super) expected_ms: u32,
     /// The maximum run time, in milliseconds; the run is stopped after it.
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/agent/shares.rs
@@ -0,0 +1,210 @@
+//! Shares of an endpoint's room, by the priority of tasks.
+//!
+//! Addresses load of several priorities that exceeds the room. If one queue ordered by latest start
+//! serves it, nearly overdue work of low priority goes before fresh urgent work and makes it late,
+//! and if urgent work always goes first, the rest starves. Each class of priorities therefore has a
+//! guaranteed share of the room. It lends what it does not use, and gets it back as runs end.
+
+use fulmarpond_core::Time;
+
+use super::queue::Queue;
+use crate::{Class, Resources, TaskKey, Weights};
+
+/// How long smaller tasks may pass over the first task of a class that does not fit, in
+/// milliseconds: within the slack of all but the shortest tasks.
+const MAX_PASSED_OVER_MS: u64 = 200;
+
+/// What a waiting task needs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Need {
+    pub(super) room: Resources,
+    /// The expected run time, in milliseconds.
+    pub(super) run_ms: u32,
+}
+
+/// A task that did not fit when another one was started.
+#[derive(Debug)]
+struct PassedOver {
+    start_by: Time,
+    task: TaskKey,
+    since: Time,
+    /// The time in which the share of its class amounts to its work, in milliseconds.
+    turn_ms: u64,
+}
+
+/// The waiting tasks of a class, and the room that it uses.
+#[derive(Debug, Default)]
+struct ClassState {
+    waiting: Queue,
+    used: Resources,
+    passed_over: Option<PassedOver>,
+}
+
+impl ClassState {
+    /// Returns the task that has been passed over for too long, if there is one.
+    fn blocked(&self, now: Time) -> Option<&PassedOver> {
+        let first = self.passed_over.as_ref();
+        first.filter(|first| now.millis_since(first.since) >= MAX_PASSED_OVER_MS)
+    }
+
+    /// Returns the first waiting task that fits. No task behind a blocked one is considered.
+    fn first_fitting(&self, now: Time, fits: impl Fn(&TaskKey) -> bool) -> Option<TaskKey> {
+        match self.blocked(now) {
+            Some(blocked) => self.waiting.first_fitting_until(blocked.start_by, fits),
+            None => self.waiting.first_fitting(fits),
+        }
+    }
+
+    /// Returns whether a task has been passed over for longer than the turn of its share takes.
+    fn is_overdue(&self, now: Time) -> bool {
+        self.blocked(now)
+            .is_some_and(|first| now.millis_since(first.since) >= first.turn_ms)
+    }
+}
+
+/// The waiting tasks and the used room of all classes.
+#[derive(Debug, Default)]
+pub(super) struct Shares {
+    pub(super) weights: Weights,
+    classes: [ClassState; Class::COUNT],
+}
+
+impl Shares {
+    pub(super) fn push(&mut self, class: Class, start_by: Time, task: TaskKey) {
+        self.classes[class.index()].waiting.push(start_by, task);
+    }
+
+    pub(super) fn remove(&mut self, class: Class, start_by: Time, task: &TaskKey) {
+        let state = &mut self.classes[class.index()];
+        state.waiting.remove(start_by, task);
+        if state
+            .passed_over
+            .as_ref()
+            .is_some_and(|first| first.task == *task)
+        {
+            state.passed_over = None;
+        }
+    }
+
+    /// Counts room that a class uses at the endpoint.
+    pub(super) fn occupy(&mut self, class: Class, needs: Resources) {
+        let used = &mut self.classes[class.index()].used;
+        *used = used.plus(needs);
+    }
+
+    pub(super) fn release(&mut self, class: Class, needs: Resources) {
+        let used = &mut self.classes[class.index()].used;
+        *used = used.minus(needs);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.classes.iter().all(|state| state.waiting.is_empty())
+    }
+
+    /// Returns the room that a class uses.
+    pub(super) fn used(&self, class: Class) -> Resources {
+        self.classes[class.index()].used
+    }
+
+    /// Returns the room that all classes use.
+    pub(super) fn total_used(&self) -> Resources {
+        let used = self.classes.iter().map(|state| state.used);
+        used.fold(Resources::default(), Resources::plus)
+    }
+
+    /// Returns the task to start next, if one `fits`: of the classes that use less than their share
+    /// of the room, in the order of priority, and then of the others.
+    ///
+    /// Once a task of a class below its share has been passed over for too long, the classes that
+    /// have their share start nothing, so that the room that becomes free is left for it. A task
+    /// that still does not fit by the turn of its share, because the classes below theirs leave too
+    /// little room, is the next to start.
+    pub(super) fn next(
+        &mut self,
+        room: Resources,
+        free: Resources,
+        now: Time,
+        need: impl Fn(&TaskKey) -> Option<Need>,
+    ) -> Option<TaskKey> {
+        let fits = |task: &TaskKey| need(task).is_some_and(|need| need.room.fits(free));
+        if let Some(class) = self.only_class() {
+            return self.classes[class.index()].waiting.first_fitting(fits);
+        }
+        let below = Class::ALL.map(|class| self.is_below_share(class, room));
+        let overdue = Class::ALL
+            .into_iter()
+            .find(|class| below[class.index()] && self.classes[class.index()].is_overdue(now));
+        if let Some(class) = overdue {
+            return self.classes[class.index()].first_fitting(now, fits);
+        }
+        for has_turn in [true, false] {
+            let turn = Class::ALL
+                .into_iter()
+                .filter(|class| below[class.index()] == has_turn);
+            for class in turn.clone() {
+                let found = self.classes[class.index()].first_fitting(now, fits);
+                if found.is_some() {
+                    let had_their_turn = Class::ALL.into_iter().filter(|other| {
+                        let is_same_turn = below[other.index()] == has_turn;
+                        if is_same_turn {
+                            *other <= class
+                        } else {
+                            !has_turn
+                        }
+                    });
+                    for other in had_their_turn {
+                        self.note_passed_over(other, room, free, now, &need);
+                    }
+                    return found;
+                }
+            }
+            let mut in_turn = turn;
+            if has_turn && in_turn.any(|class| self.classes[class.index()].blocked(now).is_some()) {
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Notes that the first task of a class does not fit while another task starts.
+    fn note_passed_over(
+        &mut self,
+        class: Class,
+        room: Resources,
+        free: Resources,
+        now: Time,
+        need: impl Fn(&TaskKey) -> Option<Need>,
+    ) {
+        let share = f64::from(room.cpu.max(1)) * self.weights.share(class);
+        let state = &mut self.classes[class.index()];
+        if state.passed_over.is_none()
+            && let Some((start_by, task)) = state.waiting.first()
+            && let Some(need) = need(task)
+            && !need.room.fits(free)
+        {
+            let work = f64::from(need.room.cpu) * f64::from(need.run_ms);
+            state.passed_over = Some(PassedOver {
+                start_by,
+                task: task.clone(),
+                since: now,
+                turn_ms: (work / share) as u64,
+            });
+        }
+    }
+
+    /// Returns whether a class uses less than its share of each resource.
+    pub(super) fn is_below_share(&self, class: Class, room: Resources) -> bool {
+        self.weights.is_below_share(class, self.used(class), room)
+    }
+
+    /// Returns the class of all tasks, if they are of one class.
+    fn only_class(&self) -> Option<Class> {
+        let is_present = |class: &Class| {
+            let state = &self.classes[class.index()];
+            !state.waiting.is_empty() || state.used != Resources::default()
+        };
+        let mut present = Class::ALL.into_iter().filter(is_present);
+        let first = present.next();
+        first.filter(|_| present.next().is_none())
+    }
+}
--- a/crates/fulmarpond-dispatch/src/entry/agent_selection.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agent_selection.rs
@@ -1,8 +1,8 @@
 //! Selection of an agent for a task by expected completion time and penalties.
 
-use super::fleet::{AgentView, Fleet};
+use super::fleet::{AgentView, Fleet, QueuedTask};
 use super::submission::Step;
-use crate::{LinkNo, Resources};
+use crate::{Class, LinkNo, Resources};
 
 /// The penalty for an endpoint in another zone, in milliseconds of waiting.
 const OTHER_ZONE_COST_MS: f64 = 3.0;
@@ -38,6 +38,7 @@
     pub(super) step: &'a Step,
     /// A label that the endpoint must carry so that a gang stays on one rack, if any.
     pub(super) common_label: Option<&'a str>,
+    pub(super) class: Class,
     /// The expected run time, in milliseconds.
     pub(super) expected_ms: u32,
     /// How long it may wait without missing its latency objective, in milliseconds.
@@ -46,6 +47,18 @@
     pub(super) remote_factor: f64,
 }
 
+impl Demand<'_> {
+    /// Returns the properties on which the expected queueing time depends.
+    fn queued(&self) -> QueuedTask {
+        QueuedTask {
+            class: self.class,
+            needs: self.step.needs,
+            slack_ms: self.slack_ms,
+            expected_ms: self.expected_ms,
+        }
+    }
+}
+
 /// The selected agent, with the expected queueing time there.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Choice {
@@ -69,7 +82,7 @@
         if !is_eligible(view, demand) || is_excluded(link) {
             continue;
         }
-        let wait = view.expected_wait(demand.step.needs, demand.slack_ms);
+        let wait = view.expected_wait(demand.queued());
         let finish = wait + expected_run_ms(view, demand, median_slowness);
         let mut cost = finish + penalty_ms(view, demand) + extra_cost(link);
         if avoided_agents.contains(&link) {
@@ -86,7 +99,7 @@
 /// eligible.
 pub(super) fn cost(fleet: &Fleet, view: &AgentView, demand: Demand<'_>) -> Option<f64> {
     let median_slowness = f64::from(fleet.median_slowness(demand.service));
-    let wait = view.expected_wait(demand.step.needs, demand.slack_ms);
+    let wait = view.expected_wait(demand.queued());
     is_eligible(view, demand)
         .then(|| wait + expected_run_ms(view, demand, median_slowness) + penalty_ms(view, demand))
 }
@@ -115,8 +128,7 @@
     // All members of a gang start at the same time, and a waiting long-running task would block the
     // tasks behind it.
     let must_start_at_once = demand.step.gang || demand.step.long_running;
-    let starts_in_time =
-        !must_start_at_once || view.expected_wait(demand.step.needs, demand.slack_ms) == 0.0;
+    let starts_in_time = !must_start_at_once || view.expected_wait(demand.queued()) == 0.0;
     view.serves(demand.service)
         && has_label
         && starts_in_time
--- a/crates/fulmarpond-dispatch/src/entry/evacuation.rs
+++ b/crates/fulmarpond-dispatch/src/entry/evacuation.rs
@@ -12,7 +12,7 @@
 use super::entry::Entry;
 use super::fleet::AgentView;
 use super::job::{Job, Task, TaskState};
-use crate::{EntryFrame, JobId, LinkNo};
+use crate::{Class, EntryFrame, JobId, LinkNo};
 
 /// A task to be stopped at its agent and placed elsewhere.
 #[derive(Debug, Clone, Copy)]
@@ -73,7 +73,7 @@
             };
             let needs = job.submission.steps[usize::from(task.step)].needs;
             if let Some(view) = self.fleet.views.get_mut(&choice.link) {
-                view.reserve(needs, 0);
+                view.reserve(Class::of(job.route.priority), needs, 0);
             }
             assigned.push((choice.link, task.step));
             *budget = budget.saturating_sub(u16::from(task.working));
--- a/crates/fulmarpond-dispatch/src/entry/gangs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/gangs.rs
@@ -14,7 +14,7 @@
 use super::fleet::Fleet;
 use super::job::{Job, Task, TaskState};
 use super::submission::Step;
-use crate::{EntryFrame, JobId, LinkNo, Outcome, TaskEnd};
+use crate::{Class, EntryFrame, JobId, LinkNo, Outcome, TaskEnd};
 
 impl Entry {
     /// Chooses agents for all tasks of a gang, and reserves their capacity. Returns an empty list
@@ -53,7 +53,7 @@
                 return Vec::new();
             };
             if let Some(view) = self.fleet.views.get_mut(&choice.link) {
-                view.reserve(needs, expected_ms);
+                view.reserve(Class::of(job.route.priority), needs, expected_ms);
             }
             assigned.push((choice.link, step));
             choices.push((position, choice.link));
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod job;
 mod ledger_events;
 mod long_running;
+mod queueing;
 mod series;
 mod submission;
 mod task_placement;
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -9,7 +9,7 @@
 use super::agent_selection::{Choice, Demand, choose, cost};
 use super::entry::{Entry, ROUTINE};
 use super::job::{Job, TaskState};
-use crate::{EntryFrame, JobId, LinkNo, Order};
+use crate::{Class, EntryFrame, JobId, LinkNo, Order};
 
 /// The maximum expected queueing time of a task of a durable job at an agent, in milliseconds.
 /// Otherwise it waits at the entry, where it can still be sent to another agent.
@@ -120,6 +120,7 @@
             zone: &self.options.zone,
             step: &job.submission.steps[usize::from(step)],
             common_label,
+            class: Class::of(job.route.priority),
             expected_ms: self.expected_run_ms(job, step),
             slack_ms: job.start_by.remaining_millis(now),
             remote_factor: self.options.remote_factor,
@@ -184,7 +185,7 @@
                 .estimates
                 .expected_run_ms(&job.route.name, definition.estimate);
             if let Some(view) = self.fleet.views.get_mut(&choice.link) {
-                view.reserve(definition.needs, expected_ms);
+                view.reserve(Class::of(job.route.priority), definition.needs, expected_ms);
             }
             plan.wait = plan.wait.max(choice.wait);
             planned.push((choice.link, task.step));
@@ -296,6 +297,7 @@
             service: job.route.service.clone(),
             spec: job.submission.spec.clone(),
             needs: definition.needs,
+            priority: job.route.priority,
             expected_ms,
             slack_ms: u32::try_from(slack_ms).unwrap_or(u32::MAX),
             remaining_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 use crate::entry::Configuration;
-use crate::{EndpointId, JobId, Resources, TaskKey};
+use crate::{Class, EndpointId, JobId, Resources, TaskKey, Weights};
 
 /// An error for a frame that cannot be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -106,44 +106,106 @@
     pub stalled: bool,
     /// The capacity used by runs that continue until they are stopped.
     pub reserved: Resources,
+    /// The weights of the shares of the classes.
+    pub weights: Weights,
     /// Whether the endpoint is draining.
     pub draining: bool,
     /// Whether the agent is stopping, or its host is drained for maintenance.
     pub stopping: bool,
 }
 
-/// Queued work in core-milliseconds, in classes of slack: the time left until it has to start.
+/// The work that waits at an agent in core-milliseconds, by class and by slack: the time left until
+/// it has to start; and what the runs of each class use while work waits.
+///
+/// It is sent as a list of the values that are not 0, so an empty one takes a single byte.
 #[message]
 #[derive(Copy, Default)]
-pub struct Backlog([u32; SLACK_BOUNDS_MS.len()]);
+#[serde(try_from = "Vec<(u8, u32)>", into = "Vec<(u8, u32)>")]
+pub struct Backlog([[u32; VALUES_PER_CLASS]; Class::COUNT]);
 
-/// The inclusive upper bounds of the slack classes of a [`Backlog`], in milliseconds.
+/// The inclusive upper bounds of the slack ranges of a [`Backlog`], in milliseconds.
 const SLACK_BOUNDS_MS: [u64; 7] = [0, 30, 60, 120, 240, 480, u64::MAX];
 
+/// The position of the CPU used by the runs of a class, in thousandths of a core.
+const USED_CPU: usize = SLACK_BOUNDS_MS.len();
+
+/// The position of the mean expected run time of the runs of a class, in milliseconds.
+const RUN_MS: usize = USED_CPU + 1;
+
+const VALUES_PER_CLASS: usize = RUN_MS + 1;
+
 impl Backlog {
-    /// Adds work, in core-milliseconds, that has to start within `slack_ms` milliseconds.
-    pub fn add(&mut self, slack_ms: u64, work: u64) {
-        let class = SLACK_BOUNDS_MS.iter().position(|&bound| slack_ms <= bound);
-        let class = class.unwrap_or(SLACK_BOUNDS_MS.len() - 1);
+    /// Adds work of a class, in core-milliseconds, that has to start within `slack_ms` milliseconds.
+    pub fn add(&mut self, class: Class, slack_ms: u64, work: u64) {
+        let range = SLACK_BOUNDS_MS.iter().position(|&bound| slack_ms <= bound);
+        let range = range.unwrap_or(SLACK_BOUNDS_MS.len() - 1);
         let work = u32::try_from(work).unwrap_or(u32::MAX);
-        self.0[class] = self.0[class].saturating_add(work);
+        let sum = &mut self.0[class.index()][range];
+        *sum = sum.saturating_add(work);
+    }
+
+    /// Sets the CPU that the runs of a class use, in thousandths of a core, and their mean expected
+    /// run time, in milliseconds.
+    pub fn set_running(&mut self, class: Class, cpu: u32, run_ms: u32) {
+        self.0[class.index()][USED_CPU] = cpu;
+        self.0[class.index()][RUN_MS] = run_ms;
+    }
+
+    /// Returns the CPU that the runs of a class use, and their mean expected run time.
+    pub const fn running(&self, class: Class) -> (u32, u32) {
+        let values = &self.0[class.index()];
+        (values[USED_CPU], values[RUN_MS])
     }
 
-    /// Returns the work that starts before a task with `slack_ms` milliseconds left, including all
-    /// work of the same class.
-    pub fn work_ahead(&self, slack_ms: u64) -> u64 {
-        let classes = self.0.iter().enumerate();
+    /// Returns the work of a class that starts before a task of it with `slack_ms` milliseconds
+    /// left, including all work of the same range of slack.
+    pub fn work_ahead(&self, class: Class, slack_ms: u64) -> u64 {
+        let ranges = self.work(class).iter().enumerate();
         let earlier =
-            classes.take_while(|(class, _)| *class == 0 || SLACK_BOUNDS_MS[class - 1] < slack_ms);
+            ranges.take_while(|(range, _)| *range == 0 || SLACK_BOUNDS_MS[range - 1] < slack_ms);
         earlier.map(|(_, work)| u64::from(*work)).sum()
     }
 
+    /// Returns whether work of a class waits.
+    pub fn has_work(&self, class: Class) -> bool {
+        self.work(class).iter().any(|&work| work > 0)
+    }
+
     /// Returns whether no work is queued.
     pub fn is_empty(&self) -> bool {
-        self.0.iter().all(|&work| work == 0)
+        Class::ALL.into_iter().all(|class| !self.has_work(class))
+    }
+
+    fn work(&self, class: Class) -> &[u32] {
+        &self.0[class.index()][..SLACK_BOUNDS_MS.len()]
+    }
+}
+
+impl From<Backlog> for Vec<(u8, u32)> {
+    fn from(backlog: Backlog) -> Self {
+        let values = (0..).zip(backlog.0.as_flattened().iter().copied());
+        values.filter(|(_, value)| *value != 0).collect()
     }
 }
 
+impl TryFrom<Vec<(u8, u32)>> for Backlog {
+    type Error = InvalidBacklog;
+
+    fn try_from(values: Vec<(u8, u32)>) -> Result<Self, InvalidBacklog> {
+        let mut backlog = Self::default();
+        for (position, value) in values {
+            let known = backlog.0.as_flattened_mut().get_mut(usize::from(position));
+            *known.ok_or(InvalidBacklog(position))? = value;
+        }
+        Ok(backlog)
+    }
+}
+
+/// An error for a backlog with an unknown value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a backlog has no value {0}")]
+pub struct InvalidBacklog(u8);
+
 /// A frame from an entry to an agent.
 #[message]
 pub enum EntryFrame {
@@ -209,6 +271,8 @@
     pub spec: String,
     /// The resources that each task needs.
     pub needs: Resources,
+    /// The priority of the route; 0 is the highest.
+    pub priority: u8,
     /// The expected run time of a task, in milliseconds.
     pub expected_ms: u32,
     /// How long the tasks may wait for free capacity without missing their objective, in
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ledger;
 pub mod maintenance;
 
+mod class;
 mod clock;
 mod counters;
 mod frame;
@@ -28,11 +29,12 @@
 mod rendezvous;
 mod resources;
 
+pub use class::{Class, Weights};
 pub use clock::RemoteClock;
 pub use counters::{Counters, Refusal};
 pub use frame::{
-    AgentFrame, Backlog, Checkpoint, EndpointStatus, EntryFrame, FrameError, Order, Outcome,
-    TaskEnd, TaskRun, Working, decode, encode,
+    AgentFrame, Backlog, Checkpoint, EndpointStatus, EntryFrame, FrameError, InvalidBacklog, Order,
+    Outcome, TaskEnd, TaskRun, Working, decode, encode,
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use lease_times::{InvalidLeaseTimes, LeaseTimes};
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -121,6 +121,7 @@
                 memory: 1,
                 accelerators: 0,
             },
+            priority: 0,
             expected_ms,
             slack_ms: 100,
             remaining_ms: 1_500,
--- a/crates/fulmarpond-dispatch/tests/load.rs
+++ b/crates/fulmarpond-dispatch/tests/load.rs
@@ -18,6 +18,26 @@
     ..Demand::SHORT_TASK
 };
 
+/// The jobs of three routes that compete for the capacity, in the order of their priority.
+const COMPETING_JOBS: [Demand; 3] = [
+    competing_job(0, 8, 60),
+    competing_job(1, 2, 200),
+    competing_job(2, 4, 900),
+];
+
+/// The shares of the load of [`COMPETING_JOBS`].
+const COMPETING_SHARES: [f64; 3] = [0.21, 0.51, 0.28];
+
+const fn competing_job(route: usize, tasks: u16, run_ms: u32) -> Demand {
+    Demand {
+        route,
+        tasks,
+        cpu: 1_600,
+        run_ms,
+        ..Demand::SHORT_TASK
+    }
+}
+
 /// Returns the work of a job, in core-milliseconds.
 fn work_core_ms(demand: Demand) -> f64 {
     f64::from(demand.cpu) / 1_000.0 * f64::from(demand.run_ms) * f64::from(demand.tasks)
@@ -30,7 +50,16 @@
     capacity_share: f64,
     duration_ms: u64,
 ) -> Vec<JobId> {
-    let options = Options::default();
+    submit_load_for(sim, Options::default(), demand, capacity_share, duration_ms)
+}
+
+fn submit_load_for(
+    sim: &mut Simulation,
+    options: Options,
+    demand: Demand,
+    capacity_share: f64,
+    duration_ms: u64,
+) -> Vec<JobId> {
     let cores = f64::from(options.cpu) / 1_000.0 * options.agents as f64;
     let interval_ms = work_core_ms(demand) / (cores * capacity_share);
     let count = (duration_ms as f64 / interval_ms) as u64;
@@ -181,3 +210,64 @@
     let share = sim.on_time_share(&after_burst);
     assert!(share >= 0.95, "share on time after the burst is {share}");
 }
+
+/// The shares of the jobs of one class that were on time, refused, and neither.
+#[derive(Debug, Clone, Copy, Default)]
+struct Shares {
+    on_time: f64,
+    refused: f64,
+    late: f64,
+}
+
+/// Returns the shares by class under an overload by [`COMPETING_JOBS`], as the mean of three seeds.
+fn shares_under_overload(load: f64) -> [Shares; 3] {
+    const SEEDS: [u64; 3] = [1, 2, 3];
+    let mut shares = [Shares::default(); 3];
+    for seed in SEEDS {
+        let options = Options {
+            seed,
+            cpu: 16_000,
+            timeout_ms: 1_500,
+            ..Options::default()
+        };
+        let mut sim = Simulation::new(options);
+        sim.run_ms(500);
+        let jobs: Vec<Vec<JobId>> = COMPETING_JOBS
+            .iter()
+            .zip(COMPETING_SHARES)
+            .map(|(&demand, share)| submit_load_for(&mut sim, options, demand, load * share, 8_000))
+            .collect();
+        sim.run_ms(12_000);
+        assert_eq!(sim.history.violations, Vec::<String>::new());
+        for (class, jobs) in jobs.iter().enumerate() {
+            let is_refused = |job: &&JobId| {
+                let reply = sim.reply(job);
+                reply.is_some_and(|reply| matches!(reply.answer, Answer::NotRun { .. }))
+            };
+            let refused = jobs.iter().filter(is_refused).count() as f64 / jobs.len() as f64;
+            let on_time = sim.on_time_share(jobs);
+            shares[class].on_time += on_time / SEEDS.len() as f64;
+            shares[class].refused += refused / SEEDS.len() as f64;
+            shares[class].late += (1.0 - on_time - refused) / SEEDS.len() as f64;
+        }
+    }
+    for (class, share) in shares.iter().enumerate() {
+        println!(
+            "load {load}, priority {class}: on time {:.3}, refused {:.3}, late {:.3}",
+            share.on_time, share.refused, share.late
+        );
+    }
+    shares
+}
+
+/// Guards against an overload of which the work of the highest priority suffers most: its fresh
+/// tasks waited behind nearly overdue ones of lower priority, and entries expected too short waits.
+#[test]
+fn an_overload_of_several_priorities_spares_the_highest() {
+    let [urgent, middle, low] = shares_under_overload(1.3);
+    assert!(urgent.on_time >= 0.9, "priority 0: {urgent:?}");
+    assert!(urgent.late <= 0.1, "priority 0: {urgent:?}");
+    assert!(middle.on_time >= 0.6, "priority 1: {middle:?}");
+    assert!(low.on_time >= 0.25, "priority 2: {low:?}");
+    assert!(low.late <= 0.15, "priority 2: {low:?}");
+}
