feat(dispatch): stop runs in lent room for urgent tasks

Cause: a class gets lent room back only as runs end. A task of priority 0 with 76 ms of slack misses its latest start at an endpoint full of runs of 900 ms.

Change: where a waiting task of priority 0 would miss its latest start, its agent stops the runs of lower classes with the least work done, if their objective still holds after a restart (agent/preemption.rs). Only room beyond the share of their class is taken, a task is stopped at most once, gangs, long-running and durable runs never, and at most 5 % of the work of the last 10 s is discarded, each stop counted with the longest time that it takes. The room is left to the urgent class until the stop is over.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -9,13 +9,14 @@
 use super::endpoint::Endpoint;
 use super::health::Health;
 use super::links::Links;
+use super::preemption::Preemption;
 use super::run::{AfterStop, Phase, Run};
 use super::shares::Shares;
 use super::{Action, CallNo};
 use crate::entry::Configuration;
 use crate::{
     AgentFrame, Checkpoint, Counters, EndpointId, EntryFrame, LeaseTimes, LinkNo, Outcome,
-    Registration, Resources, TaskEnd, TaskKey, Working,
+    Registration, Resources, TaskEnd, TaskKey, Weights, Working,
 };
 
 /// The minimum timeout of start and stop calls, in milliseconds. The endpoint is on the same host
@@ -97,6 +98,7 @@
     pub(super) runs: HashMap<TaskKey, Run>,
     /// The queued tasks, and the shares of the endpoint by class.
     pub(super) shares: Shares,
+    pub(super) preemption: Preemption,
     /// The calls without a reply.
     pub(super) pending_calls: HashMap<CallNo, PendingCall>,
     pub(super) next_call: u64,
@@ -139,6 +141,7 @@
             endpoint: None,
             runs: HashMap::new(),
             shares: Shares::default(),
+            preemption: Preemption::default(),
             pending_calls: HashMap::new(),
             next_call: 1,
             last_run_numbers: HashMap::new(),
@@ -164,6 +167,14 @@
         self.links.add_addresses(seeds, now);
     }
 
+    /// Sets the weights of the shares, which apply from the next start, and whether runs may be
+    /// stopped for urgent tasks.
+    pub fn set_sharing(&mut self, weights: Weights, has_preemption: bool) {
+        self.shares.weights = weights;
+        self.preemption.is_enabled = has_preemption;
+        self.status_changed = true;
+    }
+
     /// Returns the latest time for the next call of [`tick`](Self::tick).
     pub fn next_wake(&self) -> Time {
         let status = if self.status_changed {
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -85,6 +85,10 @@
             if is_known && !run.is_resumed && !run.is_long_running {
                 out.push(Action::Observe { elapsed });
             }
+            let work = elapsed * u64::from(run.needs.cpu) / 1_000;
+            if outcome == Outcome::Done {
+                self.preemption.record_completed(work, now);
+            }
             match (run.phase, outcome) {
                 (Phase::Stopping { after_stop, .. }, Outcome::Aborted) => {
                     self.finish_stopped_run(&task, after_stop);
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -13,6 +13,7 @@
 mod links;
 mod orders;
 mod orphaned_runs;
+mod preemption;
 mod queue;
 mod reply_times;
 mod run;
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -60,6 +60,7 @@
                 max_run_ms: order.max_run_ms,
                 is_durable: order.is_durable,
                 is_gang: order.gang,
+                was_preempted: false,
                 is_long_running: order.long_running,
                 orphaned_until: None,
                 ticket: order.ticket.clone(),
@@ -142,10 +143,11 @@
                 })
             };
             let Some(task) = self.shares.next(shared, free, now, need) else {
-                return;
+                break;
             };
             self.start_run(&task, now, out);
         }
+        self.preempt_runs(now, out);
     }
 
     pub(super) fn start_run(&mut self, task: &TaskKey, now: Time, out: &mut Vec<Action>) {
--- a/crates/fulmarpond-dispatch/src/agent/queue.rs
+++ b/crates/fulmarpond-dispatch/src/agent/queue.rs
@@ -47,6 +47,12 @@
         self.tasks.first().map(|(start_by, task)| (*start_by, task))
     }
 
+    /// Returns the first tasks with their latest start, as many as are considered for free capacity.
+    pub(super) fn considered(&self) -> impl Iterator<Item = (Time, &TaskKey)> {
+        let first = self.tasks.iter().take(MAX_LOOKAHEAD);
+        first.map(|(start_by, task)| (*start_by, task))
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.tasks.is_empty()
     }
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -103,6 +103,8 @@
     pub(super) is_durable: bool,
     /// Whether it belongs to a gang: the tasks of its step work only while all of them run.
     pub(super) is_gang: bool,
+    /// Whether a run of it was stopped for an urgent task, which happens only once.
+    pub(super) was_preempted: bool,
     /// Whether it runs until it is stopped.
     pub(super) is_long_running: bool,
     /// Until when the run, which is orphaned, waits for a new owner; `None` while it has one.
--- a/crates/fulmarpond-dispatch/src/agent/shares.rs
+++ b/crates/fulmarpond-dispatch/src/agent/shares.rs
@@ -67,6 +67,8 @@
 pub(super) struct Shares {
     pub(super) weights: Weights,
     classes: [ClassState; Class::COUNT],
+    /// The last task for which runs are being stopped, and until when their room is left for it.
+    urgent: Option<(TaskKey, Time)>,
 }
 
 impl Shares {
@@ -84,6 +86,18 @@
         {
             state.passed_over = None;
         }
+        if self
+            .urgent
+            .as_ref()
+            .is_some_and(|(urgent, _)| urgent == task)
+        {
+            self.urgent = None;
+        }
+    }
+
+    /// Leaves room that becomes free to the highest class until a task of it starts.
+    pub(super) fn reserve_for(&mut self, task: TaskKey, until: Time) {
+        self.urgent = Some((task, until));
     }
 
     /// Counts room that a class uses at the endpoint.
@@ -101,6 +115,28 @@
         self.classes.iter().all(|state| state.waiting.is_empty())
     }
 
+    pub(super) fn has_waiting(&self, class: Class) -> bool {
+        !self.classes[class.index()].waiting.is_empty()
+    }
+
+    /// Returns the first waiting tasks of a class with their latest start.
+    pub(super) fn considered(&self, class: Class) -> impl Iterator<Item = (Time, &TaskKey)> {
+        self.classes[class.index()].waiting.considered()
+    }
+
+    /// Returns whether tasks of a class are the next to get room that becomes free, except for
+    /// higher classes.
+    pub(super) fn has_turn(&self, class: Class, room: Resources, now: Time) -> bool {
+        let is_below = self.is_below_share(class, room);
+        let mut others = Class::ALL.into_iter().filter(|other| *other != class);
+        !others.any(|other| {
+            let state = &self.classes[other.index()];
+            self.is_below_share(other, room)
+                && !state.waiting.is_empty()
+                && (!is_below || state.is_overdue(now))
+        })
+    }
+
     /// Returns the room that a class uses.
     pub(super) fn used(&self, class: Class) -> Resources {
         self.classes[class.index()].used
@@ -131,6 +167,9 @@
             return self.classes[class.index()].waiting.first_fitting(fits);
         }
         let below = Class::ALL.map(|class| self.is_below_share(class, room));
+        if self.urgent.as_ref().is_some_and(|(_, until)| now < *until) {
+            return self.classes[Class::HIGHEST.index()].first_fitting(now, fits);
+        }
         let overdue = Class::ALL
             .into_iter()
             .find(|class| below[class.index()] && self.classes[class.index()].is_overdue(now));
--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -83,6 +83,10 @@
     pub links_lost: u64,
     /// Runs that were stopped.
     pub stopped: u64,
+    /// Runs that were stopped for an urgent task.
+    pub preempted: u64,
+    /// The work that these stops discarded at most, in core-milliseconds.
+    pub discarded_core_ms: u64,
     /// Calls to the endpoint that got no reply.
     pub unanswered: u64,
 }
--- a/crates/fulmarpond-dispatch/tests/shares.rs
+++ b/crates/fulmarpond-dispatch/tests/shares.rs
@@ -1,4 +1,5 @@
-//! The order in which an agent starts tasks of several classes of priority.
+//! The order in which an agent starts tasks of several classes of priority, and the runs that it
+//! stops for urgent ones.
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::agent::{
@@ -6,7 +7,7 @@
 };
 use fulmarpond_dispatch::{
     EndpointId, EndpointState, EntryFrame, JobId, LeaseTimes, LinkNo, Order, Registration,
-    Resources, TaskKey,
+    Resources, TaskKey, Weights,
 };
 
 const LINK: LinkNo = LinkNo(1);
@@ -22,6 +23,8 @@
     cores: u32,
     slack_ms: u32,
     run_ms: u32,
+    is_durable: bool,
+    is_gang: bool,
 }
 
 impl Task {
@@ -32,6 +35,8 @@
             cores: 1,
             slack_ms: 500,
             run_ms: 100,
+            is_durable: false,
+            is_gang: false,
         }
     }
 
@@ -50,8 +55,11 @@
     now: Time,
     /// The tasks in the order of their starts.
     started: Vec<u16>,
+    /// The tasks in the order of their stops.
+    stopped: Vec<u16>,
     running: Vec<RunEntry>,
     ended: Vec<EndEntry>,
+    last_end: u64,
     calls: Vec<(CallNo, EndpointCall)>,
 }
 
@@ -70,8 +78,10 @@
             agent: Agent::new(options, now),
             now,
             started: Vec::new(),
+            stopped: Vec::new(),
             running: Vec::new(),
             ended: Vec::new(),
+            last_end: 0,
             calls: Vec::new(),
         };
         let registration = Registration {
@@ -130,8 +140,7 @@
     fn carry_out(&mut self, call: EndpointCall) -> EndpointReply {
         match call {
             EndpointCall::Start { task, run, .. } => {
-                let number = u16::from_str_radix(&task.job.0, 16).expect("a job of the test");
-                self.started.push(number);
+                self.started.push(number(&task));
                 self.running.push(RunEntry {
                     task,
                     run,
@@ -139,7 +148,10 @@
                     progress: None,
                 });
             }
-            EndpointCall::Stop { task, .. } => self.end(&task, EndReason::Cut),
+            EndpointCall::Stop { task, .. } => {
+                self.stopped.push(number(&task));
+                self.end(&task, EndReason::Cut);
+            }
             EndpointCall::Hold { acked, .. } => {
                 self.ended.retain(|end| end.sequence > acked);
                 return EndpointReply::Held {
@@ -156,8 +168,9 @@
         let position = self.running.iter().position(|run| run.task == *task);
         let Some(position) = position else { return };
         let run = self.running.remove(position);
+        self.last_end += 1;
         self.ended.push(EndEntry {
-            sequence: self.now.as_micros() + self.ended.len() as u64,
+            sequence: self.last_end,
             task: run.task,
             run: run.run,
             reason,
@@ -165,13 +178,14 @@
         });
     }
 
-    /// Completes runs, and returns the tasks that start in their room.
+    /// Completes runs, and returns the tasks that start in their room. After a list without new ends
+    /// the agent asks for the next one only 10 ms later.
     fn complete(&mut self, numbers: &[u16]) -> Vec<u16> {
         let before = self.started.len();
         for &number in numbers {
             self.end(&Task::key(number), EndReason::Done);
         }
-        self.run_ms(1);
+        self.run_ms(12);
         self.started[before..].to_vec()
     }
 
@@ -206,10 +220,10 @@
                 slack_ms: task.slack_ms,
                 remaining_ms: 5_000,
                 max_run_ms: 5_000,
-                is_durable: false,
+                is_durable: task.is_durable,
                 epoch: 0,
                 checkpoints: Vec::new(),
-                gang: false,
+                gang: task.is_gang,
                 long_running: false,
                 ticket: None,
             };
@@ -221,6 +235,10 @@
     }
 }
 
+fn number(task: &TaskKey) -> u16 {
+    u16::from_str_radix(&task.job.0, 16).expect("a job of the test")
+}
+
 /// Returns tasks of one class, numbered from `first`.
 fn tasks(first: u16, count: u16, priority: u8) -> Vec<Task> {
     let numbers = first..first + count;
@@ -319,7 +337,7 @@
         next += 2;
         let smalls = host.running.iter().map(|run| run.task.clone());
         let smalls: Vec<u16> = smalls
-            .map(|task| u16::from_str_radix(&task.job.0, 16).expect("a job of the test"))
+            .map(|task| number(&task))
             .filter(|number| *number != 99 && !others.iter().any(|task| task.number == *number))
             .collect();
         host.complete(&smalls[..smalls.len().min(1)]);
@@ -341,3 +359,154 @@
     assert!(large_task_starts(2, 2, &other), "behind its own class");
     assert!(!large_task_starts(1, 1, &[]), "one class alone");
 }
+
+struct PreemptionCase {
+    name: &'static str,
+    /// The number of runs that are done before, each with 900 core-milliseconds.
+    earlier_runs: u16,
+    is_enabled: bool,
+    /// The tasks that fill the endpoint; the last one starts 20 ms after the others.
+    running: Vec<Task>,
+    urgent: Task,
+    stopped: &'static [u16],
+}
+
+/// Guards against urgent tasks that start too late while others use lent room, and against stops
+/// that discard too much work, take the share of a class, or hit runs that cannot start again.
+#[test]
+fn runs_in_lent_room_are_stopped_for_urgent_tasks() {
+    let long = |number| Task {
+        run_ms: 900,
+        slack_ms: 580,
+        ..Task::new(number, 2)
+    };
+    let with = |change: fn(&mut Task)| {
+        let mut running: Vec<Task> = (0..7).map(long).collect();
+        running.iter_mut().for_each(change);
+        running
+    };
+    let base = || PreemptionCase {
+        name: "the run with the least work done is stopped",
+        earlier_runs: 7,
+        is_enabled: true,
+        running: with(|_| {}),
+        urgent: Task {
+            slack_ms: 76,
+            run_ms: 60,
+            ..Task::new(99, 0)
+        },
+        stopped: &[6],
+    };
+    let cases = [
+        base(),
+        PreemptionCase {
+            name: "an urgent task that needs more room stops several",
+            urgent: Task {
+                cores: 2,
+                ..base().urgent
+            },
+            stopped: &[6, 0],
+            ..base()
+        },
+        PreemptionCase {
+            name: "a task that can wait for the next end stops none",
+            urgent: Task {
+                slack_ms: 300,
+                ..base().urgent
+            },
+            stopped: &[],
+            ..base()
+        },
+        PreemptionCase {
+            name: "a task that would start too late in any case stops none",
+            urgent: Task {
+                slack_ms: 30,
+                ..base().urgent
+            },
+            stopped: &[],
+            ..base()
+        },
+        PreemptionCase {
+            name: "a task of a lower class stops none",
+            urgent: Task {
+                priority: 1,
+                ..base().urgent
+            },
+            stopped: &[],
+            ..base()
+        },
+        PreemptionCase {
+            name: "no work may be discarded before any is done",
+            earlier_runs: 0,
+            stopped: &[],
+            ..base()
+        },
+        PreemptionCase {
+            name: "preemption is off",
+            is_enabled: false,
+            stopped: &[],
+            ..base()
+        },
+        PreemptionCase {
+            name: "runs that would miss their own objective go on",
+            running: with(|task| task.slack_ms = 100),
+            stopped: &[],
+            ..base()
+        },
+        PreemptionCase {
+            name: "durable runs go on",
+            running: with(|task| task.is_durable = true),
+            stopped: &[],
+            ..base()
+        },
+        PreemptionCase {
+            name: "gangs go on",
+            running: with(|task| task.is_gang = true),
+            stopped: &[],
+            ..base()
+        },
+        PreemptionCase {
+            name: "classes keep their shares",
+            running: with(|task| task.priority = [0, 0, 0, 0, 1, 1, 2][usize::from(task.number)]),
+            stopped: &[],
+            ..base()
+        },
+    ];
+    for case in cases {
+        let mut host = Host::new();
+        host.agent.set_sharing(Weights::default(), case.is_enabled);
+        let earlier: Vec<Task> = (200..200 + case.earlier_runs).map(long).collect();
+        host.order(&earlier);
+        host.run_ms(900);
+        host.complete(&(200..200 + case.earlier_runs).collect::<Vec<_>>());
+        let (last, first) = case.running.split_last().expect("running tasks");
+        host.order(first);
+        host.run_ms(20);
+        host.order(&[*last]);
+        let before = host.started.len();
+        host.order(&[case.urgent]);
+        host.run_ms(3);
+        let is_preempted = !case.stopped.is_empty();
+        assert_eq!(host.stopped, case.stopped, "{}", case.name);
+        let expected: &[u16] = if is_preempted { &[99] } else { &[] };
+        assert_eq!(host.started[before..], *expected, "{}", case.name);
+        assert_eq!(host.agent.counters.preempted, case.stopped.len() as u64);
+        if is_preempted {
+            // The stopped run starts again in the next room, and is not stopped again.
+            let restarted = host.complete(&[99]);
+            assert!(restarted.contains(&case.stopped[0]), "{}", case.name);
+            host.run_ms(10);
+            host.order(&[Task {
+                number: 98,
+                ..case.urgent
+            }]);
+            host.run_ms(3);
+            let again = host.stopped[case.stopped.len()..].iter();
+            assert!(
+                again.clone().all(|task| !case.stopped.contains(task)),
+                "{}",
+                case.name
+            );
+        }
+    }
+}
