feat(daemon): settings and metrics of shares by class

The agent settings `sharing.weights` and `sharing.preemption` are checked, and apply from the next start after a reload. Metrics show the room that each class uses, waits for and lends, the runs that were stopped for urgent tasks and the work that this discarded at most.

--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -4,6 +4,7 @@
 #[allow(clippy::module_inception)]
 mod agent;
 mod checks;
+mod class_room;
 mod endpoint;
 mod endpoint_call;
 mod endpoint_calls;
@@ -24,6 +25,7 @@
 
 pub use action::{Action, CallNo};
 pub use agent::{Agent, AgentOptions};
+pub use class_room::ClassRoom;
 pub use endpoint_call::{
     CallFailure, EndEntry, EndReason, EndpointCall, EndpointReply, RunEntry, StartRefusal,
 };
--- a/crates/fulmarpond-dispatch/tests/shares.rs
+++ b/crates/fulmarpond-dispatch/tests/shares.rs
@@ -3,7 +3,8 @@
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::agent::{
-    Action, Agent, AgentOptions, CallNo, EndEntry, EndReason, EndpointCall, EndpointReply, RunEntry,
+    Action, Agent, AgentOptions, CallNo, ClassRoom, EndEntry, EndReason, EndpointCall,
+    EndpointReply, RunEntry,
 };
 use fulmarpond_dispatch::{
     EndpointId, EndpointState, EntryFrame, JobId, LeaseTimes, LinkNo, Order, Registration,
@@ -510,3 +511,24 @@
         }
     }
 }
+
+/// Guards against metrics that hide which class holds the room, and against weights of a reload
+/// that do not apply from the next start.
+#[test]
+fn room_and_new_weights_are_shown_by_class() {
+    let mut host = Host::new();
+    host.order(&[tasks(0, 5, 2), tasks(5, 2, 1), tasks(10, 2, 0)].concat());
+    let room = |used, waiting, lent| ClassRoom {
+        used,
+        waiting,
+        lent,
+    };
+    let rooms = host.agent.class_room();
+    let expected = [room(0, 2_000, 4_000), room(2_000, 0, 0), room(5_000, 0, 0)];
+    assert_eq!(rooms, expected);
+    host.order(&tasks(20, 5, 2));
+    host.agent.set_sharing(Weights::new([1, 1, 5]), true);
+    assert_eq!(host.complete(&[0, 1, 2]), [10, 20, 21]);
+    host.order(&tasks(30, 5, 0));
+    assert_eq!(host.complete(&[3, 4]), [22, 23]);
+}
--- a/crates/fulmarpond-settings/src/leased/leased_settings.rs
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -24,6 +24,7 @@
         &["resend", "hold_max", "stop", "heartbeat", "grace", "keep"],
     ),
     ("placement", &["far"]),
+    ("sharing", &["weights", "preemption"]),
     ("log", &["level", "lines"]),
 ];
 
@@ -53,6 +54,12 @@
 /// The maximum of `far` in section `[placement]`.
 const MAX_REMOTE_FACTOR: f64 = 1_000.0;
 
+/// The default of `weights` in section `[sharing]`.
+const DEFAULT_WEIGHTS: [u16; 3] = [4, 2, 1];
+
+/// The maximum of a weight in section `[sharing]`.
+const MAX_WEIGHT: u16 = 1_000;
+
 /// The maximum rate per second.
 const MAX_RATE: f64 = 1e9;
 
@@ -86,9 +93,20 @@
         heartbeats: SocketAddr,
         /// The link addresses of some entries, through which the agent joins the cluster.
         seeds: Vec<SocketAddr>,
+        /// How the classes of priority share the endpoint.
+        sharing: LeasedSharing,
     },
 }
 
+/// How the classes of priority share an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeasedSharing {
+    /// The weights of the guaranteed shares of the priorities 0, 1, and 2 and below.
+    pub weights: [u16; 3],
+    /// Whether runs of lower classes may be stopped for urgent tasks of priority 0.
+    pub preemption: bool,
+}
+
 /// Time limits and intervals of the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeasedTiming {
@@ -211,10 +229,16 @@
     let seeds = reader.read_required("cluster", "seeds", |text| {
         parse_seeds(text, port.unwrap_or_default())
     });
+    let weights = reader.read_optional("sharing", "weights", parse_weights);
+    let preemption = reader.read_optional("sharing", "preemption", parse_switch);
     port?;
     Some(LeasedRole::Agent {
         heartbeats: heartbeats?,
         seeds: seeds?,
+        sharing: LeasedSharing {
+            weights: weights.unwrap_or(DEFAULT_WEIGHTS),
+            preemption: preemption.unwrap_or(true),
+        },
     })
 }
 
@@ -296,6 +320,31 @@
     Ok(rate as u64)
 }
 
+/// Parses the weights of the classes. A weight of 0 would let its class starve.
+fn parse_weights(text: &str) -> Result<[u16; 3], String> {
+    let parsed: Vec<u16> = text
+        .split(',')
+        .map(|part| part.trim().parse().unwrap_or_default())
+        .collect();
+    let is_valid = parsed
+        .iter()
+        .all(|weight| (1..=MAX_WEIGHT).contains(weight));
+    <[u16; 3]>::try_from(parsed)
+        .ok()
+        .filter(|_| is_valid)
+        .ok_or_else(|| {
+            format!("expected three weights from 1 to {MAX_WEIGHT}, such as `4,2,1`, got `{text}`")
+        })
+}
+
+fn parse_switch(text: &str) -> Result<bool, String> {
+    match text {
+        "on" => Ok(true),
+        "off" => Ok(false),
+        _ => Err(format!("expected `on` or `off`, got `{text}`")),
+    }
+}
+
 fn parse_log_lines(text: &str) -> Result<u32, String> {
     let lines: u32 = parse_value(text)?;
     if lines < MIN_LOG_LINES_PER_SECOND {
--- a/crates/fulmarpond-settings/src/leased/mod.rs
+++ b/crates/fulmarpond-settings/src/leased/mod.rs
@@ -2,4 +2,4 @@
 
 mod leased_settings;
 
-pub use leased_settings::{LeasedRole, LeasedSettings, LeasedTiming};
+pub use leased_settings::{LeasedRole, LeasedSettings, LeasedSharing, LeasedTiming};
--- a/crates/fulmarpond-settings/src/lib.rs
+++ b/crates/fulmarpond-settings/src/lib.rs
@@ -19,7 +19,7 @@
     LogLevel, LogSettings, Role, TimingSettings,
 };
 pub use document::{Document, Entry, Section, SettingsError, SettingsErrors};
-pub use leased::{LeasedRole, LeasedSettings, LeasedTiming};
+pub use leased::{LeasedRole, LeasedSettings, LeasedSharing, LeasedTiming};
 pub use patch::{Change, PatchFile, Unrepresentable, diff, render};
 pub use token::{Token, TokenFile};
 
--- a/crates/fulmarpond-settings/tests/leased.rs
+++ b/crates/fulmarpond-settings/tests/leased.rs
@@ -192,6 +192,32 @@
     }
 }
 
+/// Guards against an agent whose shares differ from its settings, or that starts with weights which
+/// let a class starve.
+#[test]
+fn sharing_is_read_and_checked() {
+    let read = |lines: &str| read_settings(&format!("{}\n{lines}", render_template(AGENT)));
+    let sharing = |lines: &str| match read(lines).expect("settings of an agent").role {
+        LeasedRole::Agent { sharing, .. } => (sharing.weights, sharing.preemption),
+        LeasedRole::Entry { .. } => panic!("expected an agent"),
+    };
+    assert_eq!(sharing(""), ([4, 2, 1], true));
+    let changed = sharing("[sharing]\nweights = 8, 1,1\npreemption = off");
+    assert_eq!(changed, ([8, 1, 1], false));
+    for (line, expected_error) in [
+        ("weights = 4,2", "three weights"),
+        ("weights = 4,2,1,1", "three weights"),
+        ("weights = 4,2,0", "three weights"),
+        ("weights = 4,2,1001", "three weights"),
+        ("weights = high", "three weights"),
+        ("preemption = yes", "`on` or `off`"),
+        ("weigths = 4,2,1", "weights"),
+    ] {
+        let error = read(&format!("[sharing]\n{line}")).expect_err(line);
+        assert!(error.contains(expected_error), "{line}: {error}");
+    }
+}
+
 /// Guards against faults that are reported one by one: with an invalid port, invalid seeds were
 /// reported only after the port had been corrected.
 #[test]
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -9,7 +9,7 @@
 use fulmarpond_dispatch::agent::{
     Action, Agent, AgentOptions, CallFailure, CallNo, EndpointCall, EndpointReply,
 };
-use fulmarpond_dispatch::{EntryFrame, LinkNo, decode, encode};
+use fulmarpond_dispatch::{EntryFrame, LinkNo, Weights, decode, encode};
 use fulmarpond_platform::endpoint;
 use fulmarpond_platform::heartbeat::{Heartbeat, parse_heartbeat};
 use fulmarpond_reactor::http::{Request, Response};
@@ -48,7 +48,12 @@
 
 impl AgentProcess {
     pub(super) fn new(settings: &LeasedSettings, path: &Path, log: Log) -> Result<Self> {
-        let LeasedRole::Agent { heartbeats, seeds } = &settings.role else {
+        let LeasedRole::Agent {
+            heartbeats,
+            seeds,
+            sharing,
+        } = &settings.role
+        else {
             return Err(io::Error::other("the settings are not those of an agent").into());
         };
         let now = BootClock::now();
@@ -65,8 +70,10 @@
         if let Some(addr) = settings.metrics {
             reactor.listen_http(addr)?;
         }
+        let mut agent = Agent::new(options, now);
+        agent.set_sharing(Weights::new(sharing.weights), sharing.preemption);
         Ok(Self {
-            agent: Agent::new(options, now),
+            agent,
             reactor,
             heartbeat_listener,
             calls: HashMap::new(),
@@ -104,8 +111,10 @@
 
     fn check_signals(&mut self, now: Time) {
         if let Some(settings) = self.runtime.reload_settings(now)
-            && let LeasedRole::Agent { seeds, .. } = settings.role
+            && let LeasedRole::Agent { seeds, sharing, .. } = settings.role
         {
+            let weights = Weights::new(sharing.weights);
+            self.agent.set_sharing(weights, sharing.preemption);
             self.agent.set_seeds(&seeds, now);
         }
         if self.runtime.take_stop_request(now) {
@@ -182,6 +191,7 @@
                 ("entries", self.agent.links() as u64),
                 ("log_lines_dropped", self.runtime.dropped_lines()),
             ];
+            self.runtime.metrics.set_class_room(self.agent.class_room());
             let response = self.runtime.metrics.render(&self.agent.counters, &levels);
             self.reactor.respond(id, &response);
             return;
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -2,7 +2,8 @@
 
 use std::sync::atomic::{AtomicI64, Ordering};
 
-use fulmarpond_dispatch::{Counters, Refusal};
+use fulmarpond_dispatch::agent::ClassRoom;
+use fulmarpond_dispatch::{Class, Counters, Refusal};
 use fulmarpond_reactor::http::Response;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -20,6 +21,8 @@
     refusals: Family<Label, Counter>,
     decisions: Family<Label, Counter>,
     levels: Family<Label, Gauge<i64, AtomicI64>>,
+    class_millicores: Family<[(&'static str, &'static str); 2], Gauge<i64, AtomicI64>>,
+    discarded_core_ms: Counter,
     calls: Family<[(&'static str, &'static str); 3], Counter>,
     /// Time from the arrival of a job to its answer, in seconds.
     pub(super) job_seconds: Histogram,
@@ -38,6 +41,8 @@
             refusals: Family::default(),
             decisions: Family::default(),
             levels: Family::default(),
+            class_millicores: Family::default(),
+            discarded_core_ms: Counter::default(),
             calls: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(0.01, 1.6, 16)),
             wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -52,6 +57,16 @@
         );
         registry.register("decisions", "Decisions by kind", metrics.decisions.clone());
         registry.register("level", "Current values by name", metrics.levels.clone());
+        registry.register(
+            "class_millicores",
+            "CPU at the endpoint in thousandths of a core, by class of priority and kind",
+            metrics.class_millicores.clone(),
+        );
+        registry.register(
+            "discarded_core_ms",
+            "Work that was discarded by stops for urgent tasks, in core-milliseconds",
+            metrics.discarded_core_ms.clone(),
+        );
         registry.register(
             "job_seconds",
             "Time from the arrival of a job to its answer",
@@ -94,6 +109,21 @@
         self.calls.get_or_create_owned(&labels).inc();
     }
 
+    /// Sets the room that each class uses, waits for and lends at the endpoint.
+    pub(super) fn set_class_room(&self, rooms: [ClassRoom; Class::COUNT]) {
+        for (class, room) in Class::ALL.into_iter().zip(rooms) {
+            for (kind, value) in [
+                ("used", room.used),
+                ("waiting", room.waiting),
+                ("lent", room.lent),
+            ] {
+                let labels = [("class", class.as_str()), ("kind", kind)];
+                let gauge = self.class_millicores.get_or_create_owned(&labels);
+                gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+            }
+        }
+    }
+
     /// Renders all metrics in the text format of Prometheus.
     pub(super) fn render(&self, counters: &Counters, levels: &[(&'static str, u64)]) -> Response {
         for reason in Refusal::ALL {
@@ -112,12 +142,16 @@
             ("started", counters.started),
             ("retried", counters.retried),
             ("stopped", counters.stopped),
+            ("preempted", counters.preempted),
             ("unanswered", counters.unanswered),
             ("links_lost", counters.links_lost),
         ] {
             let counter = self.decisions.get_or_create_owned(&[("kind", kind)]);
             counter.inner().store(value, Ordering::Relaxed);
         }
+        self.discarded_core_ms
+            .inner()
+            .store(counters.discarded_core_ms, Ordering::Relaxed);
         for &(name, value) in levels {
             let gauge = self.levels.get_or_create_owned(&[("name", name)]);
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
