--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -187,6 +187,9 @@
             },
         };
         let by_order = time_to_start(all_ahead, max_ms, |time| supply.started(time, all_ahead));
+        if guaranteed.started(by_order, own_ahead) < own_ahead.room {
+            return Some(by_order);
+        }
         let by_share = time_to_start(own_ahead, max_ms, |time| {
             guaranteed.started(time, own_ahead)
         });
