--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -4,6 +4,7 @@
 #[allow(clippy::module_inception)]
 mod agent;
 mod checks;
+mod class_room;
 mod endpoint;
 mod endpoint_call;
 mod endpoint_calls;
@@ -13,9 +14,11 @@
 mod links;
 mod orders;
 mod orphaned_runs;
+mod preemption;
 mod queue;
 mod reply_times;
 mod run;
+mod shares;
 mod speed;
 mod starts_and_stops;
 mod unacknowledged_ends;
@@ -23,6 +26,7 @@
 
 pub use action::{Action, CallNo};
 pub use agent::{Agent, AgentOptions};
+pub use class_room::ClassRoom;
 pub use endpoint_call::{
     CallFailure, EndEntry, EndReason, EndpointCall, EndpointReply, RunEntry, StartRefusal,
 };
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -2,7 +2,7 @@
 
 use fulmarpond_core::Time;
 
-use crate::{LinkNo, Outcome, Resources};
+use crate::{Class, LinkNo, Outcome, Resources};
 
 /// The progress of a run.
 #[derive(Debug, Clone, Copy)]
@@ -84,6 +84,7 @@
     pub(super) number: u32,
     pub(super) spec: String,
     pub(super) needs: Resources,
+    pub(super) class: Class,
     /// The expected run time, in milliseconds.
     pub(super) expected_ms: u32,
     /// The maximum run time, in milliseconds; the run is stopped after it.
@@ -105,6 +106,8 @@
     pub(super) is_durable: bool,
     /// Whether it belongs to a gang: the tasks of its step work only while all of them run.
     pub(super) is_gang: bool,
+    /// Whether a run of it was stopped for an urgent task, which happens only once.
+    pub(super) was_preempted: bool,
     /// Whether it runs until it is stopped.
     pub(super) is_long_running: bool,
     /// Until when the run, which is orphaned, waits for a new owner; `None` while it has one.
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -141,6 +141,7 @@
                 memory: 1,
                 accelerators: 0,
             },
+            priority: 0,
             expected_ms,
             slack_ms: 100,
             remaining_ms: 1_500,
@@ -178,6 +179,7 @@
             accelerators: 0,
         },
         labels: Vec::new(),
+        cold_remaining_ms: 0,
         state: EndpointState::Ready,
         sequence,
     }
--- a/crates/fulmarpond-settings/src/leased/mod.rs
+++ b/crates/fulmarpond-settings/src/leased/mod.rs
@@ -2,4 +2,6 @@
 
 mod leased_settings;
 
-pub use leased_settings::{EvacuationSettings, LeasedRole, LeasedSettings, LeasedTiming};
+pub use leased_settings::{
+    EvacuationSettings, LeasedRole, LeasedSettings, LeasedSharing, LeasedTiming,
+};
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -11,7 +11,7 @@
     Action, Agent, AgentOptions, CallFailure, CallNo, EndpointCall, EndpointReply,
 };
 use fulmarpond_dispatch::directory::StoreCall;
-use fulmarpond_dispatch::{EntryFrame, LinkNo, decode, encode};
+use fulmarpond_dispatch::{EntryFrame, LinkNo, Weights, decode, encode};
 use fulmarpond_platform::heartbeat::{Heartbeat, parse_heartbeat};
 use fulmarpond_platform::{endpoint, store};
 use fulmarpond_reactor::http::{Request, Response};
@@ -61,6 +61,7 @@
             heartbeats,
             seeds,
             evacuation,
+            sharing,
         } = &settings.role
         else {
             return Err(io::Error::other("the settings are not those of an agent").into());
@@ -83,6 +84,7 @@
         if let Some(evacuation) = evacuation {
             agent.watch_evacuations(evacuation.bound.as_millis() as u64, now);
         }
+        agent.set_sharing(Weights::new(sharing.weights), sharing.preemption);
         Ok(Self {
             agent,
             reactor,
@@ -126,8 +128,10 @@
 
     fn check_signals(&mut self, now: Time) {
         if let Some(settings) = self.runtime.reload_settings(now)
-            && let LeasedRole::Agent { seeds, .. } = settings.role
+            && let LeasedRole::Agent { seeds, sharing, .. } = settings.role
         {
+            let weights = Weights::new(sharing.weights);
+            self.agent.set_sharing(weights, sharing.preemption);
             self.agent.set_seeds(&seeds, now);
         }
         if self.runtime.take_stop_request(now) {
@@ -213,6 +217,7 @@
                 ("evacuated", u64::from(self.agent.is_evacuated())),
                 ("log_lines_dropped", self.runtime.dropped_lines()),
             ];
+            self.runtime.metrics.set_class_room(self.agent.class_room());
             let response = self.runtime.metrics.render(&self.agent.counters, &levels);
             self.reactor.respond(id, &response);
             return;
