feat(dispatch): use the lasting speeds of endpoints in placement and admission

Cause: kinds of endpoints may differ in speed for good. Placement counted slowness only above 1.4 times the median and forgot it with a half-life of 2.5 s, and the factor of a route depended on the endpoints that had run its tasks. Change: an agent keeps the ratio of run times to nominal ones of its endpoint and reports it. Entries derive a factor for each endpoint from these and those of its kind. Orders carry the run time expected at the endpoint and the nominal one; estimates are learned for the nominal endpoint. Placement counts the lasting factor always and relieves used fast endpoints of tasks that surely meet their objective at slow ones; admission refuses jobs whose wait and longer run exceed their slack.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -248,6 +248,10 @@
             link,
             frame: self.endpoint_frame(),
         });
+        out.push(Action::Send {
+            link,
+            frame: self.speed_frame(),
+        });
         if let Some(frame) = self.orphaned_frame() {
             out.push(Action::Send { link, frame });
         }
@@ -382,6 +386,8 @@
         for &link in self.links.established.keys() {
             let frame = self.endpoint_frame();
             out.push(Action::Send { link, frame });
+            let frame = self.speed_frame();
+            out.push(Action::Send { link, frame });
         }
         self.status_changed = true;
     }
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -62,6 +62,7 @@
         self.resend_unacknowledged_ends(now, out);
         self.check_orphaned(now, out);
         self.expire_lease_for_superseded(now);
+        self.report_speed(out);
         self.start_queued_tasks(now, out);
         self.send_reports(out);
     }
--- a/crates/fulmarpond-dispatch/src/agent/endpoint.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint.rs
@@ -3,6 +3,7 @@
 use fulmarpond_core::Time;
 
 use super::CallNo;
+use super::lasting_speed::LastingSpeed;
 use super::reply_times::ReplyTimes;
 use super::speed::Speed;
 use super::unacknowledged_ends::UnacknowledgedEnds;
@@ -50,6 +51,7 @@
     pub(super) has_no_unknown_runs: bool,
     pub(super) reply_times: ReplyTimes,
     pub(super) speed: Speed,
+    pub(super) lasting_speed: LastingSpeed,
     /// Whether it has answered calls in time.
     pub(super) is_reachable: bool,
     /// When all runs there have ended for certain, unless the lease is extended again.
@@ -82,6 +84,7 @@
             has_no_unknown_runs: false,
             reply_times: ReplyTimes::default(),
             speed: Speed::default(),
+            lasting_speed: LastingSpeed::default(),
             is_reachable: true,
             lease_expiry: now,
             forced_expiry_at: None,
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -108,6 +108,14 @@
                     // A healthy endpoint must not appear slow because calls to it got no reply.
                     self.health
                         .record_success(&task.job, min_elapsed, expected_ms);
+                    if is_known
+                        && !run.is_gang
+                        && let Some(endpoint) = &mut self.endpoint
+                    {
+                        endpoint
+                            .lasting_speed
+                            .record(&task.job, elapsed, run.nominal_ms);
+                    }
                 }
                 (_, Outcome::Failed) if !(run.is_long_running && run.progress.is_complete()) => {
                     self.health.record_failure();
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -10,6 +10,7 @@
 mod endpoint_lists;
 mod health;
 mod incarnation;
+mod lasting_speed;
 mod links;
 mod orders;
 mod orphaned_runs;
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -45,6 +45,7 @@
                 spec: order.spec.clone(),
                 needs: order.needs,
                 expected_ms: order.expected_ms,
+                nominal_ms: order.nominal_ms,
                 start_by,
                 deadline: match order.remaining_ms {
                     u32::MAX => Time::MAX,
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -84,8 +84,11 @@
     pub(super) number: u32,
     pub(super) spec: String,
     pub(super) needs: Resources,
-    /// The expected run time, in milliseconds.
+    /// The expected run time at this endpoint, in milliseconds.
     pub(super) expected_ms: u32,
+    /// The expected run time on a nominal endpoint, in milliseconds; 0 if the run is no sample of
+    /// the lasting speed.
+    pub(super) nominal_ms: u32,
     /// The maximum run time, in milliseconds; the run is stopped after it.
     pub(super) max_run_ms: u32,
     /// The latest start that still meets the latency objective.
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -99,7 +99,8 @@
         let plan = self.plan(&job, now);
         let wait = plan.wait + self.advice_wait(route) as f64;
         job.planned_wait = wait as u64;
-        if wait > Self::max_wait_ms(&job, now) {
+        let slack = job.start_by.remaining_millis(now) as f64;
+        if wait > Self::max_wait_ms(&job, now) || plan.delay > slack {
             self.cancel_plan(&plan);
             self.refuse_job(&id, &job, Refusal::Overloaded, now, out);
             return;
--- a/crates/fulmarpond-dispatch/src/entry/agent_selection.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agent_selection.rs
@@ -27,6 +27,14 @@
 /// An endpoint counts as slow if its slowness exceeds this multiple of the median.
 const SLOW_FACTOR: f64 = 1.4;
 
+/// The share of its expected run time that a task must have left when it is sent to a slow endpoint
+/// to relieve the fast ones, since run times vary.
+const RELIEF_MARGIN: f64 = 0.3;
+
+/// The least share of its slack that a task keeps at a slow endpoint. It may miss its objective
+/// there, but is not returned at once.
+const MIN_SLACK_DIVISOR: u64 = 4;
+
 /// The penalty for an agent at which a task of the job ended without success, in milliseconds.
 const AVOIDED_COST_MS: f64 = 2_000.0;
 
@@ -38,12 +46,14 @@
     pub(super) step: &'a Step,
     /// A label that the endpoint must carry so that a gang stays on one rack, if any.
     pub(super) common_label: Option<&'a str>,
-    /// The expected run time, in milliseconds.
+    /// The expected run time on a nominal endpoint, in milliseconds.
     pub(super) expected_ms: u32,
     /// How long it may wait without missing its latency objective, in milliseconds.
     pub(super) slack_ms: u64,
     /// The factor by which a task takes longer away from its data.
     pub(super) remote_factor: f64,
+    /// How much the fast endpoints need relief, from 0 to 1.
+    pub(super) relief: f64,
 }
 
 /// The selected agent, with the expected queueing time there.
@@ -52,6 +62,9 @@
     pub(super) link: LinkNo,
     /// The expected queueing time, in milliseconds.
     pub(super) wait: f64,
+    /// The time that the run takes beyond that on a nominal endpoint, for the lasting speed of the
+    /// endpoint, in milliseconds.
+    pub(super) excess_ms: f64,
 }
 
 /// Returns the eligible agent with the lowest cost: the expected time until the task ends, plus
@@ -69,14 +82,20 @@
         if !is_eligible(view, demand) || is_excluded(link) {
             continue;
         }
-        let wait = view.expected_wait(demand.step.needs, demand.slack_ms);
-        let finish = wait + expected_run_ms(view, demand, median_slowness);
+        let wait = expected_wait_ms(view, demand);
+        let finish = expected_end_ms(view, demand, wait, median_slowness);
         let mut cost = finish + penalty_ms(view, demand) + extra_cost(link);
         if avoided_agents.contains(&link) {
             cost += AVOIDED_COST_MS;
         }
         if best.is_none_or(|(lowest, _)| cost < lowest) {
-            best = Some((cost, Choice { link, wait }));
+            let excess_ms = excess_ms(view, demand);
+            let choice = Choice {
+                link,
+                wait,
+                excess_ms,
+            };
+            best = Some((cost, choice));
         }
     }
     best.map(|(_, choice)| choice)
@@ -86,9 +105,9 @@
 /// eligible.
 pub(super) fn cost(fleet: &Fleet, view: &AgentView, demand: Demand<'_>) -> Option<f64> {
     let median_slowness = f64::from(fleet.median_slowness(demand.service));
-    let wait = view.expected_wait(demand.step.needs, demand.slack_ms);
-    is_eligible(view, demand)
-        .then(|| wait + expected_run_ms(view, demand, median_slowness) + penalty_ms(view, demand))
+    let wait = expected_wait_ms(view, demand);
+    let finish = expected_end_ms(view, demand, wait, median_slowness);
+    is_eligible(view, demand).then(|| finish + penalty_ms(view, demand))
 }
 
 /// Returns whether any endpoint of a service could hold a task when it is empty.
@@ -131,12 +150,52 @@
     } else {
         1.0
     };
-    let is_local = match &demand.step.affinity {
+    let is_local = is_near_data(view, demand.step);
+    let location_factor = if is_local { 1.0 } else { demand.remote_factor };
+    f64::from(demand.expected_ms) * view.run_factor * factor * location_factor
+}
+
+/// Returns whether the endpoint is near the data of a step, or the step has none.
+pub(super) fn is_near_data(view: &AgentView, step: &Step) -> bool {
+    match &step.affinity {
         Some(rack) => view.labels.contains(rack),
         None => true,
-    };
-    let location_factor = if is_local { 1.0 } else { demand.remote_factor };
-    f64::from(demand.expected_ms) * factor * location_factor
+    }
+}
+
+/// Returns the time that a run takes beyond that on a nominal endpoint, for the lasting speed of
+/// the endpoint, in milliseconds.
+fn excess_ms(view: &AgentView, demand: Demand<'_>) -> f64 {
+    f64::from(demand.expected_ms) * (view.run_factor - 1.0).max(0.0)
+}
+
+/// Returns how long a task may wait at an endpoint where its run takes `excess_ms` milliseconds
+/// longer than on a nominal one, in milliseconds.
+pub(super) fn slack_at_endpoint_ms(slack_ms: u64, excess_ms: u64) -> u64 {
+    if slack_ms == u64::MAX {
+        return slack_ms;
+    }
+    slack_ms
+        .saturating_sub(excess_ms)
+        .max(slack_ms.div_ceil(MIN_SLACK_DIVISOR))
+}
+
+fn expected_wait_ms(view: &AgentView, demand: Demand<'_>) -> f64 {
+    let excess_ms = excess_ms(view, demand) as u64;
+    let slack_ms = slack_at_endpoint_ms(demand.slack_ms, excess_ms);
+    view.expected_wait(demand.step.needs, slack_ms)
+}
+
+/// Returns the expected time until the task ends, in milliseconds. While the fast endpoints need
+/// relief, the time that a run takes longer at a slow one counts less, if the task surely meets its
+/// objective there: the fast ones are left for work that needs them.
+fn expected_end_ms(view: &AgentView, demand: Demand<'_>, wait: f64, median_slowness: f64) -> f64 {
+    let run_ms = expected_run_ms(view, demand, median_slowness);
+    let excess_ms = excess_ms(view, demand);
+    let delay = wait + excess_ms + RELIEF_MARGIN * run_ms;
+    let is_in_time = excess_ms > 0.0 && delay <= demand.slack_ms as f64;
+    let relief = if is_in_time { demand.relief } else { 0.0 };
+    wait + run_ms - relief * excess_ms
 }
 
 /// Returns the penalty for usage, distance and failures, in milliseconds.
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -7,8 +7,8 @@
 use super::job::TaskState;
 use super::{Action, Answer, StepKey};
 use crate::{
-    AgentFrame, Checkpoint, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome, Refusal, TaskEnd,
-    Working,
+    AgentFrame, Checkpoint, EndpointSpeed, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome,
+    Refusal, TaskEnd, Working,
 };
 
 /// How long a durable job waits for other entries to record ends that a lost agent reported to
@@ -169,10 +169,14 @@
                         cpu = capacity.cpu,
                         "endpoint announced"
                     );
+                    if view.endpoint != id {
+                        view.reported_speed = EndpointSpeed::default();
+                    }
                     view.endpoint = id;
                     view.service = service;
                     view.capacity = capacity;
                     view.labels = labels;
+                    self.speeds.mark_outdated();
                 }
             }
             AgentFrame::Status { sent, orders, load } => {
@@ -209,6 +213,12 @@
                 self.handle_unacknowledged_ends(link, &ends, now, out);
             }
             AgentFrame::Orphaned(tasks) => self.handle_orphaned_runs(link, &tasks, now, out),
+            AgentFrame::Speed(speed) => {
+                if let Some(view) = self.fleet.views.get_mut(&link) {
+                    view.reported_speed = speed;
+                    self.speeds.mark_outdated();
+                }
+            }
         }
     }
 
@@ -351,13 +361,14 @@
         let view = self.fleet.views.get(&link);
         let is_representative =
             view.is_some_and(|view| view.load.slowness < MAX_LEARNING_SLOWNESS_PERCENT);
+        let run_factor = view.map_or(1.0, |view| view.run_factor);
         let Some(job) = self.jobs.get(&end.task.job) else {
             return false;
         };
         if is_representative && end.elapsed > 0 {
             let step = &job.submission.steps[usize::from(end.task.step)];
             self.estimates
-                .observe(&job.route.name, step.estimate, end.elapsed);
+                .observe(&job.route.name, step.estimate, end.elapsed, run_factor);
         }
         if job.is_done() {
             self.finish(&end.task.job, Answer::Completed, now, out);
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -9,6 +9,7 @@
 use super::advice::Advice;
 use super::configuration::{Configuration, Route};
 use super::durable_jobs::DurableJobs;
+use super::endpoint_speeds::EndpointSpeeds;
 use super::estimates::Estimates;
 use super::fleet::Fleet;
 use super::job::{Job, TaskState};
@@ -73,6 +74,7 @@
     pub(super) lost_runs: BTreeSet<(Time, JobId)>,
     pub(super) final_answers: HashMap<JobId, (Answer, Time)>,
     pub(super) estimates: Estimates,
+    pub(super) speeds: EndpointSpeeds,
     pub(super) advice: Advice,
     pub(super) entries: Vec<SocketAddr>,
     pub(super) next_check: Time,
@@ -116,6 +118,7 @@
             lost_runs: BTreeSet::new(),
             final_answers: HashMap::new(),
             estimates: Estimates::default(),
+            speeds: EndpointSpeeds::default(),
             advice: Advice::default(),
             entries: Vec::new(),
             next_check: now,
@@ -417,6 +420,7 @@
         }
         self.next_check = now.after_millis(CHECK_INTERVAL_MS);
         self.close_silent_links(now, out);
+        self.speeds.update(&mut self.fleet, now);
         self.check_lease(now, out);
         self.check_series(now);
         self.release_durable(out);
--- a/crates/fulmarpond-dispatch/src/entry/estimates.rs
+++ b/crates/fulmarpond-dispatch/src/entry/estimates.rs
@@ -18,7 +18,7 @@
 }
 
 impl Estimates {
-    /// Returns the expected run time of a task, in milliseconds.
+    /// Returns the expected run time of a task on a nominal endpoint, in milliseconds.
     pub(super) fn expected_run_ms(&self, route: &str, estimate: u32) -> u32 {
         let estimate = if estimate == 0 {
             DEFAULT_RUN_MS
@@ -29,12 +29,13 @@
         ((f64::from(estimate) * factor) as u32).max(1)
     }
 
-    /// Updates the factor of a route with an observed run time.
-    pub(super) fn observe(&mut self, route: &str, estimate: u32, elapsed: u32) {
+    /// Updates the factor of a route with the run time that was observed at an endpoint, which
+    /// takes `run_factor` times as long as a nominal one.
+    pub(super) fn observe(&mut self, route: &str, estimate: u32, elapsed: u32, run_factor: f64) {
         if estimate == 0 {
             return;
         }
-        let ratio = f64::from(elapsed) / f64::from(estimate);
+        let ratio = f64::from(elapsed) / f64::from(estimate) / run_factor;
         let ratio = ratio.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
         if let Some(factor) = self.factors.get_mut(route) {
             *factor += (ratio - *factor) * SMOOTHING_FACTOR;
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -4,7 +4,7 @@
 
 use fulmarpond_core::Time;
 
-use crate::{EndpointId, EndpointStatus, LinkNo, Resources};
+use crate::{EndpointId, EndpointSpeed, EndpointStatus, LinkNo, Resources};
 
 /// A task that was planned or sent and is not yet included in the agent's status.
 #[derive(Debug)]
@@ -28,6 +28,11 @@
     pub(super) capacity: Resources,
     pub(super) labels: Vec<String>,
     pub(super) load: EndpointStatus,
+    /// The lasting speed that the agent has reported.
+    pub(super) reported_speed: EndpointSpeed,
+    /// The lasting ratio of run times at this endpoint to those on the nominal endpoint of its
+    /// service.
+    pub(super) run_factor: f64,
     /// When its last status arrived.
     pub(super) last_status_at: Time,
     orders_sent: u64,
@@ -51,6 +56,12 @@
         });
     }
 
+    /// Returns the run time at this endpoint of a task that takes `nominal_ms` milliseconds on a
+    /// nominal endpoint, without passing slowness, in milliseconds.
+    pub(super) fn lasting_run_ms(&self, nominal_ms: u32) -> u32 {
+        ((f64::from(nominal_ms) * self.run_factor) as u32).max(1)
+    }
+
     /// Counts an order that is sent.
     pub(super) fn count_order(&mut self) {
         self.orders_sent += 1;
@@ -136,6 +147,8 @@
             capacity: Resources::default(),
             labels: Vec::new(),
             load: EndpointStatus::default(),
+            reported_speed: EndpointSpeed::default(),
+            run_factor: 1.0,
             last_status_at: now,
             orders_sent: 0,
             unacknowledged: VecDeque::new(),
--- a/crates/fulmarpond-dispatch/src/entry/gangs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/gangs.rs
@@ -53,7 +53,7 @@
                 return Vec::new();
             };
             if let Some(view) = self.fleet.views.get_mut(&choice.link) {
-                view.reserve(needs, expected_ms);
+                view.reserve(needs, view.lasting_run_ms(expected_ms));
             }
             assigned.push((choice.link, step));
             choices.push((position, choice.link));
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod drains;
 mod durable_ends;
 mod durable_jobs;
+mod endpoint_speeds;
 #[allow(clippy::module_inception)]
 mod entry;
 mod estimates;
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -6,7 +6,7 @@
 use tracing::info;
 
 use super::Action;
-use super::agent_selection::{Choice, Demand, choose, cost};
+use super::agent_selection::{Choice, Demand, choose, cost, is_near_data, slack_at_endpoint_ms};
 use super::entry::{Entry, ROUTINE};
 use super::job::{Job, TaskState};
 use crate::{EntryFrame, JobId, LinkNo, Order};
@@ -50,6 +50,9 @@
     pub(super) choices: Vec<(usize, LinkNo)>,
     /// The longest expected queueing time, in milliseconds.
     pub(super) wait: f64,
+    /// The longest sum of the expected queueing time of a task and the time that its run takes
+    /// beyond that on a nominal endpoint, of the tasks at slower endpoints, in milliseconds.
+    pub(super) delay: f64,
     /// Whether some task is left without an agent.
     pub(super) is_incomplete: bool,
 }
@@ -123,6 +126,7 @@
             expected_ms: self.expected_run_ms(job, step),
             slack_ms: job.start_by.remaining_millis(now),
             remote_factor: self.options.remote_factor,
+            relief: self.speeds.relief(&job.route.service),
         }
     }
 
@@ -184,9 +188,12 @@
                 .estimates
                 .expected_run_ms(&job.route.name, definition.estimate);
             if let Some(view) = self.fleet.views.get_mut(&choice.link) {
-                view.reserve(definition.needs, expected_ms);
+                view.reserve(definition.needs, view.lasting_run_ms(expected_ms));
             }
             plan.wait = plan.wait.max(choice.wait);
+            if choice.excess_ms > 0.0 {
+                plan.delay = plan.delay.max(choice.wait + choice.excess_ms);
+            }
             planned.push((choice.link, task.step));
             plan.choices.push((position, choice.link));
         }
@@ -263,11 +270,15 @@
     ) {
         let OrderKey { link, step, epoch } = key;
         let definition = &job.submission.steps[usize::from(step)];
-        let expected_ms = self
+        let nominal_ms = self
             .estimates
             .expected_run_ms(&job.route.name, definition.estimate);
+        let mut expected_ms = nominal_ms;
+        let mut is_local = true;
         self.counters.started += indexes.len() as u64;
         if let Some(view) = self.fleet.views.get_mut(&link) {
+            expected_ms = view.lasting_run_ms(nominal_ms);
+            is_local = is_near_data(view, definition);
             info!(
                 target: ROUTINE,
                 job = %id,
@@ -287,6 +298,9 @@
         } else {
             u64::MAX
         };
+        // The latest start at a slow endpoint is earlier.
+        let excess_ms = u64::from(expected_ms.saturating_sub(nominal_ms));
+        let slack_ms = slack_at_endpoint_ms(slack_ms, excess_ms);
         let remaining_ms = job.deadline.remaining_millis(now);
         let order = Order {
             job: id.clone(),
@@ -297,6 +311,7 @@
             spec: job.submission.spec.clone(),
             needs: definition.needs,
             expected_ms,
+            nominal_ms: if is_local { nominal_ms } else { 0 },
             slack_ms: u32::try_from(slack_ms).unwrap_or(u32::MAX),
             remaining_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
             max_run_ms: Self::max_run_ms(job, step, expected_ms),
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -84,6 +84,19 @@
     /// All orphaned tasks at this agent: long-running ones that wait for the next owner of their
     /// jobs.
     Orphaned(Vec<TaskKey>),
+    /// The lasting speed of the endpoint, sent when it changes and when a link opens.
+    Speed(EndpointSpeed),
+}
+
+/// The lasting speed of an endpoint, as its run times show it.
+#[message]
+#[derive(Copy, Eq, Default)]
+pub struct EndpointSpeed {
+    /// The ratio of run times to those expected on a nominal endpoint, in thousandths. A slow
+    /// endpoint has more than 1,000.
+    pub run_permille: u32,
+    /// The number of jobs that the ratio was measured with; 0 if it is unknown.
+    pub samples: u32,
 }
 
 /// The load of an endpoint.
@@ -209,8 +222,11 @@
     pub spec: String,
     /// The resources that each task needs.
     pub needs: Resources,
-    /// The expected run time of a task, in milliseconds.
+    /// The expected run time of a task at this endpoint, in milliseconds.
     pub expected_ms: u32,
+    /// The expected run time of a task on a nominal endpoint, in milliseconds; 0 if the run says
+    /// nothing about the speed of the endpoint, because it is far from its data.
+    pub nominal_ms: u32,
     /// How long the tasks may wait for free capacity without missing their objective, in
     /// milliseconds.
     pub slack_ms: u32,
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -31,8 +31,8 @@
 pub use clock::RemoteClock;
 pub use counters::{Counters, Refusal};
 pub use frame::{
-    AgentFrame, Backlog, Checkpoint, EndpointStatus, EntryFrame, FrameError, Order, Outcome,
-    TaskEnd, TaskRun, Working, decode, encode,
+    AgentFrame, Backlog, Checkpoint, EndpointSpeed, EndpointStatus, EntryFrame, FrameError, Order,
+    Outcome, TaskEnd, TaskRun, Working, decode, encode,
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use lease_times::{InvalidLeaseTimes, LeaseTimes};
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -6,8 +6,8 @@
     EndpointReply, RunEntry,
 };
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointState, EntryFrame, JobId, LeaseTimes, LinkNo, Order,
-    Registration, Resources, TaskKey,
+    AgentFrame, EndpointId, EndpointSpeed, EndpointState, EntryFrame, JobId, LeaseTimes, LinkNo,
+    Order, Registration, Resources, TaskKey,
 };
 
 const START: Time = Time::from_millis(10_000);
@@ -19,6 +19,9 @@
     calls: Vec<(CallNo, EndpointCall)>,
     /// The last reported slowness, in percent.
     slowness: u32,
+    /// The last reported lasting speed.
+    speed: EndpointSpeed,
+    now: Time,
 }
 
 impl Host {
@@ -36,21 +39,10 @@
             agent: Agent::new(options, START),
             calls: Vec::new(),
             slowness: 100,
+            speed: EndpointSpeed::default(),
+            now: START,
         };
-        let registration = Registration {
-            id: EndpointId("e-1".to_owned()),
-            service: "service".to_owned(),
-            addr: ([127, 0, 0, 1], 9_000).into(),
-            capacity: Resources {
-                cpu: 8_000,
-                memory: 1_000,
-                accelerators: 0,
-            },
-            labels: Vec::new(),
-            state: EndpointState::Ready,
-            sequence: 1,
-        };
-        host.act(|agent, out| agent.handle_heartbeat(registration, START, out));
+        host.act(|agent, out| agent.handle_heartbeat(registration(1), START, out));
         let hold = host.take_hold();
         host.reply(hold, START, &[], &[]);
         host.act(|agent, out| agent.link_up(LINK, START, out));
@@ -67,11 +59,46 @@
                     frame: AgentFrame::Status { load, .. },
                     ..
                 } => self.slowness = load.slowness,
+                Action::Send {
+                    frame: AgentFrame::Speed(speed),
+                    ..
+                } => self.speed = speed,
                 _ => {}
             }
         }
     }
 
+    /// Runs one task of a job to its end; `nominal_ms` is its expected run time.
+    fn run_job(&mut self, number: u16, nominal_ms: u32, elapsed_ms: u64, reason: EndReason) {
+        let heartbeat = registration(u64::from(number) + 2);
+        let now = self.now;
+        self.act(|agent, out| agent.handle_heartbeat(heartbeat, now, out));
+        self.start_job(number, 1, nominal_ms, now);
+        let end = now.after_millis(elapsed_ms);
+        while self.now.after_millis(40) < end {
+            self.now = self.now.after_millis(40);
+            let hold = self.take_hold();
+            self.reply(hold, self.now, &[], &[]);
+            self.tick(self.now.after_millis(10));
+        }
+        self.now = end;
+        let hold = self.take_hold();
+        let end = EndEntry {
+            sequence: u64::from(number) + 1,
+            task: TaskKey {
+                job: job_id(number),
+                step: 0,
+                index: 0,
+            },
+            run: 1,
+            reason,
+            checkpoint: None,
+        };
+        self.reply(hold, self.now, &[], &[end]);
+        self.now = self.now.after_millis(50);
+        self.tick(self.now);
+    }
+
     /// Renews the lease of the link and ticks the agent.
     fn tick(&mut self, now: Time) {
         let renew = EntryFrame::Renew {
@@ -122,6 +149,7 @@
                 accelerators: 0,
             },
             expected_ms,
+            nominal_ms: expected_ms,
             slack_ms: 100,
             remaining_ms: 1_500,
             max_run_ms: 5_000,
@@ -141,6 +169,22 @@
     }
 }
 
+fn registration(sequence: u64) -> Registration {
+    Registration {
+        id: EndpointId("e-1".to_owned()),
+        service: "service".to_owned(),
+        addr: ([127, 0, 0, 1], 9_000).into(),
+        capacity: Resources {
+            cpu: 8_000,
+            memory: 1_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        state: EndpointState::Ready,
+        sequence,
+    }
+}
+
 fn job_id(number: u16) -> JobId {
     JobId(format!("{number:016x}"))
 }
@@ -250,3 +294,65 @@
     // With calm restored, holds wait long again, since each one costs processor time.
     assert!(host.hold_wait_ms() >= 60);
 }
+
+struct LastingSpeedCase {
+    name: &'static str,
+    /// The number of jobs, their run time with a nominal one of 40 ms, and how they end.
+    phases: &'static [(u16, u64, EndReason)],
+    /// The bounds of the reported ratio of run times to nominal ones, in thousandths.
+    reported: (u32, u32),
+}
+
+/// Guards against an endpoint that counts as slow for good after passing trouble, a few long tasks
+/// or failures, and against a slow one whose speed is not noticed.
+#[test]
+fn lasting_speed_is_that_of_most_runs() {
+    let cases = [
+        LastingSpeedCase {
+            name: "all runs take longer",
+            phases: &[(100, 68, EndReason::Done)],
+            reported: (1_650, 1_750),
+        },
+        LastingSpeedCase {
+            name: "the disk is slow for some seconds",
+            phases: &[(200, 40, EndReason::Done), (40, 240, EndReason::Done)],
+            reported: (950, 1_150),
+        },
+        LastingSpeedCase {
+            name: "the disk is slow at the start only",
+            phases: &[(20, 160, EndReason::Done), (400, 40, EndReason::Done)],
+            reported: (950, 1_150),
+        },
+        LastingSpeedCase {
+            name: "the estimates of one caller are ten times too low",
+            phases: &[
+                (60, 40, EndReason::Done),
+                (3, 400, EndReason::Done),
+                (60, 40, EndReason::Done),
+            ],
+            reported: (950, 1_100),
+        },
+        LastingSpeedCase {
+            name: "runs fail early",
+            phases: &[(50, 40, EndReason::Done), (100, 4, EndReason::Failed)],
+            reported: (950, 1_050),
+        },
+    ];
+    for case in cases {
+        let mut host = Host::new();
+        let mut number = 0;
+        for &(jobs, elapsed_ms, reason) in case.phases {
+            for _ in 0..jobs {
+                host.run_job(number, 40, elapsed_ms, reason);
+                number += 1;
+            }
+        }
+        let (low, high) = case.reported;
+        let reported = host.speed.run_permille;
+        assert!(
+            (low..=high).contains(&reported),
+            "{}: reported {reported}",
+            case.name
+        );
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/submissions.rs
+++ b/crates/fulmarpond-dispatch/tests/submissions.rs
@@ -9,8 +9,8 @@
     Action, Answer, Configuration, Entry, EntryOptions, RequestNo, Route, Step, Submission,
 };
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo, Order, Outcome,
-    Resources, TaskEnd, TaskKey,
+    AgentFrame, EndpointId, EndpointSpeed, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo,
+    Order, Outcome, Resources, TaskEnd, TaskKey,
 };
 
 const NOW: Time = Time::from_millis(10_000);
@@ -293,3 +293,133 @@
         assert_eq!(sent, Some(case.chosen), "{}", case.name);
     }
 }
+
+/// Reports speeds that are measured well, and lets the entry derive those of the endpoints.
+fn report_speeds(entry: &mut Entry, speeds: &[(LinkNo, u32)]) {
+    for &(link, run_permille) in speeds {
+        let speed = EndpointSpeed {
+            run_permille,
+            samples: 512,
+        };
+        entry.handle_frame(link, AgentFrame::Speed(speed), NOW, &mut Vec::new());
+    }
+    entry.tick(NOW, &mut Vec::new());
+}
+
+struct UnevenCase {
+    name: &'static str,
+    /// The reported speeds of both endpoints, in thousandths.
+    speeds: [u32; 2],
+    /// How long the first endpoint is full, in milliseconds.
+    wait_ms: u32,
+    chosen: LinkNo,
+    /// The bounds of the expected run time in the order; the nominal one is 100 ms.
+    expected_ms: (u32, u32),
+}
+
+/// Guards against tasks that wait for a fast endpoint although they would end earlier at a slow
+/// one, against those that go to the slow one although the fast one is free earlier than they would
+/// end, and against choices that change where speeds are equal.
+#[test]
+fn tasks_go_where_they_end_first_by_the_lasting_speed() {
+    let cases = [
+        UnevenCase {
+            name: "the fast endpoint is idle",
+            speeds: [1_000, 2_000],
+            wait_ms: 0,
+            chosen: LINK,
+            expected_ms: (100, 100),
+        },
+        UnevenCase {
+            name: "the wait is shorter than the longer run time",
+            speeds: [1_000, 2_000],
+            wait_ms: 30,
+            chosen: LINK,
+            expected_ms: (100, 100),
+        },
+        UnevenCase {
+            name: "the task needs no fast endpoint while these are full",
+            speeds: [1_000, 1_350],
+            wait_ms: 15,
+            chosen: OTHER_LINK,
+            expected_ms: (120, 135),
+        },
+        UnevenCase {
+            name: "the wait is longer than the longer run time",
+            speeds: [1_000, 1_700],
+            wait_ms: 80,
+            chosen: OTHER_LINK,
+            expected_ms: (150, 170),
+        },
+        UnevenCase {
+            name: "speeds are equal",
+            speeds: [1_000, 1_090],
+            wait_ms: 15,
+            chosen: OTHER_LINK,
+            expected_ms: (100, 100),
+        },
+    ];
+    for case in cases {
+        let mut entry = bare_entry();
+        let busy = EndpointStatus {
+            free: Resources::default(),
+            next_end_ms: case.wait_ms,
+            ..idle_endpoint()
+        };
+        let first = if case.wait_ms > 0 {
+            busy
+        } else {
+            idle_endpoint()
+        };
+        add_agent(&mut entry, LINK, first);
+        add_agent(&mut entry, OTHER_LINK, idle_endpoint());
+        let speeds = [(LINK, case.speeds[0]), (OTHER_LINK, case.speeds[1])];
+        report_speeds(&mut entry, &speeds);
+        let mut out = Vec::new();
+        submit(&mut entry, 1, 1, false, &mut out);
+        let sent = out.iter().find_map(|action| match action {
+            Action::Send {
+                link,
+                frame: EntryFrame::Start(order),
+            } => Some((*link, order)),
+            _ => None,
+        });
+        let (link, order) = sent.expect("an order");
+        let (low, high) = case.expected_ms;
+        assert_eq!(link, case.chosen, "{}", case.name);
+        assert_eq!(order.nominal_ms, 100, "{}", case.name);
+        assert!(
+            (low..=high).contains(&order.expected_ms),
+            "{}: expected {} ms",
+            case.name,
+            order.expected_ms
+        );
+    }
+}
+
+/// Guards against a route factor that depends on the endpoints that ran its tasks: estimates are
+/// learned for the nominal endpoint.
+#[test]
+fn run_times_at_a_slow_endpoint_do_not_change_the_estimate() {
+    let mut entry = entry();
+    let others = [LinkNo(3), LinkNo(4)];
+    for link in others {
+        add_agent(&mut entry, link, EndpointStatus::default());
+    }
+    let speeds = [(LINK, 1_900), (others[0], 1_000), (others[1], 1_000)];
+    report_speeds(&mut entry, &speeds);
+    for job in 1..20 {
+        let mut out = Vec::new();
+        submit(&mut entry, u64::from(job), job, false, &mut out);
+        let order = orders(&out)[0].clone();
+        assert!((150..=190).contains(&order.expected_ms));
+        assert!((95..=105).contains(&order.nominal_ms));
+        report_done(&mut entry, job, order.expected_ms, &mut Vec::new());
+        let status = AgentFrame::Status {
+            sent: 0,
+            orders: u64::from(job),
+            load: idle_endpoint(),
+        };
+        entry.handle_frame(LINK, status, NOW, &mut Vec::new());
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -114,6 +114,7 @@
             self.pending_requests.remove(&(entry, generation, request));
             return;
         }
+        let estimate = self.estimate_ms(id, demand.run_ms);
         let submission = Submission {
             spec: "spec".to_owned(),
             steps: vec![Step {
@@ -123,7 +124,7 @@
                     memory: TASK_MEMORY,
                     accelerators: 0,
                 },
-                estimate: demand.run_ms,
+                estimate,
                 after: Vec::new(),
                 label: None,
                 affinity: None,
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -8,6 +8,8 @@
 };
 use fulmarpond_dispatch::{EndpointId, EndpointState, Registration, Resources, TaskKey};
 
+use super::options::Kind;
+
 /// A fault at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum EndpointFault {
@@ -116,6 +118,9 @@
     pub incarnation: u32,
     pub number: usize,
     pub capacity: Resources,
+    pub labels: Vec<String>,
+    /// Ratio of run times to those on a nominal endpoint.
+    pub run_factor: f64,
     pub fault: EndpointFault,
     pub is_draining: bool,
     pub sequence: u64,
@@ -148,6 +153,8 @@
                 memory: 65_536,
                 accelerators: 0,
             },
+            labels: Vec::new(),
+            run_factor: 1.0,
             fault: EndpointFault::None,
             is_draining: false,
             sequence: 0,
@@ -166,6 +173,15 @@
         }
     }
 
+    pub fn set_kind(&mut self, kind: Kind) {
+        self.run_factor = kind.run_factor;
+        self.labels = if kind.label.is_empty() {
+            Vec::new()
+        } else {
+            vec![kind.label.to_owned()]
+        };
+    }
+
     pub fn id(&self) -> EndpointId {
         EndpointId(format!("e-{}-{}", self.number, self.incarnation))
     }
@@ -177,7 +193,7 @@
             service: "service".to_owned(),
             addr: ([127, 0, 0, 1], 9_000 + self.number as u16).into(),
             capacity: self.capacity,
-            labels: Vec::new(),
+            labels: self.labels.clone(),
             state: if self.is_draining {
                 EndpointState::Draining
             } else {
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -19,6 +19,7 @@
 mod store;
 mod store_calls;
 mod trace;
+mod uneven;
 
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use cases::{Regression, proptest_config};
@@ -27,7 +28,8 @@
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use endpoint::EndpointFault;
 #[allow(unused_imports, reason = "not used by every test file")]
-pub use options::Options;
+pub use options::{Kind, KnownSpeeds, Options};
+#[allow(unused_imports, reason = "not used by every test file")]
 pub use simulation::{Fault, Simulation};
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use store::StoreFault;
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -2,6 +2,28 @@
 
 use fulmarpond_dispatch::entry::AdvicePolicy;
 
+/// A kind of endpoints.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind {
+    /// Label of its endpoints; empty for none.
+    pub label: &'static str,
+    /// Ratio of run times to those on a nominal endpoint.
+    pub run_factor: f64,
+    /// Ratio of the capacity to `Options::cpu`.
+    pub size: f64,
+}
+
+/// What entries learn about the lasting speeds of endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KnownSpeeds {
+    /// Nothing: the reported speeds have no samples.
+    None,
+    /// What agents measure.
+    Measured,
+    /// The true speeds, from the first frames on.
+    Exact,
+}
+
 /// Sizes and durations of the simulated platform.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -24,6 +46,15 @@
     pub advice: Option<AdvicePolicy>,
     /// Percentage of the advice calls that fail because the service is busy.
     pub advice_busy: u32,
+    /// Kinds of endpoints, which take turns; without any, all endpoints are alike.
+    pub kinds: &'static [Kind],
+    pub known_speeds: KnownSpeeds,
+    /// Standard deviation of the logarithm of the ratio of estimates to run times, by job.
+    pub job_error: f64,
+    /// Standard deviation of the logarithm of the ratio of run times of the tasks of a job.
+    pub task_error: f64,
+    /// Percentage of the tasks that take seven times as long.
+    pub tail_percent: u32,
 }
 
 impl Default for Options {
@@ -40,6 +71,11 @@
             hosts: false,
             advice: None,
             advice_busy: 0,
+            kinds: &[],
+            known_speeds: KnownSpeeds::Measured,
+            job_error: 0.0,
+            task_error: 0.0,
+            tail_percent: 0,
         }
     }
 }
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -153,8 +153,7 @@
             };
         };
         let demand = self.demand_of(&task.job);
-        let max_factor = self.options.max_run_time_factor;
-        let factor = self.rng.random_range(1.0 / max_factor..=max_factor);
+        let factor = self.draw_task_factor();
         let slowdown = match self.endpoints[agent].fault {
             EndpointFault::Slow(times) => f64::from(times),
             EndpointFault::Fail => 0.0,
@@ -174,7 +173,7 @@
             Some(done) if done > 0 => (total_ms - done as f64).max(0.0) + RESTORE_MS as f64,
             _ => total_ms,
         };
-        let run_us = left_ms * 1_000.0 * slowdown;
+        let run_us = left_ms * 1_000.0 * slowdown * self.endpoints[agent].run_factor;
         // The end of a gang is set when its last member starts.
         let fails = self.endpoints[agent].fault == EndpointFault::Fail;
         let hangs = self.endpoints[agent].fault == EndpointFault::Hang;
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -259,8 +259,11 @@
         }
         for number in 0..options.agents {
             let clock_rate = 1.0 - 0.02 * sim.rng.random::<f64>();
-            sim.endpoints
-                .push(Endpoint::new(number, 0, options.cpu, clock_rate));
+            let kind = sim.kind(number);
+            let cpu = (f64::from(options.cpu) * kind.size) as u32;
+            let mut endpoint = Endpoint::new(number, 0, cpu, clock_rate);
+            endpoint.set_kind(kind);
+            sim.endpoints.push(endpoint);
             sim.agents.push(Process::new());
             sim.start_agent(number);
             sim.schedule_in_ms(20, Event::Heartbeat(number, 0));
@@ -489,7 +492,10 @@
             agent::Action::Dial { addr } => self.open_link(agent, addr),
             agent::Action::Observe { .. } => {}
             agent::Action::Close { link } => self.close_link(link, true),
-            agent::Action::Send { link, frame } => self.send_frame(link, 0, encode(&frame)),
+            agent::Action::Send { link, frame } => {
+                let frame = self.known_speed(agent, frame);
+                self.send_frame(link, 0, encode(&frame));
+            }
             agent::Action::Call {
                 number,
                 to,
