--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -55,6 +55,7 @@
             return;
         };
         self.counters.links_lost += 1;
+        self.speeds.mark_outdated();
         let runs_end = view
             .last_status_at
             .after_millis(self.options.lease_times.orphan_ms());
--- a/crates/fulmarpond-dispatch/src/entry/endpoint_speeds.rs
+++ b/crates/fulmarpond-dispatch/src/entry/endpoint_speeds.rs
@@ -60,6 +60,20 @@
     logged: BTreeMap<String, f64>,
 }
 
+/// The speed of an endpoint as an entry uses it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownSpeed {
+    /// The host name of its agent.
+    pub agent: String,
+    /// The label that counts as its kind; empty if none does.
+    pub kind: String,
+    /// The ratio of run times to those on the nominal endpoint of the service, in thousandths.
+    pub run_permille: u32,
+    /// The number of samples that its agent has measured; with few of them, the ratio is that of
+    /// the kind.
+    pub samples: u32,
+}
+
 /// The speeds of all endpoints, relative to the nominal one of their service.
 #[derive(Debug, Default)]
 pub(super) struct EndpointSpeeds {
@@ -80,6 +94,25 @@
         speeds.map_or(0.0, |speeds| speeds.relief)
     }
 
+    /// Returns the speeds of all endpoints of the linked agents.
+    pub(super) fn known(&self, fleet: &Fleet) -> Vec<KnownSpeed> {
+        let mut known = Vec::new();
+        for service in self.services.keys() {
+            let views = fleet.views.values();
+            let views: Vec<&AgentView> = views.filter(|view| view.service == *service).collect();
+            for (view, kind) in views.iter().zip(kinds(&views)) {
+                known.push(KnownSpeed {
+                    agent: view.name.clone(),
+                    kind,
+                    run_permille: (view.run_factor * 1_000.0).round() as u32,
+                    samples: view.reported_speed.samples,
+                });
+            }
+        }
+        known.sort_by(|one, other| one.agent.cmp(&other.agent));
+        known
+    }
+
     /// Derives the speeds of all endpoints from the reported ones, if it is due.
     pub(super) fn update(&mut self, fleet: &mut Fleet, now: Time) {
         if now < self.next_update {
@@ -118,7 +151,8 @@
             self.services.remove(&service);
             return;
         }
-        let (logs, kinds) = derive_speeds(views);
+        let shared: Vec<&AgentView> = views.iter().map(|view| &**view).collect();
+        let (logs, kinds) = derive_speeds(&shared);
         let target = median(logs.iter().map(|speed| speed.endpoint).collect());
         let speeds = self.services.entry(service).or_insert(ServiceSpeeds {
             reference: target,
@@ -167,7 +201,7 @@
 }
 
 /// Returns the speeds of endpoints, in their order, and of their kinds.
-fn derive_speeds(views: &[&mut AgentView]) -> (Vec<DerivedSpeed>, BTreeMap<String, f64>) {
+fn derive_speeds(views: &[&AgentView]) -> (Vec<DerivedSpeed>, BTreeMap<String, f64>) {
     let kinds = kinds(views);
     let mut of_kind: BTreeMap<&str, Vec<(f64, u32)>> = BTreeMap::new();
     let mut all = Vec::new();
@@ -205,12 +239,12 @@
 /// Returns the kind of each endpoint: of its labels the one that most endpoints carry, and the
 /// first of these in the order of the alphabet. A label that all endpoints carry tells nothing; an
 /// endpoint without another one is of the kind with the empty name.
-fn kinds(views: &[&mut AgentView]) -> Vec<String> {
+fn kinds(views: &[&AgentView]) -> Vec<String> {
     let mut counts: HashMap<&str, usize> = HashMap::new();
     for label in views.iter().flat_map(|view| &view.labels) {
         *counts.entry(label).or_default() += 1;
     }
-    let kind = |view: &&mut AgentView| {
+    let kind = |view: &&AgentView| {
         let labels = view.labels.iter();
         let telling = labels.filter(|label| counts[label.as_str()] < views.len());
         let most = telling.max_by(|one, other| {
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -9,7 +9,7 @@
 use super::advice::Advice;
 use super::configuration::{Configuration, Route};
 use super::durable_jobs::DurableJobs;
-use super::endpoint_speeds::EndpointSpeeds;
+use super::endpoint_speeds::{EndpointSpeeds, KnownSpeed};
 use super::estimates::Estimates;
 use super::fleet::Fleet;
 use super::job::{Job, TaskState};
@@ -184,6 +184,11 @@
         views.filter(|view| view.load.ready).count()
     }
 
+    /// Returns the speeds of all endpoints whose service has measured ones.
+    pub fn endpoint_speeds(&self) -> Vec<KnownSpeed> {
+        self.speeds.known(&self.fleet)
+    }
+
     /// Returns the version of the current configuration, or 0 if there is none.
     pub fn version(&self) -> u64 {
         let version = self.configuration.as_ref().map(|known| known.version);
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -27,5 +27,6 @@
 pub use advice::{AdviceFailure, AdvicePolicy, Allowed, StepKey};
 pub use configuration::{CallerLimits, Configuration, Route};
 pub use durable_jobs::JobStatus;
+pub use endpoint_speeds::KnownSpeed;
 pub use entry::{Entry, EntryOptions};
 pub use submission::{Repeat, Step, Submission};
