--- a/crates/fulmarpond/tests/lists.rs
+++ b/crates/fulmarpond/tests/lists.rs
@@ -43,6 +43,27 @@
                 AGENT  ADDR  ZONE  SLOTS  FREE  QUEUED  STATE
             "#]],
         },
+        Case {
+            name: "speeds of endpoints",
+            replies: &[(
+                "GET /metrics",
+                200,
+                "# TYPE fulmarpond_endpoint_run_permille gauge\n\
+                 fulmarpond_endpoint_run_permille{agent=\"side-2\",kind=\"large\"} 2430\n\
+                 fulmarpond_endpoint_run_permille{agent=\"side-1\",kind=\"\"} 1000\n\
+                 fulmarpond_endpoint_speed_samples{agent=\"side-1\",kind=\"\"} 4\n\
+                 fulmarpond_endpoint_speed_samples{agent=\"side-2\",kind=\"large\"} 512\n\
+                 # EOF\n",
+            )],
+            args: &["endpoints", "--speeds"],
+            expect: expect![[r#"
+                speeds of endpoints: exit 0
+                --- stdout
+                AGENT   KIND   RUN TIME  SAMPLES
+                side-1             1.00        4
+                side-2  large      2.43      512
+            "#]],
+        },
         Case {
             name: "roster",
             replies: &[(
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -262,6 +262,8 @@
                 ("waiting_changes", self.entry.ledger_counts().1 as u64),
                 ("log_lines_dropped", self.runtime.dropped_lines()),
             ];
+            let speeds = self.entry.endpoint_speeds();
+            self.runtime.metrics.set_endpoint_speeds(speeds);
             let response = self.runtime.metrics.render(&self.entry.counters, &levels);
             self.reactor.respond(id, &response);
         }
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicI64, Ordering};
 
+use fulmarpond_dispatch::entry::KnownSpeed;
 use fulmarpond_dispatch::{Counters, Refusal};
 use fulmarpond_reactor::http::Response;
 use prometheus_client::encoding::text::encode;
@@ -13,6 +14,9 @@
 
 type Label = [(&'static str, &'static str); 1];
 
+/// The agent and the kind of an endpoint. Both are bounded by the machines of the deployment.
+type EndpointLabels = [(&'static str, String); 2];
+
 /// The counters, gauges and histograms of a process.
 #[derive(Debug)]
 pub(super) struct Metrics {
@@ -20,6 +24,8 @@
     refusals: Family<Label, Counter>,
     decisions: Family<Label, Counter>,
     levels: Family<Label, Gauge<i64, AtomicI64>>,
+    endpoint_run_permille: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
+    endpoint_speed_samples: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
     calls: Family<[(&'static str, &'static str); 3], Counter>,
     /// Time from the arrival of a job to its answer, in seconds.
     pub(super) job_seconds: Histogram,
@@ -38,6 +44,8 @@
             refusals: Family::default(),
             decisions: Family::default(),
             levels: Family::default(),
+            endpoint_run_permille: Family::default(),
+            endpoint_speed_samples: Family::default(),
             calls: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(0.01, 1.6, 16)),
             wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -52,6 +60,16 @@
         );
         registry.register("decisions", "Decisions by kind", metrics.decisions.clone());
         registry.register("level", "Current values by name", metrics.levels.clone());
+        registry.register(
+            "endpoint_run_permille",
+            "Lasting ratio of run times to those on the nominal endpoint, in thousandths",
+            metrics.endpoint_run_permille.clone(),
+        );
+        registry.register(
+            "endpoint_speed_samples",
+            "Samples of the lasting speed of an endpoint",
+            metrics.endpoint_speed_samples.clone(),
+        );
         registry.register(
             "job_seconds",
             "Time from the arrival of a job to its answer",
@@ -94,6 +112,21 @@
         self.calls.get_or_create_owned(&labels).inc();
     }
 
+    /// Replaces the speeds of the endpoints, so that lost ones are shown no longer.
+    pub(super) fn set_endpoint_speeds(&self, speeds: Vec<KnownSpeed>) {
+        self.endpoint_run_permille.clear();
+        self.endpoint_speed_samples.clear();
+        for speed in speeds {
+            let labels = [("agent", speed.agent), ("kind", speed.kind)];
+            self.endpoint_run_permille
+                .get_or_create_owned(&labels)
+                .set(speed.run_permille.into());
+            self.endpoint_speed_samples
+                .get_or_create_owned(&labels)
+                .set(speed.samples.into());
+        }
+    }
+
     /// Renders all metrics in the text format of Prometheus.
     pub(super) fn render(&self, counters: &Counters, levels: &[(&'static str, u64)]) -> Response {
         for reason in Refusal::ALL {
