--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -49,6 +49,7 @@
                 needs: order.needs,
                 class: Class::of(order.priority),
                 expected_ms: order.expected_ms,
+                nominal_ms: order.nominal_ms,
                 start_by,
                 deadline: match order.remaining_ms {
                     u32::MAX => Time::MAX,
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -7,8 +7,8 @@
 use super::job::TaskState;
 use super::{Action, Answer, StepKey};
 use crate::{
-    AgentFrame, Checkpoint, EndpointStatus, EntryFrame, Incarnation, JobId, LinkNo, Outcome,
-    Refusal, TaskEnd, Working,
+    AgentFrame, Checkpoint, EndpointSpeed, EndpointStatus, EntryFrame, Incarnation, JobId, LinkNo,
+    Outcome, Refusal, TaskEnd, Working,
 };
 
 /// How long a durable job waits for other entries to record ends that a lost agent reported to
@@ -55,6 +55,7 @@
             return;
         };
         self.counters.links_lost += 1;
+        self.speeds.mark_outdated();
         let runs_end = view
             .last_status_at
             .after_millis(self.options.lease_times.orphan_ms());
@@ -175,10 +176,15 @@
                         cpu = capacity.cpu,
                         "endpoint announced"
                     );
-                    view.endpoint = Incarnation { id, born };
+                    let incarnation = Incarnation { id, born };
+                    if view.endpoint != incarnation {
+                        view.reported_speed = EndpointSpeed::default();
+                    }
+                    view.endpoint = incarnation;
                     view.service = service;
                     view.capacity = capacity;
                     view.labels = labels;
+                    self.speeds.mark_outdated();
                 }
             }
             AgentFrame::Status { sent, orders, load } => {
@@ -224,6 +230,12 @@
                     view.cold_until = now.after_millis(u64::from(remaining_ms));
                 }
             }
+            AgentFrame::Speed(speed) => {
+                if let Some(view) = self.fleet.views.get_mut(&link) {
+                    view.reported_speed = speed;
+                    self.speeds.mark_outdated();
+                }
+            }
         }
     }
 
@@ -371,13 +383,14 @@
         let is_representative = view.is_some_and(|view| {
             view.load.slowness < MAX_LEARNING_SLOWNESS_PERCENT && now >= view.cold_until
         });
+        let run_factor = view.map_or(1.0, |view| view.run_factor);
         let Some(job) = self.jobs.get(&end.task.job) else {
             return false;
         };
         if is_representative && end.elapsed > 0 {
             let step = &job.submission.steps[usize::from(end.task.step)];
             self.estimates
-                .observe(&job.route.name, step.estimate, end.elapsed);
+                .observe(&job.route.name, step.estimate, end.elapsed, run_factor);
         }
         if job.is_done() {
             self.finish(&end.task.job, Answer::Completed, now, out);
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -9,6 +9,7 @@
 use super::advice::Advice;
 use super::configuration::{Configuration, Route};
 use super::durable_jobs::DurableJobs;
+use super::endpoint_speeds::{EndpointSpeeds, KnownSpeed};
 use super::estimates::Estimates;
 use super::fleet::Fleet;
 use super::job::{Job, TaskState};
@@ -75,6 +76,7 @@
     pub(super) final_answers: HashMap<JobId, (Answer, Time)>,
     pub(super) evacuations: Evacuations,
     pub(super) estimates: Estimates,
+    pub(super) speeds: EndpointSpeeds,
     pub(super) advice: Advice,
     pub(super) entries: Vec<SocketAddr>,
     pub(super) next_check: Time,
@@ -119,6 +121,7 @@
             final_answers: HashMap::new(),
             evacuations: Evacuations::default(),
             estimates: Estimates::default(),
+            speeds: EndpointSpeeds::default(),
             advice: Advice::default(),
             entries: Vec::new(),
             next_check: now,
@@ -184,6 +187,11 @@
         views.filter(|view| view.takes_tasks()).count()
     }
 
+    /// Returns the speeds of all endpoints whose service has measured ones.
+    pub fn endpoint_speeds(&self) -> Vec<KnownSpeed> {
+        self.speeds.known(&self.fleet)
+    }
+
     /// Returns the version of the current configuration, or 0 if there is none.
     pub fn version(&self) -> u64 {
         let version = self.configuration.as_ref().map(|known| known.version);
@@ -420,6 +428,7 @@
         }
         self.next_check = now.after_millis(CHECK_INTERVAL_MS);
         self.close_silent_links(now, out);
+        self.speeds.update(&mut self.fleet, now);
         self.check_lease(now, out);
         self.check_series(now);
         self.release_durable(out);
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -6,7 +6,7 @@
 
 use super::queueing::{GuaranteedSupply, RunningRoom, Supply, Tasks, time_to_start};
 use super::zone_return::ZoneReturn;
-use crate::{Class, EndpointId, EndpointStatus, Incarnation, LinkNo, Resources};
+use crate::{Class, EndpointId, EndpointSpeed, EndpointStatus, Incarnation, LinkNo, Resources};
 
 /// The maximum expected time until a task starts that is reckoned with, in milliseconds.
 const MAX_NEXT_END_MS: u32 = 10_000;
@@ -45,6 +45,11 @@
     pub(super) capacity: Resources,
     pub(super) labels: Vec<String>,
     pub(super) load: EndpointStatus,
+    /// The lasting speed that the agent has reported.
+    pub(super) reported_speed: EndpointSpeed,
+    /// The lasting ratio of run times at this endpoint to those on the nominal endpoint of its
+    /// service.
+    pub(super) run_factor: f64,
     /// When its last status arrived.
     pub(super) last_status_at: Time,
     /// Whether its zone is evacuated.
@@ -75,6 +80,12 @@
         });
     }
 
+    /// Returns the run time at this endpoint of a task that takes `nominal_ms` milliseconds on a
+    /// nominal endpoint, without passing slowness, in milliseconds.
+    pub(super) fn lasting_run_ms(&self, nominal_ms: u32) -> u32 {
+        ((f64::from(nominal_ms) * self.run_factor) as u32).max(1)
+    }
+
     /// Counts an order that is sent.
     pub(super) fn count_order(&mut self) {
         self.orders_sent += 1;
@@ -270,6 +281,8 @@
             capacity: Resources::default(),
             labels: Vec::new(),
             load: EndpointStatus::default(),
+            reported_speed: EndpointSpeed::default(),
+            run_factor: 1.0,
             last_status_at: now,
             is_evacuated: false,
             zone_return: ZoneReturn::default(),
--- a/crates/fulmarpond-dispatch/src/entry/gangs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/gangs.rs
@@ -53,7 +53,8 @@
                 return Vec::new();
             };
             if let Some(view) = self.fleet.views.get_mut(&choice.link) {
-                view.reserve(Class::of(job.route.priority), needs, expected_ms);
+                let class = Class::of(job.route.priority);
+                view.reserve(class, needs, view.lasting_run_ms(expected_ms));
             }
             assigned.push((choice.link, step));
             choices.push((position, choice.link));
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod drains;
 mod durable_ends;
 mod durable_jobs;
+mod endpoint_speeds;
 #[allow(clippy::module_inception)]
 mod entry;
 mod estimates;
@@ -29,5 +30,6 @@
 pub use advice::{AdviceFailure, AdvicePolicy, Allowed, StepKey};
 pub use configuration::{CallerLimits, Configuration, Route};
 pub use durable_jobs::JobStatus;
+pub use endpoint_speeds::KnownSpeed;
 pub use entry::{Entry, EntryOptions};
 pub use submission::{Repeat, Step, Submission};
--- a/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
+++ b/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
@@ -31,7 +31,9 @@
         service: "service".to_owned(),
         spec: String::new(),
         needs: Resources::default(),
+        priority: 0,
         expected_ms: 50,
+        nominal_ms: 50,
         slack_ms: 5_000,
         remaining_ms: u32::MAX,
         max_run_ms: 1_000,
@@ -59,6 +61,7 @@
     agent.watch_evacuations(5_000, START);
     let registration = Registration {
         id: EndpointId("e-1".to_owned()),
+        born: 0,
         service: "service".to_owned(),
         addr: ([127, 0, 0, 1], 9_000).into(),
         capacity: Resources::default(),
@@ -69,7 +72,9 @@
     };
     let mut out = Vec::new();
     agent.tick(START, &mut out);
-    agent.handle_heartbeat(registration, START, &mut out);
+    agent
+        .handle_heartbeat(registration, START, &mut out)
+        .expect("a consistent heartbeat");
     agent.link_up(LINK, START, &mut out);
     for number in hold_calls(&out) {
         agent.handle_reply(number, Ok(empty_lists()), START, &mut Vec::new());
@@ -92,6 +97,7 @@
 const fn empty_lists() -> EndpointReply {
     EndpointReply::Held {
         clock: 0,
+        born: 0,
         running: Vec::new(),
         ended: Vec::new(),
     }
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -6,8 +6,8 @@
     EndpointReply, RunEntry,
 };
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointState, EntryFrame, Incarnation, JobId, LeaseTimes, LinkNo,
-    Order, Outcome, Registration, RegistrationError, Resources, TaskKey,
+    AgentFrame, EndpointId, EndpointSpeed, EndpointState, EntryFrame, Incarnation, JobId,
+    LeaseTimes, LinkNo, Order, Outcome, Registration, RegistrationError, Resources, TaskKey,
 };
 
 const START: Time = Time::from_millis(10_000);
@@ -26,6 +26,9 @@
     is_draining: bool,
     /// The reported ends.
     ends: Vec<(TaskKey, Outcome)>,
+    /// The last reported lasting speed.
+    speed: EndpointSpeed,
+    now: Time,
 }
 
 impl Host {
@@ -51,6 +54,8 @@
             is_ready: false,
             is_draining: false,
             ends: Vec::new(),
+            speed: EndpointSpeed::default(),
+            now: START,
         };
         host.heartbeat(registration(born, 1), START);
         let hold = host.take_hold();
@@ -80,6 +85,10 @@
                     let ends = ends.into_iter().map(|end| (end.task, end.outcome));
                     self.ends.extend(ends);
                 }
+                Action::Send {
+                    frame: AgentFrame::Speed(speed),
+                    ..
+                } => self.speed = speed,
                 _ => {}
             }
         }
@@ -92,6 +101,36 @@
         });
     }
 
+    /// Runs one task of a job to its end; `nominal_ms` is its expected run time.
+    fn run_job(&mut self, number: u16, nominal_ms: u32, elapsed_ms: u64, reason: EndReason) {
+        let now = self.now;
+        self.heartbeat(registration(self.born, u64::from(number) + 2), now);
+        self.start_job(number, 1, nominal_ms, now);
+        let end = now.after_millis(elapsed_ms);
+        while self.now.after_millis(40) < end {
+            self.now = self.now.after_millis(40);
+            let hold = self.take_hold();
+            self.reply(hold, self.now, &[], &[]);
+            self.tick(self.now.after_millis(10));
+        }
+        self.now = end;
+        let hold = self.take_hold();
+        let end = EndEntry {
+            sequence: u64::from(number) + 1,
+            task: TaskKey {
+                job: job_id(number),
+                step: 0,
+                index: 0,
+            },
+            run: 1,
+            reason,
+            checkpoint: None,
+        };
+        self.reply(hold, self.now, &[], &[end]);
+        self.now = self.now.after_millis(50);
+        self.tick(self.now);
+    }
+
     /// Renews the lease of the link and ticks the agent.
     fn tick(&mut self, now: Time) {
         let renew = EntryFrame::Renew {
@@ -143,6 +182,7 @@
             },
             priority: 0,
             expected_ms,
+            nominal_ms: expected_ms,
             slack_ms: 100,
             remaining_ms: 1_500,
             max_run_ms: 5_000,
@@ -447,6 +487,68 @@
     }
 }
 
+struct LastingSpeedCase {
+    name: &'static str,
+    /// The number of jobs, their run time with a nominal one of 40 ms, and how they end.
+    phases: &'static [(u16, u64, EndReason)],
+    /// The bounds of the reported ratio of run times to nominal ones, in thousandths.
+    reported: (u32, u32),
+}
+
+/// Guards against an endpoint that counts as slow for good after passing trouble, a few long tasks
+/// or failures, and against a slow one whose speed is not noticed.
+#[test]
+fn lasting_speed_is_that_of_most_runs() {
+    let cases = [
+        LastingSpeedCase {
+            name: "all runs take longer",
+            phases: &[(100, 68, EndReason::Done)],
+            reported: (1_650, 1_750),
+        },
+        LastingSpeedCase {
+            name: "the disk is slow for some seconds",
+            phases: &[(200, 40, EndReason::Done), (40, 240, EndReason::Done)],
+            reported: (950, 1_150),
+        },
+        LastingSpeedCase {
+            name: "the disk is slow at the start only",
+            phases: &[(20, 160, EndReason::Done), (400, 40, EndReason::Done)],
+            reported: (950, 1_150),
+        },
+        LastingSpeedCase {
+            name: "the estimates of one caller are ten times too low",
+            phases: &[
+                (60, 40, EndReason::Done),
+                (3, 400, EndReason::Done),
+                (60, 40, EndReason::Done),
+            ],
+            reported: (950, 1_100),
+        },
+        LastingSpeedCase {
+            name: "runs fail early",
+            phases: &[(50, 40, EndReason::Done), (100, 4, EndReason::Failed)],
+            reported: (950, 1_050),
+        },
+    ];
+    for case in cases {
+        let mut host = Host::new();
+        let mut number = 0;
+        for &(jobs, elapsed_ms, reason) in case.phases {
+            for _ in 0..jobs {
+                host.run_job(number, 40, elapsed_ms, reason);
+                number += 1;
+            }
+        }
+        let (low, high) = case.reported;
+        let reported = host.speed.run_permille;
+        assert!(
+            (low..=high).contains(&reported),
+            "{}: reported {reported}",
+            case.name
+        );
+    }
+}
+
 /// Guards against an endpoint that is used under a service to which it does not belong.
 #[test]
 fn heartbeat_with_another_service_is_refused() {
--- a/crates/fulmarpond-dispatch/tests/shares.rs
+++ b/crates/fulmarpond-dispatch/tests/shares.rs
@@ -87,6 +87,7 @@
         };
         let registration = Registration {
             id: EndpointId("e-1".to_owned()),
+            born: 0,
             service: "service".to_owned(),
             addr: ([127, 0, 0, 1], 9_000).into(),
             capacity: Resources {
@@ -95,10 +96,14 @@
                 accelerators: 0,
             },
             labels: Vec::new(),
+            cold_remaining_ms: 0,
             state: EndpointState::Ready,
             sequence: 1,
         };
-        host.act(|agent, now, out| agent.handle_heartbeat(registration, now, out));
+        host.act(|agent, now, out| {
+            let handled = agent.handle_heartbeat(registration, now, out);
+            handled.expect("a consistent heartbeat");
+        });
         host.act(|agent, now, out| agent.link_up(LINK, now, out));
         host.run_ms(5);
         host
@@ -157,6 +162,7 @@
                 self.ended.retain(|end| end.sequence > acked);
                 return EndpointReply::Held {
                     clock: 0,
+                    born: 0,
                     running: self.running.clone(),
                     ended: self.ended.clone(),
                 };
@@ -218,6 +224,7 @@
                 },
                 priority: task.priority,
                 expected_ms: task.run_ms,
+                nominal_ms: task.run_ms,
                 slack_ms: task.slack_ms,
                 remaining_ms: 5_000,
                 max_run_ms: 5_000,
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -280,7 +280,10 @@
         }
         for number in 0..options.agents {
             let clock_rate = 1.0 - 0.02 * sim.rng.random::<f64>();
-            let mut endpoint = Endpoint::new(number, 0, options.cpu, clock_rate);
+            let kind = sim.kind(number);
+            let cpu = (f64::from(options.cpu) * kind.size) as u32;
+            let mut endpoint = Endpoint::new(number, 0, cpu, clock_rate);
+            endpoint.set_kind(kind);
             if options.has_born {
                 endpoint.born = sim.unix_ms();
             }
@@ -520,7 +523,10 @@
             agent::Action::Dial { addr } => self.open_link(agent, addr),
             agent::Action::Observe { .. } => {}
             agent::Action::Close { link } => self.close_link(link, true),
-            agent::Action::Send { link, frame } => self.send_frame(link, 0, encode(&frame)),
+            agent::Action::Send { link, frame } => {
+                let frame = self.known_speed(agent, frame);
+                self.send_frame(link, 0, encode(&frame));
+            }
             agent::Action::Store {
                 number,
                 call,
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicI64, Ordering};
 
 use fulmarpond_dispatch::agent::ClassRoom;
+use fulmarpond_dispatch::entry::KnownSpeed;
 use fulmarpond_dispatch::{Class, Counters, Refusal};
 use fulmarpond_reactor::http::Response;
 use prometheus_client::encoding::text::encode;
@@ -14,6 +15,9 @@
 
 type Label = [(&'static str, &'static str); 1];
 
+/// The agent and the kind of an endpoint. Both are bounded by the machines of the deployment.
+type EndpointLabels = [(&'static str, String); 2];
+
 /// The counters, gauges and histograms of a process.
 #[derive(Debug)]
 pub(super) struct Metrics {
@@ -23,6 +27,8 @@
     levels: Family<Label, Gauge<i64, AtomicI64>>,
     class_millicores: Family<[(&'static str, &'static str); 2], Gauge<i64, AtomicI64>>,
     discarded_core_ms: Counter,
+    endpoint_run_permille: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
+    endpoint_speed_samples: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
     calls: Family<[(&'static str, &'static str); 3], Counter>,
     /// Time from the arrival of a job to its answer, in seconds.
     pub(super) job_seconds: Histogram,
@@ -43,6 +49,8 @@
             levels: Family::default(),
             class_millicores: Family::default(),
             discarded_core_ms: Counter::default(),
+            endpoint_run_permille: Family::default(),
+            endpoint_speed_samples: Family::default(),
             calls: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(0.01, 1.6, 16)),
             wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -67,6 +75,16 @@
             "Work that was discarded by stops for urgent tasks, in core-milliseconds",
             metrics.discarded_core_ms.clone(),
         );
+        registry.register(
+            "endpoint_run_permille",
+            "Lasting ratio of run times to those on the nominal endpoint, in thousandths",
+            metrics.endpoint_run_permille.clone(),
+        );
+        registry.register(
+            "endpoint_speed_samples",
+            "Samples of the lasting speed of an endpoint",
+            metrics.endpoint_speed_samples.clone(),
+        );
         registry.register(
             "job_seconds",
             "Time from the arrival of a job to its answer",
@@ -124,6 +142,21 @@
         }
     }
 
+    /// Replaces the speeds of the endpoints, so that lost ones are shown no longer.
+    pub(super) fn set_endpoint_speeds(&self, speeds: Vec<KnownSpeed>) {
+        self.endpoint_run_permille.clear();
+        self.endpoint_speed_samples.clear();
+        for speed in speeds {
+            let labels = [("agent", speed.agent), ("kind", speed.kind)];
+            self.endpoint_run_permille
+                .get_or_create_owned(&labels)
+                .set(speed.run_permille.into());
+            self.endpoint_speed_samples
+                .get_or_create_owned(&labels)
+                .set(speed.samples.into());
+        }
+    }
+
     /// Renders all metrics in the text format of Prometheus.
     pub(super) fn render(&self, counters: &Counters, levels: &[(&'static str, u64)]) -> Response {
         for reason in Refusal::ALL {
