--- a/crates/fulmarpond-dispatch/tests/evacuations.rs
+++ b/crates/fulmarpond-dispatch/tests/evacuations.rs
@@ -312,3 +312,19 @@
         prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
     }
 }
+
+/// Guards against an end that is acknowledged to its endpoint although its task was placed again,
+/// because its agent was cut off from one entry while the other was paused. Known to fail.
+#[test]
+fn end_behind_a_cut_is_superseded_beside_an_evacuation() {
+    let mut sim = simulation_with(14_969_110_124_512_839_463, true);
+    for at in (0..13_000).step_by(200) {
+        sim.submit_at(at, JOB);
+    }
+    sim.fault_at(1_101, Fault::Evacuate(0, 6_000, false));
+    sim.fault_at(266, Fault::PauseEntry(0, 3_535));
+    sim.fault_at(5_204, Fault::BlockLinks(1, 0, 2_315));
+    sim.fault_at(4_247, Fault::PauseEntry(1, 3_962));
+    sim.run_ms(44_000);
+    assert_eq!(sim.history.violations, Vec::<String>::new());
+}
