--- a/crates/fulmarpond-reactor/src/http/request.rs
+++ b/crates/fulmarpond-reactor/src/http/request.rs
@@ -121,13 +121,17 @@
         body: Vec::new(),
         keep_alive: head.version == Some(1),
     };
-    let mut body_len = 0;
+    let mut length = None;
     for header in head.headers.iter() {
         let value = String::from_utf8_lossy(header.value).trim().to_owned();
         let name = header.name.to_ascii_lowercase();
         match name.as_str() {
             "content-length" => {
-                body_len = value.parse().map_err(|_| RequestError::Malformed)?;
+                let value: usize = value.parse().map_err(|_| RequestError::Malformed)?;
+                // With two lengths it is not known where the next request starts.
+                if length.replace(value).is_some_and(|other| other != value) {
+                    return Err(RequestError::Malformed);
+                }
             }
             "transfer-encoding" => return Err(RequestError::UnsupportedCoding),
             "connection" if value.eq_ignore_ascii_case("close") => request.keep_alive = false,
@@ -135,10 +139,12 @@
         }
         request.headers.push((name, value));
     }
+    let body_len = length.unwrap_or_default();
     if body_len > max_body_bytes {
         return Err(RequestError::BodyTooLarge);
     }
-    let Some(body) = buffer.get(head_len..head_len + body_len) else {
+    let rest = buffer.get(head_len..).unwrap_or_default();
+    let Some(body) = rest.get(..body_len) else {
         return Ok(None);
     };
     request.body = body.to_vec();
