fix(core): refuse heartbeats that take the capacity of their incarnation away

Cause: a heartbeat without `Capacity` counts as one without room, so a single malformed one withdrew the endpoint until the next. Endpoints that never name a capacity are served as before.

--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -14,7 +14,9 @@
 use super::health::Health;
 use super::run::{AfterStop, Phase};
 use super::{Action, CallFailure, EndpointCall, EndpointReply};
-use crate::{EndpointState, Incarnation, Outcome, Registration, RegistrationError, TaskKey};
+use crate::{
+    EndpointState, Incarnation, Outcome, Registration, RegistrationError, Resources, TaskKey,
+};
 
 /// The number of incarnations that are remembered as over. An older one is recognized by a call.
 const MAX_ENDED_INCARNATIONS: usize = 8;
@@ -66,6 +68,13 @@
         if endpoint.is_registered && endpoint.registration.service != registration.service {
             return Err(RegistrationError::ServiceChanged);
         }
+        let none = Resources::default();
+        if endpoint.is_registered
+            && endpoint.registration.capacity != none
+            && registration.capacity == none
+        {
+            return Err(RegistrationError::CapacityMissing);
+        }
         let is_first = !endpoint.is_registered;
         let previous = (endpoint.registration.capacity, endpoint.registration.state);
         if !endpoint.record_heartbeat(registration, now, self.options.heartbeat_interval_ms) {
--- a/crates/fulmarpond-dispatch/src/registration.rs
+++ b/crates/fulmarpond-dispatch/src/registration.rs
@@ -62,4 +62,7 @@
     /// An incarnation belongs to one service for its whole life.
     #[error("the service differs from that of earlier heartbeats of this incarnation")]
     ServiceChanged,
+    /// Earlier heartbeats of this incarnation named its capacity.
+    #[error("the capacity is missing, which earlier heartbeats of this incarnation named")]
+    CapacityMissing,
 }
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -445,20 +445,31 @@
     }
 }
 
-/// Guards against an endpoint that is used under a service to which it does not belong.
+/// Guards against a malformed heartbeat that puts an endpoint under a service to which it does not
+/// belong, or takes its capacity away.
 #[test]
-fn heartbeat_with_another_service_is_refused() {
-    let mut host = Host::with_incarnation(1);
-    let heartbeat = Registration {
+fn heartbeat_that_contradicts_earlier_ones_is_refused() {
+    let other_service = Registration {
         service: "other".to_owned(),
         ..registration(1, 2)
     };
-    host.act(|agent, out| {
-        let handled = agent.handle_heartbeat(heartbeat, START, out);
-        assert_eq!(handled, Err(RegistrationError::ServiceChanged));
-    });
-    host.tick(START);
-    assert!(host.is_ready);
+    let no_capacity = Registration {
+        capacity: Resources::default(),
+        ..registration(1, 2)
+    };
+    let cases = [
+        (other_service, RegistrationError::ServiceChanged),
+        (no_capacity, RegistrationError::CapacityMissing),
+    ];
+    for (heartbeat, expected) in cases {
+        let mut host = Host::with_incarnation(1);
+        host.act(|agent, out| {
+            let handled = agent.handle_heartbeat(heartbeat, START, out);
+            assert_eq!(handled, Err(expected));
+        });
+        host.tick(START);
+        assert!(host.is_ready);
+    }
 }
 
 struct Deregistration {
