--- a/crates/fulmarpond-dispatch/tests/mutated_frames.rs
+++ b/crates/fulmarpond-dispatch/tests/mutated_frames.rs
@@ -5,8 +5,8 @@
 use fulmarpond_dispatch::entry::{Entry, EntryOptions};
 use fulmarpond_dispatch::ledger::{JobSpec, JobState};
 use fulmarpond_dispatch::{
-    AgentFrame, Backlog, Checkpoint, EndpointId, EndpointState, EndpointStatus, EntryFrame, JobId,
-    LeaseTimes, LinkNo, Order, Outcome, Registration, Resources, TaskEnd, TaskKey, TaskRun,
+    AgentFrame, Backlog, Checkpoint, Class, EndpointId, EndpointState, EndpointStatus, EntryFrame,
+    JobId, LeaseTimes, LinkNo, Order, Outcome, Registration, Resources, TaskEnd, TaskKey, TaskRun,
     Working, decode, encode,
 };
 use proptest::prelude::*;
@@ -37,6 +37,8 @@
         spec: "spec".to_owned(),
         needs: Resources::default(),
         expected_ms: 100,
+        nominal_ms: 50,
+        priority: 1,
         slack_ms: 100,
         remaining_ms: 1_000,
         max_run_ms: 1_000,
@@ -75,7 +77,7 @@
         elapsed: 5,
     };
     let mut backlog = Backlog::default();
-    backlog.add(50, 1_000);
+    backlog.add(Class::of(1), 50, 1_000);
     let frames = [
         AgentFrame::Hello {
             name: "agent".to_owned(),
@@ -164,6 +166,7 @@
             addr: ([127, 0, 0, 1], 9_000).into(),
             capacity: Resources::default(),
             labels: Vec::new(),
+            cold_remaining_ms: 0,
             state: EndpointState::Ready,
             sequence: 1,
         };
