--- a/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
+++ b/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
@@ -165,14 +165,19 @@
             agent.handle_store_reply(call, page(zones, None, 7), START, &mut out);
         }
         let now = START.after_millis(case.order_ms);
-        agent.handle_frame(LINK, order("j"), now, &mut out);
+        // The lease of the first link has expired after a pause, so the order comes over a new one.
+        let link = LinkNo(LINK.0 + case.order_ms);
+        if link != LINK {
+            agent.link_up(link, now, &mut out);
+        }
+        agent.handle_frame(link, order("j"), now, &mut out);
         let starts_at_once = has_start(&out);
         out.clear();
         let mut starts_later = false;
         for ms in (1..1_700).step_by(10) {
             let now = now.after_millis(ms);
             let sent = now.as_micros();
-            agent.handle_frame(LINK, EntryFrame::Renew { sent }, now, &mut out);
+            agent.handle_frame(link, EntryFrame::Renew { sent }, now, &mut out);
             agent.tick(now, &mut out);
             starts_later |= has_start(&out);
             for number in hold_calls(&std::mem::take(&mut out)) {
