--- a/crates/fulmarpond-dispatch/src/entry/agent_selection.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agent_selection.rs
@@ -2,7 +2,8 @@
 
 use fulmarpond_core::Time;
 
-use super::fleet::{AgentView, Fleet, QueuedTask};
+use super::expected_wait::QueuedTask;
+use super::fleet::{AgentView, Fleet};
 use super::submission::Step;
 use crate::{Class, LinkNo, Resources};
 
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -4,33 +4,18 @@
 
 use fulmarpond_core::Time;
 
-use super::queueing::{GuaranteedSupply, RunningRoom, Supply, Tasks, time_to_start};
 use super::zone_return::ZoneReturn;
 use crate::{Class, EndpointId, EndpointSpeed, EndpointStatus, Incarnation, LinkNo, Resources};
 
-/// The maximum expected time until a task starts that is reckoned with, in milliseconds.
-const MAX_NEXT_END_MS: u32 = 10_000;
-
-/// The properties of a task on which its expected queueing time depends.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct QueuedTask {
-    pub(super) class: Class,
-    pub(super) needs: Resources,
-    /// How long it may wait without missing its latency objective, in milliseconds.
-    pub(super) slack_ms: u64,
-    /// The expected run time, in milliseconds.
-    pub(super) expected_ms: u32,
-}
-
 /// A task that was planned or sent and is not yet included in the agent's status.
 #[derive(Debug)]
-struct UnacknowledgedTask {
+pub(super) struct UnacknowledgedTask {
     /// The number of its order on this link.
-    order: u64,
-    class: Class,
-    needs: Resources,
+    pub(super) order: u64,
+    pub(super) class: Class,
+    pub(super) needs: Resources,
     /// The expected work, in core-milliseconds.
-    work: u64,
+    pub(super) work: u64,
 }
 
 /// The known state of an agent and its endpoint.
@@ -59,7 +44,7 @@
     /// Until when its endpoint is cold.
     pub(super) cold_until: Time,
     orders_sent: u64,
-    unacknowledged: VecDeque<UnacknowledgedTask>,
+    pub(super) unacknowledged: VecDeque<UnacknowledgedTask>,
 }
 
 impl AgentView {
@@ -105,122 +90,6 @@
         self.capacity.minus(self.load.reserved)
     }
 
-    /// Returns the expected queueing time of a task, in milliseconds.
-    pub(super) fn expected_wait(&self, task: QueuedTask) -> f64 {
-        let backlog = &self.load.backlog;
-        let goes_first = Class::ALL
-            .into_iter()
-            .all(|class| class > task.class || !backlog.has_work(class));
-        let free = self.free();
-        if goes_first && task.needs.fits(free) {
-            return 0.0;
-        }
-        let return_wait = self.zone_return.wait_ms(task.needs, free, self.load.free);
-        self.queueing_time(task).max(return_wait)
-    }
-
-    /// Returns the expected time that a task waits for other tasks, in milliseconds.
-    fn queueing_time(&self, task: QueuedTask) -> f64 {
-        let cores = f64::from(self.shared_capacity().cpu.max(1)) / 1_000.0;
-        let next_end_ms = f64::from(self.load.next_end_ms.min(MAX_NEXT_END_MS));
-        let ahead = Class::ALL.map(|class| self.work_ahead(class, task) as f64);
-        let total: f64 = ahead.iter().sum();
-        if self.has_only(task.class) {
-            return next_end_ms + total / cores;
-        }
-        self.competing_wait(task, cores, ahead)
-            .unwrap_or(next_end_ms + total / cores)
-    }
-
-    /// Returns the work of a class that starts before a task, in core-milliseconds.
-    fn work_ahead(&self, class: Class, task: QueuedTask) -> u64 {
-        if class > task.class {
-            return 0;
-        }
-        let slack_ms = if class == task.class {
-            task.slack_ms
-        } else {
-            u64::MAX
-        };
-        let unacknowledged = self.unacknowledged.iter();
-        let of_class = unacknowledged.filter(|sent| sent.class == class);
-        let sent: u64 = of_class.map(|sent| sent.work).sum();
-        self.load.backlog.work_ahead(class, slack_ms) + sent
-    }
-
-    /// Returns whether no work of other classes waits or runs, as far as is known.
-    fn has_only(&self, class: Class) -> bool {
-        let backlog = &self.load.backlog;
-        let mut others = Class::ALL.into_iter().filter(|other| *other != class);
-        let is_present = |other| backlog.has_work(other) || backlog.running(other).0 > 0;
-        !others.any(is_present) && self.unacknowledged.iter().all(|sent| sent.class == class)
-    }
-
-    /// Returns the expected queueing time of a task among several classes, in milliseconds, or
-    /// `None` if it is not known what runs.
-    fn competing_wait(
-        &self,
-        task: QueuedTask,
-        cores: f64,
-        ahead: [f64; Class::COUNT],
-    ) -> Option<f64> {
-        let backlog = &self.load.backlog;
-        let running = Class::ALL.map(|class| {
-            let (cpu, run_ms) = backlog.running(class);
-            RunningRoom {
-                cores: f64::from(cpu) / 1_000.0,
-                run_ms: f64::from(run_ms),
-            }
-        });
-        if running.iter().all(|running| running.cores == 0.0) {
-            return None;
-        }
-        let weights = self.load.weights;
-        let position = task.class.index();
-        let lower = Class::ALL.into_iter().filter(|class| *class > task.class);
-        let kept_by_lower: f64 = lower
-            .filter(|class| backlog.has_work(*class))
-            .map(|class| cores * weights.share(class))
-            .sum();
-        let used_by_higher: f64 = running[..position].iter().map(|higher| higher.cores).sum();
-        let own = Tasks {
-            room: f64::from(task.needs.cpu) / 1_000.0,
-            run_ms: f64::from(task.expected_ms.max(1)),
-        };
-        let own_ahead = own.with(Tasks::of(ahead[position], own.run_ms));
-        let all_ahead = (0..position).fold(own_ahead, |sum, class| {
-            let run_ms = match running[class].run_ms {
-                0.0 => own.run_ms,
-                run_ms => run_ms,
-            };
-            sum.with(Tasks::of(ahead[class], run_ms))
-        });
-        let max_ms = f64::from(MAX_NEXT_END_MS);
-        let supply = Supply {
-            free: f64::from(self.load.free.cpu) / 1_000.0,
-            running: &running[position..],
-            limit: cores - kept_by_lower - used_by_higher,
-        };
-        let share = cores * weights.share(task.class);
-        let guaranteed = GuaranteedSupply {
-            share,
-            used: running[position].cores.min(share),
-            supply: Supply {
-                running: &running,
-                limit: cores,
-                ..supply
-            },
-        };
-        let by_order = time_to_start(all_ahead, max_ms, |time| supply.started(time, all_ahead));
-        if guaranteed.started(by_order, own_ahead) < own_ahead.room {
-            return Some(by_order);
-        }
-        let by_share = time_to_start(own_ahead, max_ms, |time| {
-            guaranteed.started(time, own_ahead)
-        });
-        Some(by_order.min(by_share))
-    }
-
     /// Releases the capacity reserved since the last order.
     pub(super) fn release_reservations(&mut self) {
         let next_order = self.orders_sent + 1;
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod entry;
 mod estimates;
 mod evacuation;
+mod expected_wait;
 mod fleet;
 mod gangs;
 mod job;
