feat(dispatch): report crashes of endpoints with the runs that were lost

Cause: logs and metrics could not tell which runs an endpoint held when it crashed, how long each had run, and whether it had announced its end, so the hypotheses on the incident with crashing tasks could not be told apart. Change: agents report a crash to all entries, and again to entries that link later; lines for each lost run, counters endpoint_crashes and crashed_runs. No decision depends on it yet.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -6,6 +6,7 @@
 use fulmarpond_core::Time;
 use tracing::{debug, info, warn};
 
+use super::crashes::Crashes;
 use super::endpoint::Endpoint;
 use super::health::Health;
 use super::links::Links;
@@ -98,6 +99,7 @@
     pub(super) endpoint: Option<Endpoint>,
     /// The last incarnations of endpoints that are known to be over.
     pub(super) ended_incarnations: VecDeque<Incarnation>,
+    pub(super) crashes: Crashes,
     pub(super) runs: HashMap<TaskKey, Run>,
     /// The queued tasks, and the shares of the endpoint by class.
     pub(super) shares: Shares,
@@ -144,6 +146,7 @@
             links,
             endpoint: None,
             ended_incarnations: VecDeque::new(),
+            crashes: Crashes::default(),
             runs: HashMap::new(),
             shares: Shares::default(),
             preemption: Preemption::default(),
@@ -275,6 +278,7 @@
             link,
             frame: self.speed_frame(),
         });
+        self.repeat_crashes(link, now, out);
         if let Some(frame) = self.orphaned_frame() {
             out.push(Action::Send { link, frame });
         }
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -162,8 +162,9 @@
             endpoint.reply_times.observe(now.millis_since(sent));
         }
         match outcome {
-            Ok(EndpointReply::OtherIncarnation) => self.remove_endpoint(now, out),
-            Err(CallFailure::Refused) => self.remove_endpoint(now, out),
+            Ok(EndpointReply::OtherIncarnation) | Err(CallFailure::Refused) => {
+                self.lose_endpoint(now, out);
+            }
             Ok(reply) => {
                 let earliest_end = match &reply {
                     EndpointReply::Held { .. } => endpoint.record_lists(sent, is_immediate, now),
--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -213,6 +213,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        self.report_crash(now, out);
         let Some(previous) = self.endpoint.take() else {
             return;
         };
@@ -324,6 +325,12 @@
         self.pending_calls.insert(number, pending);
     }
 
+    /// Removes an endpoint that has ended without a deregistration.
+    pub(super) fn lose_endpoint(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.report_crash(now, out);
+        self.remove_endpoint(now, out);
+    }
+
     /// Removes the endpoint, whose runs have all ended with it.
     pub(super) fn remove_endpoint(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(lost) = self.endpoint.take() else {
@@ -417,7 +424,7 @@
                 }
             }
             _ => {
-                self.remove_endpoint(now, out);
+                self.lose_endpoint(now, out);
                 self.attach_endpoint(registration, is_own, now, out);
             }
         }
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -46,6 +46,8 @@
                 link,
                 number: self.last_run_number(&task, order.epoch),
                 spec: order.spec.clone(),
+                route: order.route.clone(),
+                started_at: now,
                 needs: order.needs,
                 class: Class::of(order.priority),
                 expected_ms: order.expected_ms,
@@ -171,6 +173,7 @@
         self.used_capacity = self.used_capacity.plus(run.needs);
         run.number += 1;
         run.phase = Phase::Starting;
+        run.started_at = now;
         run.is_listed = false;
         run.is_resumed = run.checkpoint.is_some();
         self.pending_starts
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -83,6 +83,10 @@
     /// The number of the run; while the task is queued, that of the previous run.
     pub(super) number: u32,
     pub(super) spec: String,
+    /// The name of the route of its job.
+    pub(super) route: String,
+    /// When the start of its last run was sent.
+    pub(super) started_at: Time,
     pub(super) needs: Resources,
     pub(super) class: Class,
     /// The expected run time at this endpoint, in milliseconds.
--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -97,6 +97,10 @@
     pub evacuations: u64,
     /// Restarts of the endpoint under its id.
     pub endpoint_restarts: u64,
+    /// Crashes of endpoints under runs, as noticed by an agent or reported to an entry.
+    pub endpoint_crashes: u64,
+    /// Runs that were lost in these crashes.
+    pub crashed_runs: u64,
 }
 
 impl Counters {
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -230,6 +230,7 @@
                     view.cold_until = now.after_millis(u64::from(remaining_ms));
                 }
             }
+            AgentFrame::Crashed(crash) => self.record_crash(link, &crash, now),
             AgentFrame::Speed(speed) => {
                 if let Some(view) = self.fleet.views.get_mut(&link) {
                     view.reported_speed = speed;
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -8,6 +8,7 @@
 
 use super::advice::Advice;
 use super::configuration::{Configuration, Route};
+use super::crashes::CountedCrashes;
 use super::durable_jobs::DurableJobs;
 use super::endpoint_speeds::{EndpointSpeeds, KnownSpeed};
 use super::estimates::Estimates;
@@ -78,6 +79,7 @@
     pub(super) estimates: Estimates,
     pub(super) speeds: EndpointSpeeds,
     pub(super) advice: Advice,
+    pub(super) counted_crashes: CountedCrashes,
     pub(super) entries: Vec<SocketAddr>,
     pub(super) next_check: Time,
     /// The earliest time of the next attempt to place waiting tasks.
@@ -123,6 +125,7 @@
             estimates: Estimates::default(),
             speeds: EndpointSpeeds::default(),
             advice: Advice::default(),
+            counted_crashes: CountedCrashes::default(),
             entries: Vec::new(),
             next_check: now,
             next_placement: now,
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod agent_selection;
 mod agents;
 mod configuration;
+mod crashes;
 mod drains;
 mod durable_ends;
 mod durable_jobs;
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -311,6 +311,7 @@
             checkpoints: job.checkpoints(step, &indexes),
             indexes,
             service: job.route.service.clone(),
+            route: job.route.name.clone(),
             spec: job.submission.spec.clone(),
             needs: definition.needs,
             priority: job.route.priority,
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -93,6 +93,38 @@
     Cold(u32),
     /// The lasting speed of the endpoint, sent when it changes and when a link opens.
     Speed(EndpointSpeed),
+    /// A crash of the endpoint, sent when it is noticed, and when a link opens later.
+    Crashed(EndpointCrash),
+}
+
+/// A crash of an endpoint: an end that it has not announced, with the runs that were lost.
+#[message]
+#[derive(Eq)]
+pub struct EndpointCrash {
+    /// The id of the endpoint.
+    pub endpoint: EndpointId,
+    /// When the incarnation that crashed was started, in Unix milliseconds; 0 if unknown.
+    pub born: u64,
+    /// The service of the endpoint.
+    pub service: String,
+    /// The time since the crash was noticed, in milliseconds.
+    pub ago_ms: u32,
+    /// The runs that were lost. Any of them may have caused the crash, or none.
+    pub runs: Vec<LostRun>,
+}
+
+/// A run that was lost in a crash.
+#[message]
+#[derive(Eq)]
+pub struct LostRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the run.
+    pub run: u32,
+    /// The name of the route of its job.
+    pub route: String,
+    /// The time from the start of the run to the crash, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// The lasting speed of an endpoint, as its run times show it.
@@ -289,6 +321,8 @@
     pub indexes: Vec<u16>,
     /// The service whose endpoints may run them.
     pub service: String,
+    /// The name of the route of the job.
+    pub route: String,
     /// The task specification as submitted by the caller.
     pub spec: String,
     /// The resources that each task needs.
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -34,8 +34,8 @@
 pub use clock::RemoteClock;
 pub use counters::{Counters, Refusal};
 pub use frame::{
-    AgentFrame, Backlog, Checkpoint, EndpointSpeed, EndpointStatus, EntryFrame, FrameError,
-    InvalidBacklog, Order, Outcome, TaskEnd, TaskRun, Working, decode, encode,
+    AgentFrame, Backlog, Checkpoint, EndpointCrash, EndpointSpeed, EndpointStatus, EntryFrame,
+    FrameError, InvalidBacklog, LostRun, Order, Outcome, TaskEnd, TaskRun, Working, decode, encode,
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use lease_times::{InvalidLeaseTimes, LeaseTimes};
--- a/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
+++ b/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
@@ -29,6 +29,7 @@
         step: 0,
         indexes: vec![0],
         service: "service".to_owned(),
+        route: "route".to_owned(),
         spec: String::new(),
         needs: Resources::default(),
         priority: 0,
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -174,6 +174,7 @@
             step: 0,
             indexes: (0..tasks).collect(),
             service: "service".to_owned(),
+            route: "route".to_owned(),
             spec: String::new(),
             needs: Resources {
                 cpu: 1_000,
--- a/crates/fulmarpond-dispatch/tests/mutated_frames.rs
+++ b/crates/fulmarpond-dispatch/tests/mutated_frames.rs
@@ -5,9 +5,9 @@
 use fulmarpond_dispatch::entry::{Entry, EntryOptions};
 use fulmarpond_dispatch::ledger::{JobSpec, JobState};
 use fulmarpond_dispatch::{
-    AgentFrame, Backlog, Checkpoint, Class, EndpointId, EndpointState, EndpointStatus, EntryFrame,
-    JobId, LeaseTimes, LinkNo, Order, Outcome, Registration, Resources, TaskEnd, TaskKey, TaskRun,
-    Working, decode, encode,
+    AgentFrame, Backlog, Checkpoint, Class, EndpointCrash, EndpointId, EndpointState,
+    EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo, LostRun, Order, Outcome, Registration,
+    Resources, TaskEnd, TaskKey, TaskRun, Working, decode, encode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -34,6 +34,7 @@
         step: 0,
         indexes: vec![0, 1],
         service: "service".to_owned(),
+        route: "route".to_owned(),
         spec: "spec".to_owned(),
         needs: Resources::default(),
         expected_ms: 100,
@@ -111,6 +112,18 @@
         AgentFrame::Ended(vec![end.clone()]),
         AgentFrame::UnacknowledgedEnds(vec![end]),
         AgentFrame::Orphaned(vec![task()]),
+        AgentFrame::Crashed(EndpointCrash {
+            endpoint: EndpointId("i-1".to_owned()),
+            born: 1,
+            service: "service".to_owned(),
+            ago_ms: 0,
+            runs: vec![LostRun {
+                task: task(),
+                run: 1,
+                route: "route".to_owned(),
+                age_ms: 20,
+            }],
+        }),
     ];
     frames.iter().map(encode).collect()
 }
--- a/crates/fulmarpond-dispatch/tests/shares.rs
+++ b/crates/fulmarpond-dispatch/tests/shares.rs
@@ -216,6 +216,7 @@
                 step: 0,
                 indexes: vec![0],
                 service: "service".to_owned(),
+                route: "route".to_owned(),
                 spec: String::new(),
                 needs: Resources {
                     cpu: task.cores * 1_000,
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -178,6 +178,8 @@
             ("preempted", counters.preempted),
             ("unanswered", counters.unanswered),
             ("endpoint_restarts", counters.endpoint_restarts),
+            ("endpoint_crashes", counters.endpoint_crashes),
+            ("crashed_runs", counters.crashed_runs),
             ("links_lost", counters.links_lost),
             ("evacuations", counters.evacuations),
         ] {
