test(dispatch): tasks that crash their endpoints, known to fail

Cause: a run that is lost with its endpoint counts as nothing and is placed again at once. Change: the simulated endpoints learn tasks that crash them, the history checks the starts after three crashes and answers without cause.

--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/crashing_tasks.rs
@@ -0,0 +1,149 @@
+//! Tasks that crash each endpoint that starts them.
+
+mod support;
+
+use fulmarpond_dispatch::JobId;
+use fulmarpond_dispatch::entry::Answer;
+use support::{Demand, Options, Simulation};
+
+/// Time from the start of a task until it crashes its endpoint, in milliseconds.
+const CRASH_AFTER_MS: u64 = 20;
+
+const SHORT_JOB: Demand = Demand {
+    route: 0,
+    tasks: 8,
+    cpu: 3_100,
+    ..Demand::SHORT_TASK
+};
+
+const DEADLY_JOB: Demand = Demand {
+    crash_after_ms: Some(CRASH_AFTER_MS),
+    ..SHORT_JOB
+};
+
+const MEDIUM_JOB: Demand = Demand {
+    route: 1,
+    tasks: 2,
+    cpu: 3_100,
+    run_ms: 200,
+    ..Demand::SHORT_TASK
+};
+
+const LONG_JOB: Demand = Demand {
+    route: 2,
+    tasks: 4,
+    cpu: 3_100,
+    run_ms: 900,
+    ..Demand::SHORT_TASK
+};
+
+/// Returns a simulation of eleven endpoints that has run for a second.
+fn eleven_endpoints(seed: u64) -> Simulation {
+    let mut sim = Simulation::new(Options {
+        seed,
+        entries: 4,
+        agents: 11,
+        cpu: 32_000,
+        timeout_ms: 1_500,
+        ..Options::default()
+    });
+    sim.run_ms(1_000);
+    sim
+}
+
+/// The jobs of a load that uses seven tenths of eleven endpoints, by route.
+struct Load {
+    short: Vec<JobId>,
+    medium: Vec<JobId>,
+    long: Vec<JobId>,
+}
+
+/// Submits a load for `duration_ms` milliseconds. One of `deadly_every` short jobs is deadly; 0 for
+/// none.
+fn submit_load(sim: &mut Simulation, duration_ms: u64, deadly_every: u64) -> Load {
+    let mut load = Load {
+        short: Vec::new(),
+        medium: Vec::new(),
+        long: Vec::new(),
+    };
+    for number in 0..duration_ms / 29 {
+        if deadly_every > 0 && number % deadly_every == deadly_every / 2 {
+            sim.submit_at(number * 29, DEADLY_JOB);
+        } else {
+            load.short.push(sim.submit_at(number * 29, SHORT_JOB));
+        }
+    }
+    for number in 0..duration_ms / 10 {
+        load.medium.push(sim.submit_at(number * 10, MEDIUM_JOB));
+    }
+    for number in 0..duration_ms / 160 {
+        load.long.push(sim.submit_at(number * 160, LONG_JOB));
+    }
+    load
+}
+
+fn failed_jobs(sim: &Simulation, jobs: &[JobId]) -> usize {
+    let failed = |id: &&JobId| {
+        sim.reply(id)
+            .is_some_and(|reply| reply.answer == Answer::Failed)
+    };
+    jobs.iter().filter(failed).count()
+}
+
+/// Guards against a task that is lost with its endpoint and placed again without being counted: it
+/// crashed all endpoints, one after the other.
+#[test]
+fn a_task_that_crashes_endpoints_is_given_up_after_two() {
+    for seed in 1..=5 {
+        let mut sim = eleven_endpoints(seed);
+        let load = submit_load(&mut sim, 6_000, 0);
+        let deadly = sim.submit_at(2_000, DEADLY_JOB);
+        sim.run_ms(8_000);
+        let reply = sim.reply(&deadly).expect("an answer to the deadly job");
+        assert_eq!(reply.answer, Answer::Failed, "seed {seed}");
+        assert_eq!(sim.history.crash_count(), 2, "seed {seed}");
+        assert!(reply.age_ms < 600, "seed {seed}: after {} ms", reply.age_ms);
+        for jobs in [&load.short, &load.medium, &load.long] {
+            assert_eq!(failed_jobs(&sim, jobs), 0, "seed {seed}");
+        }
+        assert_eq!(sim.history.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+struct Storm {
+    name: &'static str,
+    /// One of this many short jobs is deadly.
+    deadly_every: u64,
+}
+
+/// Guards against the loss of all routes to the tasks of one: each crash takes an endpoint away for
+/// seconds, and everything that ran beside the task with it.
+#[test]
+fn other_routes_are_served_while_one_crashes_endpoints() {
+    let storms = [
+        Storm {
+            name: "one in ten",
+            deadly_every: 10,
+        },
+        Storm {
+            name: "one in fifty",
+            deadly_every: 50,
+        },
+    ];
+    for storm in storms {
+        let mut sim = eleven_endpoints(1);
+        let load = submit_load(&mut sim, 10_000, storm.deadly_every);
+        sim.run_ms(12_000);
+        let name = storm.name;
+        let (medium, long) = (
+            sim.on_time_share(&load.medium),
+            sim.on_time_share(&load.long),
+        );
+        assert!(medium >= 0.9, "{name}: medium jobs on time: {medium}");
+        assert!(long >= 0.9, "{name}: long jobs on time: {long}");
+        for jobs in [&load.short, &load.medium, &load.long] {
+            assert_eq!(failed_jobs(&sim, jobs), 0, "{name}");
+        }
+        assert_eq!(sim.history.violations, Vec::<String>::new(), "{name}");
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/support/demand.rs
+++ b/crates/fulmarpond-dispatch/tests/support/demand.rs
@@ -19,6 +19,9 @@
     pub long_running: bool,
     /// Maximum number of long-running tasks that may be stopped at the same time.
     pub may_miss: Option<u16>,
+    /// Time from its start until the first task of the job crashes the endpoint that runs it, in
+    /// milliseconds, if it does.
+    pub crash_after_ms: Option<u64>,
     /// Number of occurrences of a repeated job, delay of the first one after the first attempt to
     /// submit the job, and interval between them; both in milliseconds.
     pub repetition: Option<(u16, u64, u64)>,
@@ -35,6 +38,7 @@
         gang: false,
         long_running: false,
         may_miss: None,
+        crash_after_ms: None,
         repetition: None,
     };
 
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -11,6 +11,13 @@
 /// Maximum number of failed runs of a task, after which its job fails.
 pub const MAX_ATTEMPTS: u32 = 4;
 
+/// Number of endpoints after whose crash a task is started [`MAX_CRASHES`] times more only by a
+/// dispatcher that does not notice them.
+const MAX_CRASHES: u32 = 3;
+
+/// Number of endpoints that must have crashed under a task before its job may be given up.
+const MIN_CRASHES: u32 = 2;
+
 /// Time after the acknowledgement of a cancellation during which tasks of the job may still start,
 /// in milliseconds.
 const CANCEL_GRACE_MS: u64 = 3_000;
@@ -53,6 +60,12 @@
     /// Long-running tasks that were stopped while working: agent and number of the last stopped
     /// run.
     pub stopped_runs: HashMap<TaskKey, (usize, u32)>,
+    /// Number of endpoints that each task has crashed.
+    crashes: HashMap<TaskKey, u32>,
+    /// Number of starts of each task after it had crashed [`MAX_CRASHES`] endpoints.
+    starts_after_crashes: HashMap<TaskKey, u32>,
+    /// Number of runs that were lost because a run crashed their endpoint, including that run.
+    pub crashed_runs: usize,
     /// Jobs whose cancellation was requested.
     pub cancelled: HashSet<JobId>,
     /// Time at which the last fault is over and all processes are connected again, in milliseconds.
@@ -84,10 +97,33 @@
             let text = format!("{task} started at {at_ms} ms; its job was cancelled at {at} ms");
             self.violations.push(text);
         }
+        if self
+            .crashes
+            .get(task)
+            .is_some_and(|&crashes| crashes >= MAX_CRASHES)
+        {
+            let starts = self.starts_after_crashes.entry(task.clone()).or_default();
+            *starts += 1;
+            if *starts >= MAX_CRASHES {
+                let text = format!("{task} started {starts} times after {MAX_CRASHES} crashes");
+                self.violations.push(text);
+            }
+        }
         self.started_at.insert(task.clone(), at_ms);
         *self.starts.entry(task.job.clone()).or_default() += 1;
     }
 
+    /// Records that a run has crashed its endpoint, with the number of runs there.
+    pub fn record_crash(&mut self, task: &TaskKey, runs: usize) {
+        *self.crashes.entry(task.clone()).or_default() += 1;
+        self.crashed_runs += runs;
+    }
+
+    /// Returns the number of endpoints that runs have crashed.
+    pub fn crash_count(&self) -> u32 {
+        self.crashes.values().sum()
+    }
+
     /// Records the end of a run, and checks that its job was not cancelled long before.
     pub fn record_end(&mut self, task: &TaskKey, endpoint: usize, reason: EndReason, at_ms: u64) {
         if let Some(live) = self.running_at.get_mut(task)
@@ -198,9 +234,13 @@
             }
             Answer::Failed => {
                 let failed = self.failed_runs.iter().any(|(task, _)| task.job == *job);
-                if !failed {
-                    self.violations
-                        .push(format!("{job} was answered as failed without a failed run"));
+                let mut crashes = self.crashes.iter();
+                let crashed =
+                    crashes.any(|(task, count)| task.job == *job && *count >= MIN_CRASHES);
+                if !failed && !crashed {
+                    self.violations.push(format!(
+                        "{job} was answered as failed without a failed run or two crashes"
+                    ));
                 }
             }
             Answer::NotRun { .. } => {
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -10,12 +10,15 @@
 use super::callers::TASK_MEMORY;
 use super::endpoint::{Effect, EndpointFault, RESTORE_MS, RunPlan, WaitingHold};
 use super::simulation::{
-    DRAIN_GRACE_MS, Event, HEARTBEAT_MS, LOCAL_DELAY_US, MAX_STOP_MS, Simulation,
+    DRAIN_GRACE_MS, Event, Fault, HEARTBEAT_MS, LOCAL_DELAY_US, MAX_STOP_MS, Simulation,
 };
 
 /// Factor by which runs take longer at a cold endpoint.
 const COLD_SLOWDOWN: f64 = 1.5;
 
+/// Time until an endpoint that was crashed by a run is back, in milliseconds.
+const CRASH_MS: u64 = 3_200;
+
 /// Delay of a delayed call, in milliseconds.
 const DELAYED_CALL_MS: u64 = 2_000;
 
@@ -263,11 +266,38 @@
         if ends < Time::MAX {
             self.schedule_at(ends, Event::CheckEndpoint(agent));
         }
-        if self.demand_of(&task.job).gang {
+        let demand = self.demand_of(&task.job);
+        if let Some(millis) = demand.crash_after_ms
+            && task.index == 0
+        {
+            let endpoint = &self.endpoints[agent];
+            let run = endpoint.runs[task].number;
+            let crash = Event::RunCrashesEndpoint(agent, endpoint.incarnation, task.clone(), run);
+            self.schedule_in_ms(millis, crash);
+        }
+        if demand.gang {
             self.member_started(agent, task);
         }
     }
 
+    /// Crashes an endpoint if the run that does so has not ended before.
+    pub(super) fn run_crashes_endpoint(
+        &mut self,
+        agent: usize,
+        incarnation: u32,
+        task: &TaskKey,
+        run: u32,
+    ) {
+        let endpoint = &self.endpoints[agent];
+        let live = endpoint.runs.get(task);
+        if endpoint.incarnation != incarnation || live.is_none_or(|live| live.number != run) {
+            return;
+        }
+        tracing::debug!(%task, run, "run crashes its endpoint");
+        self.history.record_crash(task, endpoint.runs.len());
+        self.begin_fault(Fault::Endpoint(agent, EndpointFault::Crashed, CRASH_MS));
+    }
+
     pub(super) fn schedule_lease_checks(&mut self, agent: usize) {
         // Frequent checks detect the expiry of a lease within a few milliseconds.
         if !self.endpoints[agent].runs.is_empty() {
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -120,6 +120,8 @@
     EndExpiredRuns(usize),
     /// Endpoint, its incarnation, task, and number of the run.
     RunStopped(usize, u32, TaskKey, u32),
+    /// Endpoint, its incarnation, and the task and number of the run that crashes it.
+    RunCrashesEndpoint(usize, u32, TaskKey, u32),
     /// Endpoint and its incarnation.
     Heartbeat(usize, u32),
     /// A heartbeat of an earlier life of an endpoint.
@@ -713,6 +715,9 @@
                     self.end_run(agent, &task, EndReason::Cut);
                 }
             }
+            Event::RunCrashesEndpoint(agent, incarnation, task, run) => {
+                self.run_crashes_endpoint(agent, incarnation, &task, run);
+            }
             Event::Heartbeat(agent, incarnation) => self.heartbeat(agent, incarnation),
             Event::LateHeartbeat(agent, registration) => {
                 self.deliver_heartbeat(agent, *registration);
