fix(dispatch): give up tasks that crash endpoints, and quarantine their routes

Callers saw: all kinds of jobs refused with no_endpoint for ten seconds, since one job in ten of one route crashes endpoints. Cause: a run that is lost with its endpoint counted as nothing and was placed again at once, so one task crashed all endpoints (a poison pill); and with a limit for each task alone, every route still loses its endpoints to the crashes of one (no bulkhead). Change: entries attribute each crash to the lost jobs by Bayes' rule from the ages of the runs. A suspected job runs again as the only young one at its endpoint; with two crashes under one of its tasks and a probability of 0.98 it is answered as failed. Agents repeat their crashes to new entries. The route itself is served little while it is quarantined.

--- a/crates/fulmarpond-dispatch/src/agent/crashes.rs
+++ b/crates/fulmarpond-dispatch/src/agent/crashes.rs
@@ -14,12 +14,16 @@
 
 use super::Action;
 use super::agent::Agent;
-use super::run::Run;
+use super::run::{Phase, Run};
 use crate::{AgentFrame, EndpointCrash, EndpointState, LinkNo, LostRun, TaskKey};
 
 /// How long a crash is reported to entries that link later, in milliseconds.
 const CRASH_TTL_MS: u64 = 60_000;
 
+/// A task of a quarantined route does not wait for runs that are expected to take longer than this,
+/// in milliseconds.
+const MAX_AWAITED_RUN_MS: u32 = 2_000;
+
 /// The maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 16;
 
@@ -58,12 +62,15 @@
         };
         let is_planned = endpoint.deregistered_at.is_some()
             || endpoint.registration.state == EndpointState::Draining;
-        let at_endpoint = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.phase.uses_capacity());
-        let runs: Vec<LostRun> = at_endpoint
-            .map(|(task, run)| lost_run(task, run, now))
+        // The endpoint has crashed before a call got no reply. A start that was sent later has found
+        // no endpoint.
+        let crashed_at = endpoint.unanswered_since.unwrap_or(now);
+        let lost = self.runs.iter().filter(|(_, run)| {
+            run.phase.uses_capacity()
+                && (run.phase != Phase::Starting || run.started_at < crashed_at)
+        });
+        let runs: Vec<LostRun> = lost
+            .map(|(task, run)| lost_run(task, run, crashed_at))
             .collect();
         if is_planned || runs.is_empty() {
             return;
@@ -96,6 +103,34 @@
         self.crashes.push(crash, now);
     }
 
+    /// Returns until when a queued task has to wait, if it has to, because it or another run may crash
+    /// the endpoint.
+    pub(super) fn start_blocked_until(&self, task: &TaskKey, now: Time) -> Option<Time> {
+        let run = self.runs.get(task)?;
+        let is_in_danger = |other: &Run| {
+            other.phase.uses_capacity()
+                && !other.is_quarantined
+                && !other.is_long_running
+                && other.expected_ms <= MAX_AWAITED_RUN_MS
+        };
+        if run.is_quarantined && self.runs.values().any(is_in_danger) {
+            return Some(now.after_millis(Self::CHECK_INTERVAL_MS));
+        }
+        self.other_watched_until(task, run.watch_ms, now)
+    }
+
+    /// Returns when a queued task may start as far as watched runs are concerned, if it has to wait.
+    /// A watched run is the only young one at the endpoint, so that it is known which run causes a
+    /// crash. The tasks of one job start together.
+    fn other_watched_until(&self, task: &TaskKey, watch_ms: u32, now: Time) -> Option<Time> {
+        let others = self
+            .runs
+            .iter()
+            .filter(|(other, run)| run.phase.uses_capacity() && other.job != task.job);
+        let ends = others.map(|(_, run)| watched_until(run, run.watch_ms.max(watch_ms)));
+        ends.max().filter(|until| *until > now)
+    }
+
     /// Reports the recent crashes to an entry that has just linked.
     pub(super) fn repeat_crashes(&self, link: LinkNo, now: Time, out: &mut Vec<Action>) {
         for crash in self.crashes.reports(now) {
@@ -105,11 +140,17 @@
     }
 }
 
-fn lost_run(task: &TaskKey, run: &Run, now: Time) -> LostRun {
+/// Returns when a run is older than `watch_ms` milliseconds.
+const fn watched_until(run: &Run, watch_ms: u32) -> Time {
+    run.started_at.after_millis(watch_ms as u64)
+}
+
+fn lost_run(task: &TaskKey, run: &Run, crashed_at: Time) -> LostRun {
     LostRun {
         task: task.clone(),
         run: run.number,
         route: run.route.clone(),
-        age_ms: u32::try_from(now.millis_since(run.started_at)).unwrap_or(u32::MAX),
+        is_watched: crashed_at < watched_until(run, run.watch_ms),
+        age_ms: u32::try_from(crashed_at.millis_since(run.started_at)).unwrap_or(u32::MAX),
     }
 }
--- a/crates/fulmarpond-dispatch/src/agent/endpoint.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint.rs
@@ -60,6 +60,8 @@
     pub(super) reply_times: ReplyTimes,
     pub(super) speed: Speed,
     pub(super) lasting_speed: LastingSpeed,
+    /// When a call got no reply for the first time since the last reply, if one did.
+    pub(super) unanswered_since: Option<Time>,
     /// Whether it has answered calls in time.
     pub(super) is_reachable: bool,
     /// When all runs there have ended for certain, unless the lease is extended again.
@@ -96,6 +98,7 @@
             reply_times: ReplyTimes::default(),
             speed: Speed::default(),
             lasting_speed: LastingSpeed::default(),
+            unanswered_since: None,
             is_reachable: true,
             lease_expiry: now,
             forced_expiry_at: None,
@@ -163,11 +166,15 @@
 
     pub(super) const fn record_reply(&mut self) {
         self.reply_times.record_reply();
+        self.unanswered_since = None;
         self.answer_deadline = Time::MAX;
     }
 
     pub(super) const fn record_missing_reply(&mut self, now: Time) {
         self.reply_times.record_miss();
+        if self.unanswered_since.is_none() {
+            self.unanswered_since = Some(now);
+        }
         self.cautious_until = now.after_millis(CAUTION_MS);
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -61,6 +61,8 @@
                 is_listed: false,
                 checkpoint: checkpoint(order, index),
                 is_resumed: false,
+                watch_ms: order.watch_ms,
+                is_quarantined: order.is_quarantined,
                 max_run_ms: order.max_run_ms,
                 is_durable: order.is_durable,
                 is_gang: order.gang,
@@ -157,6 +159,10 @@
             let Some(task) = self.shares.next(shared, free, now, need) else {
                 break;
             };
+            if let Some(until) = self.start_blocked_until(&task, now) {
+                self.next_check = self.next_check.min(until);
+                return;
+            }
             self.start_run(&task, now, out);
         }
         self.preempt_runs(now, out);
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -94,6 +94,11 @@
     /// The expected run time on a nominal endpoint, in milliseconds; 0 if the run is no sample of
     /// the lasting speed.
     pub(super) nominal_ms: u32,
+    /// How long the run is watched because it may crash the endpoint, in milliseconds; 0 if it is
+    /// not.
+    pub(super) watch_ms: u32,
+    /// Whether its route is quarantined.
+    pub(super) is_quarantined: bool,
     /// The maximum run time, in milliseconds; the run is stopped after it.
     pub(super) max_run_ms: u32,
     /// The latest start that still meets the latency objective.
--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -29,11 +29,13 @@
     NoStore,
     /// All endpoints that could run the job are in evacuated zones.
     Evacuated,
+    /// Tasks of the route crash endpoints, and none of those that are left to it is up.
+    Quarantined,
 }
 
 impl Refusal {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::Invalid,
@@ -46,6 +48,7 @@
         Self::Stopping,
         Self::NoStore,
         Self::Evacuated,
+        Self::Quarantined,
     ];
 
     /// Returns the name of the reason in logs and metrics.
@@ -63,6 +66,7 @@
             Self::Stopping => "stopping",
             Self::NoStore => "no_store",
             Self::Evacuated => "evacuated",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -101,6 +105,8 @@
     pub endpoint_crashes: u64,
     /// Runs that were lost in these crashes.
     pub crashed_runs: u64,
+    /// Jobs that were given up because their tasks crash endpoints.
+    pub crashing_jobs: u64,
 }
 
 impl Counters {
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -8,7 +8,7 @@
 
 use super::agent_selection::{fits_shared_capacity, fits_when_empty};
 use super::configuration::Route;
-use super::entry::{Entry, RETRY_AFTER_S, ROUTINE};
+use super::entry::{Entry, ROUTINE, retry_after_s};
 use super::gangs::gang_fits;
 use super::job::Job;
 use super::submission::{Step, Submission};
@@ -36,10 +36,7 @@
 impl Entry {
     /// Refuses a request: counts and logs it, and answers the caller.
     pub fn refuse(&mut self, request: RequestNo, reason: Refusal, out: &mut Vec<Action>) {
-        let retry = match reason {
-            Refusal::NoRoute | Refusal::Invalid | Refusal::Unsupported => 0,
-            _ => RETRY_AFTER_S,
-        };
+        let retry = retry_after_s(reason);
         self.counters.refuse(reason);
         info!(
             request = request.0,
@@ -84,12 +81,18 @@
             });
             return;
         }
+        if self.crash_log.is_guilty(&id) {
+            self.answer_crashing(request, &id, out);
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(&id) {
             info!(job = %id, "duplicate request, its job is in progress");
             job.requests.push(request);
             self.requests.insert(request, id);
             return;
         }
+        self.workload
+            .record_job(route, &submission, &self.estimates, now);
         let mut job = self.new_job(&id, route, submission, now);
         job.requests.push(request);
         if let Err(reason) = self.check_servable(&job) {
@@ -196,6 +199,9 @@
                 Refusal::NoEndpoint
             });
         }
+        if self.is_shut_out(job) {
+            return Err(Refusal::Quarantined);
+        }
         let steps = &job.submission.steps;
         if steps.iter().any(|step| !self.step_fits(service, step)) {
             return Err(Refusal::NeverFits);
@@ -250,7 +256,7 @@
                 request,
                 answer: Answer::NotRun {
                     reason,
-                    retry: RETRY_AFTER_S,
+                    retry: retry_after_s(reason),
                 },
                 age: 0,
                 wait: 0,
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -230,7 +230,7 @@
                     view.cold_until = now.after_millis(u64::from(remaining_ms));
                 }
             }
-            AgentFrame::Crashed(crash) => self.record_crash(link, &crash, now),
+            AgentFrame::Crashed(crash) => self.handle_crash(link, &crash, now, out),
             AgentFrame::Speed(speed) => {
                 if let Some(view) = self.fleet.views.get_mut(&link) {
                     view.reported_speed = speed;
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/crash_log.rs
@@ -0,0 +1,214 @@
+//! Attribution of crashes to the jobs whose runs were lost in them.
+//!
+//! All runs at an endpoint are lost when one of them crashes it. Which one did is a matter of
+//! probability: a job is suspected more if its run had the age at which runs crash their endpoints,
+//! and if it was suspected before. A suspected task runs again as the only young run at its
+//! endpoint, so that a second crash leaves little doubt and its end clears it.
+//!
+//! All entries record all crashes, so they come to the same result, whichever of them owns a job.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use fulmarpond_core::Time;
+
+use super::crash_ages::CrashAges;
+use crate::{EndpointCrash, Incarnation, JobId, LostRun};
+
+/// How long a crash and its suspects are remembered, in milliseconds.
+const CRASH_TTL_MS: u64 = 90_000;
+
+/// The probability that a job crashes endpoints, before any crash.
+pub(super) const INITIAL_PROBABILITY: f64 = 0.001;
+
+/// The probability that an endpoint crashes for another reason while runs are there.
+const OTHER_CAUSE_PROBABILITY: f64 = 0.000_3;
+
+/// The likelihood that a run beside a watched one caused a crash, as a share of that without the
+/// watched run: it was older than the time for which runs are watched.
+const OLDER_SHARE: f64 = 0.1;
+
+/// The probability from which a job is suspected.
+const SUSPECT_PROBABILITY: f64 = 0.05;
+
+/// The probability from which a job is given up, by the number of crashes under one of its tasks.
+const GUILTY_PROBABILITIES: [(u32, f64); 3] = [(4, 0.5), (3, 0.9), (2, 0.98)];
+
+/// What is known of a job that was lost in crashes.
+#[derive(Debug)]
+struct Suspect {
+    probability: f64,
+    /// The number of endpoints that crashed under each of its tasks, by step and index.
+    crashes: BTreeMap<(u16, u16), u32>,
+    last_crash: Time,
+}
+
+impl Suspect {
+    const fn new(probability: f64, now: Time) -> Self {
+        Self {
+            probability,
+            crashes: BTreeMap::new(),
+            last_crash: now,
+        }
+    }
+
+    /// Returns the largest number of crashes under one of its tasks.
+    fn max_crashes(&self) -> u32 {
+        self.crashes.values().copied().max().unwrap_or_default()
+    }
+
+    fn is_guilty(&self) -> bool {
+        let crashes = self.max_crashes();
+        let mut limits = GUILTY_PROBABILITIES.iter();
+        let limit = limits.find(|(least, _)| crashes >= *least);
+        limit.is_some_and(|(_, probability)| self.probability >= *probability)
+    }
+}
+
+/// The part of a job in a crash.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Attribution {
+    pub(super) job: JobId,
+    pub(super) route: String,
+    /// The probability that the job crashes endpoints.
+    pub(super) probability: f64,
+    /// The number of endpoints that have crashed under one of its tasks.
+    pub(super) crashes: u32,
+    /// Whether the job is to be given up.
+    pub(super) is_guilty: bool,
+}
+
+impl Attribution {
+    /// Returns whether the job is suspected.
+    pub(super) fn is_suspected(&self) -> bool {
+        self.probability >= SUSPECT_PROBABILITY
+    }
+}
+
+/// The crashes of endpoints, and the jobs that are suspected of them.
+#[derive(Debug, Default)]
+pub(super) struct CrashLog {
+    /// The incarnations whose crash is counted, and when it was reported.
+    counted: VecDeque<(Time, Incarnation)>,
+    suspects: HashMap<JobId, Suspect>,
+    ages: CrashAges,
+}
+
+impl CrashLog {
+    /// Records a crash, and returns the part of each job in it; `None` if it was recorded before.
+    ///
+    /// `initial` returns the probability that a job of a route crashes endpoints, before any crash.
+    pub(super) fn record(
+        &mut self,
+        crash: &EndpointCrash,
+        initial: impl Fn(&str) -> f64,
+        now: Time,
+    ) -> Option<Vec<Attribution>> {
+        self.expire(now);
+        let incarnation = Incarnation {
+            id: crash.endpoint.clone(),
+            born: crash.born,
+        };
+        if self.counted.iter().any(|(_, known)| *known == incarnation) {
+            return None;
+        }
+        self.counted.push_back((now, incarnation));
+        let mut by_job: BTreeMap<&JobId, Vec<&LostRun>> = BTreeMap::new();
+        for run in &crash.runs {
+            by_job.entry(&run.task.job).or_default().push(run);
+        }
+        let has_watched = crash.runs.iter().any(|run| run.is_watched);
+        let likelihood = |run: &LostRun| match (run.is_watched, has_watched) {
+            (true, _) => 1.0,
+            (false, true) => self.ages.likelihood(run.age_ms) * OLDER_SHARE,
+            (false, false) => self.ages.likelihood(run.age_ms),
+        };
+        let causes: Vec<f64> = by_job
+            .iter()
+            .map(|(job, runs)| {
+                let likelihoods = runs.iter().map(|run| likelihood(run));
+                self.probability(job, runs, &initial) * likelihoods.fold(0.0, f64::max)
+            })
+            .collect();
+        let no_cause: f64 = causes.iter().map(|cause| 1.0 - cause).product();
+        let crash_probability = 1.0 - (1.0 - OTHER_CAUSE_PROBABILITY) * no_cause;
+        let parts = by_job.into_iter().zip(causes);
+        let attributions = parts
+            .map(|((job, runs), cause)| self.attribute(job, &runs, cause / crash_probability, now));
+        Some(attributions.collect())
+    }
+
+    /// Returns the probability that a job crashes endpoints, as far as is known before a crash.
+    fn probability(&self, job: &JobId, runs: &[&LostRun], initial: impl Fn(&str) -> f64) -> f64 {
+        match self.suspects.get(job) {
+            Some(suspect) => suspect.probability,
+            None => runs.first().map_or(0.0, |run| initial(&run.route)),
+        }
+    }
+
+    /// Updates what is known of a job; its most likely run gives the age if it is guilty now.
+    fn attribute(
+        &mut self,
+        job: &JobId,
+        runs: &[&LostRun],
+        probability: f64,
+        now: Time,
+    ) -> Attribution {
+        let suspect = self
+            .suspects
+            .entry(job.clone())
+            .or_insert(Suspect::new(probability, now));
+        let was_guilty = suspect.is_guilty();
+        suspect.probability = probability;
+        suspect.last_crash = now;
+        for run in runs {
+            let crashes = suspect
+                .crashes
+                .entry((run.task.step, run.task.index))
+                .or_default();
+            *crashes += 1;
+        }
+        let is_guilty = suspect.is_guilty();
+        let crashes = suspect.max_crashes();
+        if is_guilty && !was_guilty {
+            let under_crashes = |run: &&&LostRun| {
+                suspect.crashes.get(&(run.task.step, run.task.index)) == Some(&crashes)
+            };
+            let ages = runs.iter().filter(under_crashes).map(|run| run.age_ms);
+            if let Some(age_ms) = ages.min() {
+                self.ages.learn(age_ms);
+            }
+        }
+        Attribution {
+            job: job.clone(),
+            route: runs
+                .first()
+                .map_or_else(String::new, |run| run.route.clone()),
+            probability,
+            crashes,
+            is_guilty,
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        let is_recent = |at: Time| now.millis_since(at) < CRASH_TTL_MS;
+        self.counted.retain(|(at, _)| is_recent(*at));
+        self.suspects
+            .retain(|_, suspect| is_recent(suspect.last_crash));
+    }
+
+    /// Returns whether a job is given up because its tasks crash endpoints.
+    pub(super) fn is_guilty(&self, job: &JobId) -> bool {
+        self.suspects.get(job).is_some_and(Suspect::is_guilty)
+    }
+
+    /// Returns whether a job is suspected of crashing endpoints.
+    pub(super) fn is_suspected(&self, job: &JobId) -> bool {
+        let suspect = self.suspects.get(job);
+        suspect.is_some_and(|suspect| suspect.probability >= SUSPECT_PROBABILITY)
+    }
+
+    /// Returns how long a run that may crash its endpoint is watched, in milliseconds.
+    pub(super) fn watch_ms(&self) -> u32 {
+        self.ages.watch_ms()
+    }
+}
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -8,13 +8,15 @@
 
 use super::advice::Advice;
 use super::configuration::{Configuration, Route};
-use super::crashes::CountedCrashes;
+use super::crash_log::CrashLog;
 use super::durable_jobs::DurableJobs;
 use super::endpoint_speeds::{EndpointSpeeds, KnownSpeed};
 use super::estimates::Estimates;
 use super::fleet::Fleet;
 use super::job::{Job, TaskState};
+use super::quarantine::Quarantine;
 use super::series::OwnedSeries;
+use super::workload::Workload;
 use super::{Action, Answer, RequestNo};
 use crate::directory::AnnouncedEntry;
 use crate::evacuation::Evacuations;
@@ -27,6 +29,19 @@
 /// The retry delay that refused callers are told, in seconds.
 pub(super) const RETRY_AFTER_S: u32 = 1;
 
+/// The retry delay for callers of a route that has no endpoint because its tasks have crashed all
+/// that are left to it, in seconds. Endpoints need some seconds to return.
+const QUARANTINE_RETRY_S: u32 = 3;
+
+/// Returns the retry delay for a refused request, in seconds.
+pub(super) const fn retry_after_s(reason: Refusal) -> u32 {
+    match reason {
+        Refusal::NoRoute | Refusal::Invalid | Refusal::Unsupported => 0,
+        Refusal::Quarantined => QUARANTINE_RETRY_S,
+        _ => RETRY_AFTER_S,
+    }
+}
+
 /// How long a final answer is retained for duplicates of its request, in milliseconds.
 const ANSWER_RETENTION_MS: u64 = 10_000;
 
@@ -79,7 +94,9 @@
     pub(super) estimates: Estimates,
     pub(super) speeds: EndpointSpeeds,
     pub(super) advice: Advice,
-    pub(super) counted_crashes: CountedCrashes,
+    pub(super) crash_log: CrashLog,
+    pub(super) quarantine: Quarantine,
+    pub(super) workload: Workload,
     pub(super) entries: Vec<SocketAddr>,
     pub(super) next_check: Time,
     /// The earliest time of the next attempt to place waiting tasks.
@@ -125,7 +142,9 @@
             estimates: Estimates::default(),
             speeds: EndpointSpeeds::default(),
             advice: Advice::default(),
-            counted_crashes: CountedCrashes::default(),
+            crash_log: CrashLog::default(),
+            quarantine: Quarantine::default(),
+            workload: Workload::default(),
             entries: Vec::new(),
             next_check: now,
             next_placement: now,
@@ -400,7 +419,7 @@
         let answer = if not_run {
             Answer::NotRun {
                 reason,
-                retry: RETRY_AFTER_S,
+                retry: retry_after_s(reason),
             }
         } else {
             Answer::MayHaveRun { reason }
@@ -432,6 +451,8 @@
         self.next_check = now.after_millis(CHECK_INTERVAL_MS);
         self.close_silent_links(now, out);
         self.speeds.update(&mut self.fleet, now);
+        self.workload.sample(&self.fleet, now);
+        self.update_quarantine(now);
         self.check_lease(now, out);
         self.check_series(now);
         self.release_durable(out);
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -84,15 +84,17 @@
         let is_excluded = |link: LinkNo| {
             let max_per_endpoint = step.spread.map(usize::from);
             !self.is_allowed(job, task.step, link, now)
+                || !self.is_outside_protection(job, link)
                 || max_per_endpoint.is_some_and(|max| placed_at(link) >= max)
         };
         // Long-running tasks of a step that share an endpoint would be lost together.
         let extra_cost = |link: LinkNo| {
-            if step.long_running {
+            let shared = if step.long_running {
                 placed_at(link) as f64 * SHARED_ENDPOINT_COST_MS
             } else {
                 0.0
-            }
+            };
+            shared + self.quarantine_cost_ms(job, link)
         };
         choose(
             &self.fleet,
@@ -134,6 +136,10 @@
 
     /// Places the tasks of a job that are ready. Returns whether any was placed.
     pub(super) fn place(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> bool {
+        if self.crash_log.is_guilty(id) {
+            self.give_up_crashing(id, now, out);
+            return false;
+        }
         let Some(mut job) = self.jobs.remove(id) else {
             return false;
         };
@@ -319,6 +325,8 @@
             nominal_ms: if is_local { nominal_ms } else { 0 },
             slack_ms: u32::try_from(slack_ms).unwrap_or(u32::MAX),
             remaining_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
+            watch_ms: self.watch_ms(job),
+            is_quarantined: self.quarantine.contains(&job.route.name),
             max_run_ms: Self::max_run_ms(job, step, expected_ms),
             is_durable: job.state.is_some() && !definition.long_running,
             epoch,
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -125,6 +125,8 @@
     pub route: String,
     /// The time from the start of the run to the crash, in milliseconds.
     pub age_ms: u32,
+    /// Whether the run was being watched, so that no run of another job was as young.
+    pub is_watched: bool,
 }
 
 /// The lasting speed of an endpoint, as its run times show it.
@@ -339,6 +341,13 @@
     pub slack_ms: u32,
     /// The time until the deadline of the caller, in milliseconds; `u32::MAX` for none.
     pub remaining_ms: u32,
+    /// How long a run is watched because it may crash the endpoint, in milliseconds; 0 if it is not.
+    /// While it is watched, no run of another job starts, and it starts only when no run of another
+    /// job is as young as that.
+    pub watch_ms: u32,
+    /// Whether the route is quarantined: its tasks start only where no short run of another route is
+    /// left that they could take down.
+    pub is_quarantined: bool,
     /// The maximum run time, after which a run is stopped, in milliseconds.
     pub max_run_ms: u32,
     /// Whether the agent holds the results until they are stored.
--- a/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
+++ b/crates/fulmarpond-dispatch/tests/evacuation_reading.rs
@@ -37,6 +37,8 @@
         nominal_ms: 50,
         slack_ms: 5_000,
         remaining_ms: u32::MAX,
+        watch_ms: 0,
+        is_quarantined: false,
         max_run_ms: 1_000,
         is_durable: false,
         epoch: 0,
--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -186,6 +186,8 @@
             nominal_ms: expected_ms,
             slack_ms: 100,
             remaining_ms: 1_500,
+            watch_ms: 0,
+            is_quarantined: false,
             max_run_ms: 5_000,
             is_durable: false,
             epoch: 0,
--- a/crates/fulmarpond-dispatch/tests/mutated_frames.rs
+++ b/crates/fulmarpond-dispatch/tests/mutated_frames.rs
@@ -42,6 +42,8 @@
         priority: 1,
         slack_ms: 100,
         remaining_ms: 1_000,
+        watch_ms: 0,
+        is_quarantined: false,
         max_run_ms: 1_000,
         is_durable: true,
         epoch: 1,
@@ -122,6 +124,7 @@
                 run: 1,
                 route: "route".to_owned(),
                 age_ms: 20,
+                is_watched: true,
             }],
         }),
     ];
--- a/crates/fulmarpond-dispatch/tests/shares.rs
+++ b/crates/fulmarpond-dispatch/tests/shares.rs
@@ -228,6 +228,8 @@
                 nominal_ms: task.run_ms,
                 slack_ms: task.slack_ms,
                 remaining_ms: 5_000,
+                watch_ms: 0,
+                is_quarantined: false,
                 max_run_ms: 5_000,
                 is_durable: task.is_durable,
                 epoch: 0,
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -257,6 +257,7 @@
                 ("jobs", self.entry.jobs() as u64),
                 ("agents", self.entry.agents() as u64),
                 ("ready_agents", self.entry.ready_agents() as u64),
+                ("quarantined_routes", self.entry.quarantined_routes() as u64),
                 ("evacuated_zones", self.entry.evacuated_zones() as u64),
                 ("evacuated_agents", self.entry.evacuated_agents() as u64),
                 ("configuration_version", self.entry.version()),
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -180,6 +180,7 @@
             ("endpoint_restarts", counters.endpoint_restarts),
             ("endpoint_crashes", counters.endpoint_crashes),
             ("crashed_runs", counters.crashed_runs),
+            ("crashing_jobs", counters.crashing_jobs),
             ("links_lost", counters.links_lost),
             ("evacuations", counters.evacuations),
         ] {
