--- a/crates/fulmarpond-dispatch/src/agent/crashes.rs
+++ b/crates/fulmarpond-dispatch/src/agent/crashes.rs
@@ -59,12 +59,13 @@
 }
 
 impl Agent {
-    /// Reports a crash of the current incarnation, unless it has announced its end or ran nothing.
+    /// Reports a crash of the current incarnation, unless it has announced its end, ran nothing, or has
+    /// not replied for a while.
     pub(super) fn report_crash(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(endpoint) = &self.endpoint else {
             return;
         };
-        let is_untold = now.millis_since(endpoint.last_reply) > MAX_SILENCE_MS;
+        let is_silent = now.millis_since(endpoint.last_reply) > MAX_SILENCE_MS;
         let is_planned = endpoint.deregistered_at.is_some()
             || endpoint.registration.state == EndpointState::Draining;
         // The endpoint has crashed before a call got no reply. A start that was sent later has found
@@ -77,7 +78,7 @@
         let runs: Vec<LostRun> = lost
             .map(|(task, run)| lost_run(task, run, crashed_at))
             .collect();
-        if is_planned || is_untold || runs.is_empty() {
+        if is_planned || is_silent || runs.is_empty() {
             return;
         }
         let crash = EndpointCrash {
