--- a/crates/fulmarpond-dispatch/src/entry/crash_log.rs
+++ b/crates/fulmarpond-dispatch/src/entry/crash_log.rs
@@ -33,7 +33,7 @@
 /// The probability from which a job is given up, by the number of crashes under one of its tasks.
 const GUILTY_PROBABILITIES: [(u32, f64); 3] = [(4, 0.5), (3, 0.9), (2, 0.98)];
 
-/// The number of crashes from which a job is given up whatever the ages of its runs.
+/// The number of crashes from which a job may be given up whatever the ages of its runs.
 const MIN_UNLIKE_CRASHES: u32 = 4;
 
 /// The number of crashes at a similar age from which a job may be given up.
@@ -202,7 +202,8 @@
         }
     }
 
-    /// Updates what is known of a job; its most likely run gives the age if it is guilty now.
+    /// Updates what is known of a job, and learns the age of its youngest run of those lost at a
+    /// similar age again if it is guilty from now on.
     fn attribute(
         &mut self,
         job: &JobId,
--- a/crates/fulmarpond-dispatch/src/entry/quarantine.rs
+++ b/crates/fulmarpond-dispatch/src/entry/quarantine.rs
@@ -2,9 +2,8 @@
 //!
 //! Each crash takes an endpoint away for seconds, and every job that crashes endpoints needs two
 //! crashes until it is given up. So while a route has such jobs, its tasks run only on a part of the
-//! endpoints. The other endpoints are protected: as many as the other
-//! routes of the service need. The quarantine ends when no crash was attributed to the route for a
-//! while.
+//! endpoints. The others are protected: as many as the other routes of the service need. The
+//! quarantine ends when no crash was attributed to the route for a while.
 //!
 //! All entries see the same crashes and rank hosts alike, so they protect nearly the same ones.
 
