--- a/crates/fulmarpond-dispatch/src/entry/configuration.rs
+++ b/crates/fulmarpond-dispatch/src/entry/configuration.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns the number of routes.
+    pub const fn route_count(&self) -> usize {
+        self.routes.len()
+    }
+
     /// Returns the route of a request with the longest matching prefix, and the rest of the path.
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(Rc<Route>, &'a str)> {
         let host = host.split(':').next().unwrap_or_default();
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -89,7 +89,10 @@
     /// Sends an attempt to a random entry that is up, and schedules its time-out.
     pub(super) fn submit_attempt(&mut self, id: &JobId, attempt: u32) {
         let running: Vec<usize> = (0..self.entries.len())
-            .filter(|&entry| self.entries[entry].core.is_some())
+            .filter(|&entry| {
+                let core = self.entries[entry].core.as_ref();
+                core.is_some_and(|core| core.configuration().is_some())
+            })
             .collect();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -52,6 +52,7 @@
                 );
             }
             Fault::PauseEntry(entry, millis) => {
+                self.excuse_entry(entry, millis);
                 self.entries[entry].paused_until = self.now.after_millis(millis);
             }
             Fault::KillAgent(agent) => self.kill_agent(agent),
@@ -70,11 +71,15 @@
                 self.agents[agent].paused_until = self.now.after_millis(millis);
             }
             Fault::BlockLinks(agent, entry, millis) => {
+                self.excuse_entry(entry, millis);
                 self.blocked_links.insert((agent, entry));
                 self.silence_links(agent, entry);
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
             }
-            Fault::SilenceLinks(agent, entry) => self.silence_links(agent, entry),
+            Fault::SilenceLinks(agent, entry) => {
+                self.excuse_entry(entry, 0);
+                self.silence_links(agent, entry);
+            }
             Fault::Endpoint(agent, endpoint_fault, millis) => {
                 self.endpoints[agent].fault = endpoint_fault;
                 if endpoint_fault == EndpointFault::Crashed {
@@ -204,6 +209,7 @@
                 self.schedule_in_ms(resend_ms, Event::Submit(id, attempt + 1));
             }
         }
+        self.excuse_entry(entry, 800);
         self.schedule_in_ms(800, Event::StartEntry(entry));
     }
 
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod advice;
 mod callers;
 mod cases;
+mod configurations;
 mod demand;
 mod endpoint;
 mod evacuations;
@@ -29,7 +30,7 @@
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use endpoint::EndpointFault;
 #[allow(unused_imports, reason = "not used by every test file")]
-pub use options::{Kind, KnownSpeeds, Options};
+pub use options::{EntrySize, Kind, KnownSpeeds, Options};
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use simulation::{Fault, Simulation};
 #[allow(unused_imports, reason = "not used by every test file")]
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -24,6 +24,23 @@
     Exact,
 }
 
+/// What bytes cost an entry.
+#[derive(Debug, Clone, Copy)]
+pub struct EntrySize {
+    /// Bandwidth of its link in each direction, in bytes per millisecond.
+    pub link_bytes: u64,
+    /// Time that it takes to encode or decode a kilobyte of a configuration, in microseconds.
+    pub codec_us: u64,
+}
+
+impl EntrySize {
+    /// An entry on a small machine: 25 Mbit/s and an eighth of a core.
+    pub const SMALL: Self = Self {
+        link_bytes: 3_125,
+        codec_us: 80,
+    };
+}
+
 /// Sizes and durations of the simulated platform.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -45,6 +62,11 @@
     pub evacuation_ms: Option<u64>,
     /// Whether the simulation has a host service, which carries out maintenance.
     pub hosts: bool,
+    /// What bytes cost an entry; without it, they cost nothing.
+    pub entry_size: Option<EntrySize>,
+    /// Whether entries read the configuration from the store, and the operator changes it there. The
+    /// simulation then has a store, even without durable jobs.
+    pub changes_configuration: bool,
     /// Whether endpoints say when they were started, and may restart under their id.
     pub has_born: bool,
     /// Advice policy of all routes, if any.
@@ -75,6 +97,8 @@
             is_durable: false,
             evacuation_ms: None,
             hosts: false,
+            entry_size: None,
+            changes_configuration: false,
             has_born: true,
             advice: None,
             advice_busy: 0,
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -20,6 +20,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::configurations::Configurations;
 use super::demand::{Demand, Reply};
 use super::endpoint::{Endpoint, EndpointFault};
 use super::evacuations::{AgentStoreCall, EvacuationState};
@@ -135,7 +136,8 @@
     StartEntry(usize),
     StartAgent(usize),
     StoreCallArrives(InFlightCall),
-    StoreAnswered(CallKey, Activity, StoreOutcome),
+    /// Call, its activity, size of the reply in bytes, and the outcome.
+    StoreAnswered(CallKey, Activity, u64, StoreOutcome),
     WatchTimesOut(CallKey),
     GangTimesOut(GangKey),
     AdviceAnswered(usize, u32, Result<Vec<Allowed>, AdviceFailure>),
@@ -147,6 +149,13 @@
     AgentStoreCallArrives(AgentStoreCall),
     AgentStoreAnswered(AgentStoreCall, Option<StoreReply>),
     AgentWatchTimesOut(AgentStoreCall),
+    /// Number of routes that the operator adds.
+    ChangeConfiguration(usize),
+    /// Number of the change.
+    ConfigurationAcked(usize),
+    SendProbe(usize),
+    /// Entry, its generation, number of the change that is asked for, and when it was sent.
+    Probe(usize, u32, usize, Time),
 }
 
 /// A simulated process.
@@ -222,22 +231,13 @@
     /// Store calls whose outcome was delivered.
     pub(super) answered_store_calls: HashSet<CallKey>,
     pub evacuations: EvacuationState,
+    pub configurations: Configurations,
     pub history: History,
 }
 
 impl Simulation {
     pub fn new(options: Options) -> Self {
-        let routes = (0..3).map(|number| Route {
-            name: format!("route-{number}"),
-            host: "host".to_owned(),
-            prefix: format!("/{number}/"),
-            service: "service".to_owned(),
-            priority: number,
-            attempts: MAX_ATTEMPTS,
-            stretch: 1.6,
-            target_ms: 60,
-            advice: options.advice,
-        });
+        let routes = base_routes(&options);
         let lease_times = LeaseTimes::new(options.resend_ms, 1_000, MAX_STOP_MS)
             .expect("the resend delay leaves time for leases");
         let mut sim = Self {
@@ -259,7 +259,7 @@
             pending_requests: HashMap::new(),
             pending_cancels: HashMap::new(),
             demands: HashMap::new(),
-            configuration: Configuration::new(1, routes.collect(), None),
+            configuration: Configuration::new(1, routes, None),
             drain_acked_at: HashMap::new(),
             agent_started_at: HashMap::new(),
             store: Store::default(),
@@ -271,9 +271,10 @@
             active_gangs: HashMap::new(),
             answered_store_calls: HashSet::new(),
             evacuations: EvacuationState::default(),
+            configurations: Configurations::default(),
             history: History::default(),
         };
-        sim.store.configuration = Some(sim.configuration.clone());
+        sim.store.set_configuration(sim.configuration.clone());
         for entry in 0..options.entries {
             sim.directories.push(None);
             sim.maintenance.push(None);
@@ -297,6 +298,10 @@
         sim
     }
 
+    pub(super) fn base_routes(&self) -> Vec<Route> {
+        base_routes(&self.options)
+    }
+
     /// Returns a simulation with a store and three entries that has run for a second.
     pub fn with_store(seed: u64) -> Self {
         let mut sim = Self::new(Options {
@@ -359,6 +364,14 @@
         core.map(|core| core.counters.clone()).unwrap_or_default()
     }
 
+    /// Returns the number of links that agents have lost.
+    pub fn links_lost(&self) -> u64 {
+        let agents = 0..self.agents.len();
+        agents
+            .map(|agent| self.agent_counters(agent).links_lost)
+            .sum()
+    }
+
     pub fn is_ready(&self, entry: usize) -> bool {
         self.entries[entry]
             .core
@@ -384,7 +397,9 @@
             advises: self.options.advice.is_some(),
         };
         let mut core = Entry::new(options, self.now);
-        core.configure(self.configuration.clone(), &mut Vec::new());
+        if !self.options.changes_configuration {
+            core.configure(self.configuration.clone(), &mut Vec::new());
+        }
         self.directories[entry] = self.new_directory(self.now);
         self.maintenance[entry] = self.new_maintenance(entry);
         self.entries[entry].start(core);
@@ -608,10 +623,16 @@
         if !state.is_open || state.is_silent {
             return;
         }
-        let arrival = now
+        let entry = state.entry;
+        let earliest = now
             .after_micros(LINK_DELAY_US)
             .max(state.last_arrival[direction].after_micros(1));
-        state.last_arrival[direction] = arrival;
+        let len = bytes.len() as u64;
+        let arrival = self.pass_entry_link(entry, direction, len, earliest);
+        if direction == 1 {
+            self.spend_codec_time(entry, len);
+        }
+        self.links[number].last_arrival[direction] = arrival;
         let event = if direction == 0 {
             Event::FrameArrivesAtEntry(number, bytes, None)
         } else {
@@ -730,8 +751,8 @@
             Event::StartEntry(entry) => self.start_entry(entry),
             Event::StartAgent(agent) => self.start_agent(agent),
             Event::StoreCallArrives(sent) => self.store_call_arrives(sent),
-            Event::StoreAnswered(by, activity, outcome) => {
-                self.handle_store_reply(by, activity, outcome);
+            Event::StoreAnswered(by, activity, bytes, outcome) => {
+                self.handle_store_reply(by, activity, bytes, outcome);
             }
             Event::WatchTimesOut(by) => self.watch_times_out(by),
             Event::AdviceAnswered(entry, generation, outcome) => {
@@ -751,6 +772,12 @@
             Event::AgentStoreCallArrives(sent) => self.agent_store_call_arrives(sent),
             Event::AgentStoreAnswered(sent, reply) => self.agent_store_answered(&sent, reply),
             Event::AgentWatchTimesOut(sent) => self.agent_watch_times_out(sent),
+            Event::ChangeConfiguration(routes) => self.change_configuration(routes),
+            Event::ConfigurationAcked(index) => self.configuration_acked(index),
+            Event::SendProbe(entry) => self.send_probe(entry),
+            Event::Probe(entry, generation, index, sent) => {
+                self.probe(entry, generation, index, sent);
+            }
         }
     }
 
@@ -796,6 +823,7 @@
         if !is_received || self.postpone_if_paused(process.paused_until, &event) {
             return;
         }
+        self.spend_codec_time(entry, bytes.len() as u64);
         let frame: AgentFrame = decode(bytes).expect("a valid frame from an agent");
         let link = LinkNo(number as u64);
         self.with_entry(entry, |core, now, out| {
@@ -829,6 +857,21 @@
     }
 }
 
+fn base_routes(options: &Options) -> Vec<Route> {
+    let routes = (0..3).map(|number| Route {
+        name: format!("route-{number}"),
+        host: "host".to_owned(),
+        prefix: format!("/{number}/"),
+        service: "service".to_owned(),
+        priority: number,
+        attempts: MAX_ATTEMPTS,
+        stretch: 1.6,
+        target_ms: 60,
+        advice: options.advice,
+    });
+    routes.collect()
+}
+
 impl<T> Process<T> {
     const fn new() -> Self {
         Self {
--- a/crates/fulmarpond-dispatch/tests/support/store.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store.rs
@@ -43,20 +43,26 @@
 enum Change {
     Job(JobId),
     Entries,
+    Configuration,
     Operator,
     Evacuations,
 }
 
 impl Change {
     const fn is_by_operator(&self) -> bool {
-        matches!(self, Self::Operator | Self::Evacuations)
+        matches!(
+            self,
+            Self::Configuration | Self::Operator | Self::Evacuations
+        )
     }
 }
 
 #[derive(Debug, Default)]
 pub struct Store {
     pub fault: StoreFault,
-    pub configuration: Option<Configuration>,
+    configuration: Option<Configuration>,
+    /// Number of routes of the configuration.
+    routes: usize,
     jobs: BTreeMap<JobId, Item>,
     entries: BTreeMap<String, (AnnouncedEntry, u64)>,
     leases: BTreeMap<u64, Lease>,
@@ -91,7 +97,6 @@
                 value: self.configuration.clone(),
                 at,
             },
-            // The configuration never changes in the simulation; only waves do.
             StoreCall::WatchOperator { after, .. } => {
                 self.changes_after(*after, Change::is_by_operator)?
             }
@@ -251,7 +256,10 @@
         let mut jobs: Vec<&JobId> = later
             .filter_map(|(_, change)| match change {
                 Change::Job(job) => Some(job),
-                Change::Entries | Change::Operator | Change::Evacuations => None,
+                Change::Entries
+                | Change::Configuration
+                | Change::Operator
+                | Change::Evacuations => None,
             })
             .collect();
         jobs.sort();
@@ -299,6 +307,25 @@
         StoreReply::Written
     }
 
+    /// Replaces the configuration, as an operator does.
+    pub fn set_configuration(&mut self, configuration: Configuration) {
+        self.routes = configuration.route_count();
+        self.configuration = Some(configuration);
+        self.record_changes([Change::Configuration]);
+    }
+
+    pub const fn route_count(&self) -> usize {
+        self.routes
+    }
+
+    /// Returns the number of changes of the configuration after a revision.
+    pub fn configuration_changes_after(&self, after: u64) -> u64 {
+        let later = self.changes.iter().filter(|(at, _)| *at > after);
+        later
+            .filter(|(_, change)| *change == Change::Configuration)
+            .count() as u64
+    }
+
     /// Adds a wave, as an operator does.
     pub fn add_wave(&mut self, wave: Wave) {
         self.waves.push(wave);
--- a/crates/fulmarpond-dispatch/tests/support/store_calls.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store_calls.rs
@@ -71,7 +71,7 @@
             is_delayed: false,
         };
         self.schedule_in_us(STORE_DELAY_US, Event::StoreCallArrives(sent));
-        self.schedule_in_ms(timeout, Event::StoreAnswered(by, activity, None));
+        self.schedule_in_ms(timeout, Event::StoreAnswered(by, activity, 0, None));
     }
 
     pub(super) fn store_call_arrives(&mut self, mut sent: InFlightCall) {
@@ -156,13 +156,24 @@
             StoreFault::Slow(millis) => millis * 1_000,
             _ => STORE_DELAY_US,
         };
-        self.schedule_in_us(delay, Event::StoreAnswered(sent.by, sent.activity, outcome));
+        let bytes = match &outcome {
+            Some(Ok(reply)) => self.store_reply_bytes(&sent.call, reply),
+            _ => 0,
+        };
+        let sent_at = self.pass_store_link(bytes, self.now);
+        let earliest = sent_at.after_micros(delay);
+        let arrival = self.pass_entry_link(sent.by.entry, 0, bytes, earliest);
+        self.schedule_at(
+            arrival,
+            Event::StoreAnswered(sent.by, sent.activity, bytes, outcome),
+        );
     }
 
     pub(super) fn handle_store_reply(
         &mut self,
         by: CallKey,
         activity: Activity,
+        bytes: u64,
         outcome: StoreOutcome,
     ) {
         let CallKey {
@@ -171,11 +182,12 @@
         if self.entries[entry].generation != generation || self.answered_store_calls.contains(&by) {
             return;
         }
-        let event = Event::StoreAnswered(by, activity, outcome.clone());
+        let event = Event::StoreAnswered(by, activity, bytes, outcome.clone());
         if self.postpone_if_paused(self.entries[entry].paused_until, &event) {
             return;
         }
         self.answered_store_calls.insert(by);
+        self.spend_codec_time(entry, bytes);
         if matches!(
             activity,
             Activity::Jobs | Activity::Commit(_) | Activity::Job | Activity::Lookup
@@ -241,13 +253,16 @@
     }
 
     pub(super) fn new_directory(&self, now: Time) -> Option<Directory> {
-        let has_store = self.options.is_durable || self.options.evacuation_ms.is_some();
+        let has_store = self.options.is_durable
+            || self.options.evacuation_ms.is_some()
+            || self.options.changes_configuration;
         has_store.then(|| Directory::new(now))
     }
 
     pub(super) fn set_store_fault(&mut self, fault: Fault) {
         match fault {
             Fault::Store(store_fault, millis) => {
+                self.excuse_all_entries(millis);
                 self.store.fault = store_fault;
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
             }
