fix(reactor): let a reply that keeps arriving postpone the deadline of its call

Cause: a read of the configuration had 450 ms, whatever its size. 2,800 routes take some 700 KB; over 25 Mbit/s beside other traffic they take longer, so the call failed, its bytes were thrown away and the next one began anew.

Change: a part of a reply postpones the deadline by 500 ms, up to a last deadline. A silent connection is noticed as before.

--- a/crates/fulmarpond-reactor/src/call.rs
+++ b/crates/fulmarpond-reactor/src/call.rs
@@ -24,6 +24,9 @@
     /// When the call fails if no reply has arrived: with [`CallError::NotConnected`] if it was not
     /// sent yet, otherwise with [`CallError::Timeout`].
     pub deadline: Instant,
+    /// Until when a reply that keeps arriving postpones the deadline, so that a large one over a
+    /// slow link does not fail.
+    pub last_deadline: Instant,
 }
 
 /// The reply of an HTTP server.
--- a/crates/fulmarpond-reactor/src/pool.rs
+++ b/crates/fulmarpond-reactor/src/pool.rs
@@ -24,6 +24,8 @@
     pub(crate) id: CallId,
     pub(crate) bytes: Vec<u8>,
     pub(crate) deadline: Instant,
+    /// Until when a reply that keeps arriving postpones the deadline.
+    pub(crate) last_deadline: Instant,
 }
 
 /// The connections to one address, with the calls that wait for one of them.
--- a/crates/fulmarpond-reactor/src/reactor/client.rs
+++ b/crates/fulmarpond-reactor/src/reactor/client.rs
@@ -28,6 +28,7 @@
             id,
             bytes: encode_call(addr, call),
             deadline: call.deadline,
+            last_deadline: call.last_deadline,
         };
         if let Some(key) = self.pools[pool].idle.pop() {
             self.assign_call(key, pending);
@@ -97,7 +98,12 @@
                 }
             }
             ParsedReply::Partial if is_closed => self.fail_client(key, CallError::Lost),
-            ParsedReply::Partial => {}
+            ParsedReply::Partial => {
+                if let Some(call) = &mut conn.call {
+                    let next = Instant::now() + self.limits.reply_pause;
+                    call.deadline = call.deadline.max(next.min(call.last_deadline));
+                }
+            }
             ParsedReply::Malformed => self.fail_client(key, CallError::Malformed),
         }
     }
--- a/crates/fulmarpond-reactor/src/reactor/mod.rs
+++ b/crates/fulmarpond-reactor/src/reactor/mod.rs
@@ -36,6 +36,8 @@
     pub body_bytes: usize,
     /// The maximum size of a reply to a call, in bytes.
     pub reply_bytes: usize,
+    /// How long the next part of a reply may take to arrive.
+    pub reply_pause: Duration,
     /// The time within which a connection must deliver a complete request: the first one from its
     /// start, any other from the first byte of the request.
     pub header_timeout: Duration,
@@ -51,6 +53,7 @@
             header_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
             reply_bytes: 16 * 1024 * 1024,
+            reply_pause: Duration::from_millis(500),
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
             connections: 3_000,
--- a/crates/fulmarpond-reactor/tests/hostile_peers.rs
+++ b/crates/fulmarpond-reactor/tests/hostile_peers.rs
@@ -123,6 +123,7 @@
             headers: Vec::new(),
             body: Vec::new(),
             deadline: Instant::now() + Duration::from_secs(5),
+            last_deadline: Instant::now() + Duration::from_secs(5),
         };
         reactor.call(addr, 0, 1, &call);
         let outcome = find_event(&mut reactor, TEST_TIMEOUT, |event| match event {
--- a/crates/fulmarpond-reactor/tests/http.rs
+++ b/crates/fulmarpond-reactor/tests/http.rs
@@ -168,6 +168,7 @@
         headers: Vec::new(),
         body: Vec::new(),
         deadline: Instant::now() + timeout,
+        last_deadline: Instant::now() + timeout,
     }
 }
 
@@ -307,3 +308,70 @@
         _ => None,
     });
 }
+
+struct SlowReplyCase {
+    name: &'static str,
+    /// Whether the second half of the reply comes after the deadline.
+    is_completed: bool,
+    /// How long a reply that keeps arriving may postpone the deadline.
+    postponement: Duration,
+    expected: Result<u16, CallError>,
+}
+
+/// Guards against a large reply over a slow link that fails at a deadline meant for small ones, and
+/// against a reply that stops arriving and keeps its call forever.
+#[test]
+fn reply_that_keeps_arriving_postpones_the_deadline() {
+    const DEADLINE: Duration = Duration::from_millis(50);
+    let cases = [
+        SlowReplyCase {
+            name: "second half after the deadline",
+            is_completed: true,
+            postponement: Duration::from_secs(60),
+            expected: Ok(200),
+        },
+        SlowReplyCase {
+            name: "second half after the deadline, which cannot be postponed",
+            is_completed: true,
+            postponement: Duration::ZERO,
+            expected: Err(CallError::Timeout),
+        },
+        SlowReplyCase {
+            name: "no second half",
+            is_completed: false,
+            postponement: 3 * DEADLINE,
+            expected: Err(CallError::Timeout),
+        },
+    ];
+    for case in cases {
+        let listener = TcpListener::bind(any_local_port()).expect("address can be bound");
+        let addr = listener.local_addr().expect("local address is available");
+        let server = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("connection is established");
+            let read = stream.read(&mut [0; 1_000]).expect("request arrives");
+            assert!(read > 0);
+            let head = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\na";
+            stream.write_all(head).expect("reply can be sent");
+            std::thread::sleep(3 * DEADLINE);
+            if case.is_completed {
+                // The caller has closed the connection if the deadline was not postponed.
+                let _ = stream.write_all(b"b");
+            }
+            std::thread::sleep(3 * DEADLINE);
+        });
+        let mut reactor = Reactor::new(Limits {
+            reply_pause: Duration::from_secs(60),
+            ..Limits::default()
+        })
+        .expect("a reactor");
+        let mut call = get_call(DEADLINE);
+        call.last_deadline = call.deadline + case.postponement;
+        reactor.call(addr, 0, 1, &call);
+        let outcome = wait_for(&mut reactor, |event| match event {
+            Event::Replied { outcome, .. } => Some(outcome.map(|reply| reply.status)),
+            _ => None,
+        });
+        assert_eq!(outcome, case.expected, "{}", case.name);
+        server.join().expect("the server stops");
+    }
+}
--- a/crates/fulmarpond-standins/src/fleet/platform.rs
+++ b/crates/fulmarpond-standins/src/fleet/platform.rs
@@ -317,6 +317,7 @@
                     headers: Vec::new(),
                     body: body.to_string().into_bytes(),
                     deadline: now + HEARTBEAT_TIMEOUT,
+                    last_deadline: now + HEARTBEAT_TIMEOUT,
                 };
                 let id = self.reactor.call(executor.options.control, 0, 1, &call);
                 self.heartbeat_calls.insert(id, listener);
