fix(dispatch): exchange changes of the configuration on request

A fifth of all requests failed meanwhile.

Each entry sent each version whole to each agent of its zone, and each agent of any zone sent its whole version to an entry that was behind, at each new link. On a link of 25 Mbit/s that took longer than the lease of a link; links broke, and each new one brought everything again. The entry that was behind received at full rate, sent nothing, used no processor, and its own read of the store never ended in time. Ruled out: a missed event (nothing came at all) and the processor (0 to 3 % of a core).

Change: - Only versions are sent unasked. An entry offers its version to two agents of its zone; they fetch it from one entry and tell all entries which version they hold. An entry that has not read that version from the store after 150 ms, or has none, fetches it from one agent. - A reply holds the changes since the version of the receiver, or the whole if they are not known. - The event of the watch holds the new value, so there is no second read. After a failed call the next watch waits 100 ms only; after 2 s without an answer the configuration is read. It is compared with the store now and then. A value that can't be decoded is read again. - Limits of a version from an agent are applied as well. - Routes are found by an index in place of a walk. - The line of a new version tells its source, its age and what it changes; metrics tell its age and the newest version that agents hold. - The directory, the calls to the store and the configuration have modules of their own.

Links are shared by windows in the simulation now, and a request to an entry that decodes a payload waits for it instead of being lost.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
+use super::configuration_holder::ConfigurationHolder;
 use super::crashes::Crashes;
 use super::endpoint::Endpoint;
 use super::health::Health;
@@ -15,7 +16,6 @@
 use super::shares::Shares;
 use super::zone_evacuation::ZoneState;
 use super::{Action, CallNo};
-use crate::entry::Configuration;
 use crate::{
     AgentFrame, Checkpoint, Counters, EndpointId, EntryFrame, Incarnation, LeaseTimes, LinkNo,
     Outcome, Registration, Resources, TaskEnd, TaskKey, Weights, Working,
@@ -126,9 +126,7 @@
     pub(super) last_status: Time,
     pub(super) next_check: Time,
     pub(super) is_shutting_down: bool,
-    /// The newest configuration received from entries. The agent only stores it for entries that
-    /// start without access to the store.
-    pub(super) configuration: Option<Configuration>,
+    pub(super) configuration: ConfigurationHolder,
     pub(super) zone_state: ZoneState,
     /// Counts of decisions since the start of the process.
     pub counters: Counters,
@@ -165,7 +163,7 @@
             last_status: Time::default(),
             next_check: now,
             is_shutting_down: false,
-            configuration: None,
+            configuration: ConfigurationHolder::default(),
             zone_state: ZoneState::default(),
             counters: Counters::default(),
         }
@@ -265,7 +263,7 @@
         let hello = AgentFrame::Hello {
             name: self.options.name.clone(),
             zone: self.options.zone.clone(),
-            version: self.configuration_version(),
+            version: self.held_version(),
         };
         out.push(Action::Send { link, frame: hello });
         self.send_evacuations(link, out);
@@ -320,11 +318,18 @@
         };
         match frame {
             EntryFrame::Hello { name, version } => {
-                info!(entry = name, "link to entry established");
+                info!(entry = name, version, "link to entry established");
                 peer.entry = name;
-                self.forward_configuration(link, version, out);
             }
-            EntryFrame::Configuration(configuration) => self.update_configuration(configuration),
+            EntryFrame::Configuration(update) => {
+                self.apply_configuration_update(link, update, now, out);
+            }
+            EntryFrame::ConfigurationVersion(version) => {
+                self.handle_offered_version(link, version, now, out);
+            }
+            EntryFrame::RequestConfiguration(held) => {
+                self.send_configuration(link, held, now, out);
+            }
             EntryFrame::Renew { sent } => {
                 // A time that this process has not sent yet must not extend the lease without limit.
                 let sent = Time::from_micros(sent).min(now);
@@ -370,34 +375,6 @@
         }
     }
 
-    /// Returns the version of the stored configuration; 0 for none.
-    fn configuration_version(&self) -> u64 {
-        let configuration = self.configuration.as_ref();
-        configuration.map_or(0, |configuration| configuration.version)
-    }
-
-    fn update_configuration(&mut self, configuration: Configuration) {
-        if configuration.version > self.configuration_version() {
-            debug!(
-                version = configuration.version,
-                "newer configuration stored"
-            );
-            self.configuration = Some(configuration);
-        }
-    }
-
-    /// Sends the stored configuration to an entry whose version is older.
-    fn forward_configuration(&self, link: LinkNo, version: u64, out: &mut Vec<Action>) {
-        if let Some(configuration) = &self.configuration
-            && configuration.version > version
-        {
-            out.push(Action::Send {
-                link,
-                frame: AgentFrame::Configuration(configuration.clone()),
-            });
-        }
-    }
-
     fn endpoint_frame(&self) -> AgentFrame {
         let registered = self.endpoint.as_ref();
         match registered.filter(|endpoint| endpoint.is_registered) {
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -63,6 +63,7 @@
         self.next_check = now.after_millis(Self::CHECK_INTERVAL_MS);
         self.health.decay(now);
         self.retire_links(now, out);
+        self.request_configuration(now, out);
         self.check_endpoint(now, out);
         let tasks: Vec<TaskKey> = self.runs.keys().cloned().collect();
         for task in tasks {
--- a/crates/fulmarpond-dispatch/src/agent/links.rs
+++ b/crates/fulmarpond-dispatch/src/agent/links.rs
@@ -34,6 +34,8 @@
     pub(super) lease_expiry: Time,
     /// The number of orders received.
     pub(super) received_orders: u64,
+    /// The version of the configuration that the entry offers; 0 for none.
+    pub(super) offered_version: u64,
     /// When the link may be closed as surplus; until then it is reported as not ready.
     pub(super) retire_at: Option<Time>,
 }
@@ -140,6 +142,7 @@
             entry: String::new(),
             lease_expiry,
             received_orders: 0,
+            offered_version: 0,
             retire_at: None,
         };
         self.established.insert(number, link);
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod checks;
 mod class_room;
+mod configuration_holder;
 mod crashes;
 mod endpoint;
 mod endpoint_call;
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/configuration/change.rs
@@ -0,0 +1,86 @@
+//! The difference between two versions of the configuration.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use fulmarpond_derive::{key, message};
+
+use super::{CallerLimits, Configuration, Route};
+
+/// What identifies a route within a version.
+#[key]
+pub struct RouteKey {
+    /// The host name, in lower case.
+    pub host: String,
+    /// The path prefix.
+    pub prefix: String,
+}
+
+impl From<&Route> for RouteKey {
+    fn from(route: &Route) -> Self {
+        Self {
+            host: route.host.to_ascii_lowercase(),
+            prefix: route.prefix.clone(),
+        }
+    }
+}
+
+/// What turns one version of the configuration into a later one.
+#[message]
+pub struct ConfigurationChange {
+    /// The version that it applies to.
+    pub base: u64,
+    /// The version that results.
+    pub version: u64,
+    /// The routes that are added or replaced.
+    pub changed: Vec<Rc<Route>>,
+    /// The routes that are removed.
+    pub removed: Vec<RouteKey>,
+    /// The limits that result.
+    pub limits: Option<CallerLimits>,
+}
+
+impl ConfigurationChange {
+    /// Returns the difference between two versions.
+    pub fn between(base: &Configuration, next: &Configuration) -> Self {
+        let is_changed = |route: &&Rc<Route>| {
+            let known = base.get(&RouteKey::from(route.as_ref()));
+            known.is_none_or(|known| known != *route)
+        };
+        let is_removed = |route: &&Rc<Route>| next.get(&RouteKey::from(route.as_ref())).is_none();
+        let removed = base.routes().filter(is_removed);
+        Self {
+            base: base.version,
+            version: next.version,
+            changed: next.routes().filter(is_changed).cloned().collect(),
+            removed: removed
+                .map(|route| RouteKey::from(route.as_ref()))
+                .collect(),
+            limits: next.limits,
+        }
+    }
+
+    /// Returns the number of routes that it names.
+    pub const fn len(&self) -> usize {
+        self.changed.len() + self.removed.len()
+    }
+
+    /// Returns whether it names no routes.
+    pub const fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the version that results from a version with the number `base`.
+    pub(super) fn apply_to(&self, base: &Configuration) -> Configuration {
+        let changed = self
+            .changed
+            .iter()
+            .map(|route| RouteKey::from(route.as_ref()));
+        let replaced: HashSet<RouteKey> = changed.chain(self.removed.iter().cloned()).collect();
+        let kept = base
+            .routes()
+            .filter(|route| !replaced.contains(&RouteKey::from(route.as_ref())));
+        let routes = kept.chain(&self.changed).cloned();
+        Configuration::with_routes(self.version, routes, self.limits)
+    }
+}
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -7,12 +7,12 @@
 use tracing::{debug, info};
 
 use super::agent_selection::{fits_shared_capacity, fits_when_empty};
-use super::configuration::Route;
 use super::entry::{Entry, ROUTINE, retry_after_s};
 use super::gangs::gang_fits;
 use super::job::Job;
 use super::submission::{Step, Submission};
 use super::{Action, Answer, RequestNo};
+use crate::configuration::Route;
 use crate::{JobId, Refusal};
 
 /// Time for the messages of a job, subtracted from its slack, in milliseconds.
--- a/crates/fulmarpond-dispatch/src/entry/advice.rs
+++ b/crates/fulmarpond-dispatch/src/entry/advice.rs
@@ -7,14 +7,13 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use fulmarpond_core::Time;
-use fulmarpond_derive::message;
 use thiserror::Error;
 use tracing::{debug, info, warn};
 
 use super::Action;
-use super::configuration::Route;
 use super::entry::Entry;
 use super::job::Job;
+use crate::configuration::Route;
 use crate::{EndpointId, Incarnation, JobId, LinkNo};
 
 /// The maximum number of endpoints in a call. The service accepts 100, but each adds to the time of
@@ -31,26 +30,6 @@
 /// percent.
 const DELIVERY_MARGIN_PERCENT: u64 = 20;
 
-/// The expected duration of advice calls and the validity of tickets.
-#[message]
-#[derive(Copy, Eq)]
-pub struct AdvicePolicy {
-    /// The fixed time of a call, in milliseconds.
-    pub decide_ms: u32,
-    /// The additional time for each endpoint in a call, in microseconds.
-    pub each_us: u32,
-    /// How long a ticket is valid, in milliseconds.
-    pub valid_ms: u32,
-}
-
-impl AdvicePolicy {
-    /// Returns the expected duration of a call, in milliseconds.
-    pub(super) fn call_ms(self, endpoints: usize) -> u64 {
-        let per_endpoint = u64::from(self.each_us) * endpoints as u64;
-        u64::from(self.decide_ms) + per_endpoint.div_ceil(1_000)
-    }
-}
-
 /// Identifies a step of a job.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct StepKey {
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -20,24 +20,6 @@
 const MAX_LEARNING_SLOWNESS_PERCENT: u32 = 200;
 
 impl Entry {
-    /// Sends the configuration to an agent of the same zone that has an older version.
-    pub(super) fn send_configuration(&mut self, link: LinkNo, out: &mut Vec<Action>) {
-        let Some(configuration) = &self.configuration else {
-            return;
-        };
-        let Some(view) = self.fleet.views.get_mut(&link) else {
-            return;
-        };
-        if view.zone != self.options.zone || view.version >= configuration.version {
-            return;
-        }
-        view.version = configuration.version;
-        out.push(Action::Send {
-            link,
-            frame: EntryFrame::Configuration(configuration.clone()),
-        });
-    }
-
     /// Handles a link opened by an agent.
     pub fn link_up(&mut self, link: LinkNo, out: &mut Vec<Action>) {
         out.push(Action::Send {
@@ -55,6 +37,8 @@
             return;
         };
         self.counters.links_lost += 1;
+        self.drop_configuration_request(link);
+        self.offer_configuration(out);
         self.speeds.mark_outdated();
         let runs_end = view
             .last_status_at
@@ -152,7 +136,8 @@
                 if let Some(view) = self.fleet.views.get_mut(&link) {
                     view.is_evacuated = is_evacuated;
                 }
-                self.send_configuration(link, out);
+                self.offer_configuration(out);
+                self.request_newer_configuration(now, out);
                 self.send_evacuations(link, out);
                 if !self.entries.is_empty() {
                     out.push(Action::Send {
@@ -161,7 +146,13 @@
                     });
                 }
             }
-            AgentFrame::Configuration(configuration) => self.configure(configuration, out),
+            AgentFrame::Configuration { update, age_ms } => {
+                self.apply_configuration_update(link, update, age_ms, now, out);
+            }
+            AgentFrame::ConfigurationVersion(version) => {
+                self.handle_held_version(link, version, now, out);
+            }
+            AgentFrame::RequestConfiguration(held) => self.send_configuration(link, held, out),
             AgentFrame::Endpoint {
                 id,
                 born,
--- a/crates/fulmarpond-dispatch/src/entry/durable_jobs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/durable_jobs.rs
@@ -12,11 +12,11 @@
 use fulmarpond_derive::value;
 use tracing::{info, warn};
 
-use super::configuration::Route;
 use super::entry::Entry;
 use super::job::{Job, TaskState};
 use super::submission::Submission;
 use super::{Action, Answer, RequestNo};
+use crate::configuration::Route;
 use crate::ledger::{JobSpec, JobState, Status, StepProgress};
 use crate::{EntryFrame, JobId, LinkNo, Refusal, TaskRun};
 
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -7,7 +7,7 @@
 use tracing::{debug, info, warn};
 
 use super::advice::Advice;
-use super::configuration::{Configuration, Route};
+use super::configuration_exchange::ConfigurationExchange;
 use super::crash_log::CrashLog;
 use super::durable_jobs::DurableJobs;
 use super::endpoint_speeds::{EndpointSpeeds, KnownSpeed};
@@ -18,10 +18,11 @@
 use super::series::OwnedSeries;
 use super::workload::Workload;
 use super::{Action, Answer, RequestNo};
+use crate::configuration::Route;
 use crate::directory::AnnouncedEntry;
 use crate::evacuation::Evacuations;
 use crate::ledger::{Ledger, LedgerOptions, Owner};
-use crate::{Counters, EntryFrame, JobId, LeaseTimes, LinkNo, Refusal};
+use crate::{Counters, EntryFrame, JobId, LeaseTimes, Refusal};
 
 /// The log target of lines about requests that succeed.
 pub(super) const ROUTINE: &str = "routine";
@@ -81,7 +82,7 @@
 #[derive(Debug)]
 pub struct Entry {
     pub(super) options: EntryOptions,
-    pub(super) configuration: Option<Configuration>,
+    pub(super) configurations: ConfigurationExchange,
     pub(super) fleet: Fleet,
     pub(super) jobs: HashMap<JobId, Job>,
     pub(super) requests: HashMap<RequestNo, JobId>,
@@ -131,7 +132,7 @@
         );
         Self {
             options,
-            configuration: None,
+            configurations: ConfigurationExchange::default(),
             fleet: Fleet::default(),
             jobs: HashMap::new(),
             requests: HashMap::new(),
@@ -172,7 +173,7 @@
 
     /// Returns whether there is a configuration and an endpoint that takes tasks.
     pub fn is_ready(&self) -> bool {
-        self.configuration.is_some() && self.ready_agents() > 0
+        self.configuration().is_some() && self.ready_agents() > 0
     }
 
     /// Returns the number of jobs in progress.
@@ -214,12 +215,6 @@
         self.speeds.known(&self.fleet)
     }
 
-    /// Returns the version of the current configuration, or 0 if there is none.
-    pub fn version(&self) -> u64 {
-        let version = self.configuration.as_ref().map(|known| known.version);
-        version.unwrap_or_default()
-    }
-
     /// Returns the age of the oldest status among all agents, in milliseconds.
     pub fn oldest_status_age_ms(&self, now: Time) -> u64 {
         let ages = self
@@ -230,29 +225,6 @@
         ages.max().unwrap_or_default()
     }
 
-    /// Returns the current configuration.
-    pub const fn configuration(&self) -> Option<&Configuration> {
-        self.configuration.as_ref()
-    }
-
-    /// Applies a configuration and sends it to the agents, unless its version is not newer than the
-    /// current one.
-    pub fn configure(&mut self, configuration: Configuration, out: &mut Vec<Action>) {
-        if configuration.version > self.version() {
-            info!(version = configuration.version, "configuration in force");
-            self.configuration = Some(configuration);
-            let links: Vec<LinkNo> = self.fleet.views.keys().copied().collect();
-            for link in links {
-                self.send_configuration(link, out);
-            }
-        } else if configuration.version < self.version() {
-            debug!(
-                version = configuration.version,
-                "older configuration ignored"
-            );
-        }
-    }
-
     /// Updates the list of announced entries and sends it to the agents if it changed.
     pub fn set_entries(&mut self, announced: &[AnnouncedEntry], now: Time, out: &mut Vec<Action>) {
         let names = announced.iter().map(|entry| entry.name.clone());
@@ -450,6 +422,7 @@
         }
         self.next_check = now.after_millis(CHECK_INTERVAL_MS);
         self.close_silent_links(now, out);
+        self.request_newer_configuration(now, out);
         self.speeds.update(&mut self.fleet, now);
         self.workload.sample(&self.fleet, now);
         self.update_quarantine(now);
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -24,7 +24,9 @@
     pub(super) name: String,
     pub(super) zone: String,
     /// The version of the configuration that the agent holds.
-    pub(super) version: u64,
+    pub(super) held_version: u64,
+    /// The version of the configuration that was last offered to the agent.
+    pub(super) offered_version: u64,
     pub(super) endpoint: Incarnation,
     pub(super) service: String,
     pub(super) capacity: Resources,
@@ -141,7 +143,8 @@
         let view = AgentView {
             name,
             zone,
-            version,
+            held_version: version,
+            offered_version: version,
             endpoint: Incarnation {
                 id: EndpointId(String::new()),
                 born: 0,
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -5,9 +5,9 @@
 
 use fulmarpond_core::Time;
 
-use super::configuration::Route;
 use super::submission::Submission;
 use super::{RequestNo, StepKey};
+use crate::configuration::Route;
 use crate::ledger::JobState;
 use crate::{JobId, LinkNo};
 
--- a/crates/fulmarpond-dispatch/src/entry/ledger_events.rs
+++ b/crates/fulmarpond-dispatch/src/entry/ledger_events.rs
@@ -6,12 +6,12 @@
 use fulmarpond_core::Time;
 use tracing::info;
 
-use super::configuration::Route;
 use super::durable_jobs::{Lookup, UnacknowledgedEnd};
 use super::entry::Entry;
 use super::job::TaskState;
 use super::submission::Submission;
 use super::{Action, Answer, RequestNo};
+use crate::configuration::Route;
 use crate::directory::{Activity, StoreReply};
 use crate::ledger::{Event, JobSpec, JobState, Status};
 use crate::{EntryFrame, JobId, LinkNo, Refusal, TaskRun};
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -5,7 +5,7 @@
 mod advice;
 mod agent_selection;
 mod agents;
-mod configuration;
+mod configuration_exchange;
 mod crash_ages;
 mod crash_log;
 mod crashes;
@@ -33,8 +33,7 @@
 mod zone_return;
 
 pub use action::{Action, Answer, RequestNo};
-pub use advice::{AdviceFailure, AdvicePolicy, Allowed, StepKey};
-pub use configuration::{CallerLimits, Configuration, Route};
+pub use advice::{AdviceFailure, Allowed, StepKey};
 pub use durable_jobs::JobStatus;
 pub use endpoint_speeds::KnownSpeed;
 pub use entry::{Entry, EntryOptions};
--- a/crates/fulmarpond-dispatch/src/entry/series.rs
+++ b/crates/fulmarpond-dispatch/src/entry/series.rs
@@ -10,12 +10,12 @@
 use fulmarpond_core::Time;
 use tracing::info;
 
-use super::configuration::Route;
 use super::durable_jobs::JobStatus;
 use super::entry::Entry;
 use super::submission::{Repeat, Submission};
 use super::{Action, Answer};
 use crate::JobId;
+use crate::configuration::Route;
 use crate::ledger::{JobState, Status, StepProgress};
 
 /// The interval between two checks of all series, in milliseconds.
--- a/crates/fulmarpond-dispatch/src/entry/workload.rs
+++ b/crates/fulmarpond-dispatch/src/entry/workload.rs
@@ -4,10 +4,10 @@
 
 use fulmarpond_core::Time;
 
-use super::configuration::Route;
 use super::estimates::Estimates;
 use super::fleet::Fleet;
 use super::submission::{Step, Submission};
+use crate::configuration::Route;
 
 /// The time constant of the offered work, in milliseconds.
 const OFFERED_TIME_MS: f64 = 3_000.0;
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::entry::Configuration;
+use crate::configuration::ConfigurationUpdate;
 use crate::evacuation::Evacuations;
 use crate::{Class, EndpointId, JobId, Resources, TaskKey, Weights};
 
@@ -50,8 +50,13 @@
         /// The version of the configuration that the agent has stored; 0 for none.
         version: u64,
     },
-    /// A stored configuration that is newer than that of the entry.
-    Configuration(Configuration),
+    /// What the entry has requested: a newer configuration that the agent holds.
+    Configuration {
+        /// What has changed, or the whole.
+        update: ConfigurationUpdate,
+        /// The time since an entry last gave or offered it to the agent, in milliseconds.
+        age_ms: u64,
+    },
     /// A change of the endpoint, or its absence.
     Endpoint {
         /// The id of the endpoint; empty if there is none.
@@ -95,6 +100,10 @@
     Speed(EndpointSpeed),
     /// A crash of the endpoint, sent when it is noticed, and when a link opens later.
     Crashed(EndpointCrash),
+    /// The version of the configuration that the agent now holds.
+    ConfigurationVersion(u64),
+    /// Requests a configuration newer than this version, which the agent holds; 0 for none.
+    RequestConfiguration(u64),
 }
 
 /// A crash of an endpoint: an end that it has not announced, with the runs that were lost.
@@ -270,9 +279,8 @@
         /// The version of the configuration in force; 0 for none.
         version: u64,
     },
-    /// The configuration in force. The agent stores it for entries that start while the store is
-    /// unreachable.
-    Configuration(Configuration),
+    /// What the agent has requested: a newer configuration that is in force at the entry.
+    Configuration(ConfigurationUpdate),
     /// Renews the lease of this entry's runs.
     Renew {
         /// The `sent` time of the latest status from the agent, in microseconds.
@@ -310,6 +318,11 @@
     Drain,
     /// The evacuated zones, sent when they change and to an agent whose list is older.
     Evacuations(Evacuations),
+    /// The version of the configuration in force, for an agent that is to hold it for entries that
+    /// cannot read it from the store.
+    ConfigurationVersion(u64),
+    /// Requests a configuration newer than this version, which is in force; 0 for none.
+    RequestConfiguration(u64),
 }
 
 /// An order to start tasks of one step.
--- a/crates/fulmarpond-dispatch/src/ledger/record.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/record.rs
@@ -3,7 +3,8 @@
 use fulmarpond_derive::{message, value};
 use serde::{Deserialize, Serialize};
 
-use crate::entry::{Route, Submission};
+use crate::configuration::Route;
+use crate::entry::Submission;
 
 /// One incarnation of an entry.
 #[message]
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! second run of the same task.
 
 pub mod agent;
+pub mod configuration;
 pub mod directory;
 pub mod entry;
 mod epoch;
--- a/crates/fulmarpond-dispatch/tests/advice.rs
+++ b/crates/fulmarpond-dispatch/tests/advice.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use fulmarpond_dispatch::JobId;
-use fulmarpond_dispatch::entry::{AdvicePolicy, Answer};
+use fulmarpond_dispatch::configuration::AdvicePolicy;
+use fulmarpond_dispatch::entry::Answer;
 use support::{Demand, EndpointFault, Fault, Options, Simulation};
 
 const POLICY: AdvicePolicy = AdvicePolicy {
--- a/crates/fulmarpond-dispatch/tests/backlog.rs
+++ b/crates/fulmarpond-dispatch/tests/backlog.rs
@@ -3,9 +3,8 @@
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
-use fulmarpond_dispatch::entry::{
-    Action, Configuration, Entry, EntryOptions, RequestNo, Route, Step, Submission,
-};
+use fulmarpond_dispatch::configuration::{Configuration, Route};
+use fulmarpond_dispatch::entry::{Action, Entry, EntryOptions, RequestNo, Step, Submission};
 use fulmarpond_dispatch::{
     AgentFrame, Backlog, Class, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo,
     Resources, decode, encode,
@@ -41,7 +40,11 @@
         advises: false,
     };
     let mut entry = Entry::new(options, NOW);
-    entry.configure(Configuration::new(1, vec![route(0)], None), &mut Vec::new());
+    entry.configure(
+        Configuration::new(1, vec![route(0)], None),
+        NOW,
+        &mut Vec::new(),
+    );
     let hello = AgentFrame::Hello {
         name: "agent-1".to_owned(),
         zone: "Saga".to_owned(),
--- a/crates/fulmarpond-dispatch/tests/directory.rs
+++ b/crates/fulmarpond-dispatch/tests/directory.rs
@@ -1,8 +1,10 @@
 //! Retries of an entry while the store refuses its calls.
 
 use fulmarpond_core::Time;
-use fulmarpond_dispatch::directory::{Action, Activity, Directory, StoreCall, StoreReply};
-use fulmarpond_dispatch::entry::Configuration;
+use fulmarpond_dispatch::configuration::Configuration;
+use fulmarpond_dispatch::directory::{
+    Action, Activity, Directory, StoreCall, StoreReply, StoredConfiguration,
+};
 
 const START: Time = Time::from_millis(10_000);
 
@@ -53,7 +55,11 @@
     };
     assert!(out.iter().any(reads_configuration));
     let reply = StoreReply::Configuration {
-        value: Some(Configuration::new(1, Vec::new(), None)),
+        value: Some(StoredConfiguration {
+            configuration: Configuration::new(1, Vec::new(), None),
+            skipped_rows: 0,
+            bytes: 100,
+        }),
         at: 4,
     };
     directory.handle_reply(Activity::Configuration, Some(reply), START, &mut Vec::new());
--- a/crates/fulmarpond-dispatch/tests/entry.rs
+++ b/crates/fulmarpond-dispatch/tests/entry.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
+use fulmarpond_dispatch::configuration::{Configuration, ConfigurationUpdate, Route};
 use fulmarpond_dispatch::directory::AnnouncedEntry;
-use fulmarpond_dispatch::entry::{Action, Configuration, Entry, EntryOptions, Route};
+use fulmarpond_dispatch::entry::{Action, Entry, EntryOptions};
 use fulmarpond_dispatch::{AgentFrame, EntryFrame, LeaseTimes, LinkNo};
 
 const NOW: Time = Time::from_millis(10_000);
@@ -112,24 +113,36 @@
     for case in cases {
         let mut entry = entry();
         for &version in case.received {
-            entry.configure(configuration(version, "/jobs/"), &mut Vec::new());
+            entry.configure(configuration(version, "/jobs/"), NOW, &mut Vec::new());
         }
         assert_eq!(entry.version(), case.expected, "{}", case.name);
     }
 }
 
-/// Guards against an agent that keeps an outdated configuration because the entry does not send its
-/// own, and against needless sends to an agent that has the same or a newer version.
+/// Guards against an agent that keeps an outdated configuration because the entry does not offer its
+/// own, against a configuration that is sent unasked, and against needless offers and sends to an
+/// agent that has the same or a newer version.
 #[test]
-fn configuration_is_sent_only_to_agents_with_an_older_version() {
+fn configuration_is_offered_and_sent_only_to_agents_with_an_older_version() {
     for (agent_version, is_expected) in [(0, true), (3, false), (4, false)] {
         let mut entry = entry();
-        entry.configure(configuration(3, "/jobs/"), &mut Vec::new());
+        entry.configure(configuration(3, "/jobs/"), NOW, &mut Vec::new());
         let mut out = Vec::new();
         entry.handle_frame(LinkNo(1), hello(agent_version), NOW, &mut out);
-        let is_sent = sent_frames(&out)
-            .iter()
-            .any(|frame| matches!(frame, EntryFrame::Configuration(_)));
+        let offer = EntryFrame::ConfigurationVersion(3);
+        let is_offered = sent_frames(&out).contains(&&offer);
+        assert_eq!(
+            is_offered, is_expected,
+            "agent with version {agent_version}"
+        );
+        let is_whole = |frame: &&EntryFrame| matches!(frame, EntryFrame::Configuration(_));
+        assert!(!sent_frames(&out).iter().any(is_whole), "sent unasked");
+        let mut out = Vec::new();
+        let request = AgentFrame::RequestConfiguration(agent_version);
+        entry.handle_frame(LinkNo(1), request, NOW, &mut out);
+        let update = ConfigurationUpdate::Whole(configuration(3, "/jobs/"));
+        let reply = EntryFrame::Configuration(update);
+        let is_sent = sent_frames(&out).contains(&&reply);
         assert_eq!(is_sent, is_expected, "agent with version {agent_version}");
     }
 }
--- a/crates/fulmarpond-dispatch/tests/ledger.rs
+++ b/crates/fulmarpond-dispatch/tests/ledger.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use fulmarpond_core::Time;
+use fulmarpond_dispatch::configuration::Route;
 use fulmarpond_dispatch::directory::{Activity, CommitRow, JobItem, Lane, StoreCall, StoreReply};
-use fulmarpond_dispatch::entry::{Route, Submission};
+use fulmarpond_dispatch::entry::Submission;
 use fulmarpond_dispatch::ledger::{
     Event, JobSpec, JobState, Ledger, LedgerOptions, Owner, Status, StepProgress,
 };
--- a/crates/fulmarpond-dispatch/tests/reasons.rs
+++ b/crates/fulmarpond-dispatch/tests/reasons.rs
@@ -5,8 +5,9 @@
 use std::sync::{Arc, Mutex};
 
 use fulmarpond_core::Time;
+use fulmarpond_dispatch::configuration::{Configuration, Route};
 use fulmarpond_dispatch::entry::{
-    Action, Answer, Configuration, Entry, EntryOptions, RequestNo, Route, Step, Submission,
+    Action, Answer, Entry, EntryOptions, RequestNo, Step, Submission,
 };
 use fulmarpond_dispatch::{
     AgentFrame, EndpointId, EndpointStatus, JobId, LeaseTimes, LinkNo, Outcome, Refusal, Resources,
@@ -55,7 +56,11 @@
         advice: None,
     };
     let mut entry = Entry::new(options, NOW);
-    entry.configure(Configuration::new(1, vec![route], None), &mut Vec::new());
+    entry.configure(
+        Configuration::new(1, vec![route], None),
+        NOW,
+        &mut Vec::new(),
+    );
     entry
 }
 
--- a/crates/fulmarpond-dispatch/tests/submissions.rs
+++ b/crates/fulmarpond-dispatch/tests/submissions.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
+use fulmarpond_dispatch::configuration::{Configuration, Route};
 use fulmarpond_dispatch::directory::{Activity, Lane, StoreReply};
 use fulmarpond_dispatch::entry::{
-    Action, Answer, Configuration, Entry, EntryOptions, RequestNo, Route, Step, Submission,
+    Action, Answer, Entry, EntryOptions, RequestNo, Step, Submission,
 };
 use fulmarpond_dispatch::{
     AgentFrame, EndpointId, EndpointSpeed, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo,
@@ -35,7 +36,11 @@
         advises: false,
     };
     let mut entry = Entry::new(options, NOW);
-    entry.configure(Configuration::new(1, vec![route()], None), &mut Vec::new());
+    entry.configure(
+        Configuration::new(1, vec![route()], None),
+        NOW,
+        &mut Vec::new(),
+    );
     entry
 }
 
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use fulmarpond_dispatch::entry::{Answer, RequestNo, Route, Step, Submission};
+use fulmarpond_dispatch::configuration::Route;
+use fulmarpond_dispatch::entry::{Answer, RequestNo, Step, Submission};
 use fulmarpond_dispatch::{JobId, Resources, TaskKey};
 use rand::RngExt;
 
@@ -15,6 +16,9 @@
 /// Unix time at the origin of virtual time, in milliseconds.
 const UNIX_ORIGIN_MS: u64 = 1_700_000_000_000;
 
+/// Longest time that an entry is busy with a payload, in milliseconds.
+const MAX_CODEC_MS: u64 = 200;
+
 /// Memory demand of a task, in megabytes.
 pub(super) const TASK_MEMORY: u32 = 64;
 
@@ -101,6 +105,15 @@
             return;
         }
         let entry = running[self.rng.random_range(0..running.len())];
+        let paused_until = self.entries[entry].paused_until;
+        if self.options.entry_size.is_some()
+            && paused_until.remaining_millis(self.now) < MAX_CODEC_MS
+            && paused_until > self.now
+        {
+            // The entry is only busy with a payload.
+            self.schedule_at(paused_until, Event::Submit(id.clone(), attempt));
+            return;
+        }
         self.last_id += 1;
         let request = RequestNo(self.last_id);
         let generation = self.entries[entry].generation;
--- a/crates/fulmarpond-dispatch/tests/support/configurations.rs
+++ b/crates/fulmarpond-dispatch/tests/support/configurations.rs
@@ -4,13 +4,13 @@
 use std::collections::HashMap;
 
 use fulmarpond_core::Time;
+use fulmarpond_dispatch::configuration::{Configuration, Route};
 use fulmarpond_dispatch::directory::{StoreCall, StoreReply};
-use fulmarpond_dispatch::entry::{Configuration, Route};
 use rand::RngExt;
 
 use super::history::MAX_ATTEMPTS;
 use super::simulation::{Event, Simulation};
-use super::store::StoreFault;
+use super::store::{STORED_ROUTE_BYTES, StoreFault};
 
 /// The bound for a configuration to be in force everywhere, in milliseconds after its
 /// acknowledgement.
@@ -30,15 +30,6 @@
 /// Number of later versions after which the route that a version added is removed again.
 const ROUTE_LIFETIME: usize = 3;
 
-/// Size of a route in a reply of the store, in bytes.
-const STORED_ROUTE_BYTES: u64 = 240;
-
-/// Size of a payload from which encoding and decoding it takes time, in bytes.
-const MIN_COSTLY_BYTES: u64 = 2_000;
-
-/// Bandwidth of the store's link, in bytes per millisecond.
-const STORE_LINK_BYTES: u64 = 125_000;
-
 /// A version of the configuration as the operator wrote it.
 #[derive(Debug)]
 struct Version {
@@ -58,12 +49,6 @@
     entry_excused: HashMap<usize, Time>,
     /// Until when all entries are excused.
     excused_until: Time,
-    /// Time at which the link of each entry is free, to the entry and from it.
-    link_free: HashMap<(usize, usize), Time>,
-    store_link_free: Time,
-    /// Bytes that each entry has received from the store and sent to agents.
-    pub received_bytes: u64,
-    pub sent_bytes: u64,
     /// Longest time from an acknowledgement to an answer by an older version, in milliseconds.
     pub max_delay_ms: u64,
     /// Number of answers that were checked.
@@ -141,65 +126,18 @@
         self.configurations.versions[index].acked_at = Some(now);
     }
 
-    /// Returns whether all entries are to read the configuration, and which bytes a reply takes.
+    /// Returns the size of a reply of the store as far as it carries the configuration, in bytes.
     pub(super) fn store_reply_bytes(&self, call: &StoreCall, reply: &StoreReply) -> u64 {
-        let routes = self.store.route_count() as u64;
+        let bytes = (self.store.route_count() * STORED_ROUTE_BYTES) as u64;
         match (call, reply) {
-            (_, StoreReply::Configuration { .. }) => routes * STORED_ROUTE_BYTES,
+            (_, StoreReply::Configuration { .. }) => bytes,
             (StoreCall::WatchOperator { after, .. }, _) => {
-                self.store.configuration_changes_after(*after) * routes * STORED_ROUTE_BYTES
+                self.store.configuration_changes_after(*after) * bytes
             }
             _ => 0,
         }
     }
 
-    /// Returns when a payload that could arrive at a time has passed the link of an entry: to the
-    /// entry (direction 0) or from it (direction 1).
-    pub(super) fn pass_entry_link(
-        &mut self,
-        entry: usize,
-        direction: usize,
-        bytes: u64,
-        earliest: Time,
-    ) -> Time {
-        if direction == 0 {
-            self.configurations.received_bytes += bytes;
-        } else {
-            self.configurations.sent_bytes += bytes;
-        }
-        let Some(size) = self.options.entry_size else {
-            return earliest;
-        };
-        let free = self
-            .configurations
-            .link_free
-            .entry((entry, direction))
-            .or_default();
-        let passed = (*free)
-            .max(earliest)
-            .after_micros(bytes * 1_000 / size.link_bytes);
-        *free = passed;
-        passed
-    }
-
-    pub(super) fn pass_store_link(&mut self, bytes: u64, earliest: Time) -> Time {
-        let free = self.configurations.store_link_free.max(earliest);
-        self.configurations.store_link_free = free.after_micros(bytes * 1_000 / STORE_LINK_BYTES);
-        self.configurations.store_link_free
-    }
-
-    /// Occupies an entry for as long as it encodes or decodes a large payload.
-    pub(super) fn spend_codec_time(&mut self, entry: usize, bytes: u64) {
-        let Some(size) = self.options.entry_size else {
-            return;
-        };
-        if bytes < MIN_COSTLY_BYTES {
-            return;
-        }
-        let free = self.entries[entry].paused_until.max(self.now);
-        self.entries[entry].paused_until = free.after_micros(bytes * size.codec_us / 1_000);
-    }
-
     /// Excuses an entry from the bound during a fault that concerns it, and for a while after.
     pub(super) fn excuse_entry(&mut self, entry: usize, duration_ms: u64) {
         let until = self.now.after_millis(duration_ms + CONTACT_MS);
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -21,6 +21,7 @@
 mod store;
 mod store_calls;
 mod trace;
+mod transfers;
 mod uneven;
 
 #[allow(unused_imports, reason = "not used by every test file")]
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -1,6 +1,6 @@
 //! Configuration of the simulation.
 
-use fulmarpond_dispatch::entry::AdvicePolicy;
+use fulmarpond_dispatch::configuration::AdvicePolicy;
 
 /// A kind of endpoints.
 #[derive(Debug, Clone, Copy)]
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -8,10 +8,9 @@
 use fulmarpond_dispatch::agent::{
     self, Agent, AgentOptions, CallFailure, CallNo, EndReason, EndpointCall, EndpointReply,
 };
+use fulmarpond_dispatch::configuration::{Configuration, Route};
 use fulmarpond_dispatch::directory::{Activity, Directory, StoreReply};
-use fulmarpond_dispatch::entry::{
-    self, AdviceFailure, Allowed, Configuration, Entry, EntryOptions, RequestNo, Route,
-};
+use fulmarpond_dispatch::entry::{self, AdviceFailure, Allowed, Entry, EntryOptions, RequestNo};
 use fulmarpond_dispatch::maintenance::{HostCall, HostReply, Maintenance, Wave};
 use fulmarpond_dispatch::{
     AgentFrame, EndpointId, EntryFrame, JobId, LeaseTimes, LinkNo, Registration, TaskKey, decode,
@@ -32,6 +31,7 @@
 use super::store::{Store, StoreFault};
 use super::store_calls::{CallKey, InFlightCall, StoreOutcome};
 use super::trace;
+use super::transfers::{Connection, Transfers};
 
 /// One-way delay between an entry and an agent, in microseconds.
 pub(super) const LINK_DELAY_US: u64 = 500;
@@ -149,6 +149,10 @@
     AgentStoreCallArrives(AgentStoreCall),
     AgentStoreAnswered(AgentStoreCall, Option<StoreReply>),
     AgentWatchTimesOut(AgentStoreCall),
+    /// Number of the transfer.
+    TransferContinues(u64),
+    /// Link and direction.
+    FramesUnblocked(usize, usize),
     /// Number of routes that the operator adds.
     ChangeConfiguration(usize),
     /// Number of the change.
@@ -232,6 +236,7 @@
     pub(super) answered_store_calls: HashSet<CallKey>,
     pub evacuations: EvacuationState,
     pub configurations: Configurations,
+    pub transfers: Transfers,
     pub history: History,
 }
 
@@ -272,6 +277,7 @@
             answered_store_calls: HashSet::new(),
             evacuations: EvacuationState::default(),
             configurations: Configurations::default(),
+            transfers: Transfers::default(),
             history: History::default(),
         };
         sim.store.set_configuration(sim.configuration.clone());
@@ -398,7 +404,8 @@
         };
         let mut core = Entry::new(options, self.now);
         if !self.options.changes_configuration {
-            core.configure(self.configuration.clone(), &mut Vec::new());
+            let now = self.now;
+            core.configure(self.configuration.clone(), now, &mut Vec::new());
         }
         self.directories[entry] = self.new_directory(self.now);
         self.maintenance[entry] = self.new_maintenance(entry);
@@ -627,18 +634,23 @@
         let earliest = now
             .after_micros(LINK_DELAY_US)
             .max(state.last_arrival[direction].after_micros(1));
+        let Some(bytes) = self.queue_if_blocked(number, direction, bytes) else {
+            return;
+        };
         let len = bytes.len() as u64;
-        let arrival = self.pass_entry_link(entry, direction, len, earliest);
         if direction == 1 {
             self.spend_codec_time(entry, len);
         }
-        self.links[number].last_arrival[direction] = arrival;
         let event = if direction == 0 {
             Event::FrameArrivesAtEntry(number, bytes, None)
         } else {
             Event::FrameArrivesAtAgent(number, bytes, None)
         };
-        self.schedule_at(arrival, event);
+        let connection = Connection::Link(number);
+        match self.transfer(connection, (entry, direction), len, earliest, event) {
+            Some(arrival) => self.links[number].last_arrival[direction] = arrival,
+            None => self.block_frames(number, direction),
+        }
     }
 
     /// Closes a link and notifies the other side, unless the link is silent.
@@ -772,6 +784,8 @@
             Event::AgentStoreCallArrives(sent) => self.agent_store_call_arrives(sent),
             Event::AgentStoreAnswered(sent, reply) => self.agent_store_answered(&sent, reply),
             Event::AgentWatchTimesOut(sent) => self.agent_watch_times_out(sent),
+            Event::TransferContinues(number) => self.continue_transfer(number),
+            Event::FramesUnblocked(link, direction) => self.frames_unblocked(link, direction),
             Event::ChangeConfiguration(routes) => self.change_configuration(routes),
             Event::ConfigurationAcked(index) => self.configuration_acked(index),
             Event::SendProbe(entry) => self.send_probe(entry),
--- a/crates/fulmarpond-dispatch/tests/support/store.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store.rs
@@ -3,11 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use fulmarpond_core::Time;
-use fulmarpond_dispatch::directory::{AnnouncedEntry, CommitRow, JobItem, StoreCall, StoreReply};
-use fulmarpond_dispatch::entry::Configuration;
+use fulmarpond_dispatch::configuration::Configuration;
+use fulmarpond_dispatch::directory::{
+    AnnouncedEntry, CommitRow, JobItem, OperatorChanges, StoreCall, StoreReply, StoredConfiguration,
+};
 use fulmarpond_dispatch::maintenance::Wave;
 use fulmarpond_dispatch::{JobId, decode, ledger};
 
+/// Size of a route in a reply of the store, in bytes.
+pub(super) const STORED_ROUTE_BYTES: usize = 240;
+
 /// A fault at the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum StoreFault {
@@ -94,12 +99,10 @@
         let at = self.revision;
         let reply = match call {
             StoreCall::ReadConfiguration => StoreReply::Configuration {
-                value: self.configuration.clone(),
+                value: self.stored_configuration(),
                 at,
             },
-            StoreCall::WatchOperator { after, .. } => {
-                self.changes_after(*after, Change::is_by_operator)?
-            }
+            StoreCall::WatchOperator { after, .. } => self.operator_changes(*after)?,
             StoreCall::ListEvacuations { after } => self.evacuation_page(after.as_deref()),
             StoreCall::WatchEvacuations { after, .. } => {
                 self.changes_after(*after, |change| *change == Change::Evacuations)?
@@ -247,6 +250,34 @@
         })
     }
 
+    fn stored_configuration(&self) -> Option<StoredConfiguration> {
+        let configuration = self.configuration.clone()?;
+        Some(StoredConfiguration {
+            bytes: configuration.route_count() * STORED_ROUTE_BYTES,
+            configuration,
+            skipped_rows: 0,
+        })
+    }
+
+    fn operator_changes(&self, after: u64) -> Option<StoreReply> {
+        if self.changes_after(after, Change::is_by_operator)? == StoreReply::Compacted {
+            return Some(StoreReply::Compacted);
+        }
+        let later = self.changes.iter().filter(|(at, _)| *at > after);
+        let later: Vec<&Change> = later.map(|(_, change)| change).collect();
+        let changes = OperatorChanges {
+            configuration: later
+                .contains(&&Change::Configuration)
+                .then(|| self.stored_configuration()),
+            evacuations: later.contains(&&Change::Evacuations),
+            waves: later.contains(&&Change::Operator),
+        };
+        Some(StoreReply::OperatorWrote {
+            changes,
+            at: self.revision,
+        })
+    }
+
     fn job_changes(&self, after: u64) -> Option<StoreReply> {
         let wanted = |change: &Change| matches!(change, Change::Job(_));
         let StoreReply::Changed { .. } = self.changes_after(after, wanted)? else {
--- a/crates/fulmarpond-dispatch/tests/support/store_calls.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store_calls.rs
@@ -11,6 +11,7 @@
 
 use super::simulation::{Event, Fault, Simulation};
 use super::store::{Store, StoreFault};
+use super::transfers::Connection;
 
 /// One-way delay between an entry and the store, in microseconds.
 pub(super) const STORE_DELAY_US: u64 = 1_500;
@@ -162,11 +163,9 @@
         };
         let sent_at = self.pass_store_link(bytes, self.now);
         let earliest = sent_at.after_micros(delay);
-        let arrival = self.pass_entry_link(sent.by.entry, 0, bytes, earliest);
-        self.schedule_at(
-            arrival,
-            Event::StoreAnswered(sent.by, sent.activity, bytes, outcome),
-        );
+        let event = Event::StoreAnswered(sent.by, sent.activity, bytes, outcome);
+        let connection = Connection::Store(sent.by);
+        self.transfer(connection, (sent.by.entry, 0), bytes, earliest, event);
     }
 
     pub(super) fn handle_store_reply(
@@ -182,6 +181,9 @@
         if self.entries[entry].generation != generation || self.answered_store_calls.contains(&by) {
             return;
         }
+        if outcome.is_none() && self.is_arriving(by) {
+            return;
+        }
         let event = Event::StoreAnswered(by, activity, bytes, outcome.clone());
         if self.postpone_if_paused(self.entries[entry].paused_until, &event) {
             return;
@@ -204,13 +206,17 @@
         }
         let now = self.now;
         let mut actions = Vec::new();
-        let mut lease_end = None;
+        let (mut lease_end, mut confirmed_at) = (None, None);
         if let Some(directory) = &mut self.directories[entry] {
             directory.handle_reply(activity, outcome.and_then(Result::ok), now, &mut actions);
             lease_end = directory.lease_end();
+            confirmed_at = directory.configuration_confirmed_at();
         }
         self.directory_actions(entry, actions);
-        self.with_entry(entry, |core, _, _| core.set_lease(lease_end));
+        self.with_entry(entry, |core, _, _| {
+            core.set_lease(lease_end);
+            core.confirm_configuration(confirmed_at);
+        });
     }
 
     pub(super) fn tick_directory(&mut self, entry: usize) {
@@ -231,7 +237,9 @@
                     timeout,
                 } => self.call_store(entry, activity, call, timeout),
                 directory::Action::Configured(configuration) => {
-                    self.with_entry(entry, |core, _, out| core.configure(configuration, out));
+                    self.with_entry(entry, |core, now, out| {
+                        core.configure(configuration, now, out);
+                    });
                 }
                 directory::Action::Evacuated(list) => {
                     self.with_entry(entry, |core, now, out| {
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -8,10 +8,9 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use fulmarpond_core::Time;
+use fulmarpond_dispatch::configuration::{CallerLimits, Configuration};
 use fulmarpond_dispatch::directory::{self, Activity, Directory, StoreCall};
-use fulmarpond_dispatch::entry::{
-    Action, Answer, CallerLimits, Entry, EntryOptions, RequestNo, StepKey,
-};
+use fulmarpond_dispatch::entry::{Action, Answer, Entry, EntryOptions, RequestNo, StepKey};
 use fulmarpond_dispatch::maintenance::{self, MaintenanceOptions};
 use fulmarpond_dispatch::{AgentFrame, EndpointId, LinkNo, Refusal, decode, encode};
 use fulmarpond_platform::advice;
@@ -55,6 +54,8 @@
     /// The call to the advice service that is in flight.
     advice_call: Option<CallId>,
     runtime: Runtime,
+    /// The version of the configuration whose limits the reactor has.
+    limits_version: u64,
     grace_ms: u64,
     actions: Vec<Action>,
     directory_actions: Vec<directory::Action>,
@@ -115,6 +116,7 @@
             calls: HashMap::new(),
             advice_call: None,
             runtime: Runtime::new(settings, path, log, now)?,
+            limits_version: 0,
             grace_ms: settings.timing.grace.as_millis() as u64,
             actions: Vec::new(),
             directory_actions: Vec::new(),
@@ -142,6 +144,7 @@
             self.entry.tick(now, &mut self.actions);
             self.directory.tick(now, &mut self.directory_actions);
             self.execute_actions(now);
+            self.apply_limits();
             self.maintain_hosts(now);
             self.check_signals(now);
             if self.is_finished(now) {
@@ -166,6 +169,18 @@
         }
     }
 
+    /// Applies the limits of a new configuration.
+    fn apply_limits(&mut self) {
+        if self.limits_version == self.entry.version() {
+            return;
+        }
+        self.limits_version = self.entry.version();
+        let limits = self.entry.configuration().and_then(|known| known.limits);
+        if let Some(limits) = limits {
+            self.reactor.set_limits(reactor_limits(limits));
+        }
+    }
+
     /// Applies the changed settings that need no restart.
     fn apply_settings(&mut self, settings: &LeasedSettings) {
         let LeasedRole::Entry {
@@ -261,6 +276,15 @@
                 ("evacuated_zones", self.entry.evacuated_zones() as u64),
                 ("evacuated_agents", self.entry.evacuated_agents() as u64),
                 ("configuration_version", self.entry.version()),
+                (
+                    "configuration_held_version",
+                    self.entry.newest_held_version(),
+                ),
+                ("configuration_routes", self.route_count() as u64),
+                (
+                    "configuration_age_ms",
+                    self.entry.configuration_age_ms(now).unwrap_or_default(),
+                ),
                 ("store_age_ms", self.directory.age(now)),
                 ("oldest_view_ms", self.entry.oldest_status_age_ms(now)),
                 ("kept_jobs", self.entry.ledger_counts().0 as u64),
@@ -274,6 +298,11 @@
         }
     }
 
+    fn route_count(&self) -> usize {
+        let configuration = self.entry.configuration();
+        configuration.map_or(0, Configuration::route_count)
+    }
+
     fn readiness_response(&self, request: &Request) -> Response {
         if request.path != caller::READY_PATH {
             return Response::empty(404);
@@ -380,6 +409,8 @@
             .handle_reply(activity, reply, now, &mut self.directory_actions);
         self.directory.tick(now, &mut self.directory_actions);
         self.entry.set_lease(self.directory.lease_end());
+        self.entry
+            .confirm_configuration(self.directory.configuration_confirmed_at());
     }
 
     fn execute_actions(&mut self, now: Time) {
@@ -504,10 +535,7 @@
                 timeout,
             } => self.call_store(activity, call, timeout),
             directory::Action::Configured(configuration) => {
-                if let Some(limits) = configuration.limits {
-                    self.reactor.set_limits(reactor_limits(limits));
-                }
-                self.entry.configure(configuration, &mut self.actions);
+                self.entry.configure(configuration, now, &mut self.actions);
             }
             directory::Action::Evacuated(list) => {
                 self.entry.set_evacuations(&list, now, &mut self.actions);
