feat(dispatch): tell by which version a request was judged, and how old it was

Cause: the logs of the record could not tell by which version a 404 was decided, how old that version was, and whether a newer one was known.

Change: the lines of accepted, refused and abandoned jobs and a new line for requests without a route have the version and the time since it was known to be the newest; `why` shows them. The calls for the configuration have connections of their own. Events that have come together are handled in the order abandoned requests, replies and links, new requests: a full entry always has requests, while leases of links end.

--- a/crates/fulmarpond-dispatch/src/configuration/change.rs
+++ b/crates/fulmarpond-dispatch/src/configuration/change.rs
@@ -5,6 +5,7 @@
 
 use fulmarpond_derive::{key, message};
 
+use super::configuration::lowercase;
 use super::{CallerLimits, Configuration, Route};
 
 /// What identifies a route within a version.
@@ -19,7 +20,7 @@
 impl From<&Route> for RouteKey {
     fn from(route: &Route) -> Self {
         Self {
-            host: route.host.to_ascii_lowercase(),
+            host: lowercase(&route.host).into_owned(),
             prefix: route.prefix.clone(),
         }
     }
@@ -44,10 +45,10 @@
     /// Returns the difference between two versions.
     pub fn between(base: &Configuration, next: &Configuration) -> Self {
         let is_changed = |route: &&Rc<Route>| {
-            let known = base.get(&RouteKey::from(route.as_ref()));
+            let known = base.get(&route.host, &route.prefix);
             known.is_none_or(|known| known != *route)
         };
-        let is_removed = |route: &&Rc<Route>| next.get(&RouteKey::from(route.as_ref())).is_none();
+        let is_removed = |route: &&Rc<Route>| next.get(&route.host, &route.prefix).is_none();
         let removed = base.routes().filter(is_removed);
         Self {
             base: base.version,
@@ -72,15 +73,20 @@
 
     /// Returns the version that results from a version with the number `base`.
     pub(super) fn apply_to(&self, base: &Configuration) -> Configuration {
-        let changed = self
+        let changed: Vec<RouteKey> = self
             .changed
             .iter()
-            .map(|route| RouteKey::from(route.as_ref()));
-        let replaced: HashSet<RouteKey> = changed.chain(self.removed.iter().cloned()).collect();
-        let kept = base
-            .routes()
-            .filter(|route| !replaced.contains(&RouteKey::from(route.as_ref())));
-        let routes = kept.chain(&self.changed).cloned();
+            .map(|route| RouteKey::from(&**route))
+            .collect();
+        let keys = changed.iter().chain(&self.removed);
+        let replaced: HashSet<(&str, &str)> = keys
+            .map(|key| (key.host.as_str(), key.prefix.as_str()))
+            .collect();
+        let is_kept = |route: &&Rc<Route>| {
+            let host = lowercase(&route.host);
+            !replaced.contains(&(host.as_ref(), route.prefix.as_str()))
+        };
+        let routes = base.routes().filter(is_kept).chain(&self.changed).cloned();
         Configuration::with_routes(self.version, routes, self.limits)
     }
 }
--- a/crates/fulmarpond-dispatch/src/configuration/configuration.rs
+++ b/crates/fulmarpond-dispatch/src/configuration/configuration.rs
@@ -1,26 +1,74 @@
 //! A version of the configuration, with an index of its routes.
 
-use std::collections::HashMap;
-use std::collections::hash_map::Entry;
+use std::borrow::{Borrow, Cow};
+use std::collections::{HashMap, HashSet};
+use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
-use super::{CallerLimits, Route, RouteKey};
+use super::{CallerLimits, Route};
+
+/// A route that is found by its prefix.
+#[derive(Debug)]
+struct ByPrefix(Rc<Route>);
+
+impl Borrow<str> for ByPrefix {
+    fn borrow(&self) -> &str {
+        &self.0.prefix
+    }
+}
+
+impl PartialEq for ByPrefix {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.prefix == other.0.prefix
+    }
+}
+
+impl Eq for ByPrefix {}
+
+impl Hash for ByPrefix {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.prefix.hash(state);
+    }
+}
 
 /// The routes of one host.
-#[derive(Debug, Default, PartialEq)]
+#[derive(Debug, Default)]
 struct HostRoutes {
-    by_prefix: HashMap<String, Rc<Route>>,
+    by_prefix: HashSet<ByPrefix>,
     /// The lengths of the prefixes, longest first.
     lengths: Vec<usize>,
 }
 
+impl HostRoutes {
+    /// Adds a route unless there is one with its prefix; returns whether it is added.
+    fn add(&mut self, route: Rc<Route>) -> bool {
+        let len = route.prefix.len();
+        // The set keeps the route that it has.
+        let is_new = self.by_prefix.insert(ByPrefix(route));
+        // The lengths are few, since prefixes are generated alike.
+        if is_new && !self.lengths.contains(&len) {
+            self.lengths.push(len);
+        }
+        is_new
+    }
+}
+
 /// All routes by host name in lower case.
 type RouteIndex = HashMap<String, HostRoutes>;
 
+/// Returns a host name in lower case.
+pub(super) fn lowercase(host: &str) -> Cow<'_, str> {
+    if host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        Cow::Owned(host.to_ascii_lowercase())
+    } else {
+        Cow::Borrowed(host)
+    }
+}
+
 /// A version of the configuration. Copies share the routes.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(from = "Encoded", into = "Encoded")]
 pub struct Configuration {
     /// The version number; a higher version replaces a lower one.
@@ -55,6 +103,14 @@
     }
 }
 
+impl PartialEq for Configuration {
+    fn eq(&self, other: &Self) -> bool {
+        let is_in_other = |route: &Rc<Route>| other.get(&route.host, &route.prefix) == Some(route);
+        (self.version, self.limits, self.count) == (other.version, other.limits, other.count)
+            && self.routes().all(is_in_other)
+    }
+}
+
 impl Configuration {
     /// Creates a configuration. Of several routes with the same host and prefix, the first one
     /// counts.
@@ -71,16 +127,15 @@
         let mut index = RouteIndex::new();
         let mut count = 0;
         for route in routes {
-            let host = index.entry(route.host.to_ascii_lowercase()).or_default();
-            if let Entry::Vacant(vacant) = host.by_prefix.entry(route.prefix.clone()) {
-                let len = vacant.key().len();
-                vacant.insert(route);
-                count += 1;
-                // The lengths are few, since prefixes are generated alike.
-                if !host.lengths.contains(&len) {
-                    host.lengths.push(len);
+            let host = lowercase(&route.host);
+            let is_added = match index.get_mut(host.as_ref()) {
+                Some(known) => known.add(Rc::clone(&route)),
+                None => {
+                    let known = index.entry(host.into_owned()).or_default();
+                    known.add(Rc::clone(&route))
                 }
-            }
+            };
+            count += usize::from(is_added);
         }
         for host in index.values_mut() {
             host.lengths.sort_unstable_by(|a, b| b.cmp(a));
@@ -95,7 +150,8 @@
 
     /// Returns all routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
-        self.index.values().flat_map(|host| host.by_prefix.values())
+        let hosts = self.index.values();
+        hosts.flat_map(|host| host.by_prefix.iter().map(|route| &route.0))
     }
 
     /// Returns the number of routes.
@@ -104,19 +160,20 @@
     }
 
     /// Returns the route with exactly this host and prefix.
-    pub(super) fn get(&self, key: &RouteKey) -> Option<&Rc<Route>> {
-        self.index.get(&key.host)?.by_prefix.get(&key.prefix)
+    pub(super) fn get(&self, host: &str, prefix: &str) -> Option<&Rc<Route>> {
+        let host = self.index.get(lowercase(host).as_ref())?;
+        host.by_prefix.get(prefix).map(|route| &route.0)
     }
 
     /// Returns the route of a request with the longest matching prefix, and the rest of the path.
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(Rc<Route>, &'a str)> {
         let host = host.split(':').next().unwrap_or_default();
         let path = path.split('?').next().unwrap_or_default();
-        let routes = self.index.get(&host.to_ascii_lowercase())?;
+        let routes = self.index.get(lowercase(host).as_ref())?;
         routes.lengths.iter().find_map(|&len| {
             let (prefix, rest) = path.split_at_checked(len)?;
             let route = routes.by_prefix.get(prefix)?;
-            Some((Rc::clone(route), rest))
+            Some((Rc::clone(&route.0), rest))
         })
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -51,6 +51,27 @@
         });
     }
 
+    /// Refuses a request without a route, and logs by which version that was decided.
+    ///
+    /// `job` is the id that the request names if it is one for a job.
+    pub fn refuse_unrouted(
+        &mut self,
+        request: RequestNo,
+        host: &str,
+        job: &str,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        info!(
+            job,
+            host,
+            version = self.version(),
+            version_age_ms = self.configuration_age_ms(now),
+            "no route"
+        );
+        self.refuse(request, Refusal::NoRoute, out);
+    }
+
     /// Accepts or refuses a submitted job, and places its tasks if it is accepted.
     ///
     /// A duplicate of a request gets the answer of the first one, or waits for the same job.
@@ -118,6 +139,7 @@
             planned_wait_ms = job.planned_wait,
             slack_ms = job.start_by.millis_since(now),
             version = self.version(),
+            version_age_ms = self.configuration_age_ms(now),
             "job accepted"
         );
         self.requests.insert(request, id.clone());
@@ -245,6 +267,7 @@
             route = job.route.name,
             reason = reason.as_str(),
             version = self.version(),
+            version_age_ms = self.configuration_age_ms(now),
             agents = self.fleet.views.len(),
             view_age_ms = age,
             planned_wait_ms = job.planned_wait,
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -358,6 +358,7 @@
                     done = done.count(),
                     tasks = job.tasks.len(),
                     version = self.version(),
+                    version_age_ms = self.configuration_age_ms(now),
                     "job given up"
                 );
             }
--- a/crates/fulmarpond-dispatch/tests/mutated_frames.rs
+++ b/crates/fulmarpond-dispatch/tests/mutated_frames.rs
@@ -1,7 +1,12 @@
 //! Frames and records with mutated bytes, at their decoders and at the processes that get them.
 
+use std::rc::Rc;
+
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::agent::{Agent, AgentOptions, CallNo, EndpointReply};
+use fulmarpond_dispatch::configuration::{
+    Configuration, ConfigurationChange, ConfigurationUpdate, Route, RouteKey,
+};
 use fulmarpond_dispatch::entry::{Entry, EntryOptions};
 use fulmarpond_dispatch::ledger::{JobSpec, JobState};
 use fulmarpond_dispatch::{
@@ -24,6 +29,34 @@
     }
 }
 
+fn route(prefix: &str) -> Route {
+    Route {
+        name: "route".to_owned(),
+        host: "host".to_owned(),
+        prefix: prefix.to_owned(),
+        service: "service".to_owned(),
+        priority: 0,
+        attempts: 3,
+        stretch: 1.6,
+        target_ms: 60,
+        advice: None,
+    }
+}
+
+fn whole() -> ConfigurationUpdate {
+    ConfigurationUpdate::Whole(Configuration::new(1, vec![route("/a/")], None))
+}
+
+fn changes() -> ConfigurationUpdate {
+    ConfigurationUpdate::Changes(vec![ConfigurationChange {
+        base: 1,
+        version: 2,
+        changed: vec![Rc::new(route("/b/"))],
+        removed: vec![RouteKey::from(&route("/a/"))],
+        limits: None,
+    }])
+}
+
 fn entry_frames() -> Vec<Vec<u8>> {
     let run = TaskRun {
         task: task(),
@@ -68,6 +101,10 @@
         EntryFrame::Acknowledge(vec![run.clone()]),
         EntryFrame::Superseded(vec![run]),
         EntryFrame::Entries(vec![([10, 0, 0, 1], 7_000).into()]),
+        EntryFrame::ConfigurationVersion(2),
+        EntryFrame::RequestConfiguration(1),
+        EntryFrame::Configuration(whole()),
+        EntryFrame::Configuration(changes()),
     ];
     frames.iter().map(encode).collect()
 }
@@ -103,6 +140,16 @@
             },
         },
         AgentFrame::Started(vec![task()]),
+        AgentFrame::ConfigurationVersion(2),
+        AgentFrame::RequestConfiguration(1),
+        AgentFrame::Configuration {
+            update: whole(),
+            age_ms: 5,
+        },
+        AgentFrame::Configuration {
+            update: changes(),
+            age_ms: 5,
+        },
         AgentFrame::Saved(vec![Checkpoint {
             task: task(),
             value: "c".to_owned(),
--- a/crates/fulmarpond/src/timeline.rs
+++ b/crates/fulmarpond/src/timeline.rs
@@ -5,14 +5,20 @@
 use serde_json::{Map, Value};
 
 /// Messages that an entry logs when a job arrives: it accepts or refuses the job.
-const ARRIVAL_MESSAGES: [&str; 3] = ["job accepted", "job refused", "submission refused"];
+const ARRIVAL_MESSAGES: [&str; 4] = [
+    "job accepted",
+    "job refused",
+    "no route",
+    "submission refused",
+];
 
 /// Messages that an entry logs when a job ends.
-const END_MESSAGES: [&str; 6] = [
+const END_MESSAGES: [&str; 7] = [
     "job completed",
     "job failed",
     "job given up",
     "job refused",
+    "no route",
     "submission refused",
     "caller left, job stopped",
 ];
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -36,8 +36,13 @@
 /// How long before the end of the grace period the remaining jobs are given up, in milliseconds.
 const GIVE_UP_MARGIN_MS: u64 = 700;
 
-/// The maximum number of connections to the store: one for each call that may be in flight.
-const STORE_CONNECTIONS: usize = 11;
+/// The lane of calls to the store and its maximum number of connections: one for each call that may
+/// be in flight.
+const STORE_LANE: (u8, usize) = (0, 11);
+
+/// The lane of calls for the configuration and its maximum number of connections. After a failure a
+/// call takes a new connection, since idle ones may have failed silently together.
+const CONFIGURATION_LANE: (u8, usize) = (1, 2);
 
 /// The process of an entry.
 pub(super) struct EntryProcess {
@@ -131,9 +136,7 @@
             let wake = self.entry.next_wake().min(self.directory.next_wake());
             let deadline = self.runtime.poll_deadline(wake, now);
             self.reactor.poll(deadline, &mut events)?;
-            // After a pause of the process, requests abandoned by their callers are handled first,
-            // so that no other event advances the jobs of callers that have left.
-            events.sort_by_key(|event| !matches!(event, Event::Abandoned { .. }));
+            events.sort_by_key(rank);
             // The clock is read for each event: a pause may come between any two, and a lease may
             // expire during it.
             for event in events.drain(..) {
@@ -323,8 +326,9 @@
         };
         let host = request.header("host").unwrap_or_default();
         let Some((route, rest)) = configuration.route(host, &request.path) else {
+            let job = caller::last_segment(&request.path);
             self.entry
-                .refuse(number, Refusal::NoRoute, &mut self.actions);
+                .refuse_unrouted(number, host, job, now, &mut self.actions);
             return;
         };
         match CallerRequest::parse(request.method, rest) {
@@ -521,9 +525,11 @@
     fn call_store(&mut self, activity: Activity, call: StoreCall, timeout: u64) {
         let deadline = Instant::now() + Duration::from_millis(timeout);
         let request = store::encode_call(&call, &self.identity, deadline);
-        let id = self
-            .reactor
-            .call(self.store, 0, STORE_CONNECTIONS, &request);
+        let (lane, limit) = match activity {
+            Activity::Configuration => CONFIGURATION_LANE,
+            _ => STORE_LANE,
+        };
+        let id = self.reactor.call(self.store, lane, limit, &request);
         self.calls.insert(id, (activity, call));
     }
 
@@ -552,6 +558,22 @@
     }
 }
 
+/// Returns the order in which events that have come together are handled.
+///
+/// After a pause of the process, requests abandoned by their callers come first, so that no other
+/// event advances the jobs of callers that have left. New requests come last: leases of links end and
+/// versions grow old while they are handled, and a full entry always has some.
+const fn rank(event: &Event) -> u8 {
+    match event {
+        Event::Abandoned { .. } => 0,
+        Event::Replied { .. }
+        | Event::LinkUp { .. }
+        | Event::Frame { .. }
+        | Event::LinkDown { .. } => 1,
+        Event::Request { .. } => 2,
+    }
+}
+
 /// Returns the Unix time, in milliseconds.
 fn unix_millis() -> u64 {
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
--- a/crates/fulmarpondd/tests/leased.rs
+++ b/crates/fulmarpondd/tests/leased.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use leased_system::{System, configuration, get, request, wait_until};
+use leased_system::{System, configuration, get, large_configuration, request, wait_until};
 
 /// Guards against tasks that are lost or started twice on the way from an entry over the agents to
 /// the endpoints, when a job with several tasks runs without any fault.
@@ -227,6 +227,42 @@
     assert_eq!(status, 404);
 }
 
+/// Guards against versions of thousands of routes that an entry never gets, and against an entry that
+/// starts beside them while the store is away.
+#[test]
+fn changes_of_thousands_of_routes_are_in_force_at_all_entries() {
+    let mut system = System::start(2, 3);
+    let is_known = |system: &System, entry: usize, prefix: &str| {
+        request(system.callers[entry], "GET", prefix, "").is_some_and(|(status, _)| status == 200)
+    };
+    for version in 2..8 {
+        let added = format!("/added{version}/");
+        let (text, last) = large_configuration(version, &added, 3_000);
+        system.emulator.configure(&text);
+        for entry in 0..2 {
+            wait_until("the new routes are known", || {
+                is_known(&system, entry, &added) && is_known(&system, entry, &last)
+            });
+        }
+    }
+    system.emulator.set_store_down(true);
+    system.entries[0].kill();
+    system.entries[0] = system.start_entry(0);
+    wait_until("the entry has the configuration of the agents", || {
+        is_known(&system, 0, "/added7/")
+    });
+    wait_until(
+        "the log tells the source and the age of the version",
+        || system.entries[0].has_line(&["configuration in force", "agent-", "age_ms"]),
+    );
+    wait_until("the log tells the version of a missing route", || {
+        let path = "/missing/0000000000000c0f";
+        let status = request(system.callers[0], "GET", path, "").map(|(status, _)| status);
+        status == Some(404)
+            && system.entries[0].has_line(&["no route", "0000000000000c0f", "version_age_ms"])
+    });
+}
+
 /// Guards against an entry that restarts during an outage of the store and cannot serve, because
 /// only the store has the configuration.
 #[test]
--- a/crates/fulmarpondd/tests/leased_system/mod.rs
+++ b/crates/fulmarpondd/tests/leased_system/mod.rs
@@ -41,6 +41,21 @@
     )
 }
 
+/// Returns the same with many further routes, and the prefix of the last of them.
+pub fn large_configuration(version: u64, prefix: &str, routes: usize) -> (String, String) {
+    let others = (0..routes).map(|number| {
+        format!(
+            r#"{{"Name":"r{number}","Host":"desk","Prefix":"/extra{number}/","Type":"non_idempotent",
+            "TimeoutMs":1500,"TargetLatencyMs":60,"Priority":0,"Service":"service","MaxAttempts":3,
+            "Stretch":1.6}},"#
+        )
+    });
+    let others: String = others.collect();
+    let text =
+        configuration(version, prefix).replace(r#""Routes":["#, &format!(r#""Routes":[{others}"#));
+    (text, format!("/extra{}/", routes.saturating_sub(1)))
+}
+
 /// A process in leased mode.
 pub struct Process {
     child: Child,
