fix(dispatch): let the timeout of reads of the configuration grow with failures

Callers saw 503 for as long as the store was slow, from entries that had lost their configuration with all power. Cause: each read had 450 ms, and a store whose replies take longer was never heard.

Change: the timeout grows by 450 ms with each failure in a row, up to 1,350 ms; a store that answers nothing is tried again soon all the same.

--- a/crates/fulmarpond-dispatch/src/directory/configuration_watch.rs
+++ b/crates/fulmarpond-dispatch/src/directory/configuration_watch.rs
@@ -13,6 +13,13 @@
 /// the failed one has hidden, and otherwise shows soon that the store answers.
 const RETRY_WAIT_MS: u64 = 100;
 
+/// The timeout of a call beyond the time that it waits in the store, in milliseconds.
+const REPLY_TIMEOUT_MS: u64 = 450;
+
+/// The longest such timeout, in milliseconds. It grows with each failure in a row, so that a store
+/// that answers later than that is heard as well; a store that answers nothing is tried again soon.
+const MAX_REPLY_TIMEOUT_MS: u64 = 1_350;
+
 /// The time without a reply after which the configuration is read, in milliseconds. A watch would
 /// return every version that was written meanwhile.
 const MAX_GAP_MS: u64 = 2_000;
@@ -91,6 +98,13 @@
         }
     }
 
+    /// Returns the timeout of the next call beyond the time that it waits in the store, in
+    /// milliseconds.
+    pub(super) fn reply_timeout_ms(&self) -> u64 {
+        let timeout_ms = REPLY_TIMEOUT_MS * u64::from(self.failures + 1);
+        timeout_ms.min(MAX_REPLY_TIMEOUT_MS)
+    }
+
     /// Schedules another attempt after a call that failed.
     pub(super) fn handle_failure(&mut self, now: Time) {
         self.pacing.record_failure(now);
--- a/crates/fulmarpond-dispatch/src/directory/directory.rs
+++ b/crates/fulmarpond-dispatch/src/directory/directory.rs
@@ -189,10 +189,14 @@
             if matches!(call, StoreCall::Grant { .. } | StoreCall::Renew { .. }) {
                 self.lease_requested_at = now;
             }
+            let reply_timeout_ms = match activity {
+                Activity::Configuration => self.configuration.reply_timeout_ms(),
+                _ => REPLY_TIMEOUT_MS,
+            };
             out.push(Action::Call {
                 activity,
                 call,
-                timeout: wait + REPLY_TIMEOUT_MS,
+                timeout: wait + reply_timeout_ms,
             });
         }
     }
--- a/crates/fulmarpond-dispatch/tests/configurations.rs
+++ b/crates/fulmarpond-dispatch/tests/configurations.rs
@@ -88,6 +88,29 @@
     assert!(delay_ms <= 1_000, "{delay_ms} ms");
 }
 
+/// Guards against entries that serve nothing for as long as the store is slow: after a loss of all
+/// processes nobody else has the configuration, and each read of it failed before its reply came.
+#[test]
+fn entries_start_beside_a_slow_store() {
+    for slow_ms in [300, 700, 1_200] {
+        let mut sim = simulation(4, 3, 6);
+        sim.fault_at(0, Fault::Store(StoreFault::Slow(slow_ms), 30_000));
+        for agent in 0..6 {
+            sim.fault_at(10, Fault::KillAgent(agent));
+        }
+        for entry in 0..3 {
+            sim.fault_at(10, Fault::KillEntry(entry));
+        }
+        sim.run_ms(810 + 8_000);
+        for entry in 0..3 {
+            assert!(
+                sim.is_ready(entry),
+                "entry-{entry}, replies take {slow_ms} ms"
+            );
+        }
+    }
+}
+
 /// How long changes are made and faults occur, in milliseconds.
 const TROUBLE_MS: u64 = 12_000;
 
