perf(dispatch): compare versions of the configuration host by host

Cause: an entry took more processor time for a change than before at sites with fewer than six agents in a zone: comparing two versions of 1,445 routes hashed the host of each route, and the index grew in steps.

Change: routes are compared host by host, and the index is made for all of them at once.

--- a/crates/fulmarpond-dispatch/src/agent/configuration_holder.rs
+++ b/crates/fulmarpond-dispatch/src/agent/configuration_holder.rs
@@ -4,20 +4,9 @@
 use tracing::{debug, warn};
 
 use super::{Action, Agent};
-use crate::configuration::{ConfigurationLog, ConfigurationUpdate};
+use crate::configuration::{ConfigurationLog, ConfigurationUpdate, PendingRequest};
 use crate::{AgentFrame, LinkNo};
 
-/// How long an agent waits for a requested configuration before it asks another entry, in
-/// milliseconds.
-const REQUEST_TIMEOUT_MS: u64 = 500;
-
-/// A request for a configuration.
-#[derive(Debug, Clone, Copy)]
-struct PendingRequest {
-    link: LinkNo,
-    expires_at: Time,
-}
-
 /// The configuration that an agent holds, and its request for a newer one.
 #[derive(Debug, Default)]
 pub(super) struct ConfigurationHolder {
@@ -55,7 +44,7 @@
         let held = self.held_version();
         let last = self.configuration.request;
         if last.is_some_and(|request| {
-            now < request.expires_at && self.links.established.contains_key(&request.link)
+            request.is_pending(now) && self.links.established.contains_key(&request.link)
         }) {
             return;
         }
@@ -79,10 +68,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        self.configuration.request = Some(PendingRequest {
-            link,
-            expires_at: now.after_millis(REQUEST_TIMEOUT_MS),
-        });
+        self.configuration.request = Some(PendingRequest::new(link, now));
         let frame = AgentFrame::RequestConfiguration(held);
         out.push(Action::Send { link, frame });
     }
--- a/crates/fulmarpond-dispatch/src/configuration/change.rs
+++ b/crates/fulmarpond-dispatch/src/configuration/change.rs
@@ -44,18 +44,14 @@
 impl ConfigurationChange {
     /// Returns the difference between two versions.
     pub fn between(base: &Configuration, next: &Configuration) -> Self {
-        let is_changed = |route: &&Rc<Route>| {
-            let known = base.get(&route.host, &route.prefix);
-            known.is_none_or(|known| known != *route)
-        };
-        let is_removed = |route: &&Rc<Route>| next.get(&route.host, &route.prefix).is_none();
-        let removed = base.routes().filter(is_removed);
+        let removed = base.routes_missing_in(next);
         Self {
             base: base.version,
             version: next.version,
-            changed: next.routes().filter(is_changed).cloned().collect(),
+            changed: next.routes_unlike(base),
             removed: removed
-                .map(|route| RouteKey::from(route.as_ref()))
+                .iter()
+                .map(|route| RouteKey::from(&**route))
                 .collect(),
             limits: next.limits,
         }
--- a/crates/fulmarpond-dispatch/src/configuration/configuration.rs
+++ b/crates/fulmarpond-dispatch/src/configuration/configuration.rs
@@ -42,16 +42,15 @@
 }
 
 impl HostRoutes {
-    /// Adds a route unless there is one with its prefix; returns whether it is added.
-    fn add(&mut self, route: Rc<Route>) -> bool {
+    /// Adds a route unless there is one with its prefix.
+    fn add(&mut self, route: Rc<Route>) {
         let len = route.prefix.len();
         // The set keeps the route that it has.
-        let is_new = self.by_prefix.insert(ByPrefix(route));
+        self.by_prefix.insert(ByPrefix(route));
         // The lengths are few, since prefixes are generated alike.
-        if is_new && !self.lengths.contains(&len) {
+        if !self.lengths.contains(&len) {
             self.lengths.push(len);
         }
-        is_new
     }
 }
 
@@ -105,9 +104,8 @@
 
 impl PartialEq for Configuration {
     fn eq(&self, other: &Self) -> bool {
-        let is_in_other = |route: &Rc<Route>| other.get(&route.host, &route.prefix) == Some(route);
         (self.version, self.limits, self.count) == (other.version, other.limits, other.count)
-            && self.routes().all(is_in_other)
+            && self.routes_unlike(other).is_empty()
     }
 }
 
@@ -125,17 +123,17 @@
         limits: Option<CallerLimits>,
     ) -> Self {
         let mut index = RouteIndex::new();
-        let mut count = 0;
-        for route in routes {
+        let mut routes = routes.into_iter();
+        while let Some(route) = routes.next() {
             let host = lowercase(&route.host);
-            let is_added = match index.get_mut(host.as_ref()) {
-                Some(known) => known.add(Rc::clone(&route)),
-                None => {
-                    let known = index.entry(host.into_owned()).or_default();
-                    known.add(Rc::clone(&route))
-                }
-            };
-            count += usize::from(is_added);
+            if let Some(known) = index.get_mut(host.as_ref()) {
+                known.add(Rc::clone(&route));
+                continue;
+            }
+            let known = index.entry(host.into_owned()).or_default();
+            // Few hosts have nearly all routes.
+            known.by_prefix.reserve(routes.size_hint().0);
+            known.add(Rc::clone(&route));
         }
         for host in index.values_mut() {
             host.lengths.sort_unstable_by(|a, b| b.cmp(a));
@@ -143,8 +141,8 @@
         Self {
             version,
             limits,
+            count: index.values().map(|host| host.by_prefix.len()).sum(),
             index: Rc::new(index),
-            count,
         }
     }
 
@@ -154,17 +152,41 @@
         hosts.flat_map(|host| host.by_prefix.iter().map(|route| &route.0))
     }
 
+    /// Returns the routes that another version does not have in the same form.
+    pub(super) fn routes_unlike(&self, other: &Self) -> Vec<Rc<Route>> {
+        self.routes_where(other, |route, known| known != Some(route))
+    }
+
+    /// Returns the routes whose host and prefix another version does not have.
+    pub(super) fn routes_missing_in(&self, other: &Self) -> Vec<Rc<Route>> {
+        self.routes_where(other, |_, known| known.is_none())
+    }
+
+    /// Returns the routes that a predicate selects, given those of another version with the same
+    /// host and prefix.
+    fn routes_where(
+        &self,
+        other: &Self,
+        is_selected: impl Fn(&Rc<Route>, Option<&Rc<Route>>) -> bool,
+    ) -> Vec<Rc<Route>> {
+        let mut selected = Vec::new();
+        for (host, routes) in self.index.iter() {
+            let others = other.index.get(host);
+            for ByPrefix(route) in &routes.by_prefix {
+                let known = others.and_then(|others| others.by_prefix.get(route.prefix.as_str()));
+                if is_selected(route, known.map(|known| &known.0)) {
+                    selected.push(Rc::clone(route));
+                }
+            }
+        }
+        selected
+    }
+
     /// Returns the number of routes.
     pub const fn route_count(&self) -> usize {
         self.count
     }
 
-    /// Returns the route with exactly this host and prefix.
-    pub(super) fn get(&self, host: &str, prefix: &str) -> Option<&Rc<Route>> {
-        let host = self.index.get(lowercase(host).as_ref())?;
-        host.by_prefix.get(prefix).map(|route| &route.0)
-    }
-
     /// Returns the route of a request with the longest matching prefix, and the rest of the path.
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(Rc<Route>, &'a str)> {
         let host = host.split(':').next().unwrap_or_default();
--- a/crates/fulmarpond-dispatch/src/configuration/mod.rs
+++ b/crates/fulmarpond-dispatch/src/configuration/mod.rs
@@ -8,10 +8,12 @@
 #[allow(clippy::module_inception)]
 mod configuration;
 mod log;
+mod request;
 mod route;
 
 pub use advice_policy::AdvicePolicy;
 pub use change::{ConfigurationChange, RouteKey};
 pub use configuration::Configuration;
 pub use log::{ConfigurationLog, ConfigurationUpdate, UnknownBase};
+pub(crate) use request::PendingRequest;
 pub use route::{CallerLimits, Route};
--- a/crates/fulmarpond-dispatch/src/entry/configuration_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/configuration_exchange.rs
@@ -13,7 +13,7 @@
 use super::Action;
 use super::entry::Entry;
 use super::fleet::AgentView;
-use crate::configuration::{Configuration, ConfigurationLog, ConfigurationUpdate};
+use crate::configuration::{Configuration, ConfigurationLog, ConfigurationUpdate, PendingRequest};
 use crate::rendezvous::weight;
 use crate::{EntryFrame, LinkNo};
 
@@ -24,20 +24,9 @@
 /// milliseconds.
 const REQUEST_DELAY_MS: u64 = 150;
 
-/// How long an entry waits for a requested configuration before it asks another agent, in
-/// milliseconds.
-const REQUEST_TIMEOUT_MS: u64 = 500;
-
 /// The key by which agents are ranked as holders.
 const HOLDER_KEY: &str = "configuration";
 
-/// A request for a configuration.
-#[derive(Debug, Clone, Copy)]
-struct PendingRequest {
-    link: LinkNo,
-    expires_at: Time,
-}
-
 /// The configuration in force, and the state of its exchange with agents.
 #[derive(Debug, Default)]
 pub(super) struct ConfigurationExchange {
@@ -232,7 +221,7 @@
         let is_waiting = self
             .configurations
             .request
-            .is_some_and(|request| now < request.expires_at);
+            .is_some_and(|request| request.is_pending(now));
         let gives_store_time = version > 0 && now.millis_since(since) < REQUEST_DELAY_MS;
         if is_waiting || gives_store_time {
             return;
@@ -251,10 +240,7 @@
             held = version,
             "configuration requested"
         );
-        self.configurations.request = Some(PendingRequest {
-            link,
-            expires_at: now.after_millis(REQUEST_TIMEOUT_MS),
-        });
+        self.configurations.request = Some(PendingRequest::new(link, now));
         let frame = EntryFrame::RequestConfiguration(version);
         out.push(Action::Send { link, frame });
     }
