--- a/crates/fulmarpond-dispatch/src/configuration/log.rs
+++ b/crates/fulmarpond-dispatch/src/configuration/log.rs
@@ -55,8 +55,8 @@
         self.current.as_ref().map_or(0, |known| known.version)
     }
 
-    /// Replaces the configuration by a newer one; returns the difference, or `None` if it is not
-    /// newer. The difference is empty for the first configuration.
+    /// Replaces the configuration by a newer one; returns the number of routes that it changes, or
+    /// `None` if it is not newer. The first configuration changes all of its routes.
     pub fn replace(&mut self, next: Configuration) -> Option<usize> {
         if next.version <= self.version() {
             return None;
