--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Tasks whose ends lie behind 500 others that are not acknowledged are run again while the store is down."""
+"""Accepted jobs are never run while 25 older ones wait for an executor that is lost for good."""
 
 import asyncio
 import os
@@ -7,64 +7,54 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
-from world import play
+from world import BOUNDS, play
 
-DOWN_S = 4.5  # `platform_down`, `how = "reset"`, `for_s = 4.5` in the list `troubles` of the site
-STEP = {"Count": 8, "Cpu": 500, "MemMb": 64, "EstimatedMs": 50}
-
-
-async def best_effort(world, seconds, per_s):
-    """Jobs of 8 short tasks, as the callers of the site send them."""
-    calls, began, sent = [], time.monotonic(), 0
-    while time.monotonic() < began + seconds:
-        while sent < (time.monotonic() - began) * per_s:
-            body = {"Spec": "ms=50 cpu=500", "Steps": [STEP], "BestEffort": True}
-            job = f"be{sent:014x}"
-            calls.append(asyncio.create_task(
-                world.call(world.entries[sent % 2], "POST", f"/jobs/{job}", body, wait=1.5)))
-            sent += 1
-        await asyncio.sleep(0.005)
-    answers = [status for status, _ in await asyncio.gather(*calls)]
-    world.note("best-effort", sent=sent, served=answers.count(200), refused=answers.count(429) + answers.count(503))
-
-
-async def durable(world, seconds, per_s):
-    """Jobs that are kept, of 4 tasks: every second one is longer. None is accepted while the store is down."""
-    jobs, began = [], time.monotonic()
-    while time.monotonic() < began + seconds:
-        job = f"d{len(jobs):015x}"
-        ms = 100 if len(jobs) % 2 else 900
-        step = {"Count": 4, "Cpu": 200, "MemMb": 64, "EstimatedMs": ms}
-        status, _ = await world.submit(len(jobs) // 2 % 2, job, f"ms={ms} cpu=200", [step], wait=1.0)
-        jobs.append((job, status))
-        await asyncio.sleep(1 / per_s)
-    return jobs
+# 7 executors of kind a and one of kind b, as in the site file, in three racks.
+LABELS = [["a", "r1-1"]] * 3 + [["a", "r1-2"]] * 3 + [["a", "r1-3"], ["b", "r1-3"]]
+CPU = 8000
+SPECIAL = {"Count": 1, "Cpu": 2000, "MemMb": 64, "EstimatedMs": 2000, "RequiredLabel": "b"}
+PLAIN = {"Count": 4, "Cpu": 2000, "MemMb": 64, "EstimatedMs": 1000}
+IDLE_S = 3  # LOST: "for 3 s, a job has nothing running while a task's turn has come"
 
 
 async def scenario(world):
-    load = asyncio.create_task(best_effort(world, 24, 60))
-    kept = asyncio.create_task(durable(world, 22, 10))
-    await asyncio.sleep(4)
+    plain, special = [], []
+    # Jobs that only executors of kind b can run: 20 s of work for the one that is there.
+    for number in range(40):
+        job = f"b{number:015x}"
+        status, _ = await world.submit(0, job, "ms=2000 cpu=2000", [SPECIAL])
+        special.append((job, status))
+    await asyncio.sleep(1)
     if world.trouble:
-        world.note("store-down")
-        world.store.go_down()
-    await asyncio.sleep(DOWN_S)
-    if world.trouble:
-        world.store.come_back()
-        world.note("store-back")
-    await load
-    jobs = await kept
-    await asyncio.sleep(6)
-    accepted = [job for job, status in jobs if status == 200]
-    for job in accepted:
-        await world.state(0, job)
-    broken = []
-    for task, end, start in world.started_after_done():
-        if not task.startswith("be"):
+        world.note("crash", executor=world.executors[7].id)
+        world.executors[7].crash()
+    await asyncio.sleep(3)
+    # Many jobs at once that any executor can run: some have to wait for room.
+    for number in range(30):
+        job = f"a{number:015x}"
+        status, _ = await world.submit(0, job, "ms=1000 cpu=2000", [PLAIN])
+        plain.append((job, status))
+    # The traffic ends here; finish_s later jobs are asked for.
+    await asyncio.sleep(BOUNDS["finish_s"] + IDLE_S + 1)
+    now, broken = time.monotonic(), []
+    busy = sum(run["cpu"] for executor in world.executors for run in executor.runs.values())
+    room = sum(executor.cpu for executor in world.executors if executor.is_up)
+    last = max(start[0] for seen in world.tasks.values() for start in seen["starts"])
+    world.note("use", busy=busy, room=room, last_start_s_ago=f"{now - last:.1f}")
+    for job, status in plain:
+        if status != 200:
+            continue
+        state = await world.state(0, job)
+        seen = [seen for task, seen in world.tasks.items() if task.startswith(job)]
+        latest = max([end["at"] for task in seen for end in task["ends"]], default=0)
+        is_idle = now - latest > IDLE_S and busy == 0 and now - last > IDLE_S
+        if state in ("pending", "running") and is_idle and busy * 2 < room:
             broken.append(
-                f"TWICE {task}: run {end['run']} ended done on {end['executor']} and was noted, "
-                f"run {start[2]} started {start[0] - end['at']:.3f} s after that end on {start[1]}")
+                f"LOST {job} was accepted and is {state}: {len(seen)} of its 4 tasks were ever started, {busy} of {room} "
+                f"thousandths of a core are in use, nothing was started for {now - last:.1f} s")
+    for job, status in special:
+        await world.state(0, job)
     return broken
 
 
-play(HERE, scenario)
+play(HERE, scenario, executors=8, cpu=CPU, labels=LABELS)
--- a/review/world.py
+++ b/review/world.py
@@ -23,7 +23,7 @@
 STORE_MS = 4  # SYSTEM.md: "4 ms an answer"
 BOUNDS = dict(
     ContactMs=3000, AckMs=4000, DrainMs=2000, GraceS=6, HoldMaxMs=1000, StopMs=50, GangMs=3000, cancel_ms=3000,
-    visible_ms=3000, early_ms=250, finish_s=14, status_s=120, FarX=1.5, SaveS=1, RestoreMs=100, LeaseMs=3000,
+    RecoverS=12, visible_ms=3000, early_ms=250, finish_s=14, status_s=120, FarX=1.5, SaveS=1, RestoreMs=100, LeaseMs=3000,
     ResendMs=1300, ConfigApplyMs=2000, FencingEnforced="true",
 )
 
