--- a/review/world.py
+++ b/review/world.py
@@ -398,7 +398,7 @@
         ]
         self.entries = [f"127.61.1.{n + 1}" for n in range(entries)]
         self.store = Store(self)
-        self.processes, self.tasks, self.lapses = {}, {}, {}
+        self.processes, self.started, self.tasks, self.lapses = {}, [], {}, {}
         self.routes = routes or [self.route("jobs", "/jobs/", attempts=2)]
         self.servers, self.idle, self.loops = [], {}, []
 
@@ -495,6 +495,7 @@
             [program, *command[1:]], cwd=ROOT, stdout=log, stderr=subprocess.STDOUT, start_new_session=True,
             env={"PATH": os.environ["PATH"], "FULMARPOND_SETTINGS": path},
         )
+        self.started.append(self.processes[name])
         self.note("launch", process=name)
 
     def kill(self, name, how=signal.SIGKILL):
@@ -602,11 +603,11 @@
         await asyncio.sleep(0.05)
 
     def down(self):
-        for process in self.processes.values():
+        for process in self.started:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
-        for process in self.processes.values():
+        for process in self.started:
             process.wait()
         self.record.close()
         if os.environ.get("KEEP"):
