--- a/review/world.py
+++ b/review/world.py
@@ -11,6 +11,7 @@
 import re
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -68,6 +69,22 @@
     return min(99, int(100 * age / run["s"]))
 
 
+def free_ports():
+    """Returns a port for each kind of listener that is free at the first address of each group."""
+    kinds = ("front", "ready", "link", "control", "app", "store", "metrics")
+    for attempt in range(400):
+        base = 20000 + (os.getpid() + attempt) % 400 * 10
+        try:
+            for offset in range(len(kinds)):
+                for ip in ("127.61.1.1", "127.61.2.1", "127.61.3.1"):
+                    with socket.socket() as probe:
+                        probe.bind((ip, base + offset))
+        except OSError:
+            continue
+        return {kind: base + offset for offset, kind in enumerate(kinds)}
+    raise CannotRun("no free ports")
+
+
 class Http(asyncio.Protocol):
     """A small HTTP/1.1 server connection. `handler(connection, method, target, headers, body)` answers later."""
 
@@ -397,9 +414,7 @@
         self.began = time.monotonic()
         self.record = open(os.path.join(folder, "record.txt"), "w")
         self.names = {}
-        base = 20000 + (os.getpid() % 400) * 10
-        kinds = ("front", "ready", "link", "control", "app", "store", "metrics")
-        self.ports = {kind: base + offset for offset, kind in enumerate(kinds)}
+        self.ports = free_ports()
         self.temp = tempfile.mkdtemp(prefix="fulmarpond-review-")
         self.zones = ["fukuoka-hall", "kitakyu-hall", "saga-hall", "kurume-hall"]
         labels = labels or [["a", "r1-1"]] * executors
@@ -557,10 +572,15 @@
 
     async def call(self, ip, method, path, body=None, port="front", wait=8.0):
         """Makes a request; returns the status (0: no answer) and the body."""
+        if port == "front":
+            self.note("sent", entry=ip, call=f"{method} {path}")
         try:
-            return await asyncio.wait_for(self.exchange(ip, method, path, body, port, wait), wait)
+            status, answer = await asyncio.wait_for(self.exchange(ip, method, path, body, port, wait), wait)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError):
-            return 0, None
+            status, answer = 0, None
+        if port == "front":
+            self.note("answered", entry=ip, call=f"{method} {path}", status=status, answer=json.dumps(answer))
+        return status, answer
 
     async def exchange(self, ip, method, path, body, port, wait):
         pool = self.idle.setdefault((ip, port), [])
@@ -586,21 +606,15 @@
         return status, (json.loads(answer) if answer else None)
 
     async def submit(self, entry, job, spec, steps, prefix="/jobs/", wait=8.0, **fields):
-        status, answer = await self.call(
-            self.entries[entry], "POST", f"{prefix}{job}", {"Spec": spec, "Steps": steps, **fields}, wait=wait
-        )
-        self.note("submit", job=job, entry=entry + 1, status=status, answer=answer)
-        return status, answer
+        body = {"Spec": spec, "Steps": steps, **fields}
+        return await self.call(self.entries[entry], "POST", f"{prefix}{job}", body, wait=wait)
 
     async def state(self, entry, job, prefix="/jobs/"):
         status, answer = await self.call(self.entries[entry], "GET", f"{prefix}{job}", wait=2.0)
-        state = answer.get("State") if status == 200 else status
-        self.note("state", job=job, entry=entry + 1, state=state)
-        return state
+        return answer.get("State") if status == 200 else status
 
     async def cancel(self, entry, job, prefix="/jobs/"):
         status, _ = await self.call(self.entries[entry], "DELETE", f"{prefix}{job}", wait=8.0)
-        self.note("cancel", job=job, entry=entry + 1, status=status)
         return status
 
     async def close(self):
