fix(dispatch): place jobs behind others that cannot be placed

Cause: Entry::place_waiting_jobs returned after 24 jobs that could not be placed, and began with the same ones each time. Where they wait for something other than room, nothing behind them is ever tried. The same in small: Entry::plan left the tasks of all other steps of a job when one task would have to wait too long. Change: waiting jobs with the same needs form a group, of which only the first is tried (entry/waiting_jobs.rs); beyond 12 groups that fail, all jobs are tried in turn. A step that has to wait no longer keeps the other steps of its job.

--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -16,6 +16,7 @@
 use super::job::{Job, TaskState};
 use super::quarantine::Quarantine;
 use super::series::OwnedSeries;
+use super::waiting_jobs::WaitingJobs;
 use super::workload::Workload;
 use super::{Action, Answer, RequestNo};
 use crate::configuration::Route;
@@ -86,8 +87,7 @@
     pub(super) fleet: Fleet,
     pub(super) jobs: HashMap<JobId, Job>,
     pub(super) requests: HashMap<RequestNo, JobId>,
-    /// Jobs with tasks that wait to be placed, ordered by priority and latest start.
-    pub(super) unplaced: BTreeSet<(u8, Time, JobId)>,
+    pub(super) unplaced: WaitingJobs,
     /// Jobs with lost runs or delayed restarts, by the time at which their tasks are requeued.
     pub(super) lost_runs: BTreeSet<(Time, JobId)>,
     pub(super) final_answers: HashMap<JobId, (Answer, Time)>,
@@ -136,7 +136,7 @@
             fleet: Fleet::default(),
             jobs: HashMap::new(),
             requests: HashMap::new(),
-            unplaced: BTreeSet::new(),
+            unplaced: WaitingJobs::default(),
             lost_runs: BTreeSet::new(),
             final_answers: HashMap::new(),
             evacuations: Evacuations::default(),
@@ -283,8 +283,7 @@
         for request in &job.requests {
             self.requests.remove(request);
         }
-        self.unplaced
-            .remove(&(job.route.priority, job.start_by, id.clone()));
+        self.unplaced.remove(id);
         Some(job)
     }
 
@@ -451,14 +450,16 @@
         for id in expired {
             self.give_up(&id, Refusal::DeadlinePassed, now, out);
         }
-        for (_, _, id) in self.unplaced.clone() {
-            let is_unplaceable = self
-                .jobs
-                .get(&id)
-                .is_some_and(|job| job.state.is_none() && job.has_not_run() && now >= job.start_by);
-            if is_unplaceable {
-                self.give_up(&id, Refusal::NoEndpoint, now, out);
-            }
+        let is_unplaceable =
+            |job: &Job| job.state.is_none() && job.has_not_run() && now >= job.start_by;
+        let unplaceable: Vec<JobId> = self
+            .unplaced
+            .iter()
+            .filter(|id| self.jobs.get(*id).is_some_and(is_unplaceable))
+            .cloned()
+            .collect();
+        for id in unplaceable {
+            self.give_up(&id, Refusal::NoEndpoint, now, out);
         }
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -28,6 +28,7 @@
 mod series;
 mod submission;
 mod task_placement;
+mod waiting_jobs;
 mod workload;
 mod zone_evacuation;
 mod zone_return;
--- a/crates/fulmarpond-dispatch/src/entry/submission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/submission.rs
@@ -6,7 +6,7 @@
 
 /// A step of a job.
 #[message]
-#[derive(Eq)]
+#[derive(Eq, Hash)]
 pub struct Step {
     /// The number of tasks.
     pub count: u16,
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -22,8 +22,11 @@
 /// The interval between two attempts to place waiting tasks, in milliseconds.
 const PLACEMENT_INTERVAL_MS: u64 = 5;
 
-/// The number of jobs in one attempt that may fail to be placed; the jobs after them are skipped.
-const MAX_FAILED_PLACEMENTS: u32 = 24;
+/// The number of groups of waiting jobs whose first job may fail to be placed in one attempt.
+const MAX_FAILED_GROUPS: u32 = 12;
+
+/// The number of waiting jobs that are tried in turn in one attempt, whatever their group.
+const MAX_TURNS: usize = 12;
 
 /// The maximum run time, as a multiple of the expected run time.
 const RUN_LIMIT_FACTOR: u32 = 6;
@@ -166,8 +169,13 @@
     pub(super) fn plan(&mut self, job: &Job, now: Time) -> Plan {
         let mut plan = Plan::default();
         let mut planned: Vec<(LinkNo, u16)> = Vec::new();
+        // The step whose next task would have to wait too long; its other tasks would as well.
+        let mut full_step = None;
         for position in job.ready_tasks() {
             let task = &job.tasks[position];
+            if full_step == Some(task.step) {
+                continue;
+            }
             if job.is_gang(task.step) {
                 // All members become ready together, so the gang is planned once, at its first
                 // member.
@@ -188,7 +196,8 @@
             };
             if job.state.is_some() && choice.wait > MAX_DURABLE_JOB_WAIT_MS {
                 plan.is_incomplete = true;
-                break;
+                full_step = Some(task.step);
+                continue;
             }
             let task = &job.tasks[position];
             let definition = &job.submission.steps[usize::from(task.step)];
@@ -259,11 +268,10 @@
         for (key, indexes) in orders {
             self.send_order(id, job, key, indexes, now, out);
         }
-        let queue_key = (job.route.priority, job.start_by, id.clone());
         if plan.is_incomplete {
-            self.unplaced.insert(queue_key);
+            self.unplaced.insert(job);
         } else {
-            self.unplaced.remove(&queue_key);
+            self.unplaced.remove(id);
         }
     }
 
@@ -362,14 +370,20 @@
             return;
         }
         self.next_placement = now.after_millis(PLACEMENT_INTERVAL_MS);
-        let mut failed_placements = 0;
-        for (_, _, id) in self.unplaced.clone() {
-            if !self.place(&id, now, out) {
-                failed_placements += 1;
-            }
-            if failed_placements > MAX_FAILED_PLACEMENTS {
+        let (mut failed, mut last) = (0, None);
+        while failed < MAX_FAILED_GROUPS
+            && let Some(first) = self.unplaced.next_first(last.as_ref())
+        {
+            failed += u32::from(!self.place(&first.job, now, out));
+            last = Some(first);
+        }
+        // What keeps the first job of a group may not keep the others.
+        let tries = MAX_TURNS.min(self.unplaced.len());
+        for _ in 0..tries {
+            let Some(turn) = self.unplaced.take_turn() else {
                 return;
-            }
+            };
+            self.place(&turn.job, now, out);
         }
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/zone_evacuation.rs
+++ b/crates/fulmarpond-dispatch/src/entry/zone_evacuation.rs
@@ -115,8 +115,7 @@
             self.give_up(id, Refusal::Evacuated, now, out);
             return;
         }
-        let key = (job.route.priority, job.start_by, id.clone());
-        self.unplaced.insert(key);
+        self.unplaced.insert(job);
     }
 
     /// Returns whether the endpoints of a service outside evacuated zones could hold a task of a
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -131,25 +131,31 @@
             return;
         }
         let estimate = self.estimate_ms(id, demand.run_ms);
+        let step = Step {
+            count: demand.tasks,
+            needs: Resources {
+                cpu: demand.cpu,
+                memory: TASK_MEMORY,
+                accelerators: 0,
+            },
+            estimate,
+            after: Vec::new(),
+            label: demand.label.map(str::to_owned),
+            affinity: None,
+            spread: None,
+            gang: demand.gang,
+            colocated: false,
+            long_running: demand.long_running,
+            may_miss: demand.may_miss,
+        };
+        let second = demand.second_label.map(|label| Step {
+            count: 1,
+            label: Some(label.to_owned()),
+            ..step.clone()
+        });
         let submission = Submission {
             spec: "spec".to_owned(),
-            steps: vec![Step {
-                count: demand.tasks,
-                needs: Resources {
-                    cpu: demand.cpu,
-                    memory: TASK_MEMORY,
-                    accelerators: 0,
-                },
-                estimate,
-                after: Vec::new(),
-                label: None,
-                affinity: None,
-                spread: None,
-                gang: demand.gang,
-                colocated: false,
-                long_running: demand.long_running,
-                may_miss: demand.may_miss,
-            }],
+            steps: [step].into_iter().chain(second).collect(),
             timeout_ms,
             is_durable: self.options.is_durable,
             repeat: demand.repeat(first_sent_unix_ms),
--- a/crates/fulmarpond-dispatch/tests/support/demand.rs
+++ b/crates/fulmarpond-dispatch/tests/support/demand.rs
@@ -11,6 +11,10 @@
     pub cpu: u32,
     /// Estimated run time of a task, from which the actual one is drawn, in milliseconds.
     pub run_ms: u32,
+    /// Label that the endpoint must carry, if any.
+    pub label: Option<&'static str>,
+    /// Label of the endpoints of a second step of one task, which starts beside the first, if any.
+    pub second_label: Option<&'static str>,
     /// Whether tasks save checkpoints.
     pub saves_checkpoints: bool,
     /// Whether the tasks form a gang, which does work only while all of its members run.
@@ -34,6 +38,8 @@
         tasks: 1,
         cpu: 1_000,
         run_ms: 60,
+        label: None,
+        second_label: None,
         saves_checkpoints: false,
         gang: false,
         long_running: false,
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -276,6 +276,8 @@
     fn replace_endpoint(&mut self, agent: usize, new: Endpoint) {
         let incarnation = new.incarnation;
         self.endpoints[agent] = new;
+        let kind = self.kind(agent);
+        self.endpoints[agent].set_kind(kind);
         self.drain_acked_at.remove(&agent);
         self.schedule_in_ms(10, Event::Heartbeat(agent, incarnation));
     }
