test(dispatch): endpoints that are down stay down, and reset the calls that reach them

Cause: in virtual time, the begin or the end of another fault at a crashed endpoint made it answer again, as the same incarnation, which then crashed a second time. A call that was on its way to an endpoint that went down got no answer at all, where a connection is reset. Change: a fault does not replace the crash of an endpoint, and its end does not undo it; calls that reach an endpoint that is down are reset; a task can crash its endpoint before its start is answered (crash_after_ms 0).

--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -87,7 +87,10 @@
                 self.silence_links(agent, entry);
             }
             Fault::Endpoint(agent, endpoint_fault, millis) => {
-                self.endpoints[agent].fault = endpoint_fault;
+                // Nothing else can happen to an endpoint that is down.
+                if self.endpoints[agent].fault != EndpointFault::Crashed {
+                    self.endpoints[agent].fault = endpoint_fault;
+                }
                 if endpoint_fault == EndpointFault::Crashed {
                     self.crash_endpoint(agent);
                 }
@@ -144,7 +147,7 @@
             Fault::Endpoint(agent, endpoint_fault, _) => {
                 if endpoint_fault == EndpointFault::Crashed {
                     self.restart_endpoint(agent);
-                } else {
+                } else if self.endpoints[agent].fault != EndpointFault::Crashed {
                     self.endpoints[agent].fault = EndpointFault::None;
                     // Runs that hung during the fault end now.
                     let now = self.now;
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -39,11 +39,11 @@
         if delays > 0 && endpoint.incarnation != to.1 {
             return;
         }
-        if matches!(
-            endpoint.fault,
-            EndpointFault::Crashed | EndpointFault::Silent
-        ) && delays == 0
-        {
+        if endpoint.fault == EndpointFault::Silent && delays == 0 {
+            return;
+        }
+        if endpoint.fault == EndpointFault::Crashed {
+            self.reset_call(agent, generation, number);
             return;
         }
         if endpoint.id() != to.0 {
@@ -68,11 +68,7 @@
         if let EndpointFault::Reset(percent) = endpoint.fault
             && self.rng.random_range(0..100) < percent
         {
-            let reset = Err(CallFailure::NoReply);
-            self.schedule_in_us(
-                LOCAL_DELAY_US,
-                Event::EndpointCallAnswered(agent, generation, number, reset),
-            );
+            self.reset_call(agent, generation, number);
             if self.rng.random_range(0..2) == 0 {
                 return;
             }
@@ -115,6 +111,10 @@
                 self.schedule_in_ms(wait, Event::RunStopped(agent, incarnation, task, run));
             }
         }
+        if self.endpoints[agent].fault == EndpointFault::Crashed {
+            self.reset_call(agent, generation, number);
+            return;
+        }
         self.schedule_lease_checks(agent);
         if is_reply_lost || delays > 0 {
             return;
@@ -141,6 +141,15 @@
         );
     }
 
+    /// Resets the connection of a call whose endpoint is down.
+    fn reset_call(&mut self, agent: usize, generation: u32, number: CallNo) {
+        let reset = Err(CallFailure::NoReply);
+        self.schedule_in_us(
+            LOCAL_DELAY_US,
+            Event::EndpointCallAnswered(agent, generation, number, reset),
+        );
+    }
+
     fn reply_delay_us(&self, agent: usize) -> u64 {
         match self.endpoints[agent].fault {
             EndpointFault::SlowReplies(millis) => LOCAL_DELAY_US + millis * 1_000,
@@ -286,8 +295,12 @@
             && task.index == 0
         {
             let endpoint = &self.endpoints[agent];
-            let run = endpoint.runs[task].number;
-            let crash = Event::RunCrashesEndpoint(agent, endpoint.incarnation, task.clone(), run);
+            let (incarnation, run) = (endpoint.incarnation, endpoint.runs[task].number);
+            if millis == 0 {
+                self.run_crashes_endpoint(agent, incarnation, task, run);
+                return;
+            }
+            let crash = Event::RunCrashesEndpoint(agent, incarnation, task.clone(), run);
             self.schedule_in_ms(millis, crash);
         }
         if demand.gang {
