fix(dispatch): a start that finds no endpoint is no crash under its task

Cause: a task that was lost in a crash is sent on at once, to an endpoint that went down at the same moment and has not been called since. Its start is refused, the agent takes that for a crash, and reports the run that never was as lost, at an age of 0 or 1 ms. With ages that close the entry takes it for a second crash under the task, at a similar age, and gives the job up. Change: the agent keeps whether a start has reached the endpoint. One that was refused or not sent is not reported as lost. One whose connection was reset may or may not have (is_certain in LostRun): it raises the suspicion, but does not count as a crash under the task. A suspected task starts only after a reply no older than 2 ms, so that its next loss is certain, and a task that crashes its endpoint before its start is answered is given up after three at most (a_task_that_crashes_endpoints_at_once_is_given_up).

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -64,6 +64,8 @@
     Hold,
     /// Checks whether a stopped run has ended.
     CheckStopped(TaskKey, u32),
+    /// Checks that the endpoint is alive before a run starts that may crash it.
+    Verify,
     /// Checks whether a registration belongs to the current incarnation of the endpoint.
     Probe(Registration),
 }
--- a/crates/fulmarpond-dispatch/src/agent/crashes.rs
+++ b/crates/fulmarpond-dispatch/src/agent/crashes.rs
@@ -13,8 +13,8 @@
 use tracing::{info, warn};
 
 use super::Action;
-use super::agent::Agent;
-use super::run::{Phase, Run};
+use super::agent::{Agent, Purpose};
+use super::run::{Phase, Reach, Run};
 use crate::{AgentFrame, EndpointCrash, EndpointState, LinkNo, LostRun, TaskKey};
 
 /// How long a crash is reported to entries that link later, in milliseconds.
@@ -24,6 +24,9 @@
 /// ended before, and no crash is reported, in milliseconds.
 const MAX_SILENCE_MS: u64 = 500;
 
+/// A start finds the endpoint alive if it has replied no longer ago than this, in milliseconds.
+const MAX_REPLY_AGE_MS: u64 = 2;
+
 /// A task of a quarantined route does not wait for runs that are expected to take longer than this,
 /// in milliseconds.
 const MAX_AWAITED_RUN_MS: u32 = 2_000;
@@ -31,18 +34,18 @@
 /// The maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 16;
 
-/// The last crashes of the endpoint, with the time at which each was noticed.
+/// The last crashes of the endpoint, with their times.
 #[derive(Debug, Default)]
 pub(super) struct Crashes(VecDeque<(Time, EndpointCrash)>);
 
 impl Crashes {
-    fn push(&mut self, crash: EndpointCrash, now: Time) {
+    fn push(&mut self, crash: EndpointCrash, crashed_at: Time, now: Time) {
         self.0
             .retain(|(at, _)| now.millis_since(*at) < CRASH_TTL_MS);
         if self.0.len() == MAX_CRASHES {
             self.0.pop_front();
         }
-        self.0.push_back((now, crash));
+        self.0.push_back((crashed_at, crash));
     }
 
     /// Returns the reports of the crashes, oldest first.
@@ -52,7 +55,7 @@
             .iter()
             .filter(move |(at, _)| now.millis_since(*at) < CRASH_TTL_MS);
         recent.map(move |(at, crash)| EndpointCrash {
-            ago_ms: u32::try_from(now.millis_since(*at)).unwrap_or(u32::MAX),
+            ago_ms: elapsed_ms(*at, now),
             ..crash.clone()
         })
     }
@@ -73,6 +76,7 @@
         let crashed_at = endpoint.unanswered_since.unwrap_or(now);
         let lost = self.runs.iter().filter(|(_, run)| {
             run.phase.uses_capacity()
+                && run.reach != Reach::NotReached
                 && (run.phase != Phase::Starting || run.started_at < crashed_at)
         });
         let runs: Vec<LostRun> = lost
@@ -85,7 +89,7 @@
             endpoint: endpoint.registration.id.clone(),
             born: endpoint.registration.born,
             service: endpoint.registration.service.clone(),
-            ago_ms: 0,
+            ago_ms: elapsed_ms(crashed_at, now),
             runs,
         };
         self.counters.endpoint_crashes += 1;
@@ -98,6 +102,7 @@
                 run = run.run,
                 route = run.route,
                 age_ms = run.age_ms,
+                is_certain = run.is_certain,
                 endpoint = %crash.endpoint,
                 "run lost in a crash"
             );
@@ -106,7 +111,37 @@
             let frame = AgentFrame::Crashed(crash.clone());
             out.push(Action::Send { link, frame });
         }
-        self.crashes.push(crash, now);
+        self.crashes.push(crash, crashed_at, now);
+    }
+
+    /// Records that a start was refused or not sent.
+    pub(super) fn record_not_reached(&mut self, task: &TaskKey, number: u32) {
+        if let Some(run) = self.runs.get_mut(task)
+            && run.number == number
+        {
+            run.reach = Reach::NotReached;
+        }
+    }
+
+    /// Returns whether the endpoint has replied so short a time ago that a start finds it alive.
+    pub(super) fn is_surely_alive(&self, now: Time) -> bool {
+        self.endpoint.as_ref().is_some_and(|endpoint| {
+            endpoint.has_replied && now.millis_since(endpoint.last_reply) <= MAX_REPLY_AGE_MS
+        })
+    }
+
+    /// Returns whether a queued task is watched when it runs, since it may crash the endpoint.
+    pub(super) fn is_watched(&self, task: &TaskKey) -> bool {
+        self.runs.get(task).is_some_and(|run| run.watch_ms > 0)
+    }
+
+    /// Asks the endpoint for a sign of life, unless that is on its way. If its next crash is noticed
+    /// at a start, it is then known whether the run was there.
+    pub(super) fn verify_endpoint(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut calls = self.pending_calls.values();
+        if !calls.any(|call| matches!(call.purpose, Purpose::Verify)) {
+            self.request_lists(Purpose::Verify, now, out);
+        }
     }
 
     /// Returns until when a queued task has to wait, if it has to, because it or another run may crash
@@ -163,6 +198,12 @@
         run: run.number,
         route: run.route.clone(),
         is_watched: crashed_at < watched_until(run, run.watch_ms),
-        age_ms: u32::try_from(crashed_at.millis_since(run.started_at)).unwrap_or(u32::MAX),
+        is_certain: run.reach == Reach::Reached,
+        age_ms: elapsed_ms(run.started_at, crashed_at),
     }
 }
+
+/// Returns the time between two moments, in milliseconds.
+fn elapsed_ms(from: Time, to: Time) -> u32 {
+    u32::try_from(to.millis_since(from)).unwrap_or(u32::MAX)
+}
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -161,13 +161,20 @@
         if is_immediate && outcome.is_ok() {
             endpoint.reply_times.observe(now.millis_since(sent));
         }
+        if let (Purpose::Start(task, run), Err(CallFailure::Refused | CallFailure::NotSent)) =
+            (&purpose, &outcome)
+        {
+            self.record_not_reached(task, *run);
+        }
         match outcome {
             Ok(EndpointReply::OtherIncarnation) | Err(CallFailure::Refused) => {
                 self.lose_endpoint(now, out);
             }
             Ok(reply) => {
-                let earliest_end = match &reply {
-                    EndpointReply::Held { .. } => endpoint.record_lists(sent, is_immediate, now),
+                let earliest_end = match (&reply, &mut self.endpoint) {
+                    (EndpointReply::Held { .. }, Some(endpoint)) => {
+                        endpoint.record_lists(sent, is_immediate, now)
+                    }
                     _ => now,
                 };
                 self.apply_reply(purpose, reply, earliest_end, now, out);
@@ -240,11 +247,15 @@
                 self.handle_ends(&ended, earliest_end, now, out);
                 self.handle_stopped_check(&task, run, &running, now);
             }
+            (Purpose::Verify, EndpointReply::Held { ended, .. }) => {
+                self.handle_ends(&ended, earliest_end, now, out);
+            }
             (Purpose::Stop(..), EndpointReply::Refused { .. }) => self.raise_fencing_token(now),
             (
                 Purpose::Stop(..)
                 | Purpose::CheckStopped(..)
                 | Purpose::StopUnknown
+                | Purpose::Verify
                 | Purpose::Probe(_),
                 _,
             ) => {}
@@ -293,7 +304,7 @@
                     self.back_off_stop(&task, now);
                 }
             }
-            Purpose::StopUnknown | Purpose::Probe(_) => {}
+            Purpose::StopUnknown | Purpose::Verify | Purpose::Probe(_) => {}
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -4,7 +4,7 @@
 use tracing::info;
 
 use super::agent::{Agent, Purpose, START_STOP_TIMEOUT_MS};
-use super::run::{AfterStop, Phase, Progress, Run};
+use super::run::{AfterStop, Phase, Progress, Reach, Run};
 use super::shares::Need;
 use super::{Action, EndpointCall};
 use crate::epoch::run_before_first;
@@ -71,6 +71,7 @@
                 orphaned_until: None,
                 ticket: order.ticket.clone(),
                 has_start_deadline: order.slack_ms > 0 && !order.is_durable && !order.long_running,
+                reach: Reach::Unknown,
                 phase: Phase::Queued,
             };
             self.shares.push(run.class, start_by, task.clone());
@@ -166,6 +167,10 @@
                 self.next_check = self.next_check.min(until);
                 return;
             }
+            if self.is_watched(&task) && !self.is_surely_alive(now) {
+                self.verify_endpoint(now, out);
+                return;
+            }
             self.start_run(&task, now, out);
         }
         self.preempt_runs(now, out);
@@ -195,9 +200,15 @@
 
     pub(super) fn send_start(&mut self, task: &TaskKey, now: Time, out: &mut Vec<Action>) {
         let lease = self.extend_lease(now);
-        let Some(run) = self.runs.get(task) else {
+        let is_alive = self.is_surely_alive(now);
+        let Some(run) = self.runs.get_mut(task) else {
             return;
         };
+        run.reach = if is_alive {
+            Reach::Reached
+        } else {
+            Reach::Unknown
+        };
         let call = EndpointCall::Start {
             task: task.clone(),
             run: run.number,
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -130,9 +130,21 @@
     /// tasks that had already missed their objective when they were ordered, for durable jobs and
     /// for long-running tasks.
     pub(super) has_start_deadline: bool,
+    pub(super) reach: Reach,
     pub(super) phase: Phase,
 }
 
+/// Whether the last start of a task has reached the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// The endpoint has the run, or had replied just before the start was sent.
+    Reached,
+    /// The endpoint may have been down.
+    Unknown,
+    /// The start was refused or not sent, so nothing ran.
+    NotReached,
+}
+
 /// The phase of a task at an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
--- a/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
+++ b/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
@@ -6,7 +6,7 @@
 use super::agent::{Agent, Purpose, StartCheck};
 use super::endpoint::Endpoint;
 use super::endpoint_calls::HOLD_TIMEOUT_MS;
-use super::run::{AfterStop, Phase, Progress};
+use super::run::{AfterStop, Phase, Progress, Reach};
 use super::{Action, EndpointCall, EndpointReply, RunEntry, StartRefusal};
 use crate::{Outcome, TaskKey};
 
@@ -21,6 +21,7 @@
         }
         if let Some(known) = self.runs.get_mut(task) {
             known.phase = Phase::Running { since };
+            known.reach = Reach::Reached;
             known.progress = Progress::new(since);
             self.status_changed = true;
         }
--- a/crates/fulmarpond-dispatch/src/entry/crash_log.rs
+++ b/crates/fulmarpond-dispatch/src/entry/crash_log.rs
@@ -27,6 +27,10 @@
 /// watched run: it was older than the time for which runs are watched.
 const OLDER_SHARE: f64 = 0.1;
 
+/// The likelihood of the cause for a run that may not have been at the endpoint, as a share of that for
+/// one that was.
+const UNCERTAIN_SHARE: f64 = 0.25;
+
 /// The probability from which a job is suspected.
 const SUSPECT_PROBABILITY: f64 = 0.05;
 
@@ -174,10 +178,17 @@
             by_job.entry(&run.task.job).or_default().push(run);
         }
         let has_watched = crash.runs.iter().any(|run| run.is_watched);
-        let likelihood = |run: &LostRun| match (run.is_watched, has_watched) {
-            (true, _) => 1.0,
-            (false, true) => self.ages.likelihood(run.age_ms) * OLDER_SHARE,
-            (false, false) => self.ages.likelihood(run.age_ms),
+        let likelihood = |run: &LostRun| {
+            let likelihood = match (run.is_watched, has_watched) {
+                (true, _) => 1.0,
+                (false, true) => self.ages.likelihood(run.age_ms) * OLDER_SHARE,
+                (false, false) => self.ages.likelihood(run.age_ms),
+            };
+            if run.is_certain {
+                likelihood
+            } else {
+                likelihood * UNCERTAIN_SHARE
+            }
         };
         let causes: Vec<f64> = by_job
             .iter()
@@ -203,7 +214,8 @@
     }
 
     /// Updates what is known of a job, and learns the age of its youngest run of those lost at a
-    /// similar age again if it is guilty from now on.
+    /// similar age again if it is guilty from now on. A run that may not have been at the endpoint says
+    /// nothing about how often its task was lost.
     fn attribute(
         &mut self,
         job: &JobId,
@@ -218,7 +230,7 @@
         let was_guilty = suspect.is_guilty();
         suspect.probability = probability;
         suspect.last_crash = now;
-        for run in runs {
+        for run in runs.iter().filter(|run| run.is_certain) {
             let key = (run.task.step, run.task.index);
             suspect.crashes.entry(key).or_default().record(run.age_ms);
         }
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -116,7 +116,7 @@
     pub born: u64,
     /// The service of the endpoint.
     pub service: String,
-    /// The time since the crash was noticed, in milliseconds.
+    /// The time since the crash, in milliseconds.
     pub ago_ms: u32,
     /// The runs that were lost. Any of them may have caused the crash, or none.
     pub runs: Vec<LostRun>,
@@ -134,6 +134,9 @@
     pub route: String,
     /// The time from the start of the run to the crash, in milliseconds.
     pub age_ms: u32,
+    /// Whether the run was surely at the endpoint, which otherwise may have been down when the start was
+    /// sent.
+    pub is_certain: bool,
     /// Whether the run was being watched, so that no run of another job was as young.
     pub is_watched: bool,
 }
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/crash_reports.rs
@@ -0,0 +1,216 @@
+//! What an agent reports of the runs that were lost in a crash of its endpoint.
+
+use fulmarpond_core::Time;
+use fulmarpond_dispatch::agent::{
+    Action, Agent, AgentOptions, CallFailure, CallNo, EndpointCall, EndpointReply,
+};
+use fulmarpond_dispatch::{
+    AgentFrame, EndpointId, EndpointState, EntryFrame, JobId, LeaseTimes, LinkNo, LostRun, Order,
+    Registration, Resources,
+};
+
+const START: Time = Time::from_millis(10_000);
+const LINK: LinkNo = LinkNo(1);
+
+/// An agent with an idle endpoint that has replied at [`START`].
+struct Host {
+    agent: Agent,
+    calls: Vec<(CallNo, EndpointCall)>,
+    /// The runs in the crash that was reported, if one was.
+    lost: Option<Vec<LostRun>>,
+    now: Time,
+}
+
+impl Host {
+    fn new() -> Self {
+        let options = AgentOptions {
+            name: "side-1".to_owned(),
+            zone: "Saga".to_owned(),
+            seeds: Vec::new(),
+            lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
+            heartbeat_interval_ms: 1_500,
+            fence: 1,
+        };
+        let mut host = Self {
+            agent: Agent::new(options, START),
+            calls: Vec::new(),
+            lost: None,
+            now: START,
+        };
+        host.act(|agent, now, out| {
+            let handled = agent.handle_heartbeat(registration(), now, out);
+            handled.expect("a consistent heartbeat");
+        });
+        host.reply_to_hold();
+        host.act(|agent, now, out| agent.link_up(LINK, now, out));
+        host
+    }
+
+    fn act(&mut self, act: impl FnOnce(&mut Agent, Time, &mut Vec<Action>)) {
+        let mut out = Vec::new();
+        act(&mut self.agent, self.now, &mut out);
+        for action in out {
+            match action {
+                Action::Call { number, call, .. } => self.calls.push((number, call)),
+                Action::Send {
+                    frame: AgentFrame::Crashed(crash),
+                    ..
+                } => self.lost = Some(crash.runs),
+                _ => {}
+            }
+        }
+    }
+
+    fn order(&mut self, watch_ms: u32) {
+        let order = Order {
+            job: JobId("0000000000000001".to_owned()),
+            step: 0,
+            indexes: vec![0],
+            service: "service".to_owned(),
+            route: "route".to_owned(),
+            spec: String::new(),
+            needs: Resources {
+                cpu: 1_000,
+                memory: 1,
+                accelerators: 0,
+            },
+            priority: 0,
+            expected_ms: 60,
+            nominal_ms: 60,
+            slack_ms: 100,
+            remaining_ms: 1_500,
+            watch_ms,
+            is_quarantined: false,
+            max_run_ms: 5_000,
+            is_durable: false,
+            epoch: 0,
+            last_runs: Vec::new(),
+            checkpoints: Vec::new(),
+            gang: false,
+            long_running: false,
+            ticket: None,
+        };
+        self.act(|agent, now, out| agent.handle_frame(LINK, EntryFrame::Start(order), now, out));
+    }
+
+    fn take_call(&mut self, is_taken: impl Fn(&EndpointCall) -> bool) -> Option<CallNo> {
+        let position = self.calls.iter().position(|(_, call)| is_taken(call))?;
+        Some(self.calls.remove(position).0)
+    }
+
+    fn take_start(&mut self) -> Option<CallNo> {
+        self.take_call(|call| matches!(call, EndpointCall::Start { .. }))
+    }
+
+    fn take_hold(&mut self) -> CallNo {
+        let hold = self.take_call(|call| matches!(call, EndpointCall::Hold { .. }));
+        hold.expect("a hold")
+    }
+
+    fn reply_to_hold(&mut self) {
+        let hold = self.take_hold();
+        let reply = EndpointReply::Held {
+            born: 0,
+            clock: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
+        self.act(|agent, now, out| agent.handle_reply(hold, Ok(reply), now, out));
+    }
+
+    fn answer(&mut self, call: CallNo, outcome: Result<EndpointReply, CallFailure>) {
+        self.act(|agent, now, out| agent.handle_reply(call, outcome, now, out));
+    }
+}
+
+fn registration() -> Registration {
+    Registration {
+        id: EndpointId("e-1".to_owned()),
+        born: 0,
+        service: "service".to_owned(),
+        addr: ([127, 0, 0, 1], 9_000).into(),
+        capacity: Resources {
+            cpu: 8_000,
+            memory: 1_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        cold_remaining_ms: 0,
+        state: EndpointState::Ready,
+        sequence: 1,
+    }
+}
+
+struct Crash {
+    name: &'static str,
+    /// Time from the last reply of the endpoint to the start, in milliseconds.
+    silence_ms: u64,
+    /// What becomes of the start; then, a hold is refused.
+    start: Result<EndpointReply, CallFailure>,
+    /// Whether the run is reported as surely lost, if it is reported.
+    is_certain: Option<bool>,
+}
+
+/// Guards against a crash that is counted under a task whose start found no endpoint, and against one
+/// that is not counted although the run was there.
+#[test]
+fn lost_run_is_certain_only_if_its_start_found_the_endpoint() {
+    let cases = [
+        Crash {
+            name: "the start is confirmed",
+            silence_ms: 100,
+            start: Ok(EndpointReply::Done { clock: 0 }),
+            is_certain: Some(true),
+        },
+        Crash {
+            name: "the start is refused",
+            silence_ms: 0,
+            start: Err(CallFailure::Refused),
+            is_certain: None,
+        },
+        Crash {
+            name: "the start is not sent",
+            silence_ms: 0,
+            start: Err(CallFailure::NotSent),
+            is_certain: None,
+        },
+        Crash {
+            name: "the connection is reset, just after another reply",
+            silence_ms: 1,
+            start: Err(CallFailure::NoReply),
+            is_certain: Some(true),
+        },
+        Crash {
+            name: "the connection is reset, long after another reply",
+            silence_ms: 100,
+            start: Err(CallFailure::NoReply),
+            is_certain: Some(false),
+        },
+    ];
+    for case in cases {
+        let mut host = Host::new();
+        host.now = START.after_millis(case.silence_ms);
+        host.order(0);
+        let start = host.take_start().expect("a start");
+        host.now = host.now.after_millis(1);
+        host.answer(start, case.start);
+        host.now = host.now.after_millis(1);
+        let hold = host.take_hold();
+        host.answer(hold, Err(CallFailure::Refused));
+        let lost = host.lost.map(|runs| runs[0].is_certain);
+        assert_eq!(lost, case.is_certain, "{}", case.name);
+    }
+}
+
+/// Guards against a suspected task whose start finds no endpoint, so that nobody knows whether it has
+/// crashed it: it starts only after a sign of life.
+#[test]
+fn watched_run_starts_after_a_reply() {
+    let mut host = Host::new();
+    host.now = START.after_millis(100);
+    host.order(100);
+    assert!(host.take_start().is_none());
+    host.now = host.now.after_millis(1);
+    host.reply_to_hold();
+    assert!(host.take_start().is_some());
+}
--- a/crates/fulmarpond-dispatch/tests/crashing_tasks.rs
+++ b/crates/fulmarpond-dispatch/tests/crashing_tasks.rs
@@ -263,3 +263,62 @@
         prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
     }
 }
+
+/// Guards against a task that goes on crashing endpoints because its start is never answered: such a
+/// start says little, as the endpoint may have been down before, but a third one must not.
+#[test]
+fn a_task_that_crashes_endpoints_at_once_is_given_up() {
+    for seed in 1..=6 {
+        let mut sim = eleven_endpoints(seed);
+        let load = submit_load(&mut sim, 6_000, 0);
+        let demand = Demand {
+            crash_after_ms: Some(0),
+            ..SHORT_JOB
+        };
+        let deadly = sim.submit_at(2_000, demand);
+        sim.run_ms(8_000);
+        let reply = sim.reply(&deadly).expect("an answer to the deadly job");
+        assert_eq!(reply.answer, Answer::Failed, "seed {seed}");
+        let crashes = sim.history.crash_count();
+        assert!((2..=3).contains(&crashes), "seed {seed}: {crashes} crashes");
+        for jobs in [&load.short, &load.medium, &load.long] {
+            assert_eq!(failed_jobs(&sim, jobs), 0, "seed {seed}");
+        }
+        assert_eq!(sim.history.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against a job that is given up although one endpoint has crashed under it: the next start of
+/// its task is refused, because the endpoint has been down for a while and nobody has noticed.
+#[test]
+fn a_refused_start_is_no_crash_under_a_task() {
+    for seed in 1..=6 {
+        for age_ms in [2, 12, 40] {
+            let mut sim = Simulation::new(Options {
+                seed,
+                agents: 6,
+                timeout_ms: 1_500,
+                ..Options::default()
+            });
+            sim.run_ms(1_000);
+            // All endpoints have replied lately.
+            for number in 0..60 {
+                sim.submit_at(number, Demand::SHORT_TASK);
+            }
+            let sound = sim.submit_at(350, MEDIUM_JOB);
+            sim.run_ms(351 + age_ms);
+            let is_busy = |endpoint: &usize| !sim.endpoints[*endpoint].runs.is_empty();
+            let (busy, idle): (Vec<usize>, Vec<usize>) = (0..6).partition(is_busy);
+            let down = |endpoint| Fault::Endpoint(endpoint, EndpointFault::Crashed, 600);
+            sim.fault_at(0, down(busy[0]));
+            for &endpoint in &idle[1..] {
+                sim.fault_at(4, down(endpoint));
+            }
+            sim.run_ms(4_000);
+            let case = format!("seed {seed}, {age_ms} ms");
+            assert_eq!(sim.history.violations, Vec::<String>::new(), "{case}");
+            let answer = sim.reply(&sound).map(|reply| reply.answer);
+            assert_eq!(answer, Some(Answer::Completed), "{case}");
+        }
+    }
+}
--- a/crates/fulmarpond-dispatch/tests/mutated_frames.rs
+++ b/crates/fulmarpond-dispatch/tests/mutated_frames.rs
@@ -172,6 +172,7 @@
                 run: 1,
                 route: "route".to_owned(),
                 age_ms: 20,
+                is_certain: true,
                 is_watched: true,
             }],
         }),
