fix(dispatch): crashes of several endpoints at one moment have a cause outside the tasks

Cause: each crash was attributed to the runs there as if it stood alone. Agents say when the endpoint crashed, not when they noticed it.

--- a/crates/fulmarpond-dispatch/src/entry/crash_log.rs
+++ b/crates/fulmarpond-dispatch/src/entry/crash_log.rs
@@ -7,11 +7,12 @@
 //!
 //! All entries record all crashes, so they come to the same result, whichever of them owns a job.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 use fulmarpond_core::Time;
 
 use super::crash_ages::{CrashAges, is_like};
+use super::simultaneous_crashes::{Part, RecordedCrash, RecordedCrashes};
 use crate::{EndpointCrash, Incarnation, JobId, LostRun};
 
 /// How long a crash and its suspects are remembered, in milliseconds.
@@ -20,9 +21,6 @@
 /// The probability that a job crashes endpoints, before any crash.
 pub(super) const INITIAL_PROBABILITY: f64 = 0.001;
 
-/// The probability that an endpoint crashes for another reason while runs are there.
-const OTHER_CAUSE_PROBABILITY: f64 = 0.000_3;
-
 /// The likelihood that a run beside a watched one caused a crash, as a share of that without the
 /// watched run: it was older than the time for which runs are watched.
 const OLDER_SHARE: f64 = 0.1;
@@ -148,8 +146,7 @@
 /// The crashes of endpoints, and the jobs that are suspected of them.
 #[derive(Debug, Default)]
 pub(super) struct CrashLog {
-    /// The incarnations whose crash is counted, and when it was reported.
-    counted: VecDeque<(Time, Incarnation)>,
+    crashes: RecordedCrashes,
     suspects: HashMap<JobId, Suspect>,
     ages: CrashAges,
 }
@@ -161,50 +158,65 @@
     pub(super) fn record(
         &mut self,
         crash: &EndpointCrash,
+        crashed_at: Time,
         initial: impl Fn(&str) -> f64,
         now: Time,
     ) -> Option<Vec<Attribution>> {
         self.expire(now);
-        let incarnation = Incarnation {
+        let endpoint = Incarnation {
             id: crash.endpoint.clone(),
             born: crash.born,
         };
-        if self.counted.iter().any(|(_, known)| *known == incarnation) {
+        if self.crashes.contains(&endpoint) {
             return None;
         }
-        self.counted.push_back((now, incarnation));
         let mut by_job: BTreeMap<&JobId, Vec<&LostRun>> = BTreeMap::new();
         for run in &crash.runs {
             by_job.entry(&run.task.job).or_default().push(run);
         }
         let has_watched = crash.runs.iter().any(|run| run.is_watched);
-        let likelihood = |run: &LostRun| {
-            let likelihood = match (run.is_watched, has_watched) {
-                (true, _) => 1.0,
-                (false, true) => self.ages.likelihood(run.age_ms) * OLDER_SHARE,
-                (false, false) => self.ages.likelihood(run.age_ms),
-            };
-            if run.is_certain {
-                likelihood
-            } else {
-                likelihood * UNCERTAIN_SHARE
+        let parts = by_job.iter().map(|(job, runs)| {
+            let likelihoods = runs.iter().map(|run| self.likelihood(run, has_watched));
+            Part {
+                job: (*job).clone(),
+                prior: self.probability(job, runs, &initial),
+                likelihood: likelihoods.fold(0.0, f64::max),
             }
+        });
+        let recorded = RecordedCrash {
+            at: crashed_at,
+            endpoint,
+            parts: parts.collect(),
+            tasks: crash.runs.iter().map(|run| run.task.clone()).collect(),
         };
-        let causes: Vec<f64> = by_job
-            .iter()
-            .map(|(job, runs)| {
-                let likelihoods = runs.iter().map(|run| likelihood(run));
-                self.probability(job, runs, &initial) * likelihoods.fold(0.0, f64::max)
-            })
-            .collect();
-        let no_cause: f64 = causes.iter().map(|cause| 1.0 - cause).product();
-        let crash_probability = 1.0 - (1.0 - OTHER_CAUSE_PROBABILITY) * no_cause;
-        let parts = by_job.into_iter().zip(causes);
-        let attributions = parts
-            .map(|((job, runs), cause)| self.attribute(job, &runs, cause / crash_probability, now));
+        let probabilities = self.crashes.add(recorded);
+        for (job, probability) in &probabilities {
+            if let Some(suspect) = self.suspects.get_mut(job) {
+                suspect.probability = *probability;
+            }
+        }
+        let attributions = by_job.into_iter().map(|(job, runs)| {
+            let probability = probabilities.get(job).copied().unwrap_or_default();
+            self.attribute(job, &runs, probability, now)
+        });
         Some(attributions.collect())
     }
 
+    /// Returns how likely a run would have caused the crash in which it was lost, if it crashes
+    /// endpoints.
+    fn likelihood(&self, run: &LostRun, has_watched: bool) -> f64 {
+        let likelihood = match (run.is_watched, has_watched) {
+            (true, _) => 1.0,
+            (false, true) => self.ages.likelihood(run.age_ms) * OLDER_SHARE,
+            (false, false) => self.ages.likelihood(run.age_ms),
+        };
+        if run.is_certain {
+            likelihood
+        } else {
+            likelihood * UNCERTAIN_SHARE
+        }
+    }
+
     /// Returns the probability that a job crashes endpoints, as far as is known before a crash.
     fn probability(&self, job: &JobId, runs: &[&LostRun], initial: impl Fn(&str) -> f64) -> f64 {
         match self.suspects.get(job) {
@@ -259,7 +271,7 @@
 
     fn expire(&mut self, now: Time) {
         let is_recent = |at: Time| now.millis_since(at) < CRASH_TTL_MS;
-        self.counted.retain(|(at, _)| is_recent(*at));
+        self.crashes.retain(is_recent);
         self.suspects
             .retain(|_, suspect| is_recent(suspect.last_crash));
     }
--- a/crates/fulmarpond-dispatch/src/entry/crashes.rs
+++ b/crates/fulmarpond-dispatch/src/entry/crashes.rs
@@ -21,6 +21,8 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        let ago_us = u64::from(crash.ago_ms) * 1_000;
+        let crashed_at = Time::from_micros(now.as_micros().saturating_sub(ago_us));
         let quarantine = &self.quarantine;
         let initial = |route: &str| {
             if quarantine.contains(route) {
@@ -29,11 +31,9 @@
                 INITIAL_PROBABILITY
             }
         };
-        let Some(attributions) = self.crash_log.record(crash, initial, now) else {
+        let Some(attributions) = self.crash_log.record(crash, crashed_at, initial, now) else {
             return;
         };
-        let ago_us = u64::from(crash.ago_ms) * 1_000;
-        let crashed_at = Time::from_micros(now.as_micros().saturating_sub(ago_us));
         self.quarantine
             .record_crash(self.fleet.name(link), crashed_at, now);
         let mut shares: BTreeMap<&str, (f64, bool)> = BTreeMap::new();
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod queueing;
 mod series;
+mod simultaneous_crashes;
 mod submission;
 mod task_placement;
 mod waiting_jobs;
--- a/crates/fulmarpond-dispatch/tests/crashing_tasks.rs
+++ b/crates/fulmarpond-dispatch/tests/crashing_tasks.rs
@@ -322,3 +322,37 @@
         }
     }
 }
+
+/// Time between two crashes of many endpoints, in milliseconds.
+const ROUND_MS: u64 = 3_500;
+
+/// Guards against a job that is given up although at most one endpoint has crashed under it: when many
+/// endpoints crash at one moment, its tasks are sent to others that are down and not known to be.
+#[test]
+fn sound_jobs_outlast_the_crash_of_many_endpoints() {
+    const ENDPOINTS: usize = 24;
+    for seed in 1..=12 {
+        let mut sim = Simulation::new(Options {
+            seed,
+            entries: 4,
+            agents: ENDPOINTS,
+            cpu: 32_000,
+            timeout_ms: 1_500,
+            ..Options::default()
+        });
+        sim.run_ms(1_000);
+        let load = submit_load(&mut sim, 4 * ROUND_MS, 0);
+        for round in 0..4 {
+            let at = 700 + round * ROUND_MS;
+            // More than half of them, others in each round.
+            for number in 0..ENDPOINTS * 11 / 20 {
+                let endpoint = (number * 5 + seed as usize + round as usize) % ENDPOINTS;
+                sim.fault_at(at, Fault::Endpoint(endpoint, EndpointFault::Crashed, 2_500));
+            }
+        }
+        sim.run_ms(4 * ROUND_MS + 2_000);
+        assert_eq!(sim.history.violations, Vec::<String>::new(), "seed {seed}");
+        let failed = [&load.short, &load.medium, &load.long].map(|jobs| failed_jobs(&sim, jobs));
+        assert_eq!(failed, [0; 3], "seed {seed}");
+    }
+}
