fix(dispatch): members of a suspected gang do not wait for a sign of life

Cause: since a suspected task waits for a reply of its endpoint. Members of a gang and long-running tasks that are still queued when their order has been handled are returned at once, as they must not wait; so they were returned each time and never started. Change: they start without it. The loss of their next start may then be doubtful, which raises the suspicion and counts no crash. Figures: member_of_a_watched_gang_starts_at_once before: no start; after: a start. gangs.rs passes, the schedule is kept there.

--- a/crates/fulmarpond-dispatch/src/agent/crashes.rs
+++ b/crates/fulmarpond-dispatch/src/agent/crashes.rs
@@ -130,9 +130,11 @@
         })
     }
 
-    /// Returns whether a queued task is watched when it runs, since it may crash the endpoint.
-    pub(super) fn is_watched(&self, task: &TaskKey) -> bool {
-        self.runs.get(task).is_some_and(|run| run.watch_ms > 0)
+    /// Returns whether a queued task that may crash the endpoint waits for a sign of life from it. The
+    /// members of a gang and long-running tasks must not wait.
+    pub(super) fn awaits_reply(&self, task: &TaskKey, now: Time) -> bool {
+        let can_wait = |run: &Run| run.watch_ms > 0 && !run.is_gang && !run.is_long_running;
+        self.runs.get(task).is_some_and(can_wait) && !self.is_surely_alive(now)
     }
 
     /// Asks the endpoint for a sign of life, unless that is on its way. If its next crash is noticed
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -167,7 +167,7 @@
                 self.next_check = self.next_check.min(until);
                 return;
             }
-            if self.is_watched(&task) && !self.is_surely_alive(now) {
+            if self.awaits_reply(&task, now) {
                 self.verify_endpoint(now, out);
                 return;
             }
--- a/crates/fulmarpond-dispatch/tests/crash_reports.rs
+++ b/crates/fulmarpond-dispatch/tests/crash_reports.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    fn order(&mut self, watch_ms: u32) {
+    fn order(&mut self, watch_ms: u32, gang: bool) {
         let order = Order {
             job: JobId("0000000000000001".to_owned()),
             step: 0,
@@ -86,7 +86,7 @@
             epoch: 0,
             last_runs: Vec::new(),
             checkpoints: Vec::new(),
-            gang: false,
+            gang,
             long_running: false,
             ticket: None,
         };
@@ -190,7 +190,7 @@
     for case in cases {
         let mut host = Host::new();
         host.now = START.after_millis(case.silence_ms);
-        host.order(0);
+        host.order(0, false);
         let start = host.take_start().expect("a start");
         host.now = host.now.after_millis(1);
         host.answer(start, case.start);
@@ -208,9 +208,19 @@
 fn watched_run_starts_after_a_reply() {
     let mut host = Host::new();
     host.now = START.after_millis(100);
-    host.order(100);
+    host.order(100, false);
     assert!(host.take_start().is_none());
     host.now = host.now.after_millis(1);
     host.reply_to_hold();
     assert!(host.take_start().is_some());
 }
+
+/// Guards against a suspected gang that never starts: its members must not wait, so one that waited for a
+/// reply was returned, and so was its next order.
+#[test]
+fn member_of_a_watched_gang_starts_at_once() {
+    let mut host = Host::new();
+    host.now = START.after_millis(100);
+    host.order(100, true);
+    assert!(host.take_start().is_some());
+}
--- a/crates/fulmarpond-dispatch/tests/gangs.rs
+++ b/crates/fulmarpond-dispatch/tests/gangs.rs
@@ -188,18 +188,25 @@
 /// Guards against regressions of a failure that random schedules found.
 #[test]
 fn guarantees_hold_in_regression_schedules() {
-    let cases: [(u64, &[(u64, Fault)]); 1] = [(
-        11_536_336_220_224_221_253,
-        &[
-            (2_180, Fault::BlockLinks(0, 0, 2_307)),
-            (2_104, Fault::PauseEntry(1, 2_767)),
-            (4_720, Fault::KillAgent(0)),
-            (
-                1_470,
-                Fault::Endpoint(1, EndpointFault::LostReplies(5), 628),
-            ),
-        ],
-    )];
+    let cases: [(u64, &[(u64, Fault)]); 2] = [
+        (
+            11_536_336_220_224_221_253,
+            &[
+                (2_180, Fault::BlockLinks(0, 0, 2_307)),
+                (2_104, Fault::PauseEntry(1, 2_767)),
+                (4_720, Fault::KillAgent(0)),
+                (
+                    1_470,
+                    Fault::Endpoint(1, EndpointFault::LostReplies(5), 628),
+                ),
+            ],
+        ),
+        // A member of a suspected gang waited for a reply of its endpoint, and was returned each time.
+        (
+            71_426_920_625_128_736,
+            &[(4_911, Fault::Endpoint(0, EndpointFault::Crashed, 1_800))],
+        ),
+    ];
     for (seed, faults) in cases {
         assert_eq!(play_schedule(seed, faults), Vec::<String>::new());
     }
