fix(dispatch): an endpoint takes tasks again when its superseded ends are acknowledged

Callers saw nothing yet: found by guarantees_hold_for_failing_tasks_under_random_faults, FULMARPOND_CASES=15 FULMARPOND_SEED=11: seven accepted jobs have not ended after 40 s, all four endpoints idle and not ready. Cause: an agent lets the lease of its endpoint lapse once while it holds superseded ends, and starts nothing meanwhile. If another entry acknowledged these ends before, the agent never ended that state, since it looked for superseded ends first. Change: without superseded ends the state ends at once.

--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -126,6 +126,8 @@
             return;
         };
         if !endpoint.unacknowledged_ends.has_superseded() {
+            // Entries may have acknowledged them meanwhile: their caches differ for a moment.
+            self.status_changed |= endpoint.forced_expiry_at.take().is_some();
             return;
         }
         if endpoint.forced_expiry_at.is_none() {
--- a/crates/fulmarpond-dispatch/tests/stored_failures.rs
+++ b/crates/fulmarpond-dispatch/tests/stored_failures.rs
@@ -137,6 +137,21 @@
     ]
 }
 
+/// Plays a schedule with jobs of all kinds, and returns the violations.
+fn play_schedule(seed: u64, faults: &[(u64, Fault)]) -> Vec<String> {
+    let mut sim = Simulation::with_store(seed);
+    for at in (0..TRAFFIC_MS).step_by(150) {
+        let kind = &KINDS[at as usize / 150 % KINDS.len()];
+        sim.submit_at(at, kind.demand);
+    }
+    for &(at, fault) in faults {
+        sim.fault_at(at, fault);
+    }
+    sim.run_ms(TRAFFIC_MS + SETTLE_MS);
+    sim.check_durable_jobs();
+    sim.history.violations
+}
+
 proptest! {
     #![proptest_config(proptest_config(24))]
 
@@ -147,16 +162,25 @@
         seed in any::<u64>(),
         faults in proptest::collection::vec((0..TRAFFIC_MS, any_fault()), 1..6),
     ) {
-        let mut sim = Simulation::with_store(seed);
-        for at in (0..TRAFFIC_MS).step_by(150) {
-            let kind = &KINDS[at as usize / 150 % KINDS.len()];
-            sim.submit_at(at, kind.demand);
-        }
-        for (at, fault) in faults {
-            sim.fault_at(at, fault);
-        }
-        sim.run_ms(TRAFFIC_MS + SETTLE_MS);
-        sim.check_durable_jobs();
-        prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
+        let violations = play_schedule(seed, &faults);
+        prop_assert!(violations.is_empty(), "{violations:?}");
     }
 }
+
+/// Guards against regressions of a failure that random schedules found.
+#[test]
+fn guarantees_hold_in_regression_schedules() {
+    let case = Regression {
+        cause: "superseded ends were acknowledged by another entry, and the endpoint took no task any more",
+        seed: 17_265_557_471_652_472_761,
+        faults: &[
+            (936, Fault::Endpoint(0, EndpointFault::Crashed, 1_852)),
+            (1_075, Fault::Writer(WriterFault::PowerOff)),
+            (2_214, Fault::Store(StoreFault::Late(57), 3_424)),
+            (2_093, Fault::StoreUnreachable(2, 7_787, false)),
+            (3_374, Fault::BlockLinks(2, 1, 746)),
+        ],
+    };
+    let violations = play_schedule(case.seed, case.faults);
+    assert_eq!(violations, Vec::<String>::new(), "{}", case.cause);
+}
