--- a/crates/fulmarpond-dispatch/tests/stored_failures.rs
+++ b/crates/fulmarpond-dispatch/tests/stored_failures.rs
@@ -6,7 +6,9 @@
 use fulmarpond_dispatch::JobId;
 use fulmarpond_dispatch::entry::JobStatus;
 use proptest::prelude::*;
-use support::{Demand, EndpointFault, Fault, Simulation, StoreFault, WriterFault, proptest_config};
+use support::{
+    Demand, EndpointFault, Fault, Regression, Simulation, StoreFault, WriterFault, proptest_config,
+};
 
 /// Each task fails as often as it may before it completes.
 const FAILING_JOB: Demand = Demand {
