test(daemon): a request that is read late has a caller whose leaving is seen, unless the case breaks on one side

In `overlapping_runs.rs` half of the callers that left before their request was read kept the connection open unseen, in the case without one-sided breaks too. The two faults are now apart, so that the case tells which of them makes runs overlap.

--- a/crates/fulmarpondd/tests/overlap_rig/callers.rs
+++ b/crates/fulmarpondd/tests/overlap_rig/callers.rs
@@ -113,7 +113,8 @@
                 None
             }
             Behaviour::LeavesEarly => {
-                self.leave(stream, rng.random_range(20..300), rng.random());
+                let is_unseen = self.has(Fault::BrokenAtCaller) && rng.random();
+                self.leave(stream, rng.random_range(20..300), !is_unseen);
                 None
             }
         });
@@ -125,8 +126,8 @@
     fn random_behaviour(&self, rng: &mut Pcg64Mcg) -> Behaviour {
         let is_faulty = rng.random_range(0..100) < FAULTY_PERCENT;
         let is_first = rng.random::<bool>();
-        let breaks = self.case.faults.contains(&Fault::BrokenAtCaller);
-        let leaves = self.case.faults.contains(&Fault::ReadLate);
+        let breaks = self.has(Fault::BrokenAtCaller);
+        let leaves = self.has(Fault::ReadLate);
         match (is_faulty, breaks, leaves) {
             (true, true, true) if is_first => Behaviour::LeavesEarly,
             (true, true, _) => Behaviour::BreaksOneSided,
@@ -135,6 +136,10 @@
         }
     }
 
+    fn has(&self, fault: Fault) -> bool {
+        self.case.faults.contains(&fault)
+    }
+
     fn random_entry(&self, behaviour: Behaviour, rng: &mut Pcg64Mcg) -> usize {
         let entries = self.fleet.entries();
         let paused = (0..ENTRIES).filter(|&entry| entries[entry].is_paused());
