test(daemon): runs whose stop fails overlap with the next attempt

Change: a kind of fault in `overlapping_runs.rs`, in which an endpoint loses, delays or refuses (503) stops for 1 to 4 s while all other calls pass; three cases, alone, beside ended processes, beside faulty links.

Nothing bounds how long a stopping run is kept alive.

--- a/crates/fulmarpondd/tests/overlap_rig/case.rs
+++ b/crates/fulmarpondd/tests/overlap_rig/case.rs
@@ -14,6 +14,8 @@
     Links,
     /// Calls of agents to endpoints are late, lost, refused or not answered.
     Calls,
+    /// Stops at an endpoint are late, lost or refused for a while, and all other calls pass.
+    Stops,
     /// Entries are paused while requests arrive, whose callers leave before they are read.
     ReadLate,
 }
--- a/crates/fulmarpondd/tests/overlap_rig/faults.rs
+++ b/crates/fulmarpondd/tests/overlap_rig/faults.rs
@@ -123,6 +123,7 @@
             Fault::Ended => self.end_processes(),
             Fault::Links => self.disturb_links(),
             Fault::Calls => self.disturb_calls(),
+            Fault::Stops => self.disturb_stops(),
         }
     }
 
@@ -214,8 +215,25 @@
             effect: self.random_effect(),
             every: self.choose(&[1, 1, 2, 3]),
         });
-        let faults: Vec<CallFault> = faults.collect();
+        let faults = faults.collect();
         let lasts = self.random_ms(200..2_500);
+        self.disturb_endpoint(executor, faults, lasts);
+    }
+
+    fn disturb_stops(&mut self) {
+        let executor = self.rng.random_range(0..AGENTS);
+        let late = CallEffect::Delayed(self.random_ms(200..2_000));
+        let effect = self.choose(&[late, CallEffect::Lost, CallEffect::Refused(503)]);
+        let faults = vec![CallFault {
+            kind: CallKind::Stop,
+            effect,
+            every: 1,
+        }];
+        let lasts = self.random_ms(1_000..4_000);
+        self.disturb_endpoint(executor, faults, lasts);
+    }
+
+    fn disturb_endpoint(&mut self, executor: usize, faults: Vec<CallFault>, lasts: Duration) {
         self.journal.note(format!(
             "calls to endpoint {executor}: {faults:?}, for {lasts:?}"
         ));
--- a/crates/fulmarpondd/tests/overlapping_runs.rs
+++ b/crates/fulmarpondd/tests/overlapping_runs.rs
@@ -111,6 +111,32 @@
     ]);
 }
 
+/// Guards against a run that goes on for as long as its endpoint does not carry out its stop, while its
+/// job runs elsewhere: other runs there, or links to other entries, extend the lease of all.
+#[test]
+fn runs_whose_stop_fails_do_not_overlap() {
+    play(&[
+        Case {
+            name: "stops",
+            faults: &[Fault::Stops],
+            seed: 21,
+            seconds: 10,
+        },
+        Case {
+            name: "stops, ended",
+            faults: &[Fault::Stops, Fault::Stops, Fault::Ended],
+            seed: 22,
+            seconds: 10,
+        },
+        Case {
+            name: "stops, links",
+            faults: &[Fault::Stops, Fault::Stops, Fault::Links],
+            seed: 23,
+            seconds: 10,
+        },
+    ]);
+}
+
 /// Guards against a job that runs at two entries, one of which read the request after its caller had
 /// left and sent it elsewhere.
 #[test]
