test(dispatch): end the runs of simulated endpoints when their lease expires

The simulated endpoint was sure to check its lease at the expiry only for runs that ended more than 1,500 ms later; for others the check was left to chance. With runs of up to 600 ms they were over by then. Real endpoints end every run at the expiry.

Now a check is due at the expiry whenever a run ends later.

--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -53,10 +53,6 @@
 /// Time from the start of a long-running task until it is working, in milliseconds.
 pub const STARTUP_MS: u64 = 300;
 
-/// For runs that end later than this, a check is scheduled at the expiry of the lease, in
-/// milliseconds.
-pub const LONG_RUN_MS: u64 = 1_500;
-
 /// Interval between checkpoints, in milliseconds of work.
 pub const CHECKPOINT_INTERVAL_MS: u64 = 200;
 
@@ -281,12 +277,12 @@
         }
     }
 
-    /// Returns the expiry of the lease if there are runs that end more than `LONG_RUN_MS` from now.
-    pub fn long_run_lease_end(&self, now: Time) -> Option<Time> {
-        let soon = now.after_millis(LONG_RUN_MS);
-        let has_long_run = self.runs.values().any(|run| run.ends_at > soon);
+    /// Returns the expiry of the lease if there are runs that end later.
+    pub fn lease_end(&self, now: Time) -> Option<Time> {
         let left_ms = (self.lease_expiry - self.clock(now)).max(0) as f64;
-        has_long_run.then(|| now.after_millis((left_ms / self.clock_rate) as u64 + 2))
+        let expiry = now.after_millis((left_ms / self.clock_rate) as u64 + 2);
+        let has_longer_run = self.runs.values().any(|run| run.ends_at > expiry);
+        has_longer_run.then_some(expiry)
     }
 
     /// Returns the reply to a hold call: the running and the oldest unacknowledged ended runs.
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -331,8 +331,7 @@
         if !self.endpoints[agent].runs.is_empty() {
             self.schedule_in_ms(5, Event::CheckEndpoint(agent));
         }
-        // A long run has no end in the near future that would trigger a check.
-        if let Some(expiry) = self.endpoints[agent].long_run_lease_end(self.now) {
+        if let Some(expiry) = self.endpoints[agent].lease_end(self.now) {
             self.schedule_at(expiry, Event::EndExpiredRuns(agent));
         }
     }
