test(dispatch): attempts of one job that meet, in virtual time

- a connection that breaks on the caller's side only, while its entry lives;
- a request that its entry reads after the caller left, with or without seeing the departure then or later;
- a process that is paused between a decision and its effect: before an order, a stop, an answer, a start or a report leaves.

--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -5,7 +5,6 @@
 use fulmarpond_dispatch::configuration::Route;
 use fulmarpond_dispatch::entry::{Answer, RequestNo, Step, Submission};
 use fulmarpond_dispatch::{JobId, Resources, TaskKey};
-use rand::RngExt;
 
 use super::demand::{Demand, Reply};
 use super::simulation::{Event, Job, Simulation};
@@ -103,13 +102,11 @@
                 core.is_some_and(|core| core.configuration().is_some())
             })
             .collect();
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        if running.is_empty() || job.attempt >= attempt {
+        let is_due = self.jobs.get(id).is_some_and(|job| job.attempt < attempt);
+        if running.is_empty() || !is_due {
             return;
         }
-        let entry = running[self.rng.random_range(0..running.len())];
+        let entry = self.choose_entry(id, attempt, &running);
         let paused_until = self.entries[entry].paused_until;
         if self.options.entry_size.is_some()
             && paused_until.remaining_millis(self.now) < MAX_CODEC_MS
@@ -122,19 +119,30 @@
         self.last_id += 1;
         let request = RequestNo(self.last_id);
         let generation = self.entries[entry].generation;
-        job.attempt = attempt;
-        job.pending = Some((entry, generation, request));
-        let (demand, first_sent_unix_ms) = (job.demand, job.first_sent_unix_ms);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.attempt = attempt;
+            job.pending = Some((entry, generation, request));
+        }
         self.pending_requests
             .insert((entry, generation, request), (id.clone(), attempt));
         self.history.record_attempt(id);
         let timeout_ms = self.options.timeout_ms;
         self.schedule_in_ms(timeout_ms, Event::AttemptTimesOut(id.clone(), attempt));
+        if self.queue_request((entry, generation, request), id) {
+            return;
+        }
         if self.entries[entry].paused_until > self.now {
             // A paused entry does not read the request; the caller gives up first.
             self.pending_requests.remove(&(entry, generation, request));
             return;
         }
+        self.read_request(entry, request, id);
+    }
+
+    /// Hands a request to an entry.
+    pub(super) fn read_request(&mut self, entry: usize, request: RequestNo, id: &JobId) {
+        let job = &self.jobs[id];
+        let (demand, first_sent_unix_ms) = (job.demand, job.first_sent_unix_ms);
         let estimate = self.estimate_ms(id, demand.run_ms);
         let step = Step {
             count: demand.tasks,
@@ -161,7 +169,7 @@
         let submission = Submission {
             spec: "spec".to_owned(),
             steps: [step].into_iter().chain(second).collect(),
-            timeout_ms,
+            timeout_ms: self.options.timeout_ms,
             is_durable: self.options.is_durable && !demand.best_effort,
             repeat: demand.repeat(first_sent_unix_ms),
         };
@@ -185,15 +193,9 @@
         if job.attempt != attempt {
             return;
         }
-        if let Some((entry, generation, request)) = job.pending.take() {
-            self.pending_requests.remove(&(entry, generation, request));
-            if self.entries[entry].generation == generation
-                && self.entries[entry].paused_until <= self.now
-            {
-                self.with_entry(entry, |core, now, out| {
-                    core.handle_caller_disconnect(request, now, out);
-                });
-            }
+        if let Some(request) = job.pending.take() {
+            self.pending_requests.remove(&request);
+            self.caller_left(request);
             let resend_ms = self.options.resend_ms;
             self.schedule_in_ms(resend_ms, Event::Submit(id.clone(), attempt + 1));
         }
--- a/crates/fulmarpond-dispatch/tests/support/demand.rs
+++ b/crates/fulmarpond-dispatch/tests/support/demand.rs
@@ -11,6 +11,8 @@
     pub cpu: u32,
     /// Estimated run time of a task, from which the actual one is drawn, in milliseconds.
     pub run_ms: u32,
+    /// Longest run time, if run times are spread exponentially around their mean, in milliseconds.
+    pub max_run_ms: Option<u32>,
     /// Label that the endpoint must carry, if any.
     pub label: Option<&'static str>,
     /// Label of the endpoints of a second step of one task, which starts beside the first, if there is
@@ -43,6 +45,7 @@
         tasks: 1,
         cpu: 1_000,
         run_ms: 60,
+        max_run_ms: None,
         label: None,
         second_label: None,
         best_effort: false,
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -36,6 +36,8 @@
             | Self::HostService(millis)
             | Self::Evacuate(_, millis, _)
             | Self::StoreUnreachableFromAgent(_, millis) => millis,
+            Self::Attempt(fault) => fault.duration_ms(),
+            Self::Stall(stall) => stall.duration_ms(),
             Self::RestartEntry(_) => GRACEFUL_STOP_MS,
             Self::RestartAgent(_) => STOPPING_RUNS_MS,
             _ => 0,
@@ -140,6 +142,8 @@
                 self.set_store_unreachable(agent, true);
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
             }
+            Fault::Attempt(fault) => self.begin_attempt_fault(fault),
+            Fault::Stall(stall) => self.stalls.arm(stall),
             Fault::HostService(millis) => {
                 self.hosts.is_down = true;
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -3,7 +3,9 @@
 
 #![allow(dead_code, unreachable_pub, reason = "not used by every test file")]
 
+mod accept_queue;
 mod advice;
+mod attempts;
 mod callers;
 mod cases;
 mod configurations;
@@ -18,8 +20,10 @@
 mod kept_connections;
 mod network;
 mod options;
+mod run_times;
 mod runs;
 mod simulation;
+mod stalls;
 mod store;
 mod store_calls;
 mod throttling;
@@ -27,6 +31,10 @@
 mod transfers;
 mod uneven;
 
+#[allow(unused_imports, reason = "not used by every test file")]
+pub use accept_queue::Departure;
+#[allow(unused_imports, reason = "not used by every test file")]
+pub use attempts::{AttemptFault, Sides};
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use cases::{Regression, proptest_config};
 #[allow(unused_imports, reason = "not used by every test file")]
@@ -38,6 +46,8 @@
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use simulation::{Fault, Simulation, WriterFault};
 #[allow(unused_imports, reason = "not used by every test file")]
+pub use stalls::{AgentEffect, EntryEffect, Stall};
+#[allow(unused_imports, reason = "not used by every test file")]
 pub use store::StoreFault;
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use throttling::Throttle;
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -189,7 +189,7 @@
         let saved_ms = demand
             .saves_checkpoints
             .then(|| self.history.record_resume(task, checkpoint.as_deref()));
-        let total_ms = f64::from(demand.run_ms) * factor;
+        let total_ms = self.draw_run_ms(&demand, factor);
         let left_ms = match saved_ms {
             Some(done) if done > 0 => (total_ms - done as f64).max(0.0) + RESTORE_MS as f64,
             _ => total_ms,
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -19,6 +19,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::accept_queue::AcceptQueues;
+use super::attempts::{AttemptFault, Attempts, RequestKey, Sides};
 use super::configurations::Configurations;
 use super::crash_reports::CrashReports;
 use super::demand::{Demand, Reply};
@@ -30,6 +32,7 @@
 use super::kept_connections::KeptConnections;
 use super::network::Link;
 use super::options::Options;
+use super::stalls::{Stall, Stalls};
 use super::store::{Store, StoreFault};
 use super::store_calls::{CallKey, InFlightCall, StoreOutcome};
 use super::throttling::{Throttle, ThrottledAgents};
@@ -103,6 +106,10 @@
     Evacuate(usize, u64, bool),
     /// The store does not answer an agent during this time.
     StoreUnreachableFromAgent(usize, u64),
+    /// A fault of the connections between callers and an entry.
+    Attempt(AttemptFault),
+    /// A process is paused before its next effect of a kind.
+    Stall(Stall),
 }
 
 /// A fault of an entry that has just written to the store, before it has the reply.
@@ -153,6 +160,15 @@
     /// Job and number of the attempt.
     Submit(JobId, u32),
     AttemptTimesOut(JobId, u32),
+    /// The connection of a waiting caller breaks on some sides.
+    ConnectionBreaks(JobId, Sides),
+    /// An entry reads a request of a job from its accept queue.
+    RequestRead(RequestKey, JobId),
+    /// An entry sees that the caller of a request has left.
+    DepartureSeen(RequestKey),
+    /// Process, its generation, and actions that it carries out after a pause.
+    LateEntryEffects(usize, u32, Vec<entry::Action>),
+    LateAgentEffects(usize, u32, Vec<agent::Action>),
     CancelIfAccepted(JobId, usize),
     FaultBegins(Fault),
     FaultEnds(Fault),
@@ -265,6 +281,9 @@
     pub(super) throttled: ThrottledAgents,
     pub(super) kept_connections: KeptConnections,
     pub crash_reports: CrashReports,
+    pub attempts: Attempts,
+    pub accept_queues: AcceptQueues,
+    pub stalls: Stalls,
     pub history: History,
 }
 
@@ -310,6 +329,9 @@
             throttled: ThrottledAgents::default(),
             kept_connections: KeptConnections::default(),
             crash_reports: CrashReports::default(),
+            attempts: Attempts::default(),
+            accept_queues: AcceptQueues::default(),
+            stalls: Stalls::default(),
             history: History::default(),
         };
         sim.store.set_configuration(sim.configuration.clone());
@@ -496,9 +518,13 @@
             act(core, now, &mut out);
             core.tick(now, &mut out);
         }
+        let is_stalled = self.stall_entry(entry, &mut out);
         for action in out {
             self.entry_action(entry, action);
         }
+        if is_stalled {
+            return;
+        }
         self.tick_directory(entry);
         self.tick_maintenance(entry);
         self.schedule_entry_wake(entry);
@@ -535,9 +561,13 @@
             act(core, now, &mut out);
             core.tick(now, &mut out);
         }
+        let is_stalled = self.stall_agent(agent, &mut out);
         for action in out {
             self.agent_action(agent, action);
         }
+        if is_stalled {
+            return;
+        }
         let process = &mut self.agents[agent];
         let Some(core) = &process.core else {
             return;
@@ -795,6 +825,15 @@
             }
             Event::Submit(id, attempt) => self.submit_attempt(&id, attempt),
             Event::AttemptTimesOut(id, attempt) => self.attempt_times_out(&id, attempt),
+            Event::ConnectionBreaks(id, sides) => self.break_connection(&id, sides),
+            Event::RequestRead(request, id) => self.request_read(request, &id),
+            Event::DepartureSeen(request) => self.departure_seen(request),
+            Event::LateEntryEffects(entry, generation, late) => {
+                self.late_entry_effects(entry, generation, late);
+            }
+            Event::LateAgentEffects(agent, generation, late) => {
+                self.late_agent_effects(agent, generation, late);
+            }
             Event::CancelIfAccepted(id, entry) => self.cancel_if_accepted(&id, entry),
             Event::FaultBegins(fault) => self.begin_fault(fault),
             Event::FaultEnds(fault) => self.end_fault(fault),
