--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -389,6 +389,7 @@
             EntryFrame::Adopt(tasks) => self.adopt_runs(link, &tasks, out),
             EntryFrame::Entries(addrs) => self.links.add_addresses(&addrs, now),
             EntryFrame::Drain => self.drain(now, out),
+            EntryFrame::Peer(_) => {}
             EntryFrame::Evacuations(list) => {
                 self.update_evacuations(&list, Some(link), now, out);
             }
--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -31,11 +31,15 @@
     Evacuated,
     /// Tasks of the route crash endpoints, and none of those that are left to it is up.
     Quarantined,
+    /// The request waited unread so long that its caller may have sent it again.
+    Outdated,
+    /// The caller has sent the job again to another entry.
+    Superseded,
 }
 
 impl Refusal {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 15] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::Invalid,
@@ -49,6 +53,8 @@
         Self::NoStore,
         Self::Evacuated,
         Self::Quarantined,
+        Self::Outdated,
+        Self::Superseded,
     ];
 
     /// Returns the name of the reason in logs and metrics.
@@ -67,6 +73,8 @@
             Self::NoStore => "no_store",
             Self::Evacuated => "evacuated",
             Self::Quarantined => "quarantined",
+            Self::Outdated => "outdated",
+            Self::Superseded => "superseded",
         }
     }
 }
@@ -107,6 +115,8 @@
     pub crashed_runs: u64,
     /// Jobs that were given up because their tasks crash endpoints.
     pub crashing_jobs: u64,
+    /// Requests that waited for the end of an earlier attempt of their job.
+    pub held: u64,
 }
 
 impl Counters {
--- a/crates/fulmarpond-dispatch/src/entry/action.rs
+++ b/crates/fulmarpond-dispatch/src/entry/action.rs
@@ -1,15 +1,36 @@
 //! Actions that an entry returns for its driver to carry out.
 
+use std::net::SocketAddr;
+
 use fulmarpond_derive::value;
 
 use super::StepKey;
 use crate::directory::{Activity, StoreCall};
-use crate::{EndpointId, EntryFrame, LinkNo, Refusal};
+use crate::{EndpointId, EntryFrame, LinkNo, PeerFrame, Refusal};
 
 /// Identifies a request of a caller.
 #[value]
 pub struct RequestNo(pub u64);
 
+/// The arrival of a request.
+#[value]
+pub struct Arrival {
+    /// The request.
+    pub request: RequestNo,
+    /// How long ago the request may have been sent, in milliseconds. It is unknown how long it waited
+    /// before it was read.
+    pub max_age: u64,
+}
+
+impl From<RequestNo> for Arrival {
+    fn from(request: RequestNo) -> Self {
+        Self {
+            request,
+            max_age: 0,
+        }
+    }
+}
+
 /// The final answer to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
@@ -40,6 +61,19 @@
 /// An action of an entry.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
+    /// Open a link to another entry, and report its number with
+    /// [`Entry::dialed`](super::Entry::dialed).
+    Dial {
+        /// The address.
+        addr: SocketAddr,
+    },
+    /// Send a frame on a link that this entry has opened to another one.
+    SendToEntry {
+        /// The link.
+        link: LinkNo,
+        /// The frame.
+        frame: PeerFrame,
+    },
     /// Close a link.
     Close {
         /// The link.
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -11,7 +11,7 @@
 use super::gangs::gang_fits;
 use super::job::Job;
 use super::submission::{Step, Submission};
-use super::{Action, Answer, RequestNo};
+use super::{Action, Answer, Arrival, RequestNo};
 use crate::configuration::Route;
 use crate::{JobId, Refusal};
 
@@ -23,7 +23,7 @@
 
 /// How long before the caller's timeout a job is given up, in milliseconds, so that the answer
 /// still arrives.
-const GIVE_UP_MARGIN_MS: u64 = 30;
+pub(super) const GIVE_UP_MARGIN_MS: u64 = 30;
 
 /// The number of endpoints assumed in a policy call, whose duration counts toward each step on the
 /// critical path.
@@ -77,13 +77,14 @@
     /// A duplicate of a request gets the answer of the first one, or waits for the same job.
     pub fn submit(
         &mut self,
-        request: RequestNo,
+        arrival: impl Into<Arrival>,
         id: JobId,
         route: &Rc<Route>,
         submission: Submission,
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        let Arrival { request, max_age } = arrival.into();
         if route.advice.is_some() && !self.options.advises {
             self.refuse(request, Refusal::Unsupported, out);
             return;
@@ -112,16 +113,35 @@
             self.requests.insert(request, id);
             return;
         }
+        if let Some(held) = self.held.get_mut(&id) {
+            held.requests.push(request);
+            return;
+        }
+        if max_age > self.options.lease_times.max_request_age_ms() {
+            self.refuse_outdated(request, &id, max_age, out);
+            return;
+        }
         self.workload
             .record_job(route, &submission, &self.estimates, now);
         let mut job = self.new_job(&id, route, submission, now);
         job.requests.push(request);
+        job.sent_after = now.before_millis(max_age);
+        if self.is_only_attempt(&id, now) {
+            self.admit(job, now, out);
+        } else {
+            self.hold(&job, now, out);
+        }
+    }
+
+    /// Places the tasks of a job that is not durable, or refuses it.
+    pub(super) fn admit(&mut self, mut job: Job, now: Time, out: &mut Vec<Action>) {
+        let id = job.id.clone();
         if let Err(reason) = self.check_servable(&job) {
             self.refuse_job(&id, &job, reason, now, out);
             return;
         }
         let plan = self.plan(&job, now);
-        let wait = plan.wait + self.advice_wait(route) as f64;
+        let wait = plan.wait + self.advice_wait(&job.route) as f64;
         job.planned_wait = wait as u64;
         let slack = job.start_by.remaining_millis(now) as f64;
         if wait > Self::max_wait_ms(&job, now) || plan.delay > slack {
@@ -133,8 +153,8 @@
         info!(
             target: ROUTINE,
             job = %id,
-            request = request.0,
-            route = route.name,
+            requests = ?job.requests,
+            route = job.route.name,
             tasks = job.tasks.len(),
             planned_wait_ms = job.planned_wait,
             slack_ms = job.start_by.millis_since(now),
@@ -142,7 +162,9 @@
             version_age_ms = self.configuration_age_ms(now),
             "job accepted"
         );
-        self.requests.insert(request, id.clone());
+        for &request in &job.requests {
+            self.requests.insert(request, id.clone());
+        }
         self.execute_plan(&id, &mut job, plan, now, out);
         self.jobs.insert(id, job);
     }
@@ -173,6 +195,7 @@
             tasks: Job::new_tasks(&submission),
             submission,
             arrived: now,
+            sent_after: now,
             start_by: now.after_millis(slack),
             useful_until: now.after_millis(objective * USEFUL_OBJECTIVE_FACTOR),
             deadline,
@@ -274,13 +297,18 @@
             slack_ms = job.start_by.millis_since(now),
             "job refused"
         );
+        let answer = if job.has_started {
+            Answer::MayHaveRun { reason }
+        } else {
+            Answer::NotRun {
+                reason,
+                retry: retry_after_s(reason),
+            }
+        };
         for &request in &job.requests {
             out.push(Action::Answer {
                 request,
-                answer: Answer::NotRun {
-                    reason,
-                    retry: retry_after_s(reason),
-                },
+                answer,
                 age: 0,
                 wait: 0,
             });
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -33,6 +33,9 @@
 
     /// Handles the loss of a link: tasks sent over it may run until their lease has expired.
     pub fn link_down(&mut self, link: LinkNo, now: Time, out: &mut Vec<Action>) {
+        if self.peer_link_down(link, now) {
+            return;
+        }
         let Some(view) = self.fleet.views.remove(&link) else {
             return;
         };
@@ -44,6 +47,7 @@
             .last_status_at
             .after_millis(self.options.lease_times.orphan_ms());
         let runs_end = runs_end.max(now);
+        self.attempts.lose_agent(link, runs_end);
         // An entry that still reaches the agent may record the ends of its tasks in the store.
         let durable_runs_end = runs_end.after_millis(MERGE_WAIT_MS);
         let long_runs_end = view
@@ -205,8 +209,11 @@
             }
             AgentFrame::Ended(ends) => {
                 for end in ends {
+                    self.attempts.record_end(link, &end.task);
                     self.handle_task_end(link, &end, now, out);
                 }
+                self.finish_endings(now, out);
+                self.release_held(now, out);
                 self.place_waiting_jobs(now, out);
             }
             AgentFrame::UnacknowledgedEnds(ends) => {
@@ -221,6 +228,7 @@
                     view.cold_until = now.after_millis(u64::from(remaining_ms));
                 }
             }
+            AgentFrame::Peer(frame) => self.handle_peer_frame(link, frame, now, out),
             AgentFrame::Crashed(crash) => self.handle_crash(link, &crash, now, out),
             AgentFrame::Speed(speed) => {
                 if let Some(view) = self.fleet.views.get_mut(&link) {
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -0,0 +1,313 @@
+//! The exchange of attempts between entries, and the requests that wait for earlier attempts.
+
+use std::net::SocketAddr;
+
+use fulmarpond_core::Time;
+use tracing::{debug, info, warn};
+
+use super::admission::GIVE_UP_MARGIN_MS;
+use super::entry::{Entry, retry_after_s};
+use super::held_requests::HeldRequest;
+use super::job::Job;
+use super::{Action, Answer, RequestNo};
+use crate::{EntryFrame, JobId, LinkNo, ListedAttempt, PeerFrame, Refusal};
+
+/// The number of lists in a row that may be missing before a link to an entry counts as silent.
+const MAX_MISSING_LISTS: u64 = 3;
+
+impl Entry {
+    /// Makes a new process wait for the attempts of the other entries, as earlier attempts of the
+    /// first jobs that it gets may be in progress there.
+    pub fn await_entries(&mut self, now: Time) {
+        self.peers.await_listing(now);
+    }
+
+    /// Records the number of the link that is being opened to another entry.
+    pub fn dialed(&mut self, addr: SocketAddr, link: LinkNo) {
+        self.peers.mark_dialed(addr, link);
+    }
+
+    /// Returns whether this entry has opened a link, or is opening it: its frames are those of an
+    /// entry.
+    pub fn has_dialed(&self, link: LinkNo) -> bool {
+        self.peers.has_dialed(link)
+    }
+
+    /// Handles a link that this entry has opened to another one.
+    pub fn peer_link_up(&mut self, link: LinkNo, now: Time, out: &mut Vec<Action>) {
+        self.peers.add_link(link, now);
+        let name = self.options.name.clone();
+        self.send_to_peer(link, PeerFrame::Hello { name }, out);
+        let list = self.attempt_list(true, now);
+        self.send_to_peer(link, list, out);
+    }
+
+    /// Handles a frame on a link that this entry has opened.
+    pub fn handle_entry_frame(
+        &mut self,
+        link: LinkNo,
+        frame: EntryFrame,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        if let EntryFrame::Peer(frame) = frame {
+            self.handle_peer_frame(link, frame, now, out);
+        }
+    }
+
+    /// Handles a frame from another entry.
+    pub(super) fn handle_peer_frame(
+        &mut self,
+        link: LinkNo,
+        frame: PeerFrame,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        if let PeerFrame::Hello { name } = &frame {
+            info!(entry = name, "link to entry established");
+            self.peers.add_link(link, now);
+            self.peers.set_name(link, name.clone());
+        }
+        if !self.peers.record_frame(link, now) {
+            return;
+        }
+        match frame {
+            PeerFrame::Hello { .. } => {}
+            PeerFrame::Attempts {
+                attempts,
+                wants_reply,
+            } => {
+                self.attempts.set_list(link, &attempts, now);
+                for attempt in &attempts {
+                    self.claim_from(link, attempt, now, out);
+                }
+                if wants_reply {
+                    let list = self.attempt_list(false, now);
+                    self.send_to_peer(link, list, out);
+                }
+                self.peers.record_list(link);
+                self.release_held(now, out);
+            }
+            PeerFrame::Yield(job) => self.yield_attempt(link, job, now, out),
+            PeerFrame::Yielded(job) => {
+                self.attempts.remove_listed(link, &job);
+                self.release_held(now, out);
+            }
+        }
+    }
+
+    /// Handles the loss of a link to another entry, whose runs may go on until their leases have
+    /// expired. Returns whether the link was one.
+    pub(super) fn peer_link_down(&mut self, link: LinkNo, now: Time) -> bool {
+        let was_dialed = self.peers.has_dialed(link);
+        let Some(peer) = self.peers.remove_link(link, now) else {
+            return was_dialed;
+        };
+        let lease_times = self.options.lease_times;
+        let last_sign = peer
+            .heard
+            .after_millis(lease_times.list_interval_ms())
+            .min(now);
+        warn!(entry = peer.name, "link to entry lost");
+        let runs_end = last_sign.after_millis(lease_times.orphan_ms());
+        self.attempts.lose_entry(link, runs_end);
+        true
+    }
+
+    /// Opens links to other entries, closes silent ones, and sends the attempts of this entry.
+    pub(super) fn tick_peers(&mut self, now: Time, out: &mut Vec<Action>) {
+        for addr in self.peers.take_due_dials(now) {
+            out.push(Action::Dial { addr });
+        }
+        let interval_ms = self.options.lease_times.list_interval_ms();
+        let silence_ms = (MAX_MISSING_LISTS + 1) * interval_ms;
+        for link in self.peers.silent(silence_ms, now) {
+            out.push(Action::Close { link });
+            self.peer_link_down(link, now);
+        }
+        if now >= self.peers.next_list {
+            self.peers.next_list = now.after_millis(interval_ms);
+            self.send_lists(false, now, out);
+        }
+        self.finish_endings(now, out);
+        self.release_held(now, out);
+        self.expire_held(now, out);
+    }
+
+    /// Awaits the attempts of the other entries anew after a pause of this process, during which
+    /// its own may have been superseded.
+    pub(super) fn request_lists(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.peers.unsettle(now);
+        self.send_lists(true, now, out);
+    }
+
+    fn send_lists(&self, wants_reply: bool, now: Time, out: &mut Vec<Action>) {
+        if self.peers.len() == 0 {
+            return;
+        }
+        let list = self.attempt_list(wants_reply, now);
+        for link in self.peers.links() {
+            self.send_to_peer(link, list.clone(), out);
+        }
+    }
+
+    fn send_to_peer(&self, link: LinkNo, frame: PeerFrame, out: &mut Vec<Action>) {
+        let is_dialed = self.peers.get(link).is_some_and(|peer| peer.is_dialed);
+        out.push(if is_dialed {
+            Action::SendToEntry { link, frame }
+        } else {
+            let frame = EntryFrame::Peer(frame);
+            Action::Send { link, frame }
+        });
+    }
+
+    /// Returns the list of the attempts whose callers may soon send them again. One that is held is
+    /// listed too, since it may start at any time.
+    fn attempt_list(&self, wants_reply: bool, now: Time) -> PeerFrame {
+        let list_age_ms = self.options.lease_times.list_age_ms();
+        let in_progress = self
+            .jobs
+            .values()
+            .filter(|job| job.state.is_none() && now.millis_since(job.sent_after) >= list_age_ms)
+            .map(|job| (&job.id, job.sent_after));
+        let held = self.held.jobs().map(|(job, held)| (job, held.sent_after));
+        let listed = in_progress.chain(held).chain(self.attempts.ending());
+        let attempts = listed.map(|(job, sent_after)| ListedAttempt {
+            job: job.clone(),
+            age_ms: u32::try_from(now.millis_since(sent_after)).unwrap_or(u32::MAX),
+        });
+        PeerFrame::Attempts {
+            attempts: attempts.collect(),
+            wants_reply,
+        }
+    }
+
+    /// Requests the end of the attempt of another entry if this entry has a later one.
+    fn claim_from(&self, link: LinkNo, listed: &ListedAttempt, now: Time, out: &mut Vec<Action>) {
+        let job = self.jobs.get(&listed.job);
+        let running = job.filter(|job| job.state.is_none());
+        let held = self.held.get(&listed.job);
+        let own = running
+            .map(|job| job.sent_after)
+            .or_else(|| held.map(|held| held.sent_after));
+        if own.is_some_and(|sent_after| now.millis_since(sent_after) < u64::from(listed.age_ms)) {
+            self.send_to_peer(link, PeerFrame::Yield(listed.job.clone()), out);
+        }
+    }
+
+    /// Ends the attempt of a job that its caller has sent again to another entry.
+    fn yield_attempt(&mut self, link: LinkNo, id: JobId, now: Time, out: &mut Vec<Action>) {
+        if let Some(held) = self.held.remove(&id) {
+            self.answer_held(&held.requests, Refusal::Superseded, out);
+        }
+        if self.jobs.get(&id).is_some_and(|job| job.state.is_none()) {
+            let reason = Refusal::Superseded;
+            self.finish(&id, Answer::MayHaveRun { reason }, now, out);
+        }
+        if self.attempts.is_ending(&id) {
+            self.attempts.add_yield_request(id, link);
+        } else {
+            self.send_to_peer(link, PeerFrame::Yielded(id), out);
+        }
+    }
+
+    /// Removes the stopped attempts whose runs are over, and tells the entries that wait for that.
+    pub(super) fn finish_endings(&mut self, now: Time, out: &mut Vec<Action>) {
+        for job in self.attempts.take_over(now) {
+            for link in self.attempts.take_yield_requests(&job) {
+                self.send_to_peer(link, PeerFrame::Yielded(job.clone()), out);
+            }
+        }
+    }
+
+    /// Returns whether tasks of a job that is not durable may start: no earlier attempt may have
+    /// runs left, and the attempts of the other entries are known.
+    pub(super) fn is_only_attempt(&self, id: &JobId, now: Time) -> bool {
+        self.peers.is_settled(now) && !self.attempts.has_earlier(id, now)
+    }
+
+    /// Holds a submission until no earlier attempt may have runs left.
+    pub(super) fn hold(&mut self, job: &Job, now: Time, out: &mut Vec<Action>) {
+        let is_repeated = self.attempts.has_earlier(&job.id, now);
+        info!(job = %job.id, is_repeated, "request waits for the end of an earlier attempt");
+        self.counters.held += 1;
+        for link in self.attempts.owners(&job.id) {
+            self.send_to_peer(link, PeerFrame::Yield(job.id.clone()), out);
+        }
+        let held = HeldRequest {
+            requests: job.requests.clone(),
+            route: job.route.clone(),
+            submission: job.submission.clone(),
+            sent_after: job.sent_after,
+            deadline: job.deadline,
+            is_repeated,
+        };
+        self.held.insert(job.id.clone(), held);
+    }
+
+    /// Admits the held submissions whose earlier attempts are over.
+    pub(super) fn release_held(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.held.is_empty() || !self.peers.is_settled(now) {
+            return;
+        }
+        let jobs = self.held.jobs();
+        let free = jobs.filter(|(job, _)| !self.attempts.has_earlier(job, now));
+        let free: Vec<JobId> = free.map(|(job, _)| job.clone()).collect();
+        for id in free {
+            let Some(mut held) = self.held.remove(&id) else {
+                continue;
+            };
+            debug!(job = %id, "earlier attempt is over");
+            held.submission.timeout_ms = held.deadline.remaining_millis(now) + GIVE_UP_MARGIN_MS;
+            let mut job = self.new_job(&id, &held.route, held.submission, now);
+            job.requests = held.requests;
+            job.sent_after = held.sent_after;
+            job.has_started = held.is_repeated;
+            self.admit(job, now, out);
+        }
+    }
+
+    fn expire_held(&mut self, now: Time, out: &mut Vec<Action>) {
+        for id in self.held.expired(now) {
+            let Some(held) = self.held.remove(&id) else {
+                continue;
+            };
+            info!(job = %id, "earlier attempt is not over in time");
+            self.answer_held(&held.requests, Refusal::DeadlinePassed, out);
+        }
+    }
+
+    /// Answers all held requests, since the process stops.
+    pub(super) fn give_up_held(&mut self, out: &mut Vec<Action>) {
+        for held in self.held.take_all() {
+            self.answer_held(&held.requests, Refusal::Stopping, out);
+        }
+    }
+
+    /// Answers requests whose earlier attempts may have run.
+    fn answer_held(&mut self, requests: &[RequestNo], reason: Refusal, out: &mut Vec<Action>) {
+        self.counters.refuse(reason);
+        for &request in requests {
+            out.push(Action::Answer {
+                request,
+                answer: Answer::MayHaveRun { reason },
+                age: 0,
+                wait: 0,
+            });
+        }
+    }
+
+    /// Refuses a request that waited unread so long that its caller may have sent the job again,
+    /// which other entries can no longer be told in time.
+    pub(super) fn refuse_outdated(
+        &mut self,
+        request: RequestNo,
+        id: &JobId,
+        age_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let reason = Refusal::Outdated;
+        info!(job = %id, age_ms, retry_s = retry_after_s(reason), "request waited too long unread");
+        self.answer_held(&[request], reason, out);
+    }
+}
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/attempts.rs
@@ -0,0 +1,186 @@
+//! What an entry knows of the attempts of jobs that are not durable, its own and those of others.
+//!
+//! A caller that lost its connection sends its job again, to any entry. The entry of the earlier
+//! attempt may not have noticed: only the side of the caller may have broken. So entries tell each
+//! other about their attempts, and the later one starts only when no run of the earlier one is left.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use fulmarpond_core::Time;
+
+use super::job::{Job, TaskState};
+use crate::{JobId, LinkNo, ListedAttempt, TaskKey};
+
+/// After this time a stopped attempt is over even if an agent has not told so, in milliseconds.
+/// The lease of a run is much shorter.
+const MAX_ENDING_MS: u64 = 10_000;
+
+/// An attempt of this entry that has been stopped and may have runs left.
+#[derive(Debug)]
+struct Ending {
+    /// When its caller may have sent it.
+    sent_after: Time,
+    /// The runs whose end is not reported yet, by agent, step and index.
+    runs: BTreeSet<(LinkNo, u16, u16)>,
+    /// When the runs at lost agents are over.
+    lost_until: Time,
+    /// When it counts as over in any case.
+    over_by: Time,
+}
+
+impl Ending {
+    fn is_over(&self, now: Time) -> bool {
+        now >= self.over_by || (self.runs.is_empty() && now >= self.lost_until)
+    }
+}
+
+/// Attempts that have to be over before another one of the same job may start.
+#[derive(Debug, Default)]
+pub(super) struct Attempts {
+    ending: HashMap<JobId, Ending>,
+    /// The attempts that other entries have listed: by job, the link and when the caller may have
+    /// sent it.
+    elsewhere: HashMap<JobId, BTreeMap<LinkNo, Time>>,
+    /// When the attempts of entries whose link is lost are over.
+    lost: HashMap<JobId, Time>,
+    /// The entries that wait for the end of an attempt of this one.
+    yield_requests: HashMap<JobId, Vec<LinkNo>>,
+}
+
+impl Attempts {
+    /// Records a stopped job whose agents have been told to stop its runs.
+    pub(super) fn begin_ending(&mut self, job: &Job, now: Time) {
+        let mut ending = Ending {
+            sent_after: job.sent_after,
+            runs: BTreeSet::new(),
+            lost_until: now,
+            over_by: now.after_millis(MAX_ENDING_MS),
+        };
+        for task in &job.tasks {
+            match task.state {
+                TaskState::Sent(link) => {
+                    ending.runs.insert((link, task.step, task.index));
+                }
+                TaskState::Lost(until) => ending.lost_until = ending.lost_until.max(until),
+                TaskState::Waiting
+                | TaskState::Confirming
+                | TaskState::RestartDelayed(_)
+                | TaskState::Done => {}
+            }
+        }
+        if !ending.is_over(now) {
+            self.ending.insert(job.id.clone(), ending);
+        }
+    }
+
+    /// Records the reported end of a run of a stopped job.
+    pub(super) fn record_end(&mut self, link: LinkNo, task: &TaskKey) {
+        if let Some(ending) = self.ending.get_mut(&task.job) {
+            ending.runs.remove(&(link, task.step, task.index));
+        }
+    }
+
+    /// Records the loss of an agent, whose runs are over at the given time.
+    pub(super) fn lose_agent(&mut self, link: LinkNo, runs_end: Time) {
+        for ending in self.ending.values_mut() {
+            let before = ending.runs.len();
+            ending.runs.retain(|(agent, ..)| *agent != link);
+            if ending.runs.len() < before {
+                ending.lost_until = ending.lost_until.max(runs_end);
+            }
+        }
+    }
+
+    /// Removes the stopped attempts that are over; returns their jobs.
+    pub(super) fn take_over(&mut self, now: Time) -> Vec<JobId> {
+        self.lost.retain(|_, over_by| now < *over_by);
+        let over = self.ending.iter().filter(|(_, ending)| ending.is_over(now));
+        let over: Vec<JobId> = over.map(|(job, _)| job.clone()).collect();
+        for job in &over {
+            self.ending.remove(job);
+        }
+        over
+    }
+
+    /// Returns whether a stopped attempt of this entry may have runs left.
+    pub(super) fn is_ending(&self, job: &JobId) -> bool {
+        self.ending.contains_key(job)
+    }
+
+    /// Returns whether an earlier attempt of a job may have runs left.
+    pub(super) fn has_earlier(&self, job: &JobId, now: Time) -> bool {
+        self.ending.contains_key(job)
+            || self.elsewhere.contains_key(job)
+            || self.lost.get(job).is_some_and(|over_by| now < *over_by)
+    }
+
+    /// Returns the links to the entries that have an attempt of a job.
+    pub(super) fn owners(&self, job: &JobId) -> Vec<LinkNo> {
+        let links = self.elsewhere.get(job).into_iter().flatten();
+        links.map(|(&link, _)| link).collect()
+    }
+
+    /// Replaces the list of another entry.
+    pub(super) fn set_list(&mut self, link: LinkNo, list: &[ListedAttempt], now: Time) {
+        self.take_list(link);
+        for attempt in list {
+            let sent_after = now.before_millis(u64::from(attempt.age_ms));
+            let owners = self.elsewhere.entry(attempt.job.clone()).or_default();
+            owners.insert(link, sent_after);
+        }
+    }
+
+    /// Removes the list of another entry; returns its jobs.
+    fn take_list(&mut self, link: LinkNo) -> Vec<JobId> {
+        let mut removed = Vec::new();
+        self.elsewhere.retain(|job, owners| {
+            if owners.remove(&link).is_some() {
+                removed.push(job.clone());
+            }
+            !owners.is_empty()
+        });
+        removed
+    }
+
+    /// Removes the list of an entry that is lost; its runs are over at the given time.
+    pub(super) fn lose_entry(&mut self, link: LinkNo, runs_end: Time) {
+        for job in self.take_list(link) {
+            let over_by = self.lost.entry(job).or_insert(runs_end);
+            *over_by = (*over_by).max(runs_end);
+        }
+        for waiting in self.yield_requests.values_mut() {
+            waiting.retain(|&other| other != link);
+        }
+    }
+
+    /// Removes an attempt that another entry has ended.
+    pub(super) fn remove_listed(&mut self, link: LinkNo, job: &JobId) {
+        let Some(owners) = self.elsewhere.get_mut(job) else {
+            return;
+        };
+        owners.remove(&link);
+        if owners.is_empty() {
+            self.elsewhere.remove(job);
+        }
+    }
+
+    /// Adds an entry that waits for the end of an attempt of this one.
+    pub(super) fn add_yield_request(&mut self, job: JobId, link: LinkNo) {
+        let waiting = self.yield_requests.entry(job).or_default();
+        if !waiting.contains(&link) {
+            waiting.push(link);
+        }
+    }
+
+    /// Removes and returns the entries that wait for the end of an attempt.
+    pub(super) fn take_yield_requests(&mut self, job: &JobId) -> Vec<LinkNo> {
+        self.yield_requests.remove(job).unwrap_or_default()
+    }
+
+    /// Returns the stopped attempts, with the time after which their callers sent them.
+    pub(super) fn ending(&self) -> impl Iterator<Item = (&JobId, Time)> {
+        self.ending
+            .iter()
+            .map(|(job, ending)| (job, ending.sent_after))
+    }
+}
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -7,13 +7,16 @@
 use tracing::{debug, info, warn};
 
 use super::advice::Advice;
+use super::attempts::Attempts;
 use super::configuration_exchange::ConfigurationExchange;
 use super::crash_log::CrashLog;
 use super::durable_jobs::DurableJobs;
 use super::endpoint_speeds::{EndpointSpeeds, KnownSpeed};
 use super::estimates::Estimates;
 use super::fleet::Fleet;
+use super::held_requests::HeldRequests;
 use super::job::{Job, TaskState};
+use super::peers::Peers;
 use super::quarantine::Quarantine;
 use super::series::OwnedSeries;
 use super::waiting_jobs::WaitingJobs;
@@ -99,6 +102,9 @@
     pub(super) quarantine: Quarantine,
     pub(super) workload: Workload,
     pub(super) entries: Vec<SocketAddr>,
+    pub(super) peers: Peers,
+    pub(super) attempts: Attempts,
+    pub(super) held: HeldRequests,
     pub(super) next_check: Time,
     /// The earliest time of the next attempt to place waiting tasks.
     pub(super) next_placement: Time,
@@ -130,6 +136,7 @@
             },
             now,
         );
+        let peers = Peers::new(options.name.clone(), now);
         Self {
             options,
             configurations: ConfigurationExchange::default(),
@@ -147,6 +154,9 @@
             quarantine: Quarantine::default(),
             workload: Workload::default(),
             entries: Vec::new(),
+            peers,
+            attempts: Attempts::default(),
+            held: HeldRequests::default(),
             next_check: now,
             next_placement: now,
             ledger,
@@ -183,7 +193,7 @@
 
     /// Returns the number of callers that wait for an answer.
     pub fn waiting_requests(&self) -> usize {
-        self.requests.len() + self.durable.waiting_requests()
+        self.requests.len() + self.held.requests() + self.durable.waiting_requests()
     }
 
     /// Returns whether durable jobs have tasks at agents or changes that are not written yet.
@@ -229,6 +239,7 @@
     pub fn set_entries(&mut self, announced: &[AnnouncedEntry], now: Time, out: &mut Vec<Action>) {
         let names = announced.iter().map(|entry| entry.name.clone());
         self.ledger.set_entries(names, now);
+        self.peers.set_announced(announced, now);
         let entries: Vec<SocketAddr> = announced.iter().map(|entry| entry.addr).collect();
         if entries == self.entries {
             return;
@@ -261,6 +272,7 @@
         out: &mut Vec<Action>,
     ) {
         self.durable.drop_request(request);
+        self.held.drop_request(request);
         if let Some(id) = self.requests.remove(&request) {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.requests.retain(|&waiting| waiting != request);
@@ -270,7 +282,7 @@
                 }
             }
             self.counters.abandoned += 1;
-            if let Some(job) = self.stop_job(&id, out) {
+            if let Some(job) = self.stop_job(&id, now, out) {
                 info!(job = %id, age_ms = now.millis_since(job.arrived), "caller left, job stopped");
             }
         }
@@ -297,16 +309,21 @@
         Some(job)
     }
 
-    /// Removes a job and stops its tasks.
-    pub(super) fn stop_job(&mut self, id: &JobId, out: &mut Vec<Action>) -> Option<Job> {
+    /// Removes a job and stops its tasks. Another attempt of a job that is not durable waits until
+    /// the agents have reported that they are over.
+    pub(super) fn stop_job(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> Option<Job> {
         let job = self.remove_job(id)?;
+        let is_attempt = job.state.is_none();
+        if is_attempt {
+            self.attempts.begin_ending(&job, now);
+        }
         for link in job.links() {
             out.push(Action::Send {
                 link,
                 frame: EntryFrame::Stop {
                     job: id.clone(),
                     tasks: Vec::new(),
-                    report: false,
+                    report: is_attempt,
                 },
             });
         }
@@ -316,7 +333,7 @@
     /// Ends a job: stops its remaining tasks, logs and counts the outcome, and answers its caller
     /// or records the end in the store.
     pub(super) fn finish(&mut self, id: &JobId, answer: Answer, now: Time, out: &mut Vec<Action>) {
-        let Some(job) = self.stop_job(id, out) else {
+        let Some(job) = self.stop_job(id, now, out) else {
             return;
         };
         let age = now.millis_since(job.arrived);
@@ -401,6 +418,7 @@
 
     /// Gives up all jobs that are not durable, since the process stops.
     pub fn give_up_all(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.give_up_held(out);
         let jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in jobs {
             if self.jobs.get(&id).is_some_and(|job| job.state.is_none()) {
@@ -419,9 +437,11 @@
         let delay_ms = now.millis_since(self.next_check);
         if delay_ms > PAUSE_THRESHOLD_MS {
             warn!(late_ms = delay_ms, "process was paused");
+            self.request_lists(now, out);
         }
         self.next_check = now.after_millis(CHECK_INTERVAL_MS);
         self.close_silent_links(now, out);
+        self.tick_peers(now, out);
         self.request_newer_configuration(now, out);
         self.speeds.update(&mut self.fleet, now);
         self.workload.sample(&self.fleet, now);
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/held_requests.rs
@@ -0,0 +1,82 @@
+//! Requests that wait for the end of an earlier attempt of their job.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use fulmarpond_core::Time;
+
+use super::RequestNo;
+use super::submission::Submission;
+use crate::JobId;
+use crate::configuration::Route;
+
+/// A submission that waits for the end of an earlier attempt, or until the attempts of the other
+/// entries are known.
+#[derive(Debug)]
+pub(super) struct HeldRequest {
+    pub(super) requests: Vec<RequestNo>,
+    pub(super) route: Rc<Route>,
+    pub(super) submission: Submission,
+    /// When its caller may have sent it.
+    pub(super) sent_after: Time,
+    /// When its caller is about to leave.
+    pub(super) deadline: Time,
+    /// Whether an earlier attempt was known when it came.
+    pub(super) is_repeated: bool,
+}
+
+/// The requests that wait, by job.
+#[derive(Debug, Default)]
+pub(super) struct HeldRequests {
+    by_job: HashMap<JobId, HeldRequest>,
+}
+
+impl HeldRequests {
+    pub(super) fn insert(&mut self, job: JobId, held: HeldRequest) {
+        self.by_job.insert(job, held);
+    }
+
+    pub(super) fn get_mut(&mut self, job: &JobId) -> Option<&mut HeldRequest> {
+        self.by_job.get_mut(job)
+    }
+
+    pub(super) fn get(&self, job: &JobId) -> Option<&HeldRequest> {
+        self.by_job.get(job)
+    }
+
+    pub(super) fn remove(&mut self, job: &JobId) -> Option<HeldRequest> {
+        self.by_job.remove(job)
+    }
+
+    /// Removes a request whose caller has left, and the submission with its last request.
+    pub(super) fn drop_request(&mut self, request: RequestNo) {
+        self.by_job.retain(|_, held| {
+            held.requests.retain(|&waiting| waiting != request);
+            !held.requests.is_empty()
+        });
+    }
+
+    /// Returns the jobs whose caller is about to leave.
+    pub(super) fn expired(&self, now: Time) -> Vec<JobId> {
+        let expired = self.by_job.iter().filter(|(_, held)| now >= held.deadline);
+        expired.map(|(job, _)| job.clone()).collect()
+    }
+
+    pub(super) fn jobs(&self) -> impl Iterator<Item = (&JobId, &HeldRequest)> {
+        self.by_job.iter()
+    }
+
+    /// Returns the number of waiting requests.
+    pub(super) fn requests(&self) -> usize {
+        self.by_job.values().map(|held| held.requests.len()).sum()
+    }
+
+    /// Removes and returns all submissions.
+    pub(super) fn take_all(&mut self) -> Vec<HeldRequest> {
+        self.by_job.drain().map(|(_, held)| held).collect()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_job.is_empty()
+    }
+}
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -99,6 +99,8 @@
     pub(super) submission: Submission,
     pub(super) tasks: Vec<Task>,
     pub(super) arrived: Time,
+    /// The earliest time at which its caller can have sent this attempt.
+    pub(super) sent_after: Time,
     /// The latest start of its tasks that meets the latency objective.
     pub(super) start_by: Time,
     /// The time after which its answer is considered useless.
--- a/crates/fulmarpond-dispatch/src/entry/ledger_events.rs
+++ b/crates/fulmarpond-dispatch/src/entry/ledger_events.rs
@@ -260,7 +260,7 @@
         }
         if has_ended {
             info!(job = %id, "job has ended, stopping its runs");
-            self.stop_job(id, out);
+            self.stop_job(id, now, out);
         } else {
             info!(job = %id, "job has another owner");
             self.release_job(id, out);
--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/entry/peers.rs
@@ -0,0 +1,216 @@
+//! The links of an entry to the other entries.
+//!
+//! Of two entries, the one whose name comes first opens the link, over which frames go both ways.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use fulmarpond_core::Time;
+
+use crate::LinkNo;
+use crate::directory::AnnouncedEntry;
+
+/// The time between two attempts to open a link to an entry, in milliseconds.
+const REDIAL_DELAY_MS: u64 = 100;
+
+/// How long the lists of the other entries are awaited, in milliseconds. Those of entries that are
+/// gone but still announced never come.
+const SETTLE_MS: u64 = 300;
+
+/// How long a new process waits for the list of announced entries, in milliseconds.
+const LISTING_TIMEOUT_MS: u64 = 700;
+
+/// A link to another entry.
+#[derive(Debug)]
+pub(super) struct Peer {
+    /// The host name; empty until it is known.
+    pub(super) name: String,
+    /// When the last frame arrived.
+    pub(super) heard: Time,
+    /// Whether this entry has opened the link.
+    pub(super) is_dialed: bool,
+}
+
+/// An announced entry to which this one opens a link.
+#[derive(Debug)]
+struct Target {
+    addr: SocketAddr,
+    link: Option<LinkNo>,
+    dial_at: Time,
+}
+
+/// The links to the other entries.
+#[derive(Debug)]
+pub(super) struct Peers {
+    /// The host name of this entry.
+    name: String,
+    targets: BTreeMap<String, Target>,
+    /// The other entries that are announced.
+    announced: BTreeSet<String>,
+    established: BTreeMap<LinkNo, Peer>,
+    /// The entries whose list of attempts is awaited.
+    awaited: BTreeSet<String>,
+    /// Whether this is a new process that does not know the announced entries yet.
+    awaits_listing: bool,
+    /// When the awaited lists are no longer waited for.
+    settle_by: Time,
+    /// When the next list is sent.
+    pub(super) next_list: Time,
+}
+
+impl Peers {
+    pub(super) const fn new(name: String, now: Time) -> Self {
+        Self {
+            name,
+            targets: BTreeMap::new(),
+            announced: BTreeSet::new(),
+            established: BTreeMap::new(),
+            awaited: BTreeSet::new(),
+            awaits_listing: false,
+            settle_by: now,
+            next_list: now,
+        }
+    }
+
+    /// Awaits the list of announced entries, and then those of their attempts.
+    pub(super) const fn await_listing(&mut self, now: Time) {
+        self.awaits_listing = true;
+        self.settle_by = now.after_millis(LISTING_TIMEOUT_MS);
+    }
+
+    /// Sets the announced entries. A new process awaits the lists of all of them.
+    pub(super) fn set_announced(&mut self, entries: &[AnnouncedEntry], now: Time) {
+        let others = entries.iter().filter(|entry| entry.name != self.name);
+        let others: BTreeMap<&str, SocketAddr> = others
+            .map(|entry| (entry.name.as_str(), entry.addr))
+            .collect();
+        self.targets
+            .retain(|name, target| target.link.is_some() || others.contains_key(name.as_str()));
+        for (&name, &addr) in &others {
+            if name <= self.name.as_str() {
+                continue;
+            }
+            let target = self.targets.entry(name.to_owned()).or_insert(Target {
+                addr,
+                link: None,
+                dial_at: now,
+            });
+            target.addr = addr;
+        }
+        self.announced = others.keys().map(|&name| name.to_owned()).collect();
+        if self.awaits_listing {
+            self.awaits_listing = false;
+            self.settle_by = now.after_millis(SETTLE_MS);
+            self.awaited = self.announced.clone();
+            for peer in self.established.values() {
+                self.awaited.remove(&peer.name);
+            }
+        }
+    }
+
+    /// Returns whether the lists of all other entries are known, as far as they can be.
+    pub(super) fn is_settled(&self, now: Time) -> bool {
+        (!self.awaits_listing && self.awaited.is_empty()) || now >= self.settle_by
+    }
+
+    /// Awaits the lists of all other entries anew, as those that are known may be outdated.
+    pub(super) fn unsettle(&mut self, now: Time) {
+        self.settle_by = now.after_millis(SETTLE_MS);
+        self.awaited = self.announced.clone();
+    }
+
+    /// Returns the addresses to dial now.
+    pub(super) fn take_due_dials(&mut self, now: Time) -> Vec<SocketAddr> {
+        let targets = self.targets.values_mut();
+        let due = targets.filter(|target| target.link.is_none() && now >= target.dial_at);
+        due.map(|target| {
+            target.dial_at = now.after_millis(REDIAL_DELAY_MS);
+            target.addr
+        })
+        .collect()
+    }
+
+    /// Records the number of the link that is being opened to an address.
+    pub(super) fn mark_dialed(&mut self, addr: SocketAddr, link: LinkNo) {
+        let mut targets = self.targets.values_mut();
+        if let Some(target) = targets.find(|target| target.addr == addr && target.link.is_none()) {
+            target.link = Some(link);
+        }
+    }
+
+    /// Returns whether this entry has opened a link, or is opening it.
+    pub(super) fn has_dialed(&self, link: LinkNo) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| target.link == Some(link))
+    }
+
+    /// Adds an established link.
+    pub(super) fn add_link(&mut self, link: LinkNo, now: Time) {
+        let mut targets = self.targets.iter();
+        let dialed = targets.find(|(_, target)| target.link == Some(link));
+        let peer = Peer {
+            name: dialed.map_or_else(String::new, |(name, _)| name.clone()),
+            heard: now,
+            is_dialed: dialed.is_some(),
+        };
+        self.established.insert(link, peer);
+    }
+
+    /// Sets the name of the entry that has opened a link.
+    pub(super) fn set_name(&mut self, link: LinkNo, name: String) {
+        if let Some(peer) = self.established.get_mut(&link) {
+            peer.name = name;
+        }
+    }
+
+    /// Records that a frame has arrived; returns whether the link is established.
+    pub(super) fn record_frame(&mut self, link: LinkNo, now: Time) -> bool {
+        let peer = self.established.get_mut(&link);
+        peer.map(|peer| peer.heard = now).is_some()
+    }
+
+    /// Records that the list of an entry has arrived.
+    pub(super) fn record_list(&mut self, link: LinkNo) {
+        if let Some(peer) = self.established.get(&link) {
+            self.awaited.remove(&peer.name);
+        }
+    }
+
+    /// Removes a link; returns it if it was established. An entry that can't be reached is no longer
+    /// awaited.
+    pub(super) fn remove_link(&mut self, link: LinkNo, now: Time) -> Option<Peer> {
+        let peer = self.established.remove(&link);
+        let targets = self.targets.iter_mut();
+        for (name, target) in targets.filter(|(_, target)| target.link == Some(link)) {
+            target.link = None;
+            target.dial_at = target.dial_at.max(now.after_millis(REDIAL_DELAY_MS));
+            if peer.is_none() {
+                self.awaited.remove(name);
+            }
+        }
+        self.targets
+            .retain(|name, target| target.link.is_some() || self.announced.contains(name));
+        peer
+    }
+
+    /// Returns the links over which nothing has arrived for `limit_ms` milliseconds.
+    pub(super) fn silent(&self, limit_ms: u64, now: Time) -> Vec<LinkNo> {
+        let links = self.established.iter();
+        let silent = links.filter(|(_, peer)| now.millis_since(peer.heard) > limit_ms);
+        silent.map(|(&link, _)| link).collect()
+    }
+
+    pub(super) fn get(&self, link: LinkNo) -> Option<&Peer> {
+        self.established.get(&link)
+    }
+
+    /// Returns the established links.
+    pub(super) fn links(&self) -> impl Iterator<Item = LinkNo> {
+        self.established.keys().copied()
+    }
+
+    /// Returns the number of established links.
+    pub(super) fn len(&self) -> usize {
+        self.established.len()
+    }
+}
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -162,7 +162,10 @@
 
     /// Returns whether tasks of a job may be placed now.
     pub(super) fn may_place(&self, job: &Job, now: Time) -> bool {
-        now >= job.hold_until && (job.state.is_none() || self.durable.can_place_tasks(now))
+        if job.state.is_none() {
+            return self.is_only_attempt(&job.id, now);
+        }
+        now >= job.hold_until && self.durable.can_place_tasks(now)
     }
 
     /// Selects agents for the tasks of a job that are ready, and reserves capacity for them.
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -12,7 +12,7 @@
 
 use crate::configuration::ConfigurationUpdate;
 use crate::evacuation::Evacuations;
-use crate::{Class, EndpointId, JobId, Resources, TaskKey, Weights};
+use crate::{Class, EndpointId, JobId, PeerFrame, Resources, TaskKey, Weights};
 
 /// An error for a frame that cannot be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -104,6 +104,8 @@
     ConfigurationVersion(u64),
     /// Requests a configuration newer than this version, which the agent holds; 0 for none.
     RequestConfiguration(u64),
+    /// A frame from another entry, which opens its links at the same address.
+    Peer(PeerFrame),
 }
 
 /// A crash of an endpoint: an end that it has not announced, with the runs that were lost.
@@ -331,6 +333,8 @@
     ConfigurationVersion(u64),
     /// Requests a configuration newer than this version, which is in force; 0 for none.
     RequestConfiguration(u64),
+    /// A frame to another entry, which has opened the link.
+    Peer(PeerFrame),
 }
 
 /// An order to start tasks of one step.
--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -95,6 +95,23 @@
     /// within it.
     pub(crate) const ADOPTION_MS: u64 = 3_000;
 
+    /// Returns the age from which an entry tells the others about an attempt. Younger ones are over
+    /// before their callers may send them again, or old enough by then.
+    pub const fn list_age_ms(&self) -> u64 {
+        self.resend_ms * 2 / 5
+    }
+
+    /// Returns the interval between two lists of attempts to another entry.
+    pub const fn list_interval_ms(&self) -> u64 {
+        self.resend_ms * 3 / 20
+    }
+
+    /// Returns the age up to which a request that waited unread is accepted: the other entries
+    /// learn of its attempt before its caller may send it again.
+    pub const fn max_request_age_ms(&self) -> u64 {
+        self.resend_ms - 2 * self.list_interval_ms()
+    }
+
     /// Returns the time after an agent last heard from an entry by which a long-running task of
     /// that entry is definitely over, unless another entry adopts it.
     pub const fn adoption_ms(&self) -> u64 {
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod id;
 mod lease_times;
 mod pacing;
+mod peer_frame;
 mod registration;
 mod rendezvous;
 mod resources;
@@ -40,5 +41,6 @@
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use lease_times::{InvalidLeaseTimes, LeaseTimes};
+pub use peer_frame::{ListedAttempt, PeerFrame};
 pub use registration::{EndpointState, Incarnation, Registration, RegistrationError};
 pub use resources::Resources;
--- a/crates/fulmarpond-dispatch/tests/attempts.rs
+++ b/crates/fulmarpond-dispatch/tests/attempts.rs
@@ -6,8 +6,8 @@
 use fulmarpond_dispatch::JobId;
 use proptest::prelude::*;
 use support::{
-    AgentEffect, AttemptFault, Demand, Departure, EntryEffect, Fault, Options, Sides, Simulation,
-    Stall, proptest_config, with_trace_log,
+    AgentEffect, AttemptFault, Demand, Departure, EntryEffect, Fault, Options, PeerFault, Sides,
+    Simulation, Stall, proptest_config, with_trace_log,
 };
 
 /// Runs longer than a caller waits before it sends the job again.
@@ -144,6 +144,46 @@
     check_all(&cases, play_break);
 }
 
+struct LostPeer {
+    name: &'static str,
+    fault: PeerFault,
+}
+
+/// Guards against two runs of one task at a time when the entry of the next attempt has lost its link
+/// to the entry of the first one, or does not hear from it, while only the caller saw the break.
+#[test]
+fn runs_do_not_overlap_if_entries_have_lost_each_other() {
+    let cases = [
+        LostPeer {
+            name: "closed links",
+            fault: PeerFault::Cut(0, 1),
+        },
+        LostPeer {
+            name: "silent links",
+            fault: PeerFault::Silence(0, 1),
+        },
+        LostPeer {
+            name: "no links for a second",
+            fault: PeerFault::Block(0, 1, 1_000),
+        },
+        LostPeer {
+            name: "no links for six seconds",
+            fault: PeerFault::Block(0, 1, 6_000),
+        },
+    ];
+    check_all(&cases, |case, found| {
+        for fault_ms in [100, 800, 1_000, 1_300, 1_700, 2_200] {
+            let mut sim = started_simulation(1, TIMEOUTS_MS[1]);
+            let job = submit_by_turns(&mut sim, 1_000);
+            sim.fault_at(fault_ms, Fault::Peer(case.fault));
+            sim.break_connection_at(1_100_000, &job, Sides::Caller);
+            sim.run_ms(SETTLE_MS);
+            assert!(sim.history.start_count(&job) >= 1, "{}", case.name);
+            found.collect(&sim, &format!("{} at {fault_ms} ms", case.name));
+        }
+    });
+}
+
 struct LateRead {
     name: &'static str,
     fault: fn(u64, Departure) -> AttemptFault,
@@ -334,6 +374,16 @@
     ]
 }
 
+fn any_peer_fault() -> impl Strategy<Value = Fault> {
+    let pair = || prop_oneof![Just((0_usize, 1_usize)), Just((0, 2)), Just((1, 2))];
+    prop_oneof![
+        pair().prop_map(|(one, other)| PeerFault::Cut(one, other)),
+        pair().prop_map(|(one, other)| PeerFault::Silence(one, other)),
+        (pair(), 50..4_000_u64).prop_map(|((one, other), ms)| PeerFault::Block(one, other, ms)),
+    ]
+    .prop_map(Fault::Peer)
+}
+
 fn any_break() -> impl Strategy<Value = Fault> {
     (0..3_usize, 20..=100_u32)
         .prop_map(|(entry, percent)| Fault::Attempt(AttemptFault::BreakCallers(entry, percent)))
@@ -430,6 +480,18 @@
         prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
     }
 
+    /// Guards against overlapping runs of one task when connections break on the side of callers only
+    /// while entries lose each other.
+    #[test]
+    fn runs_do_not_overlap_under_random_losses_of_entries(
+        seed in any::<u64>(),
+        timeout_ms in any_timeout(),
+        faults in any_schedule(prop_oneof![2 => any_break(), 1 => any_peer_fault()]),
+    ) {
+        let sim = with_trace_log(|| play_schedule(seed, timeout_ms, &faults));
+        prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
+    }
+
     /// Guards against overlapping runs of one task under any mix of these faults.
     #[test]
     fn runs_do_not_overlap_under_all_random_faults(
--- /dev/null
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -0,0 +1,378 @@
+//! Attempts of one job at several entries: the later one starts when no run of the earlier is left.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use fulmarpond_core::Time;
+use fulmarpond_dispatch::configuration::{Configuration, Route};
+use fulmarpond_dispatch::directory::AnnouncedEntry;
+use fulmarpond_dispatch::entry::{
+    Action, Answer, Arrival, Entry, EntryOptions, RequestNo, Step, Submission,
+};
+use fulmarpond_dispatch::{
+    AgentFrame, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo, Outcome,
+    Refusal, Resources, TaskEnd, TaskKey,
+};
+
+/// The link of each entry to its agent.
+const AGENT: LinkNo = LinkNo(1);
+
+/// The link between the two entries, at both of them.
+const PEER: LinkNo = LinkNo(2);
+
+/// The time from a lost answer to the next attempt, in milliseconds.
+const RESEND_MS: u64 = 1_300;
+
+const ROOM: Resources = Resources {
+    cpu: 16_000,
+    memory: 64_000,
+    accelerators: 0,
+};
+
+/// Two linked entries, each with an agent, and what they have sent to agents and callers.
+struct Pair {
+    now: Time,
+    entries: [Entry; 2],
+    is_linked: bool,
+    orders: [Vec<EntryFrame>; 2],
+    answers: [Vec<(RequestNo, Answer)>; 2],
+}
+
+impl Pair {
+    fn new() -> Self {
+        let now = Time::from_millis(10_000);
+        let mut pair = Self {
+            now,
+            entries: [entry("entry-0", now), entry("entry-1", now)],
+            is_linked: true,
+            orders: [Vec::new(), Vec::new()],
+            answers: [Vec::new(), Vec::new()],
+        };
+        for number in 0..2 {
+            pair.with(number, |entry, now, out| {
+                entry.configure(Configuration::new(1, vec![route()], None), now, out);
+                link_agent(entry, now, out);
+            });
+        }
+        let announced = announced();
+        for number in 0..2 {
+            pair.with(number, |entry, now, out| {
+                entry.set_entries(&announced, now, out);
+            });
+        }
+        pair.run_ms(400);
+        pair
+    }
+
+    /// Calls an entry, and passes its frames to the other one.
+    fn with(&mut self, number: usize, act: impl FnOnce(&mut Entry, Time, &mut Vec<Action>)) {
+        let mut out = Vec::new();
+        act(&mut self.entries[number], self.now, &mut out);
+        let mut queue: VecDeque<(usize, Action)> =
+            out.into_iter().map(|action| (number, action)).collect();
+        while let Some((from, action)) = queue.pop_front() {
+            let more = self.carry_out(from, action);
+            queue.extend(more);
+        }
+    }
+
+    fn carry_out(&mut self, from: usize, action: Action) -> Vec<(usize, Action)> {
+        let other = 1 - from;
+        let now = self.now;
+        let mut out = Vec::new();
+        match action {
+            Action::Dial { addr } => {
+                self.entries[from].dialed(addr, PEER);
+                if self.is_linked {
+                    self.entries[other].link_up(PEER, &mut Vec::new());
+                    self.entries[from].peer_link_up(PEER, now, &mut out);
+                } else {
+                    self.entries[from].link_down(PEER, now, &mut out);
+                }
+                return out.into_iter().map(|action| (from, action)).collect();
+            }
+            Action::SendToEntry { link: PEER, frame } if self.is_linked => {
+                let frame = AgentFrame::Peer(frame);
+                self.entries[other].handle_frame(PEER, frame, now, &mut out);
+            }
+            Action::Send { link: PEER, frame } if self.is_linked => {
+                self.entries[other].handle_entry_frame(PEER, frame, now, &mut out);
+            }
+            Action::Send { link: AGENT, frame } => self.orders[from].push(frame),
+            Action::Answer {
+                request, answer, ..
+            } => self.answers[from].push((request, answer)),
+            _ => {}
+        }
+        out.into_iter().map(|action| (other, action)).collect()
+    }
+
+    /// Lets time pass, with a status of each agent every 10 ms.
+    fn run_ms(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now = self.now.after_millis(10);
+            for number in 0..2 {
+                self.with(number, |entry, now, out| {
+                    entry.handle_frame(AGENT, status(), now, out);
+                    entry.tick(now, out);
+                });
+            }
+        }
+    }
+
+    fn submit(&mut self, number: usize, request: u64, max_age: u64) {
+        let arrival = Arrival {
+            request: RequestNo(request),
+            max_age,
+        };
+        self.with(number, |entry, now, out| {
+            entry.submit(arrival, job(), &Rc::new(route()), submission(), now, out);
+        });
+    }
+
+    /// Reports the end of the run at an agent.
+    fn end_run(&mut self, number: usize, outcome: Outcome) {
+        let end = TaskEnd {
+            task: task(),
+            outcome,
+            run: 1,
+            elapsed: 0,
+        };
+        self.with(number, |entry, now, out| {
+            entry.handle_frame(AGENT, AgentFrame::Ended(vec![end]), now, out);
+        });
+    }
+
+    fn starts(&self, number: usize) -> usize {
+        let is_start = |frame: &&EntryFrame| matches!(frame, EntryFrame::Start(_));
+        self.orders[number].iter().filter(is_start).count()
+    }
+
+    fn reported_stops(&self, number: usize) -> usize {
+        let is_stop =
+            |frame: &&EntryFrame| matches!(frame, EntryFrame::Stop { report, .. } if *report);
+        self.orders[number].iter().filter(is_stop).count()
+    }
+}
+
+fn entry(name: &str, now: Time) -> Entry {
+    let options = EntryOptions {
+        name: name.to_owned(),
+        zone: "Saga".to_owned(),
+        lease_times: LeaseTimes::new(RESEND_MS, 1_000, 50).expect("valid lease times"),
+        remote_factor: 1.0,
+        incarnation: 1,
+        writes_per_second: 400,
+        retention_ms: 120_000,
+        advises: false,
+    };
+    Entry::new(options, now)
+}
+
+fn announced() -> Vec<AnnouncedEntry> {
+    let announced = (0..2).map(|number: u8| AnnouncedEntry {
+        name: format!("entry-{number}"),
+        addr: ([10, 0, 0, number], 7_000).into(),
+    });
+    announced.collect()
+}
+
+fn link_agent(entry: &mut Entry, now: Time, out: &mut Vec<Action>) {
+    entry.link_up(AGENT, out);
+    let hello = AgentFrame::Hello {
+        name: "agent".to_owned(),
+        zone: "Saga".to_owned(),
+        version: 0,
+    };
+    let endpoint = AgentFrame::Endpoint {
+        id: EndpointId("e-1".to_owned()),
+        born: 0,
+        service: "service".to_owned(),
+        capacity: ROOM,
+        labels: Vec::new(),
+    };
+    for frame in [hello, endpoint, status()] {
+        entry.handle_frame(AGENT, frame, now, out);
+    }
+}
+
+fn status() -> AgentFrame {
+    AgentFrame::Status {
+        sent: 1,
+        orders: u64::MAX,
+        load: EndpointStatus {
+            ready: true,
+            free: ROOM,
+            slowness: 100,
+            ..EndpointStatus::default()
+        },
+    }
+}
+
+fn route() -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "desk".to_owned(),
+        prefix: "/jobs/".to_owned(),
+        service: "service".to_owned(),
+        priority: 0,
+        attempts: 3,
+        stretch: 1.6,
+        target_ms: 60,
+        advice: None,
+    }
+}
+
+fn submission() -> Submission {
+    Submission {
+        spec: String::new(),
+        steps: vec![Step {
+            count: 1,
+            needs: Resources {
+                cpu: 1_000,
+                memory: 64,
+                accelerators: 0,
+            },
+            estimate: 2_000,
+            after: Vec::new(),
+            label: None,
+            affinity: None,
+            spread: None,
+            gang: false,
+            colocated: false,
+            long_running: false,
+            may_miss: None,
+        }],
+        timeout_ms: 8_000,
+        is_durable: false,
+        repeat: None,
+    }
+}
+
+fn job() -> JobId {
+    JobId("0000000000000001".to_owned())
+}
+
+fn task() -> TaskKey {
+    TaskKey {
+        job: job(),
+        step: 0,
+        index: 0,
+    }
+}
+
+/// Guards against two runs of a task at a time when the connection of its caller breaks on the side
+/// of the caller only, and the next attempt comes to another entry.
+#[test]
+fn attempt_at_another_entry_starts_when_the_earlier_one_is_over() {
+    for earlier in [0, 1] {
+        let later = 1 - earlier;
+        let mut pair = Pair::new();
+        pair.submit(earlier, 1, 0);
+        pair.run_ms(RESEND_MS);
+        pair.submit(later, 2, 0);
+        assert_eq!(
+            pair.starts(later),
+            0,
+            "the run of the first attempt is not over"
+        );
+        assert_eq!(
+            pair.reported_stops(earlier),
+            1,
+            "the first attempt is stopped"
+        );
+        let reason = Refusal::Superseded;
+        let superseded = (RequestNo(1), Answer::MayHaveRun { reason });
+        assert_eq!(pair.answers[earlier], [superseded]);
+        pair.run_ms(100);
+        assert_eq!(pair.starts(later), 0, "its stop is not confirmed yet");
+        pair.end_run(earlier, Outcome::Aborted);
+        assert_eq!(
+            pair.starts(later),
+            1,
+            "nothing is left of the first attempt"
+        );
+        pair.end_run(later, Outcome::Done);
+        assert_eq!(pair.answers[later], [(RequestNo(2), Answer::Completed)]);
+    }
+}
+
+/// Guards against two runs at a time when the caller comes back to the same entry while the agent
+/// can't confirm the stop of its first attempt.
+#[test]
+fn attempt_at_the_same_entry_waits_for_a_confirmed_stop() {
+    let mut pair = Pair::new();
+    pair.submit(0, 1, 0);
+    pair.run_ms(100);
+    pair.with(0, |entry, now, out| {
+        entry.handle_caller_disconnect(RequestNo(1), now, out);
+    });
+    pair.run_ms(RESEND_MS);
+    pair.submit(0, 2, 0);
+    assert_eq!(pair.starts(0), 1, "the run of the first attempt may go on");
+    pair.end_run(0, Outcome::Aborted);
+    assert_eq!(pair.starts(0), 2);
+}
+
+/// Guards against two runs at a time when the entry of the first attempt is lost: its runs go on
+/// until their leases have expired. Guards as well against a second attempt that waits longer.
+#[test]
+fn attempt_after_the_loss_of_an_entry_starts_when_its_leases_have_expired() {
+    let mut pair = Pair::new();
+    pair.submit(0, 1, 0);
+    pair.run_ms(1_000);
+    pair.is_linked = false;
+    pair.with(1, |entry, now, out| entry.link_down(PEER, now, out));
+    let orphan_ms = LeaseTimes::new(RESEND_MS, 1_000, 50)
+        .expect("valid lease times")
+        .orphan_ms();
+    pair.run_ms(300);
+    pair.submit(1, 2, 0);
+    pair.run_ms(orphan_ms - 320);
+    assert_eq!(pair.starts(1), 0, "runs of the lost entry may go on");
+    pair.run_ms(60);
+    assert_eq!(pair.starts(1), 1);
+}
+
+/// Guards against an attempt that starts at the same moment as the next one: its request waited
+/// unread until its caller had sent the job again.
+#[test]
+fn request_that_waited_unread_too_long_does_not_run() {
+    let mut pair = Pair::new();
+    pair.submit(0, 1, RESEND_MS);
+    let reason = Refusal::Outdated;
+    assert_eq!(
+        pair.answers[0],
+        [(RequestNo(1), Answer::MayHaveRun { reason })]
+    );
+    assert_eq!(pair.starts(0), 0);
+}
+
+/// Guards against two runs at a time after a pause: the entry has an attempt that another entry has
+/// started anew meanwhile.
+#[test]
+fn paused_entry_places_nothing_before_it_knows_the_other_attempts() {
+    let mut pair = Pair::new();
+    pair.submit(1, 1, 0);
+    // Both links of the entry are lost in its pause, in which the leases of its runs expire.
+    pair.is_linked = false;
+    pair.with(0, |entry, now, out| entry.link_down(PEER, now, out));
+    for _ in 0..170 {
+        pair.now = pair.now.after_millis(10);
+        pair.with(0, |entry, now, out| {
+            entry.handle_frame(AGENT, status(), now, out);
+            entry.tick(now, out);
+        });
+    }
+    pair.submit(0, 2, 0);
+    assert_eq!(pair.starts(0), 1, "the first attempt is over");
+    pair.with(1, |entry, now, out| {
+        entry.link_down(PEER, now, out);
+        entry.link_down(AGENT, now, out);
+        link_agent(entry, now, out);
+        entry.tick(now, out);
+    });
+    pair.is_linked = true;
+    pair.run_ms(2_000);
+    assert_eq!(pair.starts(1), 1, "its attempt is superseded");
+}
--- a/crates/fulmarpond-dispatch/tests/support/accept_queue.rs
+++ b/crates/fulmarpond-dispatch/tests/support/accept_queue.rs
@@ -29,7 +29,8 @@
 pub struct AcceptQueues {
     /// The last hold of each entry.
     holds: HashMap<usize, Hold>,
-    waiting: HashSet<RequestKey>,
+    /// Since when the entry of each waiting request has read none.
+    waiting: HashMap<RequestKey, Time>,
     /// Requests that wait although their caller has left.
     abandoned: HashSet<RequestKey>,
     /// Number of requests that were read after their caller had left.
@@ -55,17 +56,17 @@
     /// Puts a request into the accept queue if its entry does not read requests now.
     pub(super) fn queue_request(&mut self, request: RequestKey, id: &JobId) -> bool {
         let hold = self.accept_queues.holds.get(&request.0);
-        let Some(until) = hold.map(|hold| hold.until).filter(|&at| at > self.now) else {
+        let Some(hold) = hold.copied().filter(|hold| hold.until > self.now) else {
             return false;
         };
-        self.accept_queues.waiting.insert(request);
-        self.schedule_at(until, Event::RequestRead(request, id.clone()));
+        self.accept_queues.waiting.insert(request, hold.since);
+        self.schedule_at(hold.until, Event::RequestRead(request, id.clone()));
         true
     }
 
     /// Lets an entry see that a caller left, unless its request has not been read yet.
     pub(super) fn caller_left(&mut self, request: RequestKey) {
-        if self.accept_queues.waiting.contains(&request) {
+        if self.accept_queues.waiting.contains_key(&request) {
             self.accept_queues.abandoned.insert(request);
             return;
         }
@@ -80,21 +81,13 @@
 
     /// Lets an entry see that a caller left, at the end of its pause if it is paused.
     pub(super) fn departure_arrives(&mut self, request: RequestKey) {
-        if self.accept_queues.waiting.contains(&request) {
+        if self.accept_queues.waiting.contains_key(&request) {
             self.accept_queues.abandoned.insert(request);
         } else {
             self.departure_seen(request);
         }
     }
 
-    /// Returns the earliest time at which a request that an entry reads now may have been sent, as
-    /// far as the entry knows.
-    pub(super) fn earliest_sent(&self, entry: usize) -> Time {
-        let hold = self.accept_queues.holds.get(&entry);
-        let hold = hold.filter(|hold| hold.until >= self.now);
-        hold.map_or(self.now, |hold| hold.since)
-    }
-
     /// Hands a request from the accept queue to its entry.
     pub(super) fn request_read(&mut self, request: RequestKey, id: &JobId) {
         let (entry, generation, number) = request;
@@ -107,9 +100,10 @@
         if self.postpone_if_paused(paused_until, &event) {
             return;
         }
-        self.accept_queues.waiting.remove(&request);
+        let since = self.accept_queues.waiting.remove(&request);
         self.accept_queues.read_late += u32::from(!self.pending_requests.contains_key(&request));
-        self.read_request(entry, number, id);
+        let earliest_sent = since.unwrap_or(self.now);
+        self.read_request(entry, number, id, earliest_sent);
         let hold = self.accept_queues.holds.get(&entry);
         let departure = hold.map_or(Departure::Unseen, |hold| hold.departure);
         if self.accept_queues.abandoned.remove(&request)
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 
+use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::Route;
-use fulmarpond_dispatch::entry::{Answer, RequestNo, Step, Submission};
+use fulmarpond_dispatch::entry::{Answer, Arrival, RequestNo, Step, Submission};
 use fulmarpond_dispatch::{JobId, Resources, TaskKey};
 
 use super::demand::{Demand, Reply};
@@ -136,11 +137,18 @@
             self.pending_requests.remove(&(entry, generation, request));
             return;
         }
-        self.read_request(entry, request, id);
+        self.read_request(entry, request, id, self.now);
     }
 
-    /// Hands a request to an entry.
-    pub(super) fn read_request(&mut self, entry: usize, request: RequestNo, id: &JobId) {
+    /// Hands a request to an entry, with the earliest time at which it may have been sent, as far as
+    /// the entry knows.
+    pub(super) fn read_request(
+        &mut self,
+        entry: usize,
+        request: RequestNo,
+        id: &JobId,
+        earliest_sent: Time,
+    ) {
         let job = &self.jobs[id];
         let (demand, first_sent_unix_ms) = (job.demand, job.first_sent_unix_ms);
         let estimate = self.estimate_ms(id, demand.run_ms);
@@ -173,6 +181,8 @@
             is_durable: self.options.is_durable && !demand.best_effort,
             repeat: demand.repeat(first_sent_unix_ms),
         };
+        let max_age = self.now.millis_since(earliest_sent);
+        let arrival = Arrival { request, max_age };
         let id = id.clone();
         let path = format!("/{}/{id}", demand.route);
         self.with_entry(entry, |core, now, out| {
@@ -181,7 +191,7 @@
                 .route("host", &path)
                 .expect("the path matches a route");
             let route: Rc<Route> = route;
-            core.submit(request, id, &route, submission, now, out);
+            core.submit(arrival, id, &route, submission, now, out);
         });
     }
 
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -38,6 +38,7 @@
             | Self::StoreUnreachableFromAgent(_, millis) => millis,
             Self::Attempt(fault) => fault.duration_ms(),
             Self::Stall(stall) => stall.duration_ms(),
+            Self::Peer(fault) => fault.duration_ms(),
             Self::RestartEntry(_) => GRACEFUL_STOP_MS,
             Self::RestartAgent(_) => STOPPING_RUNS_MS,
             _ => 0,
@@ -143,6 +144,7 @@
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
             }
             Fault::Attempt(fault) => self.begin_attempt_fault(fault),
+            Fault::Peer(fault) => self.begin_peer_fault(fault),
             Fault::Stall(stall) => self.stalls.arm(stall),
             Fault::HostService(millis) => {
                 self.hosts.is_down = true;
@@ -237,6 +239,7 @@
                 self.links[number].is_silent = true;
             }
         }
+        self.end_peer_links(entry, closes_links);
         let lost: Vec<(JobId, u32)> = self
             .pending_requests
             .iter()
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -20,6 +20,7 @@
 mod kept_connections;
 mod network;
 mod options;
+mod peer_links;
 mod run_times;
 mod runs;
 mod simulation;
@@ -44,6 +45,8 @@
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use options::{EntrySize, Kind, KnownSpeeds, Options};
 #[allow(unused_imports, reason = "not used by every test file")]
+pub use peer_links::PeerFault;
+#[allow(unused_imports, reason = "not used by every test file")]
 pub use simulation::{Fault, Simulation, WriterFault};
 #[allow(unused_imports, reason = "not used by every test file")]
 pub use stalls::{AgentEffect, EntryEffect, Stall};
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -32,6 +32,7 @@
 use super::kept_connections::KeptConnections;
 use super::network::Link;
 use super::options::Options;
+use super::peer_links::{PeerEvent, PeerFault, PeerLinks, Side};
 use super::stalls::{Stall, Stalls};
 use super::store::{Store, StoreFault};
 use super::store_calls::{CallKey, InFlightCall, StoreOutcome};
@@ -110,6 +111,8 @@
     Attempt(AttemptFault),
     /// A process is paused before its next effect of a kind.
     Stall(Stall),
+    /// A fault of the links between two entries.
+    Peer(PeerFault),
 }
 
 /// A fault of an entry that has just written to the store, before it has the reply.
@@ -166,6 +169,9 @@
     RequestRead(RequestKey, JobId),
     /// An entry sees that the caller of a request has left.
     DepartureSeen(RequestKey),
+    /// An event at a side of a link between entries.
+    Peer(LinkNo, Side, PeerEvent),
+    PeersUnblocked((usize, usize)),
     /// Process, its generation, and actions that it carries out after a pause.
     LateEntryEffects(usize, u32, Vec<entry::Action>),
     LateAgentEffects(usize, u32, Vec<agent::Action>),
@@ -284,6 +290,7 @@
     pub attempts: Attempts,
     pub accept_queues: AcceptQueues,
     pub stalls: Stalls,
+    pub(super) peer_links: PeerLinks,
     pub history: History,
 }
 
@@ -332,6 +339,7 @@
             attempts: Attempts::default(),
             accept_queues: AcceptQueues::default(),
             stalls: Stalls::default(),
+            peer_links: PeerLinks::default(),
             history: History::default(),
         };
         sim.store.set_configuration(sim.configuration.clone());
@@ -463,6 +471,9 @@
         }
         self.directories[entry] = self.new_directory(self.now);
         self.maintenance[entry] = self.new_maintenance(entry);
+        if self.directories[entry].is_some() {
+            core.await_entries(self.now);
+        }
         self.entries[entry].start(core);
         let generation = self.entries[entry].generation;
         self.schedule_in_us(1, Event::WakeEntry(entry, generation));
@@ -596,6 +607,16 @@
             entry::Action::Advise {
                 step, endpoints, ..
             } => self.call_advice(entry, &step, &endpoints),
+            entry::Action::Dial { addr } => self.dial_peer(entry, addr),
+            entry::Action::SendToEntry { link, frame } => {
+                self.send_to_peer(entry, link, encode(&AgentFrame::Peer(frame)));
+            }
+            entry::Action::Close { link } if PeerLinks::is_peer(link) => {
+                self.close_peer_link(entry, link);
+            }
+            entry::Action::Send { link, frame } if PeerLinks::is_peer(link) => {
+                self.send_to_peer(entry, link, encode(&frame));
+            }
             entry::Action::Close { link } => self.close_link(link, false),
             entry::Action::Send { link, frame } => self.send_frame(link, 1, encode(&frame)),
             entry::Action::Answer {
@@ -828,6 +849,8 @@
             Event::ConnectionBreaks(id, sides) => self.break_connection(&id, sides),
             Event::RequestRead(request, id) => self.request_read(request, &id),
             Event::DepartureSeen(request) => self.departure_seen(request),
+            Event::Peer(link, side, event) => self.handle_peer_event(link, side, event),
+            Event::PeersUnblocked(pair) => self.peers_unblocked(pair),
             Event::LateEntryEffects(entry, generation, late) => {
                 self.late_entry_effects(entry, generation, late);
             }
--- a/crates/fulmarpond-reactor/src/event.rs
+++ b/crates/fulmarpond-reactor/src/event.rs
@@ -31,6 +31,9 @@
         id: RequestId,
         /// The request.
         request: Request,
+        /// The stamp of the caller's clock before which the request can't have been sent, see
+        /// [`Reactor::set_stamp`](crate::Reactor::set_stamp).
+        since: u64,
     },
     /// The connection of a request was closed or failed before the response was sent.
     Abandoned {
--- a/crates/fulmarpond-reactor/src/reactor/mod.rs
+++ b/crates/fulmarpond-reactor/src/reactor/mod.rs
@@ -27,6 +27,10 @@
 /// file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// The maximum number of connections that are ready in one poll. If there are more, the next poll
+/// returns the others.
+const READY_EVENTS: usize = 256;
+
 /// Limits on client connections and their requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -92,6 +96,10 @@
     client_connections: usize,
     limits: Limits,
     is_draining: bool,
+    /// The caller's clock before the current poll.
+    stamp: u64,
+    /// The caller's clock before the last poll after which no input was left unread.
+    quiet_stamp: u64,
 }
 
 impl Reactor {
@@ -103,7 +111,7 @@
     pub fn new(limits: Limits) -> io::Result<Self> {
         Ok(Self {
             poll: Poll::new()?,
-            ready_events: Events::with_capacity(256),
+            ready_events: Events::with_capacity(READY_EVENTS),
             conns: Slab::new(),
             pools: Vec::new(),
             pool_index: HashMap::new(),
@@ -117,6 +125,8 @@
             client_connections: 0,
             limits,
             is_draining: false,
+            stamp: 0,
+            quiet_stamp: 0,
         })
     }
 
@@ -130,6 +140,16 @@
         self.limits = limits;
     }
 
+    /// Sets the time of the caller's clock at which the next [`poll`](Self::poll) begins. Requests are
+    /// reported with the time before which they can't have been sent, since they may have waited
+    /// in a socket.
+    pub const fn set_stamp(&mut self, stamp: u64) {
+        if self.quiet_stamp == 0 {
+            self.quiet_stamp = stamp;
+        }
+        self.stamp = stamp;
+    }
+
     /// Waits for I/O until `until` at the latest, and appends the resulting events to `out`.
     ///
     /// It may return earlier without events.
@@ -155,6 +175,9 @@
                 for event in &ready {
                     self.on_ready(event.token().0, event.is_readable(), event.is_writable());
                 }
+                if ready.iter().count() < READY_EVENTS && self.failed_listeners.is_empty() {
+                    self.quiet_stamp = self.stamp;
+                }
             }
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) => {
--- a/crates/fulmarpond-reactor/src/reactor/server.rs
+++ b/crates/fulmarpond-reactor/src/reactor/server.rs
@@ -67,6 +67,7 @@
             pending_request: None,
             keep_alive: true,
             has_partial: false,
+            input_since: Some(self.quiet_stamp),
             deadline: Instant::now() + self.limits.header_timeout,
             is_closing: false,
         });
@@ -83,6 +84,7 @@
         // more than that.
         let max_input = self.limits.header_bytes + self.limits.body_bytes;
         let state = if readable {
+            conn.input_since.get_or_insert(self.quiet_stamp);
             conn.channel.read(max_input)
         } else {
             ReadState::Open
@@ -141,11 +143,15 @@
                 self.next_id += 1;
                 conn.pending_request = Some(id);
                 let listener = conn.listener;
+                let since = conn.input_since.unwrap_or(self.quiet_stamp);
+                // Bytes of the next request may be as old.
+                conn.input_since = (!conn.channel.input.is_empty()).then_some(since);
                 self.requests.insert(id, key);
                 self.events.push(Event::Request {
                     listener,
                     id,
                     request,
+                    since,
                 });
             }
             Ok(None) if !conn.has_partial => {
--- a/crates/fulmarpond-reactor/src/server.rs
+++ b/crates/fulmarpond-reactor/src/server.rs
@@ -15,6 +15,9 @@
     pub(crate) keep_alive: bool,
     /// Whether the first bytes of a request have arrived that is not complete.
     pub(crate) has_partial: bool,
+    /// The stamp before which the next request can't have been sent; unset until its first bytes
+    /// arrive, except for the first request.
+    pub(crate) input_since: Option<u64>,
     /// When the connection is closed if no complete request has arrived.
     pub(crate) deadline: Instant,
     /// Whether the connection is closed once its output has been sent.
--- a/crates/fulmarpond-standins/src/fleet/platform.rs
+++ b/crates/fulmarpond-standins/src/fleet/platform.rs
@@ -354,6 +354,7 @@
                 listener,
                 id,
                 request,
+                ..
             } => self.handle_request(listener, id, request, now),
             Event::Replied { call, outcome } => {
                 let executor = self.heartbeat_calls.remove(&call);
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -163,6 +163,7 @@
                 listener,
                 id,
                 request,
+                ..
             } => self.handle_request(listener, id, &request, now),
             Event::Abandoned { .. } => {}
             Event::Replied { call, outcome } => {
--- a/crates/fulmarpondd/src/leased/entry_actions.rs
+++ b/crates/fulmarpondd/src/leased/entry_actions.rs
@@ -3,7 +3,7 @@
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::directory::{self, Activity};
 use fulmarpond_dispatch::entry::{Action, Answer, RequestNo};
-use fulmarpond_dispatch::{EndpointId, encode, maintenance};
+use fulmarpond_dispatch::{AgentFrame, EndpointId, LinkNo, encode, maintenance};
 use fulmarpond_platform::caller;
 use fulmarpond_reactor::{LinkId, RequestId};
 use tracing::debug;
@@ -27,6 +27,14 @@
                     endpoints,
                     timeout,
                 } => self.request_advice(&step, &endpoints, timeout),
+                Action::Dial { addr } => {
+                    let link = self.reactor.dial(addr);
+                    self.entry.dialed(addr, LinkNo(link.0));
+                }
+                Action::SendToEntry { link, frame } => {
+                    let frame = AgentFrame::Peer(frame);
+                    self.reactor.send(LinkId(link.0), &encode(&frame));
+                }
                 Action::Close { link } => self.reactor.close_link(LinkId(link.0)),
                 Action::Send { link, frame } => {
                     self.reactor.send(LinkId(link.0), &encode(&frame));
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -11,7 +11,7 @@
 use fulmarpond_dispatch::directory::{self, Activity, Directory, StoreCall};
 use fulmarpond_dispatch::entry::{Action, Entry, EntryOptions, RequestNo};
 use fulmarpond_dispatch::maintenance::MaintenanceOptions;
-use fulmarpond_dispatch::{AgentFrame, LinkNo, decode};
+use fulmarpond_dispatch::{AgentFrame, EntryFrame, FrameError, LinkNo, decode};
 use fulmarpond_platform::store::EntryIdentity;
 use fulmarpond_reactor::{CallId, Event, Limits, ListenerId, Reactor};
 use fulmarpond_settings::{LeasedRole, LeasedSettings};
@@ -87,8 +87,10 @@
         if let Some(addr) = settings.metrics {
             reactor.listen_http(addr)?;
         }
+        let mut entry = Entry::new(options, now);
+        entry.await_entries(now);
         Ok(Self {
-            entry: Entry::new(options, now),
+            entry,
             directory: Directory::new(now),
             reactor,
             identity: EntryIdentity {
@@ -123,6 +125,7 @@
             let now = BootClock::now();
             let wake = self.entry.next_wake().min(self.directory.next_wake());
             let deadline = self.runtime.poll_deadline(wake, now);
+            self.reactor.set_stamp(now.as_micros());
             self.reactor.poll(deadline, &mut events)?;
             events.sort_by_key(rank);
             // The clock is read for each event: a pause may come between any two, and a lease may
@@ -216,29 +219,55 @@
         self.reactor.flush_output();
     }
 
+    /// Handles a frame from an agent or from another entry.
+    fn handle_frame(
+        &mut self,
+        link: LinkNo,
+        bytes: &[u8],
+        now: Time,
+    ) -> std::result::Result<(), FrameError> {
+        if self.entry.has_dialed(link) {
+            let frame = decode::<EntryFrame>(bytes)?;
+            self.entry
+                .handle_entry_frame(link, frame, now, &mut self.actions);
+        } else {
+            let frame = decode::<AgentFrame>(bytes)?;
+            self.entry.handle_frame(link, frame, now, &mut self.actions);
+        }
+        Ok(())
+    }
+
     fn handle_event(&mut self, event: Event, now: Time) {
         match event {
             Event::Request {
                 listener,
                 id,
                 request,
-            } => self.handle_request(listener, id, &request, now),
+                since,
+            } => {
+                let since = Time::from_micros(since);
+                self.handle_request(listener, id, &request, since, now);
+            }
             Event::Abandoned { id } => {
                 self.entry
                     .handle_caller_disconnect(RequestNo(id.0), now, &mut self.actions);
             }
             Event::Replied { call, outcome } => self.handle_reply(call, outcome, now),
-            Event::LinkUp { link, .. } => self.entry.link_up(LinkNo(link.0), &mut self.actions),
-            Event::Frame { link, bytes } => match decode::<AgentFrame>(&bytes) {
-                Ok(frame) => self
-                    .entry
-                    .handle_frame(LinkNo(link.0), frame, now, &mut self.actions),
-                Err(error) => {
+            Event::LinkUp { link, accepted, .. } => {
+                let link = LinkNo(link.0);
+                if accepted {
+                    self.entry.link_up(link, &mut self.actions);
+                } else {
+                    self.entry.peer_link_up(link, now, &mut self.actions);
+                }
+            }
+            Event::Frame { link, bytes } => {
+                if let Err(error) = self.handle_frame(LinkNo(link.0), &bytes, now) {
                     warn!(%error, "cannot decode a frame, closing the link");
                     self.reactor.close_link(link);
                     self.entry.link_down(LinkNo(link.0), now, &mut self.actions);
                 }
-            },
+            }
             Event::LinkDown { link } => {
                 self.entry.link_down(LinkNo(link.0), now, &mut self.actions);
             }
--- a/crates/fulmarpondd/src/leased/entry_requests.rs
+++ b/crates/fulmarpondd/src/leased/entry_requests.rs
@@ -3,7 +3,7 @@
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::Refusal;
 use fulmarpond_dispatch::configuration::Configuration;
-use fulmarpond_dispatch::entry::RequestNo;
+use fulmarpond_dispatch::entry::{Arrival, RequestNo};
 use fulmarpond_platform::caller::{self, CallerRequest};
 use fulmarpond_reactor::http::{Request, Response};
 use fulmarpond_reactor::{ListenerId, RequestId};
@@ -17,10 +17,11 @@
         listener: ListenerId,
         id: RequestId,
         request: &Request,
+        since: Time,
         now: Time,
     ) {
         if listener == self.caller_listener {
-            self.handle_caller_request(id, request, now);
+            self.handle_caller_request(id, request, since, now);
         } else if listener == self.readiness_listener {
             let response = self.readiness_response(request);
             self.reactor.respond(id, &response);
@@ -75,7 +76,7 @@
         }
     }
 
-    fn handle_caller_request(&mut self, id: RequestId, request: &Request, now: Time) {
+    fn handle_caller_request(&mut self, id: RequestId, request: &Request, since: Time, now: Time) {
         let number = RequestNo(id.0);
         let Some(configuration) = self.entry.configuration() else {
             self.entry
@@ -92,8 +93,12 @@
         match CallerRequest::parse(request.method, rest) {
             CallerRequest::Submit(job) => match caller::decode_submission(request) {
                 Ok(submission) => {
+                    let arrival = Arrival {
+                        request: number,
+                        max_age: now.millis_since(since),
+                    };
                     self.entry
-                        .submit(number, job, &route, submission, now, &mut self.actions);
+                        .submit(arrival, job, &route, submission, now, &mut self.actions);
                 }
                 Err(error) => {
                     info!(%job, %error, "submission refused");
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -181,6 +181,7 @@
             ("endpoint_crashes", counters.endpoint_crashes),
             ("crashed_runs", counters.crashed_runs),
             ("crashing_jobs", counters.crashing_jobs),
+            ("held", counters.held),
             ("links_lost", counters.links_lost),
             ("evacuations", counters.evacuations),
         ] {
