--- /dev/null
+++ b/crates/fulmarpond-dispatch/src/agent/task_ends.rs
@@ -0,0 +1,123 @@
+//! Ends of tasks: of queued ones, of runs that are stopped, and of those that are over.
+
+use fulmarpond_core::Time;
+
+use super::agent::{Agent, Purpose, START_STOP_TIMEOUT_MS};
+use super::run::{AfterStop, Phase};
+use super::{Action, EndpointCall};
+use crate::{Outcome, TaskKey};
+
+impl Agent {
+    /// Ends a task: removes it if it is queued, and otherwise stops its run.
+    pub(super) fn end_run(
+        &mut self,
+        task: &TaskKey,
+        after_stop: AfterStop,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let resend_at = self.resend_at(now);
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        match &mut run.phase {
+            Phase::Queued => {
+                self.shares.remove(run.class, run.start_by, task);
+                let report = (after_stop != AfterStop::Discard).then_some(Outcome::Unavailable);
+                self.finish_run(task, report, 0);
+            }
+            Phase::Stopping {
+                after_stop: planned,
+                ..
+            } => {
+                if *planned != AfterStop::Discard {
+                    *planned = after_stop;
+                }
+            }
+            Phase::Starting | Phase::Running { .. } => {
+                self.counters.stopped += 1;
+                run.phase = Phase::Stopping {
+                    after_stop,
+                    resend_at,
+                    check_at: Time::MAX,
+                };
+                let number = run.number;
+                self.send_stop(task, number, now, out);
+            }
+        }
+    }
+
+    pub(super) fn send_stop(&mut self, task: &TaskKey, run: u32, now: Time, out: &mut Vec<Action>) {
+        let call = EndpointCall::Stop {
+            task: task.clone(),
+            run,
+            fence: self.fence,
+        };
+        let purpose = Purpose::Stop(task.clone(), run);
+        self.call_endpoint(purpose, call, START_STOP_TIMEOUT_MS, now, out);
+    }
+
+    /// Removes a task, and reports its end if there is an outcome.
+    pub(super) fn finish_run(&mut self, task: &TaskKey, outcome: Option<Outcome>, elapsed: u64) {
+        let Some(run) = self.runs.remove(task) else {
+            return;
+        };
+        self.turns.remove(task);
+        if run.phase.uses_capacity() {
+            self.used_capacity = self.used_capacity.minus(run.needs);
+            if !run.is_long_running {
+                self.shares.release(run.class, run.needs);
+            }
+        }
+        if let Some(outcome) = outcome {
+            let elapsed = u32::try_from(elapsed).unwrap_or(u32::MAX);
+            self.report_end(run.link, task.clone(), outcome, run.number, elapsed);
+        }
+        self.status_changed = true;
+    }
+
+    /// Drops, reports or queues again a task whose stopped run has ended.
+    pub(super) fn finish_stopped_run(&mut self, task: &TaskKey, after_stop: AfterStop) {
+        match after_stop {
+            AfterStop::Discard => self.finish_run(task, None, 0),
+            AfterStop::Report(outcome) => self.finish_run(task, Some(outcome), 0),
+            AfterStop::Restart if self.is_shutting_down || self.is_evacuated() => {
+                self.finish_run(task, Some(Outcome::Aborted), 0);
+            }
+            AfterStop::Restart => {
+                self.counters.retried += 1;
+                self.requeue(task);
+            }
+        }
+    }
+
+    pub(super) fn requeue(&mut self, task: &TaskKey) {
+        if let Some(run) = self.runs.get_mut(task) {
+            run.phase = Phase::Queued;
+            self.used_capacity = self.used_capacity.minus(run.needs);
+            if !run.is_long_running {
+                self.shares.release(run.class, run.needs);
+            }
+            self.shares
+                .push(run.class, run.start_by, task.clone(), run.is_suspected());
+        }
+    }
+
+    /// Returns all queued tasks to their entries.
+    pub(super) fn return_queued_tasks(&mut self, now: Time) {
+        let queued: Vec<TaskKey> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Queued)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in queued {
+            self.end_run(
+                &task,
+                AfterStop::Report(Outcome::Unavailable),
+                now,
+                &mut Vec::new(),
+            );
+        }
+    }
+}
