fix(dispatch): a run that nobody wants is over before its job is sent again

What callers may see: a task of a job that is not durable runs at two endpoints at a time. The first attempt's entry is lost, its link is silent, or its caller has left; the agent stops the run, but the stop gets no reply, 429 or 503, or is late. 1,300 ms later the caller sends its job again.

Cause: the lease is one for all runs of an endpoint, and it was extended as long as any entry was linked. Nothing bounded how long a run lived on whose stop was not confirmed; the inequality of LeaseTimes counts on StopMs for that.

Change: a run that is being stopped because its entry is lost or no longer wants it must be over by the time at which the agent last heard of the entry + resend_ms - margin. The caller can't have left before that time, even if the entry was paused before it sent the stop. The lease is extended only up to the earliest such time, by holds as well as by starts; no task starts for which less than the minimum lease is left. Once the lease has expired, the unwanted runs are over for certain (a late start finds its lease passed), and the lease is extended again. Confirmed stops have no effect on other runs (confirmed_stop_has_no_effect_on_other_runs). Durable jobs and long-running tasks are left to epochs and to their time for adoption.

Remains: the bound is given up for a run that may have reached a new incarnation of the endpoint under the same id, since the longest lease there is not known to the agent.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -1,6 +1,6 @@
 //! The state of an agent, its links to entries and the frames that it receives.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
@@ -119,6 +119,8 @@
     pub(super) ended_incarnations: VecDeque<Incarnation>,
     pub(super) crashes: Crashes,
     pub(super) runs: HashMap<TaskKey, Run>,
+    /// The runs that must be over by a certain time, by that time.
+    pub(super) unwanted_runs: BTreeSet<(Time, TaskKey)>,
     /// The queued tasks, and the shares of the endpoint by class.
     pub(super) shares: Shares,
     pub(super) turns: Turns,
@@ -165,6 +167,7 @@
             ended_incarnations: VecDeque::new(),
             crashes: Crashes::default(),
             runs: HashMap::new(),
+            unwanted_runs: BTreeSet::new(),
             shares: Shares::default(),
             turns: Turns::default(),
             preemption: Preemption::default(),
@@ -317,6 +320,10 @@
             "link to entry lost"
         );
         self.end_or_mark_orphaned(&tasks, now, out);
+        let heard = self.last_heard(&closed);
+        for task in &tasks {
+            self.bound_unwanted_run(task, heard);
+        }
         self.pending_ends.remove(&link);
         self.pending_starts.remove(&link);
         self.pending_checkpoints.remove(&link);
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -105,8 +105,11 @@
             endpoint.is_reachable = false;
             self.status_changed = true;
         }
-        if !endpoint.is_reachable && now >= endpoint.lease_expiry {
-            self.abort_all_tasks(now);
+        if now >= endpoint.lease_expiry {
+            if !endpoint.is_reachable {
+                self.abort_all_tasks(now);
+            }
+            self.finish_expired_runs(now);
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -108,7 +108,8 @@
         } else {
             HOLD_WAIT_RANGE_MS.1
         };
-        let lease = extends_lease.then(|| self.extend_lease(now));
+        let has_lease = extends_lease && self.max_lease_ms(now) > 0;
+        let lease = has_lease.then(|| self.extend_lease(now));
         let wait = self.expected_next_end_ms() * HOLD_WAIT_PERCENT / 100;
         let wait = if extends_lease {
             wait.clamp(HOLD_WAIT_RANGE_MS.0, max_wait)
--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -270,6 +270,9 @@
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
+        // How long the lease of a late start lasts at the new incarnation is not known.
+        self.unwanted_runs.remove(&(run.over_by, task.clone()));
+        run.over_by = Time::MAX;
         let after_stop = match run.phase {
             Phase::Stopping {
                 after_stop: AfterStop::Discard,
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -70,6 +70,7 @@
                 ticket: order.ticket.clone(),
                 has_start_deadline: order.slack_ms > 0 && !order.is_durable && !order.long_running,
                 reach: Reach::Unknown,
+                over_by: Time::MAX,
                 phase: Phase::Queued,
             };
             self.shares
@@ -139,6 +140,10 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        let Some(peer) = self.links.established.get(&link) else {
+            return;
+        };
+        let heard = self.last_heard(peer);
         let listed: Vec<TaskKey> = if tasks.is_empty() {
             let job_tasks = self.owned_tasks(link).into_iter();
             job_tasks.filter(|task| task.job == *job).collect()
@@ -153,6 +158,7 @@
         for task in listed {
             if self.runs.get(&task).is_some_and(|run| run.link == link) {
                 self.end_run(&task, after_stop, now, out);
+                self.bound_unwanted_run(&task, heard);
             }
         }
         self.start_queued_tasks(now, out);
--- a/crates/fulmarpond-dispatch/src/agent/queued_starts.rs
+++ b/crates/fulmarpond-dispatch/src/agent/queued_starts.rs
@@ -6,22 +6,27 @@
 use super::run::{Phase, Reach, Run};
 use super::shares::Need;
 use super::{Action, CallNo, EndpointCall};
-use crate::TaskKey;
+use crate::{LeaseTimes, TaskKey};
 
 impl Agent {
     pub(super) fn is_ready(&self, now: Time) -> bool {
         let endpoint = self.endpoint.as_ref();
         let is_blocked =
-            self.is_shutting_down || self.is_start_blocked(now) || self.is_end_window_full();
+            self.is_shutting_down || self.may_not_start(now) || self.is_end_window_full();
         !is_blocked && endpoint.is_some_and(|endpoint| endpoint.accepts_tasks(now))
     }
 
+    /// Returns whether no run may start, since starts are blocked or the lease would be too short.
+    pub(super) fn may_not_start(&self, now: Time) -> bool {
+        self.is_start_blocked(now) || self.max_lease_ms(now) < LeaseTimes::MIN_LEASE_MS
+    }
+
     /// Starts queued tasks while free capacity lasts, or returns them if the zone is evacuated.
     pub(super) fn start_queued_tasks(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.is_evacuated() {
             self.return_queued_tasks(now);
         }
-        if self.is_start_blocked(now) {
+        if self.may_not_start(now) {
             return;
         }
         loop {
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -134,6 +134,9 @@
     /// for long-running tasks.
     pub(super) has_start_deadline: bool,
     pub(super) reach: Reach,
+    /// By when the run must be over because its entry no longer wants it, even if its stop is not
+    /// confirmed; `Time::MAX` if there is no such time.
+    pub(super) over_by: Time,
     pub(super) phase: Phase,
 }
 
--- a/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
+++ b/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
@@ -102,7 +102,7 @@
         out: &mut Vec<Action>,
     ) {
         info!(job = %task.job, %task, run, ?reason, "start refused");
-        let is_blocked = self.is_start_blocked(now);
+        let is_blocked = self.may_not_start(now);
         let Some(known) = self.runs.get_mut(task) else {
             return;
         };
--- a/crates/fulmarpond-dispatch/src/agent/task_ends.rs
+++ b/crates/fulmarpond-dispatch/src/agent/task_ends.rs
@@ -62,6 +62,7 @@
         let Some(run) = self.runs.remove(task) else {
             return;
         };
+        self.unwanted_runs.remove(&(run.over_by, task.clone()));
         self.turns.remove(task);
         if run.phase.uses_capacity() {
             self.used_capacity = self.used_capacity.minus(run.needs);
--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -43,7 +43,7 @@
     const MARGIN_MS: u64 = 60;
 
     /// The minimum duration of a lease that survives one lost renewal.
-    const MIN_LEASE_MS: u64 = 200;
+    pub(crate) const MIN_LEASE_MS: u64 = 200;
 
     /// Divides the time until a caller's resend between the two leases.
     ///
@@ -87,7 +87,27 @@
 
     /// Returns the time after the last lease extension by which a run is definitely over.
     pub const fn lease_expiry_ms(&self) -> u64 {
-        self.run_ms * (100 + Self::MAX_DRIFT_PERCENT) / 100 + Self::MARGIN_MS / 2
+        Self::expiry_ms(self.run_ms)
+    }
+
+    /// Returns the time after the extension by a lease of `lease_ms` milliseconds by which a run is
+    /// definitely over.
+    pub(crate) const fn expiry_ms(lease_ms: u64) -> u64 {
+        lease_ms * (100 + Self::MAX_DRIFT_PERCENT) / 100 + Self::MARGIN_MS / 2
+    }
+
+    /// Returns the longest lease, in milliseconds, that has definitely expired after `within_ms`
+    /// milliseconds.
+    pub(crate) fn lease_within_ms(&self, within_ms: u64) -> u64 {
+        let lease_ms =
+            within_ms.saturating_sub(Self::MARGIN_MS / 2) * 100 / (100 + Self::MAX_DRIFT_PERCENT);
+        lease_ms.min(self.run_ms)
+    }
+
+    /// Returns the time after an agent last heard from an entry by which a run that the entry no
+    /// longer wants must be over: its caller may have been lost since, and sends the job again.
+    pub(crate) const fn unwanted_ms(&self) -> u64 {
+        self.resend_ms.saturating_sub(Self::MARGIN_MS)
     }
 
     /// How long an orphaned long-running task waits for the next owner of its job, in milliseconds.
