fix(dispatch): refuse a known task only when its run has ended

What callers may see: a task runs at two endpoints at a time. A caller has sent its job again, the entry of the new attempt orders a task at an agent that still runs it for another entry, or is stopping it for an earlier attempt at the same entry.

Cause: the agent stopped the run and reported "unavailable" at once. The new entry takes that for an order that was not carried out, and places the task at another agent, while the earlier run goes on for StopMs, or longer if its stop is not confirmed. An order that was refused for another reason (draining, evacuated, unhealthy) did not wait for it either.

Change: the known run becomes that of the new link, with the plan to refuse the order when it has ended (AfterStop::Refuse), however it ends; the end of the older attempt is not reported as one of the new attempt.

--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -101,12 +101,12 @@
                 }
                 (
                     Phase::Stopping {
-                        after_stop: AfterStop::Discard,
+                        after_stop: after_stop @ (AfterStop::Discard | AfterStop::Refuse),
                         ..
                     },
                     _,
                 ) => {
-                    self.finish_run(&task, None, 0);
+                    self.finish_stopped_run(&task, after_stop);
                     continue;
                 }
                 // The run time of a resumed run and the end of a long-running task that was working
--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -275,9 +275,9 @@
         run.over_by = Time::MAX;
         let after_stop = match run.phase {
             Phase::Stopping {
-                after_stop: AfterStop::Discard,
+                after_stop: after_stop @ (AfterStop::Discard | AfterStop::Refuse),
                 ..
-            } => AfterStop::Discard,
+            } => after_stop,
             _ => AfterStop::Report(Outcome::Aborted),
         };
         run.phase = Phase::Stopping {
@@ -382,14 +382,13 @@
         let Some(run) = self.runs.get(task) else {
             return;
         };
-        let report = match run.phase {
+        match run.phase {
             Phase::Stopping {
-                after_stop: AfterStop::Discard,
+                after_stop: after_stop @ (AfterStop::Discard | AfterStop::Refuse),
                 ..
-            } => None,
-            _ => Some(Outcome::Aborted),
-        };
-        self.finish_run(task, report, 0);
+            } => self.finish_stopped_run(task, after_stop),
+            _ => self.finish_run(task, Some(Outcome::Aborted), 0),
+        }
     }
 
     /// Handles the outcome of a call that checks which incarnation is the current one.
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -25,16 +25,12 @@
                 step: order.step,
                 index,
             };
-            // A run of the same task for another entry must end before a new one may start.
-            let outcome = refusal.or_else(|| {
-                let is_known = self.runs.contains_key(&task);
-                is_known.then_some(Outcome::Unavailable)
-            });
-            if let Some(outcome) = outcome {
+            if self.runs.contains_key(&task) {
+                self.refuse_known_task(link, &task, now, out);
+                continue;
+            }
+            if let Some(outcome) = refusal {
                 info!(job = %task.job, %task, ?outcome, ready = self.is_ready(now), "task refused");
-                if self.runs.get(&task).is_some_and(|run| run.link != link) {
-                    self.end_run(&task, AfterStop::Discard, now, out);
-                }
                 self.report_end(link, task, outcome, 0, 0);
                 continue;
             }
@@ -88,6 +84,29 @@
         self.send_reports(out);
     }
 
+    /// Refuses the order of a task that is known here, for another entry or an earlier attempt. The
+    /// entry places the task elsewhere once it hears of the refusal, so it does so only when the known
+    /// run has ended.
+    fn refuse_known_task(
+        &mut self,
+        link: LinkNo,
+        task: &TaskKey,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        info!(job = %task.job, %task, run = run.number, phase = run.phase.as_str(), "task refused, it is known");
+        run.link = link;
+        run.orphaned_until = None;
+        if let Phase::Stopping { after_stop, .. } = &mut run.phase {
+            *after_stop = AfterStop::Refuse;
+        } else {
+            self.end_run(task, AfterStop::Refuse, now, out);
+        }
+    }
+
     /// Returns the tasks of an order that are still queued, where tasks must not wait: the other
     /// members of a gang would wait for them, and for a long-running task capacity may never become
     /// free here.
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -188,6 +188,9 @@
 pub(super) enum AfterStop {
     /// Drop it without a report to the entry.
     Discard,
+    /// Report to the entry that its order was refused, however the run has ended: it belongs to
+    /// another attempt.
+    Refuse,
     /// Report the outcome to the entry.
     Report(Outcome),
     /// Start it again.
--- a/crates/fulmarpond-dispatch/src/agent/task_ends.rs
+++ b/crates/fulmarpond-dispatch/src/agent/task_ends.rs
@@ -81,6 +81,13 @@
     pub(super) fn finish_stopped_run(&mut self, task: &TaskKey, after_stop: AfterStop) {
         match after_stop {
             AfterStop::Discard => self.finish_run(task, None, 0),
+            AfterStop::Refuse => {
+                let link = self.runs.get(task).map(|run| run.link);
+                self.finish_run(task, None, 0);
+                if let Some(link) = link {
+                    self.report_end(link, task.clone(), Outcome::Unavailable, 0, 0);
+                }
+            }
             AfterStop::Report(outcome) => self.finish_run(task, Some(outcome), 0),
             AfterStop::Restart if self.is_shutting_down || self.is_evacuated() => {
                 self.finish_run(task, Some(Outcome::Aborted), 0);
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
@@ -144,11 +144,41 @@
     }
 
     pub(crate) fn order(&mut self, link: LinkNo, job: u64) {
+        self.send_order(link, order(job));
+    }
+
+    pub(crate) fn send_order(&mut self, link: LinkNo, order: Order) {
+        self.act(|agent, now, out| agent.handle_frame(link, EntryFrame::Start(order), now, out));
+    }
+
+    pub(crate) fn stop(&mut self, link: LinkNo, job: u64) {
+        let frame = EntryFrame::Stop {
+            job: key(job).job,
+            tasks: Vec::new(),
+            report: false,
+        };
+        self.act(|agent, now, out| agent.handle_frame(link, frame, now, out));
+    }
+
+    /// Lets the endpoint drain.
+    pub(crate) fn drain(&mut self) {
+        let registered = Registration {
+            state: EndpointState::Draining,
+            ..registration(self.elapsed + 1)
+        };
         self.act(|agent, now, out| {
-            agent.handle_frame(link, EntryFrame::Start(order(job)), now, out);
+            let handled = agent.handle_heartbeat(registered, now, out);
+            handled.expect("a consistent heartbeat");
         });
     }
 
+    /// Ends the run of a job at the endpoint.
+    pub(crate) fn end_run(&mut self, job: u64) {
+        let is_ended = |run: &mut LiveRun| run.task == key(job);
+        let ended: Vec<LiveRun> = self.running.extract_if(.., is_ended).collect();
+        ended.into_iter().for_each(|run| self.record_end(run));
+    }
+
     pub(crate) fn run_ms(&mut self, millis: u64) {
         for _ in 0..millis {
             self.elapsed += 1;
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -2,8 +2,11 @@
 
 mod host;
 
+use fulmarpond_dispatch::{LinkNo, Order, Outcome};
+
 use host::{
     Host, KEPT_JOB, KEPT_LINK, LATER_JOB, LOST_LINK, Loss, RESEND_MS, StopReply, UNWANTED_JOB, key,
+    order,
 };
 
 /// When the entry of the unwanted run is lost, in milliseconds.
@@ -145,3 +148,82 @@
         assert!(!host.is_running(UNWANTED_JOB), "{loss:?}");
     }
 }
+
+/// What becomes of a run while an order for its task from another entry waits.
+struct KnownTask {
+    name: &'static str,
+    /// The link that the first order comes over.
+    first: LinkNo,
+    /// Whether the run is being stopped when the second order arrives.
+    is_stopping: bool,
+    /// Whether the endpoint takes no tasks when the second order arrives.
+    is_draining: bool,
+    is_durable: bool,
+}
+
+/// Guards against two runs of one task at a time: an agent that ran the task for another entry refused
+/// it at once, and the entry placed it elsewhere while the earlier run went on.
+#[test]
+fn known_task_is_refused_only_when_its_run_has_ended() {
+    let plain = KnownTask {
+        name: "run of another entry",
+        first: KEPT_LINK,
+        is_stopping: false,
+        is_draining: false,
+        is_durable: false,
+    };
+    let cases = [
+        KnownTask {
+            name: "run of another entry that is being stopped",
+            is_stopping: true,
+            ..plain
+        },
+        KnownTask {
+            name: "earlier run of the same entry that is being stopped",
+            first: LOST_LINK,
+            is_stopping: true,
+            ..plain
+        },
+        KnownTask {
+            name: "run of another entry at an endpoint that drains",
+            is_draining: true,
+            ..plain
+        },
+        KnownTask {
+            name: "run of a durable job",
+            is_durable: true,
+            ..plain
+        },
+        plain,
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        let mut host = Host::new();
+        let order = Order {
+            is_durable: case.is_durable,
+            ..order(UNWANTED_JOB)
+        };
+        host.send_order(case.first, order.clone());
+        host.run_ms(500);
+        host.stops = StopReply::Late;
+        if case.is_stopping {
+            host.stop(case.first, UNWANTED_JOB);
+        }
+        if case.is_draining {
+            host.drain();
+        }
+        host.run_ms(20);
+        host.send_order(LOST_LINK, order);
+        host.run_ms(30);
+        assert!(host.is_running(UNWANTED_JOB), "{}", case.name);
+        if !host.reports.is_empty() {
+            failures.push(format!("{}: refused while it runs", case.name));
+            continue;
+        }
+        host.end_run(UNWANTED_JOB);
+        host.run_ms(30);
+        let refused = (LOST_LINK, key(UNWANTED_JOB).job, Outcome::Unavailable);
+        assert_eq!(host.reports, [refused], "{}", case.name);
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
