fix(dispatch): the first lease after an idle time is no longer than others

What callers may see: a run that outlasts its agent, and a second run of its task elsewhere. An agent that is gone, or an endpoint that does not answer, counts as without runs 696 ms after the last lease; an entry that lost the agent counts on that as well.

Cause: the estimate of the endpoint's clock advanced at the speed of the agent's own.

Change: the estimate advances at 98 % of the own speed, so it is never ahead of a clock that is as slow as allowed. It is behind others by 2 % of the age of the reading, so an endpoint without calls is asked for its lists every 5 s, and leases are shorter by 100 ms at most.

--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -4,7 +4,7 @@
 use tracing::{info, warn};
 
 use super::Action;
-use super::agent::{Agent, STATUS_INTERVAL_MS};
+use super::agent::{Agent, Purpose, STATUS_INTERVAL_MS};
 use super::run::{AfterStop, Phase};
 use crate::{
     AgentFrame, Backlog, Class, EndpointState, EndpointStatus, Outcome, Resources, TaskKey,
@@ -22,6 +22,10 @@
 /// The expected time until the next end if only long-running tasks run, in milliseconds.
 const NO_EXPECTED_END_MS: u64 = 10_000;
 
+/// The age of the last reading of the endpoint's clock after which an idle endpoint is asked for it, in
+/// milliseconds. The lease of the next start is shorter by two percent of this age.
+const MAX_CLOCK_AGE_MS: u64 = 5_000;
+
 /// The constant part of the time after which a run is overdue, in milliseconds. See
 /// [`OVERDUE_FACTOR`].
 const OVERDUE_MS: u64 = 100;
@@ -111,6 +115,13 @@
             }
             self.finish_expired_runs(now);
         }
+        let clock_age_ms = self
+            .endpoint
+            .as_ref()
+            .map(|endpoint| endpoint.clock.age_ms(now));
+        if clock_age_ms > Some(MAX_CLOCK_AGE_MS) && self.pending_calls.is_empty() {
+            self.request_lists(Purpose::Verify, now, out);
+        }
     }
 
     /// Closes surplus links whose entries have no runs here.
--- a/crates/fulmarpond-dispatch/src/clock.rs
+++ b/crates/fulmarpond-dispatch/src/clock.rs
@@ -2,10 +2,13 @@
 
 use fulmarpond_core::Time;
 
-/// An estimate of another process's clock that, apart from drift, is never ahead of it.
+use crate::LeaseTimes;
+
+/// An estimate of another process's clock that is never ahead of it.
 ///
-/// The estimate lags behind by the time that the reading took to arrive. A lease that is set to
-/// expire at a time computed from the estimate therefore never lasts longer than intended.
+/// The estimate lags behind by the time that the reading took to arrive, and by the most that the
+/// other clock may be slow since. A lease that is set to expire at a time computed from the estimate
+/// therefore never lasts longer than intended.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RemoteClock {
     reading: Option<(i64, Time)>,
@@ -23,14 +26,20 @@
         }
     }
 
-    /// The age of a reading after which a lower one replaces it, since drift may have put the
-    /// estimate ahead of the other clock.
+    /// The age of a reading after which a lower one replaces it: the other clock may be slower than
+    /// is allowed for.
     const MAX_AGE_MS: u64 = 1_000;
 
+    /// Returns the age of the reading at `now`, in milliseconds; 0 before the first one.
+    pub fn age_ms(&self, now: Time) -> u64 {
+        self.reading.map_or(0, |(_, taken)| now.millis_since(taken))
+    }
+
     /// Returns the estimated reading at `now`, in milliseconds, or `None` before the first one.
     pub fn at(&self, now: Time) -> Option<i64> {
         let (reading, taken) = self.reading?;
-        let elapsed = i64::try_from(now.millis_since(taken)).unwrap_or(i64::MAX);
+        let slowest = now.millis_since(taken) * (100 - LeaseTimes::MAX_DRIFT_PERCENT) / 100;
+        let elapsed = i64::try_from(slowest).unwrap_or(i64::MAX);
         Some(reading.saturating_add(elapsed))
     }
 }
--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -37,7 +37,7 @@
 
 impl LeaseTimes {
     /// How much slower than the clock of this process an endpoint's clock may run, in percent.
-    const MAX_DRIFT_PERCENT: u64 = 2;
+    pub(crate) const MAX_DRIFT_PERCENT: u64 = 2;
 
     /// The margin for message latency and scheduling delays.
     const MARGIN_MS: u64 = 60;
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
@@ -25,6 +25,9 @@
 /// The time after which callers send a job again, in milliseconds.
 pub(crate) const RESEND_MS: u64 = 1_300;
 
+/// The longest lease of an endpoint, in milliseconds of its clock.
+const MAX_LEASE_MS: i64 = 1_000;
+
 /// The interval at which entries return the status of the agent, in milliseconds.
 pub(crate) const RENEW_INTERVAL_MS: u64 = 100;
 
@@ -86,7 +89,7 @@
             name: "side-1".to_owned(),
             zone: "Saga".to_owned(),
             seeds: Vec::new(),
-            lease_times: LeaseTimes::new(RESEND_MS, 1_000, 50).expect("valid lease times"),
+            lease_times: lease_times(),
             heartbeat_interval_ms: 1_500,
             fence: 1,
         };
@@ -205,6 +208,17 @@
         }
     }
 
+    /// Extends the lease, by no more than a lease may last.
+    fn extend_lease(&mut self, lease: i64) {
+        self.lease = self.lease.max(lease.min(self.clock() + MAX_LEASE_MS));
+    }
+
+    /// Lets time pass while the agent does nothing.
+    pub(crate) fn run_without_agent_ms(&mut self, millis: u64) {
+        self.elapsed += millis;
+        self.expire_runs();
+    }
+
     /// Ends all runs if the lease has expired.
     fn expire_runs(&mut self) {
         if self.clock() >= self.lease {
@@ -244,7 +258,7 @@
                         reason: StartRefusal::LeasePassed,
                     });
                 }
-                self.lease = self.lease.max(lease);
+                self.extend_lease(lease);
                 self.running.push(LiveRun { task, number: run });
                 if self.hides_starts {
                     return Err(CallFailure::NoReply);
@@ -264,7 +278,7 @@
             },
             EndpointCall::Hold { acked, lease, .. } => {
                 self.ended.retain(|end| end.sequence > acked);
-                self.lease = self.lease.max(lease.unwrap_or_default());
+                self.extend_lease(lease.unwrap_or_default());
                 let listed = self.running.iter().map(|run| RunEntry {
                     task: run.task.clone(),
                     run: run.number,
@@ -308,6 +322,10 @@
     }
 }
 
+pub(crate) fn lease_times() -> LeaseTimes {
+    LeaseTimes::new(RESEND_MS, MAX_LEASE_MS as u64, 50).expect("valid lease times")
+}
+
 pub(crate) fn key(job: u64) -> TaskKey {
     TaskKey {
         job: JobId(format!("{job:016x}")),
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -6,7 +6,7 @@
 
 use host::{
     Host, KEPT_JOB, KEPT_LINK, LATER_JOB, LOST_LINK, Loss, RESEND_MS, StopReply, UNWANTED_JOB, key,
-    order,
+    lease_times, order,
 };
 
 /// When the entry of the unwanted run is lost, in milliseconds.
@@ -227,3 +227,26 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// Guards against runs that outlast an agent that is gone: the estimate of a slow clock was ahead of it
+/// after the endpoint had been idle, so that the lease of the next run was too long.
+#[test]
+fn first_lease_after_an_idle_time_is_no_longer_than_others() {
+    for idle_ms in [500, 5_000, 30_000, 120_000] {
+        let mut host = Host::new();
+        host.run_ms(idle_ms);
+        host.order(KEPT_LINK, KEPT_JOB);
+        host.run_ms(1);
+        assert!(host.is_running(KEPT_JOB), "idle for {idle_ms} ms");
+        let mut age_ms = 1;
+        while host.is_running(KEPT_JOB) {
+            host.run_without_agent_ms(1);
+            age_ms += 1;
+        }
+        let longest_ms = lease_times().lease_expiry_ms() + 1;
+        assert!(
+            age_ms <= longest_ms,
+            "idle for {idle_ms} ms: runs for {age_ms} ms"
+        );
+    }
+}
