--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
@@ -79,6 +79,8 @@
     pub(crate) reports: Vec<(LinkNo, JobId, Outcome)>,
     /// Whether the endpoint carries out starts, but does not answer them.
     pub(crate) hides_starts: bool,
+    /// Whether the endpoint carries out starts, but answers with an unknown status.
+    pub(crate) garbles_starts: bool,
     pub(crate) is_ready: bool,
     pub(crate) elapsed: u64,
 }
@@ -104,6 +106,7 @@
             renewed: vec![KEPT_LINK, LOST_LINK],
             reports: Vec::new(),
             hides_starts: false,
+            garbles_starts: false,
             is_ready: false,
             elapsed: 0,
         };
@@ -263,6 +266,9 @@
                 if self.hides_starts {
                     return Err(CallFailure::NoReply);
                 }
+                if self.garbles_starts {
+                    return Ok(EndpointReply::Invalid);
+                }
                 Ok(EndpointReply::Done { clock })
             }
             EndpointCall::Stop { task, run, .. } => match self.stops {
