fix(dispatch): runs of an endpoint that leaves are over when it has ended

Cause: an endpoint that had deregistered counted as gone at once, and its runs were reported as aborted, so that they were placed elsewhere. It ends only after the reply, and some seconds later if the reply is lost; its runs go on until then, or until their lease ends.

Change: as for a deregistration that does not name its incarnation, the endpoint gets no more tasks, and calls show when it has ended. Delayed heartbeats of a named incarnation still do not bring it back (lists.rs, endpoint_that_has_left_is_not_in_use_again).

--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -108,8 +108,9 @@
 
     /// Handles the deregistration of an endpoint.
     ///
-    /// One that does not name its incarnation may be a delayed one of an earlier incarnation. The
-    /// endpoint gets no more tasks then, and calls show whether it has ended.
+    /// The endpoint gets no more tasks, and calls show whether it has ended: it ends some time after it
+    /// has deregistered, and its runs go on until then. A deregistration that does not name its
+    /// incarnation may be a delayed one of an earlier incarnation.
     pub fn handle_deregistration(
         &mut self,
         incarnation: &Incarnation,
@@ -123,18 +124,19 @@
         if current.id != incarnation.id {
             return;
         }
+        if incarnation.born != 0 && incarnation.born != current.born {
+            return;
+        }
+        info!(endpoint = %current.id, "endpoint has deregistered, checking whether it has ended");
+        endpoint.deregistered_at = Some(endpoint.registration.sequence);
         if current.born == incarnation.born {
-            info!(endpoint = %current.id, "endpoint left");
+            // Its delayed heartbeats don't bring it back.
             self.mark_ended(current);
-            self.remove_endpoint(now, out);
-        } else if incarnation.born == 0 {
-            info!(endpoint = %current.id, "endpoint has deregistered, checking whether it has ended");
-            endpoint.deregistered_at = Some(endpoint.registration.sequence);
-            self.return_queued_tasks(now);
-            self.send_hold(now, out);
-            self.send_status(now, out);
-            self.send_reports(out);
         }
+        self.return_queued_tasks(now);
+        self.send_hold(now, out);
+        self.send_status(now, out);
+        self.send_reports(out);
     }
 
     /// Remembers that an incarnation is over, if it can be told from the next one.
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
@@ -81,6 +81,9 @@
     pub(crate) hides_starts: bool,
     /// Whether the endpoint carries out starts, but answers with an unknown status.
     pub(crate) garbles_starts: bool,
+    sends_heartbeats: bool,
+    /// Whether the endpoint has ended, so that connections are refused.
+    pub(crate) has_ended: bool,
     pub(crate) is_ready: bool,
     pub(crate) elapsed: u64,
 }
@@ -106,6 +109,8 @@
             renewed: vec![KEPT_LINK, LOST_LINK],
             reports: Vec::new(),
             hides_starts: false,
+            sends_heartbeats: true,
+            has_ended: false,
             garbles_starts: false,
             is_ready: false,
             elapsed: 0,
@@ -178,6 +183,13 @@
         });
     }
 
+    /// Lets the endpoint deregister and send no more heartbeats.
+    pub(crate) fn deregister(&mut self) {
+        self.sends_heartbeats = false;
+        let incarnation = registration(0).incarnation();
+        self.act(|agent, now, out| agent.handle_deregistration(&incarnation, now, out));
+    }
+
     /// Ends the run of a job at the endpoint.
     pub(crate) fn end_run(&mut self, job: u64) {
         let is_ended = |run: &mut LiveRun| run.task == key(job);
@@ -192,10 +204,12 @@
             self.answer_calls();
             if self.elapsed.is_multiple_of(RENEW_INTERVAL_MS) {
                 let registered = registration(1 + self.elapsed);
-                self.act(|agent, now, out| {
-                    let handled = agent.handle_heartbeat(registered, now, out);
-                    handled.expect("a consistent heartbeat");
-                });
+                if self.sends_heartbeats {
+                    self.act(|agent, now, out| {
+                        let handled = agent.handle_heartbeat(registered, now, out);
+                        handled.expect("a consistent heartbeat");
+                    });
+                }
                 for link in self.renewed.clone() {
                     self.act(|agent, now, out| {
                         let sent = now.as_micros();
@@ -250,6 +264,9 @@
     }
 
     fn answer(&mut self, call: EndpointCall) -> Result<EndpointReply, CallFailure> {
+        if self.has_ended {
+            return Err(CallFailure::Refused);
+        }
         let clock = self.clock();
         match call {
             EndpointCall::Start {
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -265,3 +265,21 @@
     let returned = (KEPT_LINK, key(KEPT_JOB).job, Outcome::Unavailable);
     assert_eq!(host.reports, [returned]);
 }
+
+/// Guards against two runs of one task at a time: the runs of an endpoint that had deregistered were
+/// reported as over, although it ends later.
+#[test]
+fn runs_of_an_endpoint_that_leaves_are_over_when_it_has_ended() {
+    let mut host = Host::new();
+    host.order(KEPT_LINK, KEPT_JOB);
+    host.run_ms(500);
+    host.deregister();
+    host.run_ms(900);
+    assert_eq!(host.reports, [], "reported while it runs");
+    assert!(host.is_running(KEPT_JOB));
+    assert!(!host.is_ready);
+    host.has_ended = true;
+    host.run_ms(100);
+    let aborted = (KEPT_LINK, key(KEPT_JOB).job, Outcome::Aborted);
+    assert_eq!(host.reports, [aborted]);
+}
