docs(dispatch): from which resend time on the shortest leases are safe

LeaseTimes::shortest is used where new() fails: for a ResendMs below 565 at a StopMs of 50. All deployments have 1,300 and 50, so it is in use nowhere. Its leases keep the inequality from StopMs + 464 on; below that the process warns and serves, as before.

--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -69,9 +69,16 @@
         })
     }
 
+    /// The time that the shortest usable leases, the drift and the margin take, in milliseconds.
+    pub const SHORTEST_MS: u64 = Self::MIN_LEASE_MS
+        + Self::MIN_LEASE_MS * (100 + Self::MAX_DRIFT_PERCENT) / 100
+        + Self::MARGIN_MS;
+
     /// Returns the shortest usable leases, for a resend time that [`new`](Self::new) rejects.
     ///
-    /// With these leases, a second attempt may overlap with the first one if processes are paused.
+    /// They expire before the resend only if that comes [`SHORTEST_MS`](Self::SHORTEST_MS) after the
+    /// longest stop or later. A second attempt may overlap with the first one otherwise, if processes
+    /// are paused.
     pub const fn shortest(resend_ms: u64, stop_ms: u64) -> Self {
         Self {
             link_ms: Self::MIN_LEASE_MS,
--- a/crates/fulmarpond-dispatch/tests/lease_times.rs
+++ b/crates/fulmarpond-dispatch/tests/lease_times.rs
@@ -68,3 +68,15 @@
         assert!(lease_times.orphan_ms() >= longest_ms);
     }
 }
+
+/// Guards against an unnoticed overlap of attempts: leases of the minimum length expire in time only from
+/// a certain resend time on.
+#[test]
+fn shortest_leases_expire_before_a_late_enough_resend() {
+    for stop_ms in [0, 50, 500] {
+        let resend_ms = stop_ms + LeaseTimes::SHORTEST_MS;
+        let shortest = LeaseTimes::shortest(resend_ms, stop_ms);
+        let longest_ms = shortest.link_ms + shortest.run_ms * 102 / 100 + stop_ms + 60;
+        assert_eq!(longest_ms, resend_ms, "stops of {stop_ms} ms");
+    }
+}
