--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -7,7 +7,6 @@
     Agent, PendingCall, Purpose, RESEND_DELAY_MS, START_STOP_TIMEOUT_MS, StartCheck,
 };
 use super::crashes::Notice;
-use super::run::AfterStop;
 use super::{Action, CallFailure, CallNo, EndEntry, EndpointCall, EndpointReply};
 use crate::{Outcome, Resources};
 
@@ -250,12 +249,7 @@
                     endpoint.record_unhealthy(now);
                 }
                 self.health.record_failure();
-                if reply == EndpointReply::Unhealthy {
-                    self.finish_unstarted(&task, run, Outcome::Unavailable);
-                } else if self.is_starting(&task, run) {
-                    // An unknown status does not say whether the run has started.
-                    self.end_run(&task, AfterStop::Report(Outcome::Unavailable), now, out);
-                }
+                self.finish_unstarted(&task, run, Outcome::Unavailable);
                 self.return_queued_tasks(now);
             }
             (Purpose::Stop(task, run), EndpointReply::Done { .. }) => {
