--- a/crates/fulmarpondd/tests/overlap_rig/case.rs
+++ b/crates/fulmarpondd/tests/overlap_rig/case.rs
@@ -7,13 +7,18 @@
     BrokenAtCaller,
     /// Processes are paused.
     Paused,
+    /// An entry is cut off and killed, and some agents are paused shortly before they would notice, so
+    /// that both leases pass in full.
+    Chained,
     /// Processes are killed or ended, and started again.
     Ended,
     /// Links between entries and agents are delayed, held in one direction or both, or closed on one
     /// side.
     Links,
-    /// Calls of agents to endpoints are late, lost, refused or not answered.
+    /// Starts and holds at an endpoint are late, lost, refused or not answered.
     Calls,
+    /// Endpoints restart under their ids, or start runs that hang.
+    Endpoints,
     /// Stops at an endpoint are late, lost or refused for a while, and all other calls pass.
     Stops,
     /// Entries are paused while requests arrive, whose callers leave before they are read.
