fix(standins): an emulated executor shortens a lease that is too long

Not logged, but the only deadline that fits: an order sent before the restart carried one of the old clock, some 7 s ahead of the new one, and the emulator took it. The platform's page says that a longer lease is shortened to `HoldMaxMs`.

Change: the emulator shortens leases to 1 s, the `hold_max` of the settings in all tests that use it.

`leased.rs`: 21 passed.

--- a/crates/fulmarpond-standins/src/fleet/executor.rs
+++ b/crates/fulmarpond-standins/src/fleet/executor.rs
@@ -13,6 +13,10 @@
 /// The reading of each executor's clock when it starts, in milliseconds.
 const CLOCK_START_MS: i64 = 7_000;
 
+/// The maximum time that a lease lasts on the executor's clock, in milliseconds. A longer one is
+/// shortened.
+const MAX_LEASE_MS: i64 = 1_000;
+
 /// How long after a restart a heartbeat of the earlier life arrives.
 const LATE_HEARTBEAT_DELAY: Duration = Duration::from_millis(200);
 
@@ -229,7 +233,7 @@
         if deadline_ms <= self.clock_ms(now) {
             return (Some(self.refusal_response("late", now)), None);
         }
-        self.lease_deadline_ms = self.lease_deadline_ms.max(deadline_ms);
+        self.extend_lease(deadline_ms, now);
         if self
             .runs
             .get(&task)
@@ -286,7 +290,7 @@
         self.ended_runs
             .retain(|end| end[0].as_u64() > Some(acked_cursor));
         if let Some(deadline_ms) = body["DeadlineMs"].as_i64() {
-            self.lease_deadline_ms = self.lease_deadline_ms.max(deadline_ms);
+            self.extend_lease(deadline_ms, now);
         }
         let wait = Duration::from_millis(body["WaitMs"].as_u64().unwrap_or(0)).min(MAX_HOLD_WAIT);
         if wait.is_zero() || !self.ended_runs.is_empty() {
@@ -299,6 +303,11 @@
         None
     }
 
+    fn extend_lease(&mut self, deadline_ms: i64, now: Instant) {
+        let deadline_ms = deadline_ms.min(self.clock_ms(now) + MAX_LEASE_MS);
+        self.lease_deadline_ms = self.lease_deadline_ms.max(deadline_ms);
+    }
+
     fn end_run(&mut self, task: &str, outcome: &'static str, at: Instant) {
         if let Some(run) = self.runs.remove(task) {
             self.new_ends.push(RunEnd {
