feat(settings): memory and descriptors of the machine in leased mode

The platform gives each process a limit of memory and of descriptors, and the settings had neither. Section [limits] has them now, filled in by the templates.

--- a/crates/fulmarpond-settings/src/leased/leased_settings.rs
+++ b/crates/fulmarpond-settings/src/leased/leased_settings.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use super::LeasedLimits;
 use crate::document::Document;
 use crate::reader::{Reader, parse_name, suggestion};
 use crate::{LogLevel, Result};
@@ -27,6 +28,7 @@
     ("placement", &["far"]),
     ("sharing", &["weights", "preemption"]),
     ("log", &["level", "lines"]),
+    ("limits", &["memory", "descriptors"]),
 ];
 
 /// The value of `daemon.mode` that selects these settings.
@@ -158,6 +160,8 @@
     pub level: LogLevel,
     /// The maximum number of log lines per second.
     pub max_log_lines_per_second: u32,
+    /// What the machine gives the process.
+    pub limits: LeasedLimits,
 }
 
 impl LeasedSettings {
@@ -200,6 +204,7 @@
         .unwrap_or(1.0);
     let level = reader.read_optional("log", "level", parse_value::<LogLevel>);
     let max_log_lines_per_second = reader.read_optional("log", "lines", parse_log_lines);
+    let limits = LeasedLimits::read(reader);
     let role = match role?.as_str() {
         "entry" => read_entry(reader),
         _ => read_agent(reader),
@@ -213,6 +218,7 @@
         remote_factor,
         level: level.unwrap_or(LogLevel::Info),
         max_log_lines_per_second: max_log_lines_per_second.unwrap_or(DEFAULT_LOG_LINES_PER_SECOND),
+        limits,
     })
 }
 
--- a/crates/fulmarpond-settings/src/lib.rs
+++ b/crates/fulmarpond-settings/src/lib.rs
@@ -19,7 +19,9 @@
     LogLevel, LogSettings, Role, TimingSettings,
 };
 pub use document::{Document, Entry, Section, SettingsError, SettingsErrors};
-pub use leased::{EvacuationSettings, LeasedRole, LeasedSettings, LeasedSharing, LeasedTiming};
+pub use leased::{
+    EvacuationSettings, LeasedLimits, LeasedRole, LeasedSettings, LeasedSharing, LeasedTiming,
+};
 pub use patch::{Change, PatchFile, Unrepresentable, diff, render};
 pub use token::{Token, TokenFile};
 
--- a/crates/fulmarpond-settings/tests/leased.rs
+++ b/crates/fulmarpond-settings/tests/leased.rs
@@ -32,6 +32,8 @@
         ("Bounds.EvacMs", "5000"),
         ("Bounds.status_s", "120"),
         ("HeartbeatMs", "1500"),
+        ("Limits.MemoryMb", "260"),
+        ("Limits.MaxFds", "4100"),
     ];
     let mut text = template.to_owned();
     for (name, value) in values {
@@ -75,6 +77,9 @@
     assert_eq!(entry.timing.resend, Duration::from_millis(1_300));
     assert_eq!(entry.timing.job_retention, Duration::from_secs(120));
 
+    assert_eq!(entry.limits.memory, 260 * 1024 * 1024);
+    assert_eq!(entry.limits.descriptors, 4_100);
+
     let agent = read_settings(&render_template(AGENT)).expect("settings of an agent");
     let LeasedRole::Agent {
         seeds, evacuation, ..
@@ -121,6 +126,18 @@
 #[test]
 fn faulty_settings_are_reported() {
     let cases = [
+        InvalidCase {
+            name: "memory without a unit",
+            from: "memory = 260MB",
+            to: "memory = 260",
+            expected_error: "expected a size of at least 24MB",
+        },
+        InvalidCase {
+            name: "too few descriptors",
+            from: "descriptors = 4100",
+            to: "descriptors = 12",
+            expected_error: "expected at least 64",
+        },
         InvalidCase {
             name: "unknown role",
             from: "role = entry",
--- a/crates/fulmarpondd/src/leased/reload.rs
+++ b/crates/fulmarpondd/src/leased/reload.rs
@@ -85,6 +85,7 @@
         ("listen.metrics", old.metrics != new.metrics),
         ("timing", old.timing != new.timing),
         ("log.level", old.level != new.level),
+        ("limits", old.limits != new.limits),
     ];
     match (&old.role, &new.role) {
         (
