test(daemon): crowds of clients that do not behave, as real processes

Each test starts an entry and an agent with 40 MB and 600 descriptors in their settings, sends a small crowd, and checks only that the processes live, that VmHWM and the open descriptors stay within these limits, and that an ordinary job gets its answer.

--- a/crates/fulmarpondd/tests/leased_system/mod.rs
+++ b/crates/fulmarpondd/tests/leased_system/mod.rs
@@ -103,6 +103,25 @@
         fs::write(&self.settings, text.replace(from, to)).expect("the settings file");
     }
 
+    /// Returns the value of a line of the process's status in kilobytes, such as `VmHWM`, or `None` if
+    /// the process has ended.
+    pub fn status_kb(&self, name: &str) -> Option<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
+    /// Returns the number of open file descriptors.
+    pub fn open_files(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        fs::read_dir(path).map_or(0, Iterator::count)
+    }
+
+    pub fn is_alive(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().expect("the process is killed");
         self.child.wait().expect("the process has exited");
@@ -148,8 +167,10 @@
     pub callers: Vec<SocketAddr>,
     pub readiness: Vec<SocketAddr>,
     pub metrics: Vec<SocketAddr>,
-    controls: Vec<SocketAddr>,
-    links: Vec<SocketAddr>,
+    pub controls: Vec<SocketAddr>,
+    pub links: Vec<SocketAddr>,
+    /// Section `[limits]` of all processes.
+    limits: &'static str,
     /// The zones of the agents, in turn.
     zones: Vec<&'static str>,
     reads_log: bool,
@@ -166,6 +187,11 @@
         Self::start_in_zones(entries, agents, reads_log, &["Saga"])
     }
 
+    /// Starts a system with one entry and one agent whose settings have the given limits.
+    pub fn start_limited(limits: &'static str) -> Self {
+        Self::start_all(1, 1, true, &["Saga"], limits)
+    }
+
     /// Starts a system whose agents stand in several zones, in turn. They read evacuations from the
     /// store if there is more than one zone.
     pub fn start_in_zones(
@@ -174,6 +200,22 @@
         reads_log: bool,
         zones: &[&'static str],
     ) -> Self {
+        Self::start_all(entries, agents, reads_log, zones, "")
+    }
+
+    fn start_all(
+        entries: usize,
+        agents: usize,
+        reads_log: bool,
+        zones: &[&'static str],
+        limits: &'static str,
+    ) -> Self {
+        // A crowd that holds connections has to stay for as long as a test lasts.
+        let mut configuration = configuration(1, "/jobs/");
+        if !limits.is_empty() {
+            configuration =
+                configuration.replace(r#""HeaderTimeoutMs":3000"#, r#""HeaderTimeoutMs":60000"#);
+        }
         let controls: Vec<SocketAddr> = (0..agents).map(|_| free_addr()).collect();
         let executors = controls.iter().enumerate();
         let executors = executors.map(|(agent, &control)| ExecutorOptions {
@@ -186,7 +228,7 @@
             store: free_addr(),
             executors: executors.collect(),
             heartbeat: Duration::from_millis(300),
-            configuration: configuration(1, "/jobs/"),
+            configuration,
         })
         .expect("the emulator starts");
         let mut system = Self {
@@ -198,6 +240,7 @@
             metrics: (0..entries).map(|_| free_addr()).collect(),
             controls,
             links: (0..entries).map(|_| free_addr()).collect(),
+            limits,
             zones: zones.to_vec(),
             reads_log,
         };
@@ -227,13 +270,14 @@
     pub fn start_entry_with_store(&self, entry: usize, store: SocketAddr) -> Process {
         let settings = format!(
             "[daemon]\nmode = leased\nrole = entry\nname = entry-{entry}\nzone = Saga\n[listen]\n\
-             callers = {}\nreadiness = {}\nlink = {}\nmetrics = {}\n[store]\naddr = {}\n{}",
+             callers = {}\nreadiness = {}\nlink = {}\nmetrics = {}\n[store]\naddr = {}\n{}{}",
             self.callers[entry],
             self.readiness[entry],
             self.links[entry],
             self.metrics[entry],
             store,
             Self::timing(),
+            self.limits,
         );
         Process::start("entry", &settings, self.reads_log)
     }
@@ -251,10 +295,11 @@
         };
         let settings = format!(
             "[daemon]\nmode = leased\nrole = agent\nname = agent-{agent}\nzone = {zone}\n[listen]\n\
-             heartbeats = {}\n[cluster]\nseeds = {seed}\nlink_port = {}\n{evacuation}{}",
+             heartbeats = {}\n[cluster]\nseeds = {seed}\nlink_port = {}\n{evacuation}{}{}",
             self.controls[agent],
             seed.port(),
             Self::timing(),
+            self.limits,
         );
         Process::start("agent", &settings, self.reads_log)
     }
