fix(reactor): bound the bytes and connections of all clients together

Callers saw: an entry that ran out of memory and ended when clients sent many large bodies of legal size and kept them open just short of their end, and callers turned away while a crowd held all connections. Cause: each connection was bounded (header section and body), their sum was not: 3,000 times 262 KB, or 4 MiB each before the first configuration. New connections were refused at the limit, so the crowd kept its own. Links that others open had no limit at all. Each read grew the buffer of its connection by 16 KB, used or not. Change: Limits has client_bytes and links beside connections, derived from the memory and the descriptors of the machine. At the bound the connections with the most bytes times the time that they are held are closed; of too many connections, those that never sent a whole request and have waited for the longest. Counter fulmarpond_closed_connections_total, one log line a second.

--- a/crates/fulmarpond-reactor/src/channel.rs
+++ b/crates/fulmarpond-reactor/src/channel.rs
@@ -6,9 +6,11 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 
-/// The number of bytes requested per read, and the buffer capacity that is kept when a buffer is
-/// empty.
-const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// The number of bytes requested per read.
+pub(crate) const READ_CHUNK_BYTES: usize = 16 * 1024;
+
+/// The buffer capacity that is kept when a buffer is empty, in bytes.
+const KEPT_CAPACITY_BYTES: usize = 4 * 1024;
 
 /// The state of a channel after a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -99,21 +101,17 @@
     /// Reads into the input buffer until the socket has no more data or the input has `max_input`
     /// bytes.
     ///
+    /// The bytes come through `chunk`, so that a connection holds no room for what it has not sent.
     /// After [`ReadState::Full`] no further readiness event may arrive, so the caller has to close
     /// the connection.
-    pub(crate) fn read(&mut self, max_input: usize) -> ReadState {
+    pub(crate) fn read(&mut self, max_input: usize, chunk: &mut [u8]) -> ReadState {
         loop {
             if self.input.len() >= max_input {
                 return ReadState::Full;
             }
-            let start = self.input.len();
-            self.input.resize(start + READ_CHUNK_BYTES, 0);
-            let result = self.stream.read(&mut self.input[start..]);
-            let count = *result.as_ref().unwrap_or(&0);
-            self.input.truncate(start + count);
-            match result {
+            match self.stream.read(chunk) {
                 Ok(0) => return ReadState::Closed,
-                Ok(_) => {}
+                Ok(count) => self.input.extend_from_slice(&chunk[..count]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return ReadState::Open,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return ReadState::Closed,
@@ -121,6 +119,11 @@
         }
     }
 
+    /// Returns the number of bytes that have arrived and are not handled, or are not sent yet.
+    pub(crate) const fn held_bytes(&self) -> usize {
+        self.input.len() + self.output.len()
+    }
+
     /// Appends bytes to the output buffer without sending them.
     pub(crate) fn queue(&mut self, bytes: &[u8]) {
         self.output.extend_from_slice(bytes);
@@ -155,10 +158,10 @@
 
     /// Releases the memory of empty buffers that grew for a large message.
     pub(crate) fn shrink_buffers(&mut self) {
-        if self.input.is_empty() && self.input.capacity() > READ_CHUNK_BYTES {
+        if self.input.is_empty() && self.input.capacity() > KEPT_CAPACITY_BYTES {
             self.input = Vec::new();
         }
-        if self.output.is_empty() && self.output.capacity() > READ_CHUNK_BYTES {
+        if self.output.is_empty() && self.output.capacity() > KEPT_CAPACITY_BYTES {
             self.output = Vec::new();
         }
     }
--- a/crates/fulmarpond-reactor/src/lib.rs
+++ b/crates/fulmarpond-reactor/src/lib.rs
@@ -16,4 +16,4 @@
 
 pub use call::{Call, CallError, CallId, Reply};
 pub use event::{Event, LinkId, ListenerId, RequestId};
-pub use reactor::{Limits, Reactor};
+pub use reactor::{ClosedCounts, Limits, Reactor};
--- a/crates/fulmarpond-reactor/src/link.rs
+++ b/crates/fulmarpond-reactor/src/link.rs
@@ -21,9 +21,34 @@
     pub(crate) id: LinkId,
     /// When a connection attempt that is still in progress is treated as failed.
     pub(crate) connect_deadline: Instant,
+    /// Whether the peer opened the link.
+    pub(crate) is_accepted: bool,
+    /// Whether a whole frame has arrived.
+    pub(crate) has_frame: bool,
+    /// The bytes that were last counted as held by clients.
+    pub(crate) held: usize,
+    /// Since when it holds bytes, or waits for the first one.
+    pub(crate) since: Instant,
 }
 
 impl LinkConn {
+    pub(crate) fn new(channel: Channel, id: LinkId, deadline: Instant, is_accepted: bool) -> Self {
+        Self {
+            channel,
+            id,
+            connect_deadline: deadline,
+            is_accepted,
+            has_frame: false,
+            held: 0,
+            since: Instant::now(),
+        }
+    }
+
+    /// Returns whether the peer may be any client: it opened the link and has sent no whole frame.
+    pub(crate) const fn is_untried(&self) -> bool {
+        self.is_accepted && !self.has_frame
+    }
+
     /// Queues a frame for sending.
     pub(crate) fn queue_frame(&mut self, bytes: &[u8]) {
         let len = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
--- a/crates/fulmarpond-reactor/src/reactor/client.rs
+++ b/crates/fulmarpond-reactor/src/reactor/client.rs
@@ -64,7 +64,7 @@
         if !readable {
             return;
         }
-        let state = conn.channel.read(self.limits.reply_bytes);
+        let state = conn.channel.read(self.limits.reply_bytes, &mut self.chunk);
         if state == ReadState::Full {
             warn!(
                 max_bytes = self.limits.reply_bytes,
--- a/crates/fulmarpond-reactor/src/reactor/links.rs
+++ b/crates/fulmarpond-reactor/src/reactor/links.rs
@@ -44,13 +44,8 @@
         let id = LinkId(self.allocate_id());
         let deadline = Instant::now() + CONNECT_TIMEOUT;
         self.next_sweep = self.next_sweep.min(deadline);
-        let conn = Channel::connect(addr).map(|channel| {
-            Conn::Link(LinkConn {
-                channel,
-                id,
-                connect_deadline: deadline,
-            })
-        });
+        let conn = Channel::connect(addr)
+            .map(|channel| Conn::Link(LinkConn::new(channel, id, deadline, false)));
         match conn.and_then(|conn| self.insert(conn)) {
             Ok(key) => {
                 self.links.insert(id, key);
@@ -97,13 +92,14 @@
     }
 
     pub(super) fn accept_link(&mut self, stream: mio::net::TcpStream, peer: SocketAddr) {
+        if !self.has_room_for_link() {
+            return;
+        }
         let id = LinkId(self.allocate_id());
-        let conn = Conn::Link(LinkConn {
-            channel: Channel::accepted(stream),
-            id,
-            connect_deadline: Instant::now(),
-        });
+        let channel = Channel::accepted(stream);
+        let conn = Conn::Link(LinkConn::new(channel, id, Instant::now(), true));
         if let Ok(key) = self.insert(conn) {
+            self.accepted_links += 1;
             self.links.insert(id, key);
             self.events.push(Event::LinkUp {
                 link: id,
@@ -148,7 +144,7 @@
         while state == ReadState::Full
             && let Some(taken) = &mut frames
         {
-            state = conn.channel.read(MAX_INPUT_BYTES);
+            state = conn.channel.read(MAX_INPUT_BYTES, &mut self.chunk);
             match conn.take_frames() {
                 Some(more) => taken.extend(more),
                 None => frames = None,
@@ -156,12 +152,18 @@
         }
         let is_closed = state == ReadState::Closed;
         conn.channel.shrink_buffers();
+        if conn.is_untried() && frames.as_ref().is_some_and(|frames| !frames.is_empty()) {
+            conn.has_frame = true;
+            self.held_bytes -= std::mem::take(&mut conn.held);
+        }
         let is_broken = is_closed || frames.is_none();
         for bytes in frames.unwrap_or_default() {
             self.events.push(Event::Frame { link: id, bytes });
         }
         if is_broken {
             self.fail_link(id);
+        } else {
+            self.record_held(key);
         }
     }
 
--- a/crates/fulmarpond-reactor/src/reactor/mod.rs
+++ b/crates/fulmarpond-reactor/src/reactor/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod links;
+mod pressure;
 mod server;
 
 use std::collections::HashMap;
@@ -14,7 +15,10 @@
 use slab::Slab;
 use tracing::warn;
 
+pub use pressure::ClosedCounts;
+
 use crate::call::CallError;
+use crate::channel::READ_CHUNK_BYTES;
 use crate::event::{Event, LinkId, ListenerId, RequestId};
 use crate::link::LinkConn;
 use crate::pool::{ClientConn, Pool};
@@ -47,8 +51,15 @@
     pub header_timeout: Duration,
     /// The time after a response within which the next request must begin.
     pub idle_timeout: Duration,
-    /// The maximum number of client connections. Connections above it are closed at once.
+    /// The maximum number of client connections. Above it those that have waited for the longest are
+    /// closed.
     pub connections: usize,
+    /// The maximum number of links that peers have opened. Above it those that have sent nothing are
+    /// closed.
+    pub links: usize,
+    /// The maximum number of bytes that clients hold together, in requests that are not handled and in
+    /// responses that are not sent. One request of the largest size is always let in.
+    pub client_bytes: usize,
 }
 
 impl Default for Limits {
@@ -61,6 +72,8 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
             connections: 3_000,
+            links: 1_000,
+            client_bytes: 30 * 1024 * 1024,
         }
     }
 }
@@ -94,6 +107,18 @@
     next_sweep: Instant,
     /// The number of open connections that clients opened.
     client_connections: usize,
+    /// The number of open links that peers opened.
+    accepted_links: usize,
+    /// The bytes that clients hold together.
+    held_bytes: usize,
+    /// The size of the requests that were reported since the last poll began.
+    event_bytes: usize,
+    /// Ready connections that wait until the requests before them are handled.
+    deferred: Vec<(usize, bool, bool)>,
+    /// Room for one read.
+    chunk: Box<[u8]>,
+    closed: ClosedCounts,
+    logged_closed: ClosedCounts,
     limits: Limits,
     is_draining: bool,
     /// The caller's clock before the current poll.
@@ -123,6 +148,13 @@
             next_id: 1,
             next_sweep: Instant::now(),
             client_connections: 0,
+            accepted_links: 0,
+            held_bytes: 0,
+            event_bytes: 0,
+            deferred: Vec::new(),
+            chunk: vec![0; READ_CHUNK_BYTES].into_boxed_slice(),
+            closed: ClosedCounts::default(),
+            logged_closed: ClosedCounts::default(),
             limits,
             is_draining: false,
             stamp: 0,
@@ -135,6 +167,11 @@
         self.is_draining = true;
     }
 
+    /// Returns the limits on client connections and their requests.
+    pub const fn limits(&self) -> Limits {
+        self.limits
+    }
+
     /// Replaces the limits on client connections and their requests.
     pub const fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
@@ -158,9 +195,13 @@
     ///
     /// Fails if the event queue of the operating system fails.
     pub fn poll(&mut self, until: Instant, out: &mut Vec<Event>) -> io::Result<()> {
+        self.event_bytes = 0;
         self.flush_output();
+        for (key, readable, writable) in std::mem::take(&mut self.deferred) {
+            self.on_ready(key, readable, writable);
+        }
         let mut timeout = Duration::ZERO;
-        if self.events.is_empty() {
+        if self.events.is_empty() && self.deferred.is_empty() {
             let wake = if self.conns.is_empty() {
                 until
             } else {
@@ -234,12 +275,17 @@
             Conn::Server(conn) => {
                 conn.channel.deregister(registry);
                 self.client_connections -= 1;
+                self.held_bytes -= conn.held;
                 if let Some(id) = conn.pending_request {
                     self.requests.remove(&id);
                 }
             }
             Conn::Client(conn) => conn.channel.deregister(registry),
-            Conn::Link(conn) => conn.channel.deregister(registry),
+            Conn::Link(conn) => {
+                conn.channel.deregister(registry);
+                self.accepted_links -= usize::from(conn.is_accepted);
+                self.held_bytes -= conn.held;
+            }
             Conn::HttpListener(listener, _) | Conn::LinkListener(listener) => {
                 // Errors can be ignored: closing the descriptor next deregisters it as well.
                 let _ = registry.deregister(listener);
@@ -248,6 +294,10 @@
     }
 
     fn on_ready(&mut self, key: usize, readable: bool, writable: bool) {
+        if self.has_enough_events() && matches!(self.conns.get(key), Some(Conn::Server(_))) {
+            self.deferred.push((key, readable, writable));
+            return;
+        }
         match self.conns.get(key) {
             Some(Conn::HttpListener(..) | Conn::LinkListener(_)) => self.accept(key),
             Some(Conn::Server(_)) => self.on_server_ready(key, readable, writable),
@@ -300,7 +350,10 @@
             (Err(_), Some(link)) => self.fail_link(link),
             (Err(_), None) => self.fail_http(key),
             (Ok(()), _) if is_done => self.remove(key),
-            (Ok(()), None) => self.parse_next_request(key),
+            (Ok(()), None) => {
+                self.parse_next_request(key);
+                self.record_held(key);
+            }
             (Ok(()), Some(_)) => {}
         }
     }
@@ -327,6 +380,7 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
+        self.log_closed();
         for listener in std::mem::take(&mut self.failed_listeners) {
             self.accept(listener);
         }
--- a/crates/fulmarpond-reactor/src/reactor/server.rs
+++ b/crates/fulmarpond-reactor/src/reactor/server.rs
@@ -52,13 +52,14 @@
         response.write_to(conn.channel.output_mut(), conn.keep_alive);
         conn.pending_request = None;
         conn.is_closing |= !conn.keep_alive;
-        conn.deadline = Instant::now() + self.limits.idle_timeout;
+        conn.since = Instant::now();
+        conn.deadline = conn.since + self.limits.idle_timeout;
         self.unflushed.push(key);
         true
     }
 
     pub(super) fn accept_http(&mut self, stream: mio::net::TcpStream, listener: ListenerId) {
-        if self.client_connections >= self.limits.connections {
+        if !self.has_room_for_client() {
             return;
         }
         let conn = Conn::Server(ServerConn {
@@ -70,6 +71,9 @@
             input_since: Some(self.quiet_stamp),
             deadline: Instant::now() + self.limits.header_timeout,
             is_closing: false,
+            held: 0,
+            since: Instant::now(),
+            has_requested: false,
         });
         if self.insert(conn).is_ok() {
             self.client_connections += 1;
@@ -85,7 +89,7 @@
         let max_input = self.limits.header_bytes + self.limits.body_bytes;
         let state = if readable {
             conn.input_since.get_or_insert(self.quiet_stamp);
-            conn.channel.read(max_input)
+            conn.channel.read(max_input, &mut self.chunk)
         } else {
             ReadState::Open
         };
@@ -121,6 +125,7 @@
             self.flush(key);
         }
         self.parse_next_request(key);
+        self.record_held(key);
     }
 
     /// Parses the next request of a connection, unless the previous one has no response yet.
@@ -139,6 +144,8 @@
                 conn.channel.input.drain(..len);
                 conn.keep_alive = request.keep_alive;
                 conn.has_partial = false;
+                conn.has_requested = true;
+                self.event_bytes += len;
                 let id = RequestId(self.next_id);
                 self.next_id += 1;
                 conn.pending_request = Some(id);
--- a/crates/fulmarpond-reactor/src/server.rs
+++ b/crates/fulmarpond-reactor/src/server.rs
@@ -22,4 +22,10 @@
     pub(crate) deadline: Instant,
     /// Whether the connection is closed once its output has been sent.
     pub(crate) is_closing: bool,
+    /// The bytes that were last counted as held.
+    pub(crate) held: usize,
+    /// Since when it holds bytes, or waits for the first byte of a request.
+    pub(crate) since: Instant,
+    /// Whether a whole request has arrived.
+    pub(crate) has_requested: bool,
 }
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -15,12 +15,13 @@
 use fulmarpond_platform::heartbeat::{Heartbeat, parse_heartbeat};
 use fulmarpond_platform::{endpoint, store};
 use fulmarpond_reactor::http::{Request, Response};
-use fulmarpond_reactor::{CallId, Event, Limits, LinkId, ListenerId, Reactor, RequestId};
+use fulmarpond_reactor::{CallId, Event, LinkId, ListenerId, Reactor, RequestId};
 use fulmarpond_settings::{LeasedRole, LeasedSettings};
 use tracing::{info, warn};
 
 use super::clock::BootClock;
 use super::log::Log;
+use super::machine_limits::reactor_limits;
 use super::runtime::Runtime;
 use super::{Result, lease_times};
 
@@ -75,7 +76,7 @@
             heartbeat_interval_ms: settings.timing.heartbeat.as_millis() as u64,
             fence: initial_fencing_token(),
         };
-        let mut reactor = Reactor::new(Limits::default())?;
+        let mut reactor = Reactor::new(reactor_limits(settings.limits))?;
         let (heartbeat_listener, _) = reactor.listen_http(*heartbeats)?;
         if let Some(addr) = settings.metrics {
             reactor.listen_http(addr)?;
@@ -219,6 +220,7 @@
                 ("log_lines_dropped", self.runtime.dropped_lines()),
             ];
             self.runtime.metrics.set_class_room(self.agent.class_room());
+            self.runtime.metrics.set_closed(self.reactor.closed());
             let response = self.runtime.metrics.render(&self.agent.counters, &levels);
             self.reactor.respond(id, &response);
             return;
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -20,6 +20,7 @@
 use super::clock::BootClock;
 use super::host_maintenance::HostMaintenance;
 use super::log::Log;
+use super::machine_limits::reactor_limits;
 use super::runtime::Runtime;
 use super::{Result, lease_times};
 
@@ -80,7 +81,7 @@
             advises: advice.is_some(),
             retention_ms: settings.timing.job_retention.as_millis() as u64,
         };
-        let mut reactor = Reactor::new(Limits::default())?;
+        let mut reactor = Reactor::new(reactor_limits(settings.limits))?;
         let (caller_listener, _) = reactor.listen_http(callers)?;
         let (readiness_listener, _) = reactor.listen_http(readiness)?;
         reactor.listen_links(link)?;
@@ -171,7 +172,8 @@
         self.limits_version = self.entry.version();
         let limits = self.entry.configuration().and_then(|known| known.limits);
         if let Some(limits) = limits {
-            self.reactor.set_limits(reactor_limits(limits));
+            let own = self.reactor.limits();
+            self.reactor.set_limits(with_caller_limits(own, limits));
         }
     }
 
@@ -298,12 +300,12 @@
     since_epoch.map_or(0, |duration| duration.as_millis() as u64)
 }
 
-fn reactor_limits(limits: CallerLimits) -> Limits {
+fn with_caller_limits(own: Limits, limits: CallerLimits) -> Limits {
     Limits {
         header_bytes: limits.header_bytes,
         body_bytes: limits.body_bytes,
         header_timeout: Duration::from_millis(limits.header_ms),
         idle_timeout: Duration::from_millis(limits.idle_ms),
-        ..Limits::default()
+        ..own
     }
 }
--- a/crates/fulmarpondd/src/leased/entry_requests.rs
+++ b/crates/fulmarpondd/src/leased/entry_requests.rs
@@ -57,6 +57,7 @@
         ];
         let speeds = self.entry.endpoint_speeds();
         self.runtime.metrics.set_endpoint_speeds(speeds);
+        self.runtime.metrics.set_closed(self.reactor.closed());
         self.runtime.metrics.render(&self.entry.counters, &levels)
     }
 
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -5,6 +5,7 @@
 use fulmarpond_dispatch::agent::ClassRoom;
 use fulmarpond_dispatch::entry::KnownSpeed;
 use fulmarpond_dispatch::{Class, Counters, Refusal};
+use fulmarpond_reactor::ClosedCounts;
 use fulmarpond_reactor::http::Response;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -29,6 +30,7 @@
     discarded_core_ms: Counter,
     endpoint_run_permille: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
     endpoint_speed_samples: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
+    closed_connections: Family<Label, Counter>,
     calls: Family<[(&'static str, &'static str); 3], Counter>,
     /// Time from the arrival of a job to its answer, in seconds.
     pub(super) job_seconds: Histogram,
@@ -51,6 +53,7 @@
             discarded_core_ms: Counter::default(),
             endpoint_run_permille: Family::default(),
             endpoint_speed_samples: Family::default(),
+            closed_connections: Family::default(),
             calls: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(0.01, 1.6, 16)),
             wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -95,6 +98,11 @@
             "Calls to other services, by target, kind and outcome",
             metrics.calls.clone(),
         );
+        registry.register(
+            "closed_connections",
+            "Connections of clients that were closed for the limits of the process, by reason",
+            metrics.closed_connections.clone(),
+        );
         registry.register(
             "wait_seconds",
             "Time from the arrival of a job to the start of its last task",
@@ -127,6 +135,20 @@
         self.calls.get_or_create_owned(&labels).inc();
     }
 
+    /// Sets how many connections were closed for the limits of the process.
+    pub(super) fn set_closed(&self, closed: ClosedCounts) {
+        for (reason, count) in [
+            ("memory", closed.memory),
+            ("connections", closed.connections),
+            ("links", closed.links),
+        ] {
+            let counter = self
+                .closed_connections
+                .get_or_create_owned(&[("reason", reason)]);
+            counter.inner().store(count, Ordering::Relaxed);
+        }
+    }
+
     /// Sets the room that each class uses, waits for and lends at the endpoint.
     pub(super) fn set_class_room(&self, rooms: [ClassRoom; Class::COUNT]) {
         for (class, room) in Class::ALL.into_iter().zip(rooms) {
--- a/crates/fulmarpondd/src/leased/mod.rs
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -12,6 +12,7 @@
 mod entry_requests;
 mod host_maintenance;
 mod log;
+mod machine_limits;
 mod metrics;
 mod reload;
 mod runtime;
