fix(dispatch): place jobs of many tasks in linear time

Callers saw: no answer from an entry for more than 20 s after 20 best-effort or kept jobs of 60,000 tasks (debug build): a short body inside the limits kept the one thread of the process busy. Cause: each task that is placed asked each agent for the sum of all tasks planned or sent there; a cancelled plan was searched once for each task, and each order looked up each of its indexes in all others. Change: an agent view keeps the sums (SentWork); plans are cancelled once for each agent; checkpoints and runs are filtered before the search.

--- a/crates/fulmarpond-dispatch/src/entry/expected_wait.rs
+++ b/crates/fulmarpond-dispatch/src/entry/expected_wait.rs
@@ -56,10 +56,7 @@
         } else {
             u64::MAX
         };
-        let unacknowledged = self.unacknowledged.iter();
-        let of_class = unacknowledged.filter(|sent| sent.class == class);
-        let sent: u64 = of_class.map(|sent| sent.work).sum();
-        self.load.backlog.work_ahead(class, slack_ms) + sent
+        self.load.backlog.work_ahead(class, slack_ms) + self.unacknowledged.work(class)
     }
 
     /// Returns whether no work of other classes waits or runs, as far as is known.
@@ -67,7 +64,7 @@
         let backlog = &self.load.backlog;
         let mut others = Class::ALL.into_iter().filter(|other| *other != class);
         let is_present = |other| backlog.has_work(other) || backlog.running(other).0 > 0;
-        !others.any(is_present) && self.unacknowledged.iter().all(|sent| sent.class == class)
+        !others.any(is_present) && self.unacknowledged.has_only(class)
     }
 
     /// Returns the expected queueing time of a task among several classes, in milliseconds, or
--- a/crates/fulmarpond-dispatch/src/entry/fleet.rs
+++ b/crates/fulmarpond-dispatch/src/entry/fleet.rs
@@ -1,23 +1,13 @@
 //! The linked agents and their load, as known to the entry.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use fulmarpond_core::Time;
 
+use super::sent_work::{SentTask, SentWork};
 use super::zone_return::ZoneReturn;
 use crate::{Class, EndpointId, EndpointSpeed, EndpointStatus, Incarnation, LinkNo, Resources};
 
-/// A task that was planned or sent and is not yet included in the agent's status.
-#[derive(Debug)]
-pub(super) struct UnacknowledgedTask {
-    /// The number of its order on this link.
-    pub(super) order: u64,
-    pub(super) class: Class,
-    pub(super) needs: Resources,
-    /// The expected work, in core-milliseconds.
-    pub(super) work: u64,
-}
-
 /// The known state of an agent and its endpoint.
 #[derive(Debug)]
 pub(super) struct AgentView {
@@ -46,7 +36,7 @@
     /// Until when its endpoint is cold.
     pub(super) cold_until: Time,
     orders_sent: u64,
-    pub(super) unacknowledged: VecDeque<UnacknowledgedTask>,
+    pub(super) unacknowledged: SentWork,
 }
 
 impl AgentView {
@@ -54,12 +44,12 @@
     pub(super) fn update(&mut self, orders: u64, load: EndpointStatus, now: Time) {
         self.load = load;
         self.last_status_at = now;
-        self.unacknowledged.retain(|task| task.order > orders);
+        self.unacknowledged.retain(|order| order > orders);
     }
 
     /// Reserves capacity for a task that the next order will contain.
     pub(super) fn reserve(&mut self, class: Class, needs: Resources, expected_ms: u32) {
-        self.unacknowledged.push_back(UnacknowledgedTask {
+        self.unacknowledged.push(SentTask {
             order: self.orders_sent + 1,
             class,
             needs,
@@ -80,11 +70,8 @@
 
     /// Returns the free capacity after all sent and planned tasks have started.
     pub(super) fn free(&self) -> Resources {
-        let mut free = self.zone_return.limit(self.load.free);
-        for task in &self.unacknowledged {
-            free = free.minus(task.needs);
-        }
-        free
+        let free = self.zone_return.limit(self.load.free);
+        free.minus(self.unacknowledged.needs())
     }
 
     /// Returns the capacity that is not reserved by long-running tasks.
@@ -95,12 +82,12 @@
     /// Releases the capacity reserved since the last order.
     pub(super) fn release_reservations(&mut self) {
         let next_order = self.orders_sent + 1;
-        self.unacknowledged.retain(|task| task.order < next_order);
+        self.unacknowledged.retain(|order| order < next_order);
     }
 
     /// Releases the most recent reservation.
     pub(super) fn release_last_reservation(&mut self) {
-        self.unacknowledged.pop_back();
+        self.unacknowledged.pop();
     }
 
     /// Returns the CPU utilization, from 0 to 1.
@@ -160,7 +147,7 @@
             zone_return: ZoneReturn::default(),
             cold_until: now,
             orders_sent: 0,
-            unacknowledged: VecDeque::new(),
+            unacknowledged: SentWork::default(),
         };
         self.views.insert(link, view);
     }
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -259,17 +259,18 @@
     pub(super) fn last_runs(&self, step: u16, epoch: u16, indexes: &[u16]) -> Vec<(u16, u32)> {
         let first = run_before_first(epoch);
         let tasks = self.tasks.iter();
-        let requested = tasks.filter(|task| task.step == step && indexes.contains(&task.index));
-        let started = requested.filter(|task| task.last_run > first);
-        started.map(|task| (task.index, task.last_run)).collect()
+        let started = tasks.filter(|task| task.step == step && task.last_run > first);
+        let requested = started.filter(|task| indexes.contains(&task.index));
+        requested.map(|task| (task.index, task.last_run)).collect()
     }
 
     /// Returns the checkpoints of the given tasks of a step.
     pub(super) fn checkpoints(&self, step: u16, indexes: &[u16]) -> Vec<(u16, String)> {
         let tasks = self.tasks.iter();
-        let requested = tasks.filter(|task| task.step == step && indexes.contains(&task.index));
-        let saved = requested.filter_map(|task| Some((task.index, task.checkpoint.clone()?)));
-        saved.collect()
+        let saved = tasks.filter(|task| task.step == step && task.checkpoint.is_some());
+        let requested = saved.filter(|task| indexes.contains(&task.index));
+        let requested = requested.filter_map(|task| Some((task.index, task.checkpoint.clone()?)));
+        requested.collect()
     }
 
     /// Returns the key of a step.
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -29,6 +29,7 @@
 mod peers;
 mod quarantine;
 mod queueing;
+mod sent_work;
 mod series;
 mod simultaneous_crashes;
 mod submission;
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -230,8 +230,9 @@
 
     /// Releases the capacity that a plan has reserved.
     pub(super) fn cancel_plan(&mut self, plan: &Plan) {
-        for (_, link) in &plan.choices {
-            if let Some(view) = self.fleet.views.get_mut(link) {
+        let links: BTreeSet<LinkNo> = plan.choices.iter().map(|&(_, link)| link).collect();
+        for link in links {
+            if let Some(view) = self.fleet.views.get_mut(&link) {
                 view.release_reservations();
             }
         }
