fix(dispatch): bound the memory of the jobs that an entry holds

Callers saw: an entry of 210,276 KB after 20 best-effort jobs of 60,000 tasks, 67,044 KB after as many kept ones (debug build, 40,960 are allowed). Cause: a row is kept for each task, and nothing bounded the rows of all jobs together. Change: a job is refused with 429 (reason no_memory) before its rows exist, when the jobs held would take more than a quarter of limits.memory. Jobs above a 16th of that share may fill half of it, so that they leave room for ordinary ones; one job is always admitted while none is held. Jobs of other entries are taken over all the same. Rows are allocated at once.

--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -35,11 +35,13 @@
     Outdated,
     /// The caller has sent the job again to another entry.
     Superseded,
+    /// The jobs that the entry holds take as much memory as they may.
+    NoMemory,
 }
 
 impl Refusal {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::Invalid,
@@ -55,6 +57,7 @@
         Self::Quarantined,
         Self::Outdated,
         Self::Superseded,
+        Self::NoMemory,
     ];
 
     /// Returns the name of the reason in logs and metrics.
@@ -75,6 +78,7 @@
             Self::Quarantined => "quarantined",
             Self::Outdated => "outdated",
             Self::Superseded => "superseded",
+            Self::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -121,6 +121,10 @@
             self.refuse_outdated(request, &id, max_age, out);
             return;
         }
+        if let Err(reason) = self.admit_size(&submission) {
+            self.refuse(request, reason, out);
+            return;
+        }
         self.workload
             .record_job(route, &submission, &self.estimates, now);
         let mut job = self.new_job(&id, route, submission, now);
--- a/crates/fulmarpond-dispatch/src/entry/durable_jobs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/durable_jobs.rs
@@ -179,6 +179,10 @@
             self.refuse(request, Refusal::NeverFits, out);
             return;
         }
+        if let Err(reason) = self.admit_size(&submission) {
+            self.refuse(request, reason, out);
+            return;
+        }
         self.store_job(id, route, submission, Some(request));
         self.tick_ledger(now, out);
     }
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -16,6 +16,7 @@
 use super::fleet::Fleet;
 use super::held_requests::HeldRequests;
 use super::job::{Job, TaskState};
+use super::job_memory::JobMemory;
 use super::peers::Peers;
 use super::quarantine::Quarantine;
 use super::series::OwnedSeries;
@@ -112,6 +113,7 @@
     pub(super) ledger: Ledger,
     pub(super) durable: DurableJobs,
     pub(super) series: OwnedSeries,
+    pub(super) job_memory: JobMemory,
     /// The Unix time, in milliseconds; 0 until it is known.
     pub(super) unix_ms: u64,
     /// Counters of decisions since the start of the process.
@@ -162,6 +164,7 @@
             ledger,
             durable: DurableJobs::default(),
             series: OwnedSeries::default(),
+            job_memory: JobMemory::default(),
             unix_ms: 0,
             counters: Counters::default(),
         }
@@ -454,6 +457,7 @@
         self.advance_zone_returns(now);
         self.place_waiting_jobs(now, out);
         self.expire_jobs(now, out);
+        self.count_job_memory();
         self.final_answers
             .retain(|_, (_, at)| now.millis_since(*at) < ANSWER_RETENTION_MS);
     }
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -124,7 +124,8 @@
 impl Job {
     /// Creates the tasks of a submission, in the order of its steps.
     pub(super) fn new_tasks(submission: &Submission) -> Vec<Task> {
-        let mut tasks = Vec::new();
+        let counts = submission.steps.iter().map(|step| usize::from(step.count));
+        let mut tasks = Vec::with_capacity(counts.sum());
         for (step, definition) in submission.steps.iter().enumerate() {
             for index in 0..definition.count {
                 tasks.push(Task {
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -24,6 +24,7 @@
 mod gangs;
 mod held_requests;
 mod job;
+mod job_memory;
 mod ledger_events;
 mod long_running;
 mod peers;
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -20,7 +20,7 @@
 use super::clock::BootClock;
 use super::host_maintenance::HostMaintenance;
 use super::log::Log;
-use super::machine_limits::reactor_limits;
+use super::machine_limits::{job_bytes, reactor_limits};
 use super::runtime::Runtime;
 use super::{Result, lease_times};
 
@@ -90,6 +90,7 @@
         }
         let mut entry = Entry::new(options, now);
         entry.await_entries(now);
+        entry.set_job_bytes(job_bytes(settings.limits));
         Ok(Self {
             entry,
             directory: Directory::new(now),
--- a/crates/fulmarpondd/src/leased/machine_limits.rs
+++ b/crates/fulmarpondd/src/leased/machine_limits.rs
@@ -14,6 +14,14 @@
 /// files, calls and links of its own.
 const LINK_SIXTEENTHS: usize = 4;
 
+/// The share of the memory that the jobs of an entry may take.
+const JOB_MEMORY_SHARE: usize = 4;
+
+/// Returns the memory that the jobs of an entry may take, in bytes.
+pub(super) const fn job_bytes(machine: LeasedLimits) -> usize {
+    machine.memory / JOB_MEMORY_SHARE
+}
+
 /// Returns the limits of the event loop of a process with the default limits of requests.
 pub(super) fn reactor_limits(machine: LeasedLimits) -> Limits {
     Limits {
