fix(dispatch): bound the memory of the tasks at an agent

Callers saw: an agent of 306,188 KB after best-effort jobs of 60,000 tasks with a specification of 3,900 bytes, 88,404 KB after kept ones with a short one (debug build, 40,960 are allowed; machines have 128 MB). Cause: the agent copied the specification of an order for each of its tasks, and took any number of tasks into its queue. Change: the tasks of an order share one specification. Tasks that would take more than a quarter of limits.memory are refused like those without an endpoint (unavailable); the entry places them again.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -13,6 +13,7 @@
 use super::links::Links;
 use super::preemption::Preemption;
 use super::run::{AfterStop, Phase, Run};
+use super::run_memory::RunMemory;
 use super::shares::Shares;
 use super::turns::Turns;
 use super::zone_evacuation::ZoneState;
@@ -121,6 +122,7 @@
     pub(super) runs: HashMap<TaskKey, Run>,
     /// The runs that must be over by a certain time, by that time.
     pub(super) unwanted_runs: BTreeSet<(Time, TaskKey)>,
+    pub(super) run_memory: RunMemory,
     /// The queued tasks, and the shares of the endpoint by class.
     pub(super) shares: Shares,
     pub(super) turns: Turns,
@@ -168,6 +170,7 @@
             crashes: Crashes::default(),
             runs: HashMap::new(),
             unwanted_runs: BTreeSet::new(),
+            run_memory: RunMemory::default(),
             shares: Shares::default(),
             turns: Turns::default(),
             preemption: Preemption::default(),
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -26,6 +26,7 @@
 mod reports;
 mod run;
 mod run_lease;
+mod run_memory;
 mod shares;
 mod speed;
 mod starts_and_stops;
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -1,5 +1,7 @@
 //! Orders, stops and withdrawals from entries.
 
+use std::rc::Rc;
+
 use fulmarpond_core::Time;
 use tracing::info;
 
@@ -19,7 +21,9 @@
         out: &mut Vec<Action>,
     ) {
         let refusal = self.order_refusal(order, now);
-        for &index in &order.indexes {
+        let spec: Rc<str> = order.spec.as_str().into();
+        let room = self.room_for_tasks(order);
+        for (position, &index) in order.indexes.iter().enumerate() {
             let task = TaskKey {
                 job: order.job.clone(),
                 step: order.step,
@@ -29,7 +33,8 @@
                 self.refuse_known_task(link, &task, now, out);
                 continue;
             }
-            if let Some(outcome) = refusal {
+            let outcome = refusal.or_else(|| (position >= room).then_some(Outcome::Unavailable));
+            if let Some(outcome) = outcome {
                 info!(job = %task.job, %task, ?outcome, ready = self.is_ready(now), "task refused");
                 self.report_end(link, task, outcome, 0, 0);
                 continue;
@@ -38,7 +43,7 @@
             let run = Run {
                 link,
                 number: self.last_run_number(&task, order),
-                spec: order.spec.clone(),
+                spec: Rc::clone(&spec),
                 route: order.route.clone(),
                 started_at: now,
                 start_call: None,
--- a/crates/fulmarpond-dispatch/src/agent/queued_starts.rs
+++ b/crates/fulmarpond-dispatch/src/agent/queued_starts.rs
@@ -114,7 +114,7 @@
         let call = EndpointCall::Start {
             task: task.clone(),
             run: run.number,
-            spec: run.spec.clone(),
+            spec: run.spec.to_string(),
             checkpoint: run.checkpoint.clone(),
             ticket: run.ticket.clone(),
             lease,
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -1,5 +1,7 @@
 //! The state of a task at an agent.
 
+use std::rc::Rc;
+
 use fulmarpond_core::Time;
 
 use super::CallNo;
@@ -83,7 +85,8 @@
     pub(super) link: LinkNo,
     /// The number of the run; while the task is queued, that of the previous run.
     pub(super) number: u32,
-    pub(super) spec: String,
+    /// The specification, which all tasks of an order share.
+    pub(super) spec: Rc<str>,
     /// The name of the route of its job.
     pub(super) route: String,
     /// When the start of its last run was sent.
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -21,7 +21,7 @@
 
 use super::clock::BootClock;
 use super::log::Log;
-use super::machine_limits::reactor_limits;
+use super::machine_limits::{job_bytes, reactor_limits};
 use super::runtime::Runtime;
 use super::{Result, lease_times};
 
@@ -85,6 +85,7 @@
         if let Some(evacuation) = evacuation {
             agent.watch_evacuations(evacuation.bound.as_millis() as u64, now);
         }
+        agent.set_run_bytes(job_bytes(settings.limits));
         agent.set_sharing(Weights::new(sharing.weights), sharing.preemption);
         Ok(Self {
             agent,
--- a/crates/fulmarpondd/src/leased/machine_limits.rs
+++ b/crates/fulmarpondd/src/leased/machine_limits.rs
@@ -14,10 +14,10 @@
 /// files, calls and links of its own.
 const LINK_SIXTEENTHS: usize = 4;
 
-/// The share of the memory that the jobs of an entry may take.
+/// The share of the memory that the jobs of an entry, or the tasks at an agent, may take.
 const JOB_MEMORY_SHARE: usize = 4;
 
-/// Returns the memory that the jobs of an entry may take, in bytes.
+/// Returns the memory that the jobs of an entry, or the tasks at an agent, may take, in bytes.
 pub(super) const fn job_bytes(machine: LeasedLimits) -> usize {
     machine.memory / JOB_MEMORY_SHARE
 }
