fix(reactor): answer no further requests of a client that reads no responses

A client that sends requests ahead and reads nothing had all of them answered into the memory of the process: 250 KB of requests for metrics are some 10,000 responses. Cause: the next request of a connection was parsed whether or not the responses before it were sent. Change: none is parsed while more than 64 KB of responses are unsent.

--- a/crates/fulmarpond-reactor/src/reactor/server.rs
+++ b/crates/fulmarpond-reactor/src/reactor/server.rs
@@ -95,7 +95,7 @@
         };
         match state {
             ReadState::Open => {}
-            ReadState::Full if conn.pending_request.is_none() => {
+            ReadState::Full if conn.pending_request.is_none() && !conn.has_much_output() => {
                 let limits = &self.limits;
                 let parsed = http::parse_request(
                     &conn.channel.input,
@@ -136,6 +136,10 @@
         if conn.pending_request.is_some() || conn.is_closing || conn.channel.input.is_empty() {
             return;
         }
+        // A client that does not read its responses gets no further ones.
+        if conn.has_much_output() {
+            return;
+        }
         let limits = &self.limits;
         let parsed =
             http::parse_request(&conn.channel.input, limits.header_bytes, limits.body_bytes);
--- a/crates/fulmarpond-reactor/src/server.rs
+++ b/crates/fulmarpond-reactor/src/server.rs
@@ -29,3 +29,13 @@
     /// Whether a whole request has arrived.
     pub(crate) has_requested: bool,
 }
+
+/// The unsent output from which no further request of a connection is taken, in bytes.
+const MUCH_OUTPUT_BYTES: usize = 64 * 1024;
+
+impl ServerConn {
+    /// Returns whether the client has left so many responses unread that it gets no further ones.
+    pub(crate) const fn has_much_output(&self) -> bool {
+        self.channel.pending_output_bytes() > MUCH_OUTPUT_BYTES
+    }
+}
--- a/crates/fulmarpond-reactor/tests/hostile_peers.rs
+++ b/crates/fulmarpond-reactor/tests/hostile_peers.rs
@@ -79,6 +79,37 @@
     sender.join().expect("the sender stops");
 }
 
+/// The size of a response that the client does not read, in bytes, and how often it asks for it. Together they
+/// are several times what the buffers of the operating system take.
+const UNREAD_BYTES: usize = 100_000;
+const UNREAD_REQUESTS: usize = 1_000;
+
+/// Guards against a client that fills the memory with responses: it asks on and on, and reads none.
+#[test]
+fn client_that_reads_no_responses_gets_no_further_ones() {
+    let limits = Limits {
+        client_bytes: 1 << 30,
+        ..Limits::default()
+    };
+    let mut reactor = Reactor::new(limits).expect("reactor can be created");
+    let (_, addr) = reactor.listen_http(any_local_port()).expect("an address");
+    let mut client = TcpStream::connect(addr).expect("a connection");
+    let requests = "GET /a HTTP/1.1\r\n\r\n".repeat(UNREAD_REQUESTS);
+    client.write_all(requests.as_bytes()).expect("the requests");
+    let response = Response::text(200, vec![b'x'; UNREAD_BYTES]);
+    let mut answered = 0;
+    while let Some(id) = find_event(&mut reactor, Duration::from_millis(500), |event| {
+        request_id(&event)
+    }) {
+        reactor.respond(id, &response);
+        answered += 1;
+    }
+    assert!(
+        answered < UNREAD_REQUESTS / 2,
+        "{answered} responses were made"
+    );
+}
+
 struct LargeReply {
     name: &'static str,
     head: &'static str,
