perf(reactor): do not hold large bodies twice

Cause: the body of a request was copied out of the input of its connection, whose buffer stayed until the response was sent. Change: a large body that ends the input takes over its memory.

--- a/crates/fulmarpond-reactor/src/http/request.rs
+++ b/crates/fulmarpond-reactor/src/http/request.rs
@@ -92,14 +92,15 @@
     }
 }
 
-/// Parses the request at the start of a buffer, and returns it with its length in bytes.
+/// Parses the request at the start of a buffer, and returns it without its body, with the sizes of its header
+/// section and of its body in bytes.
 ///
 /// Returns `None` if the request is incomplete. Both limits are in bytes.
 pub(crate) fn parse_request(
     buffer: &[u8],
     max_header_bytes: usize,
     max_body_bytes: usize,
-) -> Result<Option<(Request, usize)>, RequestError> {
+) -> Result<Option<(Request, usize, usize)>, RequestError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let head_len = match head.parse(buffer) {
@@ -143,10 +144,23 @@
     if body_len > max_body_bytes {
         return Err(RequestError::BodyTooLarge);
     }
-    let rest = buffer.get(head_len..).unwrap_or_default();
-    let Some(body) = rest.get(..body_len) else {
-        return Ok(None);
-    };
-    request.body = body.to_vec();
-    Ok(Some((request, head_len + body_len)))
+    let is_whole = buffer.len() - head_len >= body_len;
+    Ok(is_whole.then_some((request, head_len, body_len)))
+}
+
+/// The size from which a body is moved out of the buffer instead of copied, in bytes.
+const MIN_MOVED_BYTES: usize = 4 * 1024;
+
+/// Removes a request from the start of a buffer, and returns its body. A large body that ends the
+/// buffer takes over its memory, so that it is not held twice.
+pub(crate) fn take_body(buffer: &mut Vec<u8>, head_len: usize, body_len: usize) -> Vec<u8> {
+    let len = head_len + body_len;
+    if buffer.len() == len && body_len >= MIN_MOVED_BYTES {
+        let mut body = std::mem::take(buffer);
+        body.drain(..head_len);
+        return body;
+    }
+    let body = buffer.get(head_len..len).unwrap_or_default().to_vec();
+    buffer.drain(..len);
+    body
 }
--- a/crates/fulmarpond-reactor/src/reactor/server.rs
+++ b/crates/fulmarpond-reactor/src/reactor/server.rs
@@ -144,12 +144,12 @@
         let parsed =
             http::parse_request(&conn.channel.input, limits.header_bytes, limits.body_bytes);
         match parsed {
-            Ok(Some((request, len))) => {
-                conn.channel.input.drain(..len);
+            Ok(Some((mut request, head_len, body_len))) => {
+                request.body = http::take_body(&mut conn.channel.input, head_len, body_len);
                 conn.keep_alive = request.keep_alive;
                 conn.has_partial = false;
                 conn.has_requested = true;
-                self.event_bytes += len;
+                self.event_bytes += head_len + body_len;
                 let id = RequestId(self.next_id);
                 self.next_id += 1;
                 conn.pending_request = Some(id);
