--- a/crates/fulmarpondd/tests/crowd/mod.rs
+++ b/crates/fulmarpondd/tests/crowd/mod.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread::ScopedJoinHandle;
 use std::time::Duration;
 
 /// The number of connections of a crowd that sends bodies: together 78 MB.
@@ -60,7 +61,7 @@
                 })
             });
             let senders: Vec<_> = senders.collect();
-            let joined = senders.into_iter().map(|sender| sender.join());
+            let joined = senders.into_iter().map(ScopedJoinHandle::join);
             joined.flat_map(|sent| sent.expect("no panic")).collect()
         });
         Self { streams }
