fix(reactor): a request that was put off to the next poll is as old as its input

The age of a request counts from the last poll after which no input was left unread. A poll that puts connections off, since too many bodies have come, leaves input unread.

--- a/crates/fulmarpond-reactor/src/reactor/mod.rs
+++ b/crates/fulmarpond-reactor/src/reactor/mod.rs
@@ -216,7 +216,8 @@
                 for event in &ready {
                     self.on_ready(event.token().0, event.is_readable(), event.is_writable());
                 }
-                if ready.iter().count() < READY_EVENTS && self.failed_listeners.is_empty() {
+                let is_quiet = self.failed_listeners.is_empty() && self.deferred.is_empty();
+                if is_quiet && ready.iter().count() < READY_EVENTS {
                     self.quiet_stamp = self.stamp;
                 }
             }
