test(dispatch): decide in the order of keys, so that a seed gives one schedule again

Cause: the runs of an agent and its pending reports, the jobs of an entry and of the ledger, and the offered work of routes were kept in maps that are iterated in the order of a random hash. It decided in which order runs are checked, stopped and reported, tasks of a lost agent are placed again, and sums of floating-point numbers are formed.

Change: maps that are iterated with an effect are ordered by key, in the product and in the simulation. Maps that are only looked up in stay as they are.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -1,6 +1,6 @@
 //! The state of an agent, its links to entries and the frames that it receives.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
@@ -119,7 +119,7 @@
     /// The last incarnations of endpoints that are known to be over.
     pub(super) ended_incarnations: VecDeque<Incarnation>,
     pub(super) crashes: Crashes,
-    pub(super) runs: HashMap<TaskKey, Run>,
+    pub(super) runs: BTreeMap<TaskKey, Run>,
     /// The runs that must be over by a certain time, by that time.
     pub(super) unwanted_runs: BTreeSet<(Time, TaskKey)>,
     pub(super) run_memory: RunMemory,
@@ -138,10 +138,10 @@
     /// Until when the endpoint is reported as stalled.
     pub(super) stalled_until: Time,
     /// Reports to be sent with the next [`send_reports`](Self::send_reports), by link.
-    pub(super) pending_ends: HashMap<LinkNo, Vec<TaskEnd>>,
-    pub(super) pending_starts: HashMap<LinkNo, Vec<TaskKey>>,
-    pub(super) pending_checkpoints: HashMap<LinkNo, Vec<Checkpoint>>,
-    pub(super) pending_working: HashMap<LinkNo, Vec<Working>>,
+    pub(super) pending_ends: BTreeMap<LinkNo, Vec<TaskEnd>>,
+    pub(super) pending_starts: BTreeMap<LinkNo, Vec<TaskKey>>,
+    pub(super) pending_checkpoints: BTreeMap<LinkNo, Vec<Checkpoint>>,
+    pub(super) pending_working: BTreeMap<LinkNo, Vec<Working>>,
     /// When the orphaned tasks are next reported to all entries.
     pub(super) next_orphan_report: Time,
     /// Whether the status has changed since it was last sent.
@@ -168,7 +168,7 @@
             endpoint: None,
             ended_incarnations: VecDeque::new(),
             crashes: Crashes::default(),
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             unwanted_runs: BTreeSet::new(),
             run_memory: RunMemory::default(),
             shares: Shares::default(),
@@ -180,10 +180,10 @@
             used_capacity: Resources::default(),
             health: Health::new(now),
             stalled_until: now,
-            pending_ends: HashMap::new(),
-            pending_starts: HashMap::new(),
-            pending_checkpoints: HashMap::new(),
-            pending_working: HashMap::new(),
+            pending_ends: BTreeMap::new(),
+            pending_starts: BTreeMap::new(),
+            pending_checkpoints: BTreeMap::new(),
+            pending_working: BTreeMap::new(),
             next_orphan_report: now,
             status_changed: true,
             last_status: Time::default(),
--- a/crates/fulmarpond-dispatch/src/agent/reports.rs
+++ b/crates/fulmarpond-dispatch/src/agent/reports.rs
@@ -58,25 +58,25 @@
 
     /// Sends all pending reports to the entries.
     pub(super) fn send_reports(&mut self, out: &mut Vec<Action>) {
-        for (link, starts) in self.pending_starts.drain() {
+        for (link, starts) in std::mem::take(&mut self.pending_starts) {
             out.push(Action::Send {
                 link,
                 frame: AgentFrame::Started(starts),
             });
         }
-        for (link, saved) in self.pending_checkpoints.drain() {
+        for (link, saved) in std::mem::take(&mut self.pending_checkpoints) {
             out.push(Action::Send {
                 link,
                 frame: AgentFrame::Saved(saved),
             });
         }
-        for (link, working) in self.pending_working.drain() {
+        for (link, working) in std::mem::take(&mut self.pending_working) {
             out.push(Action::Send {
                 link,
                 frame: AgentFrame::Working(working),
             });
         }
-        for (link, ends) in self.pending_ends.drain() {
+        for (link, ends) in std::mem::take(&mut self.pending_ends) {
             out.push(Action::Send {
                 link,
                 frame: AgentFrame::Ended(ends),
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -1,6 +1,6 @@
 //! The state machine of an entry.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
@@ -89,7 +89,7 @@
     pub(super) options: EntryOptions,
     pub(super) configurations: ConfigurationExchange,
     pub(super) fleet: Fleet,
-    pub(super) jobs: HashMap<JobId, Job>,
+    pub(super) jobs: BTreeMap<JobId, Job>,
     pub(super) requests: HashMap<RequestNo, JobId>,
     pub(super) unplaced: WaitingJobs,
     /// Jobs with lost runs or delayed restarts, by the time at which their tasks are requeued.
@@ -143,7 +143,7 @@
             options,
             configurations: ConfigurationExchange::default(),
             fleet: Fleet::default(),
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             requests: HashMap::new(),
             unplaced: WaitingJobs::default(),
             lost_runs: BTreeSet::new(),
--- a/crates/fulmarpond-dispatch/src/entry/workload.rs
+++ b/crates/fulmarpond-dispatch/src/entry/workload.rs
@@ -1,6 +1,6 @@
 //! The load of each service, and the parts of its routes in it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use fulmarpond_core::Time;
 
@@ -54,7 +54,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Workload {
     /// The offered work by service and route, in core-milliseconds.
-    offered: HashMap<String, HashMap<String, DecayingSum>>,
+    offered: HashMap<String, BTreeMap<String, DecayingSum>>,
     /// When the first job was offered.
     first_job: Option<Time>,
     /// The used CPU by service.
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -119,7 +119,7 @@
 #[derive(Debug)]
 pub struct Ledger {
     pub(super) options: LedgerOptions,
-    pub(super) jobs: HashMap<JobId, CachedJob>,
+    pub(super) jobs: BTreeMap<JobId, CachedJob>,
     pub(super) commits: CommitQueue,
     /// The revision on which the next change of each job is conditional.
     pub(super) base_revisions: HashMap<JobId, u64>,
@@ -161,7 +161,7 @@
     pub fn new(options: LedgerOptions, now: Time) -> Self {
         Self {
             options,
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             commits: CommitQueue::new(BACKOFF_MS, now),
             base_revisions: HashMap::new(),
             new_jobs: BTreeSet::new(),
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -1,6 +1,6 @@
 //! History of tasks and jobs, checked against the guarantees of the dispatcher.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use fulmarpond_dispatch::agent::EndReason;
 use fulmarpond_dispatch::entry::Answer;
@@ -29,7 +29,7 @@
     /// Endpoints at which each task is running.
     running_at: HashMap<TaskKey, Vec<usize>>,
     /// Number of started runs of each job or occurrence.
-    starts: HashMap<JobId, u32>,
+    starts: BTreeMap<JobId, u32>,
     completed_tasks: HashSet<TaskKey>,
     /// Time at which a run of a task completed at an endpoint, in milliseconds.
     completed_at: HashMap<(TaskKey, usize), u64>,
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -1,7 +1,7 @@
 //! The simulation: its processes and its event queue.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
@@ -255,7 +255,7 @@
     pub(super) pending_holds: HashMap<u64, (usize, u32, CallNo)>,
     /// Endpoint calls whose outcome was delivered.
     pub(super) answered_calls: HashSet<(usize, u32, CallNo)>,
-    pub(super) jobs: HashMap<JobId, Job>,
+    pub(super) jobs: BTreeMap<JobId, Job>,
     /// Pending submissions, with the job and the attempt.
     pub(super) pending_requests: HashMap<(usize, u32, RequestNo), (JobId, u32)>,
     /// Pending cancellation requests.
@@ -314,7 +314,7 @@
             blocked_links: HashSet::new(),
             pending_holds: HashMap::new(),
             answered_calls: HashSet::new(),
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             pending_requests: HashMap::new(),
             pending_cancels: HashMap::new(),
             demands: HashMap::new(),
