fix(dispatch): acknowledge no ends while a durable run may be at an endpoint that restarted

What callers saw: a task of a kept job ran again after it had been done and its end had been taken note of (TWICE; `kept_jobs_outlast_crash_rounds`: "started at 7 at 4224 ms after its acknowledged completion").

Cause: an endpoint restarts under its id and numbers its ends from 1 again. An agent that does not know yet starts a durable task there; a reply to a start does not say which incarnation it comes from. Its next hold carries the cursor of the earlier incarnation, and the new one forgets the end of that run, which nobody has seen. The reply to the same hold shows the new incarnation; the run is in neither list, counts as aborted, and its task is placed again.

Change: a call acknowledges nothing while a durable run that was started before it has been shown by no list (`Agent::acknowledgeable_end`). The next list shows the run, its end or another incarnation. Both places that send a cursor use it, the hold and the checks of starts and stops. Best-effort runs do not hold cursors back.

--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -92,7 +92,7 @@
             return;
         }
         let has_unacknowledged = !endpoint.unacknowledged_ends.is_empty();
-        let acked = endpoint.last_acknowledgeable_end();
+        let acked = self.acknowledgeable_end(now);
         // The lease is not extended while runs of an earlier process are left, nor while the
         // endpoint does not answer: these runs must expire.
         // Without a link no entry may run tasks here, and a task whose run has ended may be run
--- a/crates/fulmarpond-dispatch/src/agent/listed_ends.rs
+++ b/crates/fulmarpond-dispatch/src/agent/listed_ends.rs
@@ -1,13 +1,16 @@
-//! The limit of the list of ends, and the window that keeps the unacknowledged ends below it.
+//! The limit of the list of ends, the window that keeps the unacknowledged ends below it, and which ends
+//! may be acknowledged.
 //!
 //! An endpoint lists only its oldest unacknowledged ends, and ends are acknowledged in order. One that
 //! may not be acknowledged yet hides all ends beyond the limit. A run that is in neither list then may
 //! have ended, in whatever way.
 
+use fulmarpond_core::Time;
 use tracing::warn;
 
 use super::EndEntry;
 use super::agent::Agent;
+use super::endpoint::Endpoint;
 use super::run::Run;
 
 /// The number of ends that an endpoint lists at most.
@@ -36,6 +39,22 @@
         endpoint.hides_ends = hides_ends;
     }
 
+    /// Returns the number of the last end that a call sent now may acknowledge.
+    ///
+    /// There is none while a durable run was started that no list has shown. The endpoint may have
+    /// restarted under its id before that start, and a reply to a start does not say so. The next
+    /// incarnation numbers its ends anew, and would forget the end of that run before anybody has seen it.
+    pub(super) fn acknowledgeable_end(&self, now: Time) -> u64 {
+        let is_unlisted = |run: &Run| {
+            run.is_durable && run.phase.uses_capacity() && !run.is_listed && run.started_at < now
+        };
+        if self.runs.values().any(is_unlisted) {
+            return 0;
+        }
+        let endpoint = self.endpoint.as_ref();
+        endpoint.map_or(0, Endpoint::last_acknowledgeable_end)
+    }
+
     /// Returns whether the endpoint has ended runs that it does not list.
     pub(super) fn hides_ends(&self) -> bool {
         let endpoint = self.endpoint.as_ref();
--- a/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
+++ b/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
@@ -212,12 +212,9 @@
     /// Asks the endpoint for its lists of runs and ends, which it returns at once. The lease is not
     /// extended.
     pub(super) fn request_lists(&mut self, purpose: Purpose, now: Time, out: &mut Vec<Action>) {
-        let Some(endpoint) = &self.endpoint else {
-            return;
-        };
         let call = EndpointCall::Hold {
             fence: self.fence,
-            acked: endpoint.last_acknowledgeable_end(),
+            acked: self.acknowledgeable_end(now),
             lease: None,
             wait: 0,
         };
