fix(dispatch): leave endpoints to quarantined routes again that other routes need no more

What callers saw: kept jobs of a route whose tasks crash endpoints had not ended 20 s after the last fault (`kept_jobs_outlast_crash_rounds`: "accepted, but has not ended").

Cause: while a route is quarantined, endpoints are protected for the other routes of the service, as many as these have needed at most since the quarantine began. That number never fell, and the quarantine lasts as long as jobs of the route crash endpoints. So the route had half of the endpoints for its crashes and its sound jobs although the others had hardly any work left.

Traces: no job is lost; the jobs left (9 sound and 3 deadly of 485; 71 and 5 of 502) are all of the quarantined route, and six of twelve endpoints are protected to the end, while the CPU that counts for the other routes falls from 75 to 12 cores.

Change: the number falls by one each 2 s once the others have needed fewer for 6 s.

--- a/crates/fulmarpond-dispatch/src/entry/quarantine.rs
+++ b/crates/fulmarpond-dispatch/src/entry/quarantine.rs
@@ -36,6 +36,10 @@
 /// The penalty for the tasks of other routes at an endpoint that is not protected, in milliseconds.
 pub(super) const UNPROTECTED_COST_MS: f64 = 500.0;
 
+/// The interval at which endpoints that the other routes need no more are left to quarantined routes, in
+/// milliseconds.
+const RELEASE_INTERVAL_MS: u64 = 2_000;
+
 /// The interval between two choices of the protected hosts, in milliseconds.
 const UPDATE_INTERVAL_MS: u64 = 500;
 
@@ -50,8 +54,24 @@
 #[derive(Debug, Default)]
 struct Protection {
     hosts: BTreeSet<String>,
-    /// The largest number of endpoints that the other routes have needed.
+    /// The number of endpoints that the other routes need. It falls by one at a time.
     needed: usize,
+    /// When it may fall next.
+    next_release: Time,
+}
+
+impl Protection {
+    /// Adjusts the number of protected endpoints to those that the other routes need now: at once if
+    /// they need more, slowly if they need fewer, since a crash makes what they use smaller for a while.
+    fn adjust(&mut self, needed: usize, now: Time) {
+        if needed >= self.needed {
+            self.needed = needed;
+            self.next_release = now.after_millis(QUARANTINE_MS);
+        } else if now >= self.next_release {
+            self.needed -= 1;
+            self.next_release = now.after_millis(RELEASE_INTERVAL_MS);
+        }
+    }
 }
 
 /// The quarantined routes and the endpoints that are protected from them.
@@ -159,7 +179,7 @@
             (crashed_at, rendezvous::weight(host, service))
         });
         let protection = self.protections.entry(service.to_owned()).or_default();
-        protection.needed = protection.needed.max(needed.min(most));
+        protection.adjust(needed.min(most), now);
         let hosts: BTreeSet<String> = ranked
             .into_iter()
             .take(protection.needed)
