fix(reactor): a request is as old as its last byte, not as its connection

What callers would have seen: 504 (outdated) for the first request of a connection that was opened a second before, and for one whose body came in pieces. Cause: the age of the first request counted from the accept, and was kept until the request was complete. Change: what a connection brings along at its accept counts from the last quiet poll; later input from the poll at which it is read. A poll takes up to 2,048 ready connections, so that a crowd does not make all requests look old.

--- a/crates/fulmarpond-reactor/src/event.rs
+++ b/crates/fulmarpond-reactor/src/event.rs
@@ -31,7 +31,7 @@
         id: RequestId,
         /// The request.
         request: Request,
-        /// The stamp of the caller's clock before which the request can't have been sent, see
+        /// The stamp before which the client can't have left, see
         /// [`Reactor::set_stamp`](crate::Reactor::set_stamp).
         since: u64,
     },
--- a/crates/fulmarpond-reactor/src/reactor/mod.rs
+++ b/crates/fulmarpond-reactor/src/reactor/mod.rs
@@ -33,7 +33,7 @@
 
 /// The maximum number of connections that are ready in one poll. If there are more, the next poll
 /// returns the others.
-const READY_EVENTS: usize = 256;
+const READY_EVENTS: usize = 2_048;
 
 /// Limits on client connections and their requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -177,9 +177,9 @@
         self.limits = limits;
     }
 
-    /// Sets the time of the caller's clock at which the next [`poll`](Self::poll) begins. Requests are
-    /// reported with the time before which they can't have been sent, since they may have waited
-    /// in a socket.
+    /// Sets the time at which the next [`poll`](Self::poll) begins, by a clock of the owner's choice.
+    /// Requests are reported with the time before which their clients can't have left, since they may
+    /// have waited in a socket.
     pub const fn set_stamp(&mut self, stamp: u64) {
         if self.quiet_stamp == 0 {
             self.quiet_stamp = stamp;
--- a/crates/fulmarpond-reactor/src/reactor/server.rs
+++ b/crates/fulmarpond-reactor/src/reactor/server.rs
@@ -68,15 +68,18 @@
             pending_request: None,
             keep_alive: true,
             incomplete: None,
-            input_since: Some(self.quiet_stamp),
+            input_since: self.quiet_stamp,
             deadline: Instant::now() + self.limits.header_timeout,
             is_closing: false,
             held: 0,
             since: Instant::now(),
             has_requested: false,
         });
-        if self.insert(conn).is_ok() {
+        if let Ok(key) = self.insert(conn) {
             self.client_connections += 1;
+            // What has come by now may have waited with the connection; what comes later is as old as
+            // any other input.
+            self.on_server_ready(key, true, false);
         }
     }
 
@@ -88,7 +91,12 @@
         // more than that.
         let max_input = self.limits.header_bytes + self.limits.body_bytes;
         let state = if readable {
-            conn.input_since.get_or_insert(self.quiet_stamp);
+            // The last byte of a request tells that its caller was still there. A request that is sent
+            // ahead waits from its first byte on.
+            let is_parsed_at_once = conn.pending_request.is_none() && !conn.has_much_output();
+            if is_parsed_at_once || conn.channel.input.is_empty() {
+                conn.input_since = self.quiet_stamp;
+            }
             conn.channel.read(max_input, &mut self.chunk)
         } else {
             ReadState::Open
@@ -163,9 +171,7 @@
                 self.next_id += 1;
                 conn.pending_request = Some(id);
                 let listener = conn.listener;
-                let since = conn.input_since.unwrap_or(self.quiet_stamp);
-                // Bytes of the next request may be as old.
-                conn.input_since = (!conn.channel.input.is_empty()).then_some(since);
+                let since = conn.input_since;
                 self.requests.insert(id, key);
                 self.events.push(Event::Request {
                     listener,
--- a/crates/fulmarpond-reactor/src/server.rs
+++ b/crates/fulmarpond-reactor/src/server.rs
@@ -16,9 +16,8 @@
     pub(crate) keep_alive: bool,
     /// What is known of a request that is not complete, if its first bytes have arrived.
     pub(crate) incomplete: Option<Incomplete>,
-    /// The stamp before which the next request can't have been sent; unset until its first bytes
-    /// arrive, except for the first request.
-    pub(crate) input_since: Option<u64>,
+    /// The stamp before which the caller of the next request can't have left.
+    pub(crate) input_since: u64,
     /// When the connection is closed if no complete request has arrived.
     pub(crate) deadline: Instant,
     /// Whether the connection is closed once its output has been sent.
