fix(dispatch): leave time for a pause between a decision and its effect when attempts are listed

Cause (review): an attempt that was not listed yet when its entry froze was in no list, and its runs could last until 1,313 ms after it was sent; an order of a request of the age of 910 ms that a pause held up was accepted until 1,400 ms. Change: attempts are listed from 390 ms on (520 before), so at 585 ms at the latest; requests that waited for more than 582 ms are answered 504 (910 before); an agent wakes when the first lease of its links expires, not up to 50 ms later.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -218,6 +218,7 @@
         status
             .min(self.next_check)
             .min(self.links.next_dial())
+            .min(self.links.next_expiry())
             .min(self.zone_state.next_wake())
     }
 
--- a/crates/fulmarpond-dispatch/src/agent/links.rs
+++ b/crates/fulmarpond-dispatch/src/agent/links.rs
@@ -206,6 +206,12 @@
         expired.map(|(&number, _)| number).collect()
     }
 
+    /// Returns when the lease of the first link expires unless its entry renews it.
+    pub(super) fn next_expiry(&self) -> Time {
+        let expiries = self.established.values().map(|link| link.lease_expiry);
+        expiries.min().unwrap_or(Time::MAX)
+    }
+
     /// Returns when the next entry is to be dialed.
     pub(super) fn next_dial(&self) -> Time {
         let unlinked = self.preferred().filter(|(_, target)| target.link.is_none());
--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -125,7 +125,7 @@
     /// Returns the age from which an entry tells the others about an attempt. Younger ones are over
     /// before their callers may send them again, or old enough by then.
     pub const fn list_age_ms(&self) -> u64 {
-        self.resend_ms * 2 / 5
+        self.resend_ms * 3 / 10
     }
 
     /// Returns the interval between two lists of attempts to another entry.
@@ -134,9 +134,11 @@
     }
 
     /// Returns the age up to which a request that waited unread is accepted: the other entries
-    /// learn of its attempt before its caller may send it again.
+    /// learn of its attempt before its caller may send it again, and an order that a pause holds up
+    /// is refused by then.
     pub const fn max_request_age_ms(&self) -> u64 {
-        self.resend_ms - 2 * self.list_interval_ms()
+        self.resend_ms
+            .saturating_sub(self.link_ms + self.list_interval_ms())
     }
 
     /// Returns the time after an agent last heard from an entry by which a long-running task of
