fix(dispatch): findings of the review of the attempts that meet

- A request that was held before its earlier attempt was known, or placed nowhere when it became known, could be refused with 429 or 503, which promises that the job never runs.
- A stopped attempt whose agent never reports was waited for for 10 s; agents let its lease expire within 1,300 ms, and so long it waits.
The test of a second attempt at the same entry comes 100 ms before that bound now; it asked for a wait beyond it.
- The list of an entry touches its own jobs only, not all jobs of all entries.
- The runs of a lost entry are over at the earliest a whole lease after the link was lost, whenever the last list came.
- A repeated request of a held job extends its deadline.
A link counts as heard only with its list.

--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -115,6 +115,9 @@
         }
         if let Some(held) = self.held.get_mut(&id) {
             held.requests.push(request);
+            held.is_repeated = true;
+            let timeout_ms = submission.timeout_ms.saturating_sub(GIVE_UP_MARGIN_MS);
+            held.deadline = held.deadline.max(now.after_millis(timeout_ms));
             return;
         }
         if max_age > self.options.lease_times.max_request_age_ms() {
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -77,8 +77,9 @@
                 attempts,
                 wants_reply,
             } => {
-                self.attempts.set_list(link, &attempts, now);
+                self.attempts.set_list(link, &attempts);
                 for attempt in &attempts {
+                    self.mark_repeated(&attempt.job);
                     self.claim_from(link, attempt, now, out);
                 }
                 if wants_reply {
@@ -104,13 +105,9 @@
             return was_dialed;
         };
         let lease_times = self.options.lease_times;
-        let last_sign = peer
-            .heard
-            .after_millis(lease_times.list_interval_ms())
-            .min(now);
         warn!(entry = peer.name, "link to entry lost");
-        let runs_end = last_sign.after_millis(lease_times.orphan_ms());
-        self.attempts.lose_entry(link, runs_end);
+        self.attempts
+            .lose_entry(link, now.after_millis(lease_times.orphan_ms()));
         true
     }
 
@@ -182,6 +179,16 @@
         }
     }
 
+    /// Marks an attempt of this entry as one of a job that may have run elsewhere.
+    fn mark_repeated(&mut self, id: &JobId) {
+        if let Some(held) = self.held.get_mut(id) {
+            held.is_repeated = true;
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.has_started |= job.state.is_none();
+        }
+    }
+
     /// Requests the end of the attempt of another entry if this entry has a later one.
     fn claim_from(&self, link: LinkNo, listed: &ListedAttempt, now: Time, out: &mut Vec<Action>) {
         let job = self.jobs.get(&listed.job);
--- a/crates/fulmarpond-dispatch/src/entry/attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempts.rs
@@ -11,10 +11,6 @@
 use super::job::{Job, TaskState};
 use crate::{JobId, LinkNo, ListedAttempt, TaskKey};
 
-/// After this time a stopped attempt is over even if an agent has not told so, in milliseconds.
-/// The lease of a run is much shorter.
-const MAX_ENDING_MS: u64 = 10_000;
-
 /// An attempt of this entry that has been stopped and may have runs left.
 #[derive(Debug)]
 struct Ending {
@@ -24,7 +20,7 @@
     runs: BTreeSet<(LinkNo, u16, u16)>,
     /// When the runs at lost agents are over.
     lost_until: Time,
-    /// When it counts as over in any case.
+    /// When it is over in any case, as agents let the lease of a run expire whose stop fails.
     over_by: Time,
 }
 
@@ -38,9 +34,10 @@
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
     ending: HashMap<JobId, Ending>,
-    /// The attempts that other entries have listed: by job, the link and when the caller may have
-    /// sent it.
-    elsewhere: HashMap<JobId, BTreeMap<LinkNo, Time>>,
+    /// The links of the entries that have listed an attempt, by job.
+    elsewhere: HashMap<JobId, BTreeSet<LinkNo>>,
+    /// The jobs that each entry has listed.
+    lists: BTreeMap<LinkNo, Vec<JobId>>,
     /// When the attempts of entries whose link is lost are over.
     lost: HashMap<JobId, Time>,
     /// The entries that wait for the end of an attempt of this one.
@@ -49,12 +46,12 @@
 
 impl Attempts {
     /// Records a stopped job whose agents have been told to stop its runs.
-    pub(super) fn begin_ending(&mut self, job: &Job, now: Time) {
+    pub(super) fn begin_ending(&mut self, job: &Job, over_by: Time, now: Time) {
         let mut ending = Ending {
             sent_after: job.sent_after,
             runs: BTreeSet::new(),
             lost_until: now,
-            over_by: now.after_millis(MAX_ENDING_MS),
+            over_by,
         };
         for task in &job.tasks {
             match task.state {
@@ -117,29 +114,25 @@
     /// Returns the links to the entries that have an attempt of a job.
     pub(super) fn owners(&self, job: &JobId) -> Vec<LinkNo> {
         let links = self.elsewhere.get(job).into_iter().flatten();
-        links.map(|(&link, _)| link).collect()
+        links.copied().collect()
     }
 
     /// Replaces the list of another entry.
-    pub(super) fn set_list(&mut self, link: LinkNo, list: &[ListedAttempt], now: Time) {
+    pub(super) fn set_list(&mut self, link: LinkNo, list: &[ListedAttempt]) {
         self.take_list(link);
         for attempt in list {
-            let sent_after = now.before_millis(u64::from(attempt.age_ms));
             let owners = self.elsewhere.entry(attempt.job.clone()).or_default();
-            owners.insert(link, sent_after);
+            owners.insert(link);
         }
+        let jobs = list.iter().map(|attempt| attempt.job.clone());
+        self.lists.insert(link, jobs.collect());
     }
 
     /// Removes the list of another entry; returns its jobs.
     fn take_list(&mut self, link: LinkNo) -> Vec<JobId> {
-        let mut removed = Vec::new();
-        self.elsewhere.retain(|job, owners| {
-            if owners.remove(&link).is_some() {
-                removed.push(job.clone());
-            }
-            !owners.is_empty()
-        });
-        removed
+        let mut jobs = self.lists.remove(&link).unwrap_or_default();
+        jobs.retain(|job| self.remove_listed(link, job));
+        jobs
     }
 
     /// Removes the list of an entry that is lost; its runs are over at the given time.
@@ -153,15 +146,16 @@
         }
     }
 
-    /// Removes an attempt that another entry has ended.
-    pub(super) fn remove_listed(&mut self, link: LinkNo, job: &JobId) {
+    /// Removes an attempt that another entry has ended; returns whether it was listed.
+    pub(super) fn remove_listed(&mut self, link: LinkNo, job: &JobId) -> bool {
         let Some(owners) = self.elsewhere.get_mut(job) else {
-            return;
+            return false;
         };
-        owners.remove(&link);
+        let was_listed = owners.remove(&link);
         if owners.is_empty() {
             self.elsewhere.remove(job);
         }
+        was_listed
     }
 
     /// Adds an entry that waits for the end of an attempt of this one.
--- a/crates/fulmarpond-dispatch/src/entry/peers.rs
+++ b/crates/fulmarpond-dispatch/src/entry/peers.rs
@@ -29,6 +29,8 @@
     pub(super) heard: Time,
     /// Whether this entry has opened the link.
     pub(super) is_dialed: bool,
+    /// Whether its list of attempts has arrived.
+    has_list: bool,
 }
 
 /// An announced entry to which this one opens a link.
@@ -102,7 +104,7 @@
             self.awaits_listing = false;
             self.settle_by = now.after_millis(SETTLE_MS);
             self.awaited = self.announced.clone();
-            for peer in self.established.values() {
+            for peer in self.established.values().filter(|peer| peer.has_list) {
                 self.awaited.remove(&peer.name);
             }
         }
@@ -152,6 +154,7 @@
             name: dialed.map_or_else(String::new, |(name, _)| name.clone()),
             heard: now,
             is_dialed: dialed.is_some(),
+            has_list: false,
         };
         self.established.insert(link, peer);
     }
@@ -171,7 +174,8 @@
 
     /// Records that the list of an entry has arrived.
     pub(super) fn record_list(&mut self, link: LinkNo) {
-        if let Some(peer) = self.established.get(&link) {
+        if let Some(peer) = self.established.get_mut(&link) {
+            peer.has_list = true;
             self.awaited.remove(&peer.name);
         }
     }
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -307,7 +307,7 @@
     pair.with(0, |entry, now, out| {
         entry.handle_caller_disconnect(RequestNo(1), now, out);
     });
-    pair.run_ms(RESEND_MS);
+    pair.run_ms(RESEND_MS - 100);
     pair.submit(0, 2, 0);
     assert_eq!(pair.starts(0), 1, "the run of the first attempt may go on");
     pair.end_run(0, Outcome::Aborted);
@@ -376,3 +376,29 @@
     pair.run_ms(2_000);
     assert_eq!(pair.starts(1), 1, "its attempt is superseded");
 }
+
+/// Guards against a refusal that promises that the job never runs, although its earlier attempt ran:
+/// the request was held before that attempt was known, and finds no room afterwards.
+#[test]
+fn request_whose_earlier_attempt_becomes_known_is_not_refused_as_not_run() {
+    let mut pair = Pair::new();
+    pair.is_linked = false;
+    pair.with(0, |entry, now, out| entry.link_down(PEER, now, out));
+    pair.with(1, |entry, now, out| entry.link_down(PEER, now, out));
+    pair.submit(0, 1, 0);
+    pair.run_ms(RESEND_MS);
+    pair.with(1, |entry, now, out| {
+        entry.await_entries(now);
+        entry.set_entries(&announced(), now, out);
+    });
+    pair.submit(1, 2, 0);
+    assert_eq!(pair.starts(1), 0, "the other attempts are not known yet");
+    pair.is_linked = true;
+    pair.run_ms(150);
+    pair.with(1, |entry, now, out| entry.link_down(AGENT, now, out));
+    pair.end_run(0, Outcome::Aborted);
+    pair.run_ms(100);
+    let is_not_run = |(_, answer): &(RequestNo, Answer)| matches!(answer, Answer::NotRun { .. });
+    assert!(!pair.answers[1].is_empty());
+    assert!(!pair.answers[1].iter().any(is_not_run));
+}
