--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -35,6 +35,7 @@
 mod simultaneous_crashes;
 mod submission;
 mod task_placement;
+mod task_results;
 mod waiting_jobs;
 mod workload;
 mod zone_evacuation;
--- a/crates/fulmarpond-dispatch/src/ledger/commit_calls.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/commit_calls.rs
@@ -5,8 +5,9 @@
 use fulmarpond_core::Time;
 use tracing::{debug, warn};
 
+use super::cache::decode_item;
 use super::commit_queue::Change;
-use super::ledger::{CachedJob, Event, Ledger, REPLY_TIMEOUT_MS, decode_item};
+use super::ledger::{CachedJob, Event, Ledger, REPLY_TIMEOUT_MS};
 use super::record::Status;
 use crate::directory::{Activity, CommitRow, JobItem, Lane, StoreCall, StoreReply};
 use crate::{JobId, encode};
--- a/crates/fulmarpond-dispatch/src/ledger/mod.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/mod.rs
@@ -4,6 +4,7 @@
 //! entry that owns the job. Every write of a state is a compare-and-swap on its revision, so at
 //! most one entry owns a job, and the next write of a former owner fails with a conflict.
 
+mod cache;
 mod commit_calls;
 mod commit_queue;
 mod confirmation;
