fix(reactor): connections that are accepted together don't escape the bound on the bodies of one poll

What callers would have seen: an entry of 50 MB, 40 are allowed, when 100 whole bodies come with their connections. Cause: read each connection at its accept, past the place that puts connections off once too many bodies have come. Change: the read at the accept takes the same way.

--- a/crates/fulmarpond-reactor/src/reactor/server.rs
+++ b/crates/fulmarpond-reactor/src/reactor/server.rs
@@ -79,7 +79,7 @@
             self.client_connections += 1;
             // What has come by now may have waited with the connection; what comes later is as old as
             // any other input.
-            self.on_server_ready(key, true, false);
+            self.on_ready(key, true, false);
         }
     }
 
