fix(dispatch): a late end tells of its own run only, not of the present run of its task

Cause: handle_late_end compared the link only. An agent that hears nothing of its endpoint reports its runs as aborted once the lease has passed; the task may go to the same agent again, which then reads how the earlier run ended. That end was taken for the present run's, and the task was placed once more. While the task was at another agent, each late end was passed over, so a failure was not counted. A refusal of a known task named no run, so two runs of an epoch could have one number. Change: an entry keeps the highest earlier number with each order, and compares link, epoch and number. Another run's failure is counted and the present run goes on; another run that was done completes the task and stops the present one. The log line names both. A refusal names the run that the agent knew.

--- a/crates/fulmarpond-dispatch/src/agent/task_ends.rs
+++ b/crates/fulmarpond-dispatch/src/agent/task_ends.rs
@@ -82,10 +82,11 @@
         match after_stop {
             AfterStop::Discard => self.finish_run(task, None, 0),
             AfterStop::Refuse => {
-                let link = self.runs.get(task).map(|run| run.link);
+                // The number keeps the next run from having the same one at another agent.
+                let known = self.runs.get(task).map(|run| (run.link, run.number));
                 self.finish_run(task, None, 0);
-                if let Some(link) = link {
-                    self.report_end(link, task.clone(), Outcome::Unavailable, 0, 0);
+                if let Some((link, number)) = known {
+                    self.report_end(link, task.clone(), Outcome::Unavailable, number, 0);
                 }
             }
             AfterStop::Report(outcome) => self.finish_run(task, Some(outcome), 0),
--- a/crates/fulmarpond-dispatch/src/entry/durable_ends.rs
+++ b/crates/fulmarpond-dispatch/src/entry/durable_ends.rs
@@ -238,7 +238,8 @@
         }
     }
 
-    /// Handles an end that was reported to an earlier owner, or while the link was down.
+    /// Handles an end that was reported to an earlier owner, while the link was down, or after the run was
+    /// reported as aborted because its endpoint did not answer.
     pub(super) fn handle_late_end(
         &mut self,
         link: LinkNo,
@@ -255,38 +256,47 @@
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return;
         };
-        let is_held = now < job.hold_until;
         let Some(task) = job.task(end.task.step, end.task.index) else {
             return;
         };
         let is_failure = end.outcome == Outcome::Failed;
         let is_counted = is_failure && task.failed_runs.contains(&end.run);
-        if is_pending || is_counted || matches!(task.state, TaskState::Sent(other) if other != link)
-        {
+        if is_pending || is_counted || task.state == TaskState::Done {
             return;
         }
-        if task.state != TaskState::Done {
-            info!(task = %end.task, run = end.run, outcome = ?end.outcome, "late end taken note of");
+        let other_run_at = task.other_run_at(link, end.run);
+        info!(
+            task = %end.task,
+            run = end.run,
+            outcome = ?end.outcome,
+            earlier = task.earlier_run,
+            present_at = other_run_at.map(|present| self.fleet.name(present)),
+            "late end taken note of"
+        );
+        // A run that is under way, or may be, is not over because an earlier one has failed.
+        let may_run = other_run_at.is_some()
+            || matches!(task.state, TaskState::Lost(_) | TaskState::Confirming);
+        if is_failure && may_run {
+            self.count_late_failure(link, end, now, out);
+            return;
         }
-        match task.state {
-            TaskState::Done => {}
-            // The previous owner may have started another run after this one. The task is placed
-            // again when that is over, in an epoch of its own.
-            TaskState::Lost(_) if is_failure && is_held => {
-                self.count_late_failure(link, end, now, out);
-                return;
-            }
-            TaskState::Confirming if is_failure => {
-                self.count_late_failure(link, end, now, out);
-                return;
-            }
-            _ => task.state = TaskState::Sent(link),
+        if let Some(present) = other_run_at {
+            let frame = EntryFrame::Stop {
+                job: end.task.job.clone(),
+                tasks: vec![(end.task.step, end.task.index)],
+                report: false,
+            };
+            out.push(Action::Send {
+                link: present,
+                frame,
+            });
         }
+        task.state = TaskState::Sent(link);
         self.handle_task_end(link, end, now, out);
     }
 
-    /// Counts the failure of a run whose task is to be placed again later, and ends the job if the
-    /// attempts are used up.
+    /// Counts the failure of a run whose task has another run or is to be placed again later, and ends
+    /// the job if the attempts are used up.
     fn count_late_failure(
         &mut self,
         link: LinkNo,
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -46,6 +46,9 @@
     pub(super) failed_runs: Vec<u32>,
     /// The highest number of its runs that is known.
     pub(super) last_run: u32,
+    /// The highest number that a run before the present order has: the runs of that order have higher
+    /// ones.
+    pub(super) earlier_run: u32,
     /// The number of consecutive short runs, of a long-running task.
     pub(super) short_runs: u32,
     /// The agent that it was last sent to.
@@ -78,6 +81,25 @@
         self.failures += u32::from(!is_counted);
     }
 
+    /// Records that the task is sent to an agent, which gives the run a higher number than all earlier
+    /// ones have.
+    pub(super) fn send_to(&mut self, link: LinkNo) {
+        self.state = TaskState::Sent(link);
+        self.last_agent = Some(link);
+        self.earlier_run = self.last_run.max(run_before_first(self.epoch));
+    }
+
+    /// Returns where the task has been sent if a run at an agent isn't the one that was started there:
+    /// its number is that of an earlier run, or the present run is at another agent.
+    pub(super) const fn other_run_at(&self, link: LinkNo, run: u32) -> Option<LinkNo> {
+        match self.state {
+            TaskState::Sent(present) if present.0 != link.0 || run <= self.earlier_run => {
+                Some(present)
+            }
+            _ => None,
+        }
+    }
+
     /// Returns the epoch that follows those of all runs so far.
     pub(super) fn next_epoch(&self) -> u16 {
         self.epoch.max(epoch_of(self.last_run)).saturating_add(1)
@@ -138,6 +160,7 @@
                     epoch: 0,
                     failed_runs: Vec::new(),
                     last_run: 0,
+                    earlier_run: 0,
                     short_runs: 0,
                     last_agent: None,
                     working: false,
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -8,7 +8,7 @@
 use super::Action;
 use super::agent_selection::{Choice, Demand, choose, cost, is_near_data, slack_at_endpoint_ms};
 use super::entry::{Entry, ROUTINE};
-use super::job::{Job, TaskState};
+use super::job::Job;
 use crate::{Class, EntryFrame, JobId, LinkNo, Order};
 
 /// The maximum expected queueing time of a task of a durable job at an agent, in milliseconds.
@@ -260,8 +260,7 @@
         }
         for (position, link) in plan.choices {
             let task = &mut job.tasks[position];
-            task.state = TaskState::Sent(link);
-            task.last_agent = Some(link);
+            task.send_to(link);
             task.working = false;
             let key = OrderKey {
                 link,
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -150,10 +150,12 @@
     pub calls: u64,
     /// Number of calls that found the lease expired.
     expirations: u32,
-    /// Value of that count when each listed run ended.
-    expirations_at_end: HashMap<u64, u32>,
+    /// Value of that count when each listed run ended, and when that was.
+    expirations_at_end: HashMap<u64, (u32, Time)>,
     /// Completed runs that were acknowledged without an expired lease in between, by task and run.
     pub acknowledged: Vec<(TaskKey, u32)>,
+    /// Failed runs that were acknowledged in the same way, by task and the time of their end.
+    pub acknowledged_failures: Vec<(TaskKey, Time)>,
 }
 
 impl Endpoint {
@@ -187,6 +189,7 @@
             expirations: 0,
             expirations_at_end: HashMap::new(),
             acknowledged: Vec::new(),
+            acknowledged_failures: Vec::new(),
         }
     }
 
@@ -258,7 +261,7 @@
             checkpoint: run.checkpoint(task, now, reason != EndReason::Done),
         });
         self.expirations_at_end
-            .insert(self.next_end, self.expirations);
+            .insert(self.next_end, (self.expirations, now));
         self.next_end += 1;
         true
     }
@@ -393,10 +396,16 @@
                 .partition(|end| end.sequence <= acked);
         self.unacknowledged_ends = left;
         for end in acknowledged {
-            let no_expiry_since =
-                self.expirations_at_end.remove(&end.sequence) == Some(self.expirations);
-            if no_expiry_since && end.reason == EndReason::Done {
-                self.acknowledged.push((end.task, end.run));
+            let Some((expirations, ended)) = self.expirations_at_end.remove(&end.sequence) else {
+                continue;
+            };
+            if expirations != self.expirations {
+                continue;
+            }
+            match end.reason {
+                EndReason::Done => self.acknowledged.push((end.task, end.run)),
+                EndReason::Failed => self.acknowledged_failures.push((end.task, ended)),
+                EndReason::Cut => {}
             }
         }
     }
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use fulmarpond_core::Time;
 use fulmarpond_dispatch::agent::EndReason;
 use fulmarpond_dispatch::entry::Answer;
 use fulmarpond_dispatch::{JobId, TaskKey};
@@ -41,6 +42,9 @@
     pub accepted: HashSet<JobId>,
     /// Number of failed runs of each task.
     failed_runs: HashMap<TaskKey, u32>,
+    /// When the failed runs of each task ended whose ends were acknowledged to their endpoints, earliest
+    /// first.
+    noted_failures: HashMap<TaskKey, Vec<Time>>,
     /// Number of attempts of each job that may have led to a start: sent, and not answered as not
     /// run.
     unrefused_attempts: HashMap<JobId, i64>,
@@ -94,6 +98,11 @@
             );
             self.violations.push(text);
         }
+        let failures = self.noted_failures.get(task).map_or(0, Vec::len);
+        if failures >= MAX_ATTEMPTS as usize {
+            let text = format!("{task} started at {at_ms} ms after {failures} failed runs");
+            self.violations.push(text);
+        }
         if let Some(at) = self.cancel_acked_at.get(&task.job)
             && at_ms > (at + CANCEL_GRACE_MS).max(self.disturbed_until_ms)
         {
@@ -169,6 +178,24 @@
         }
     }
 
+    /// Records that the end of a failed run was acknowledged, and checks that the task did not start after as
+    /// many of them as its route allows.
+    pub fn record_noted_failure(&mut self, task: &TaskKey, ended: Time) {
+        let noted = self.noted_failures.entry(task.clone()).or_default();
+        noted.push(ended);
+        noted.sort_unstable();
+        let Some(last) = noted.get(MAX_ATTEMPTS as usize - 1) else {
+            return;
+        };
+        let last_ms = last.micros_since(Time::from_millis(10_000)) / 1_000;
+        let started_ms = self.started_at.get(task).copied().unwrap_or_default();
+        if started_ms > last_ms {
+            self.violations.push(format!(
+                "{task} started at {started_ms} ms, after {MAX_ATTEMPTS} runs had failed until {last_ms} ms"
+            ));
+        }
+    }
+
     /// Returns the work saved in the checkpoint of a start, in milliseconds, and checks that the
     /// checkpoint belongs to the task.
     pub fn record_resume(&mut self, task: &TaskKey, checkpoint: Option<&str>) -> u64 {
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -100,6 +100,12 @@
                 self.history.record_acknowledgement(&task, agent, run);
             }
         }
+        for (task, ended) in std::mem::take(&mut self.endpoints[agent].acknowledged_failures) {
+            let demand = self.demand_of(&task.job);
+            if self.options.is_durable && !demand.best_effort && !demand.long_running {
+                self.history.record_noted_failure(&task, ended);
+            }
+        }
         let incarnation = self.endpoints[agent].incarnation;
         match effect {
             Effect::None => {}
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
@@ -77,6 +77,8 @@
     pub(crate) renewed: Vec<LinkNo>,
     /// The ends that were reported, with their links.
     pub(crate) reports: Vec<(LinkNo, JobId, Outcome)>,
+    /// The numbers of the runs in these reports.
+    pub(crate) reported_runs: Vec<u32>,
     /// Whether the endpoint carries out starts, but does not answer them.
     pub(crate) hides_starts: bool,
     sends_heartbeats: bool,
@@ -106,6 +108,7 @@
             stops: StopReply::Done,
             renewed: vec![KEPT_LINK, LOST_LINK],
             reports: Vec::new(),
+            reported_runs: Vec::new(),
             hides_starts: false,
             sends_heartbeats: true,
             has_ended: false,
@@ -142,6 +145,7 @@
                     link,
                     frame: AgentFrame::Ended(ends),
                 } => {
+                    self.reported_runs.extend(ends.iter().map(|end| end.run));
                     let ends = ends.into_iter();
                     let reports = ends.map(|end| (link, end.task.job, end.outcome));
                     self.reports.extend(reports);
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -224,6 +224,8 @@
         host.run_ms(30);
         let refused = (LOST_LINK, key(UNWANTED_JOB).job, Outcome::Unavailable);
         assert_eq!(host.reports, [refused], "{}", case.name);
+        // Else the next run might have the same number at another agent.
+        assert_eq!(host.reported_runs, [1], "{}", case.name);
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
