fix(dispatch): the record of a cancelled series keeps its occurrences from running

Cause: the answer waits for the record of the series. Whether an occurrence runs was decided by its own record alone, which is not there yet (first write under way), not known to the entry that cancels, or still open when its owner is lost. Nobody who starts, takes over or adopts an occurrence looked at its series. Change: an occurrence of a cancelled series is cancelled where its first write is confirmed and where it is taken over; every entry that sees a series cancelled ends what it runs of it; the record of the series stays as long as an occurrence is open; series and occurrences are cancelled in one change where they can be. Of the same class: a job that is looked up is read under both of its ids (only occurrence 0 was cancelled), and a series whose first write is under way is not answered with 410.

--- a/crates/fulmarpond-dispatch/src/entry/durable_ends.rs
+++ b/crates/fulmarpond-dispatch/src/entry/durable_ends.rs
@@ -183,8 +183,10 @@
 
     /// Returns whether a job has ended and no write of it is pending, so that its ends are not needed.
     fn has_ended(&self, id: &JobId) -> bool {
-        let state = self.ledger.state(id);
-        state.is_some_and(|state| state.status != Status::Open) && !self.has_pending_writes(id)
+        let is_over = self.ledger.state(id).is_some_and(|state| {
+            state.status != Status::Open || self.ledger.is_series_cancelled(id)
+        });
+        is_over && !self.has_pending_writes(id)
     }
 
     fn has_pending_writes(&self, id: &JobId) -> bool {
@@ -231,10 +233,9 @@
     /// Returns whether the runs and ends of a job are not needed any more: it has ended or does not
     /// exist, and no write of it is pending.
     pub(super) fn is_obsolete(&self, id: &JobId, now: Time) -> bool {
-        let has_pending_writes = self.has_pending_writes(id);
         match self.ledger.state(id) {
-            Some(state) => state.status != Status::Open && !has_pending_writes,
-            None => self.ledger.is_synced(now) && !has_pending_writes,
+            Some(_) => self.has_ended(id),
+            None => self.ledger.is_synced(now) && !self.has_pending_writes(id),
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/entry/durable_jobs.rs
+++ b/crates/fulmarpond-dispatch/src/entry/durable_jobs.rs
@@ -259,13 +259,17 @@
         }
     }
 
-    /// Cancels a job; the request is answered once the cancellation is stored.
+    /// Cancels a job; the request is answered once the cancellation is stored. That of a series is the state
+    /// of the series: its occurrences end with it, whoever owns them
+    /// (`docs/design/cancelled-series.md`).
     pub fn cancel(&mut self, request: RequestNo, id: &JobId, now: Time, out: &mut Vec<Action>) {
         let series = id.series();
-        if self.ledger.state(&series).is_some() {
-            self.series.remove(&series);
+        if self.durable.is_pending(&series) {
             self.cancel_durable(request, &series, now, out);
+        } else if self.ledger.state(&series).is_some() {
+            self.series.remove(&series);
             self.cancel_occurrences(&series, now, out);
+            self.cancel_durable(request, &series, now, out);
         } else {
             self.cancel_durable(request, id, now, out);
         }
@@ -309,6 +313,9 @@
     }
 
     /// Processes the requests to cancel a job that was looked up.
+    ///
+    /// The id may be that of a series, whose first occurrence is stored under the same id. A series is stored
+    /// before its occurrences, so it is looked up after the job: if it is missing, the job is none of them.
     pub(super) fn handle_lookup(
         &mut self,
         job: &JobId,
@@ -317,15 +324,15 @@
         out: &mut Vec<Action>,
     ) {
         let id = job.occurrence(0);
-        let is_stored = self.ledger.state(job).is_some();
-        if result == Lookup::Missing && *job == id {
-            // The ID may be that of a series.
-            self.ledger.look_up(&id.series());
+        let series = id.series();
+        if result != Lookup::ReadFailed && *job == id {
+            self.ledger.look_up(&series);
             return;
         }
+        let is_stored = self.ledger.state(&id).is_some() || self.ledger.state(&series).is_some();
         for request in self.durable.pending_lookups.remove(&id).unwrap_or_default() {
             match result {
-                Lookup::Found if is_stored => self.cancel(request, &id, now, out),
+                Lookup::Found | Lookup::Missing if is_stored => self.cancel(request, &id, now, out),
                 Lookup::Missing => Self::answer(request, Answer::Unknown, out),
                 Lookup::Found | Lookup::ReadFailed => self.refuse(request, Refusal::NoStore, out),
             }
--- a/crates/fulmarpond-dispatch/src/entry/ledger_events.rs
+++ b/crates/fulmarpond-dispatch/src/entry/ledger_events.rs
@@ -75,6 +75,7 @@
             Event::Missing(id) => self.handle_lookup(&id, Lookup::Missing, now, out),
             Event::LookupFailed(id) => self.handle_lookup(&id, Lookup::ReadFailed, now, out),
             Event::Confirmed(at) => self.release_unknown_ends(at, out),
+            Event::SeriesCancelled(id) => self.end_cancelled_series(&id, now, out),
             Event::Owned(id, spec, state) => self.take_over(&id, *spec, state, now, out),
         }
     }
@@ -100,6 +101,9 @@
         let Some(state) = owned_state.cloned() else {
             return;
         };
+        if self.cancel_with_series(id) {
+            return;
+        }
         self.counters.accepted += 1;
         info!(
             job = %id,
@@ -238,10 +242,6 @@
         self.durable.unacknowledged.remove(id);
         if self.series.remove(id) {
             info!(job = %id, "series has ended or has another owner");
-            let state = self.ledger.state(id);
-            if state.is_some_and(|state| state.status == Status::Cancelled) {
-                self.cancel_occurrences(id, now, out);
-            }
         }
         for request in self.take_waiting_requests(id) {
             Self::answer(request, Answer::Accepted, out);
@@ -280,6 +280,9 @@
             self.run_series(id, &route, spec.submission, state);
             return;
         }
+        if self.cancel_with_series(id) {
+            return;
+        }
         // Runs started by the previous owner may still be in progress, and agents report the ends
         // that were not acknowledged.
         let lease_times = self.options.lease_times;
--- a/crates/fulmarpond-dispatch/src/id.rs
+++ b/crates/fulmarpond-dispatch/src/id.rs
@@ -18,10 +18,17 @@
 const SERIES: char = '~';
 
 impl JobId {
-    /// Returns the id under which the series itself is stored.
+    /// Returns the id under which the series itself is stored, given the id that the caller chose or that of
+    /// an occurrence.
     #[must_use]
     pub fn series(&self) -> Self {
-        Self(format!("{}{SERIES}", self.0))
+        let (id, _) = self.parts();
+        Self(format!("{id}{SERIES}"))
+    }
+
+    /// Returns whether a series is stored under this id.
+    pub fn is_series(&self) -> bool {
+        self.0.ends_with(SERIES)
     }
 
     /// Returns the id of an occurrence of a series; occurrence 0 has the id that the caller chose.
--- a/crates/fulmarpond-dispatch/src/ledger/cache.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/cache.rs
@@ -154,7 +154,7 @@
             self.base_revisions.insert(job.clone(), observed.revision);
             out.push(Event::Merged(job.clone(), observed.state.clone()));
         }
-        self.jobs.insert(job, observed);
+        self.cache_job(job, observed, out);
     }
 }
 
--- a/crates/fulmarpond-dispatch/src/ledger/commit_calls.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/commit_calls.rs
@@ -151,7 +151,7 @@
             .get(&job)
             .is_some_and(|known| known.revision > revision);
         if !has_newer {
-            self.jobs.insert(job.clone(), cached);
+            self.cache_job(job.clone(), cached, out);
         }
         if self.clear_new(&job) {
             out.push(Event::Stored(job.clone()));
@@ -216,7 +216,7 @@
             let target = queued.as_ref().unwrap_or(&change).state.as_ref();
             let is_cancel = target.is_some_and(|state| state.status == Status::Cancelled);
             let state = current.state.clone();
-            self.jobs.insert(job.clone(), current);
+            self.cache_job(job.clone(), current, out);
             if was_new {
                 // Another entry has stored the job, or an earlier attempt of this one.
                 out.push(Event::Stored(job.clone()));
--- a/crates/fulmarpond-dispatch/src/ledger/ledger.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/ledger.rs
@@ -65,6 +65,8 @@
     LookupFailed(JobId),
     /// The cache has all jobs that were stored at this time.
     Confirmed(Time),
+    /// A series was cancelled, by whichever entry.
+    SeriesCancelled(JobId),
     /// This entry is now the owner of a job.
     Owned(JobId, Box<JobSpec>, JobState),
 }
@@ -220,13 +222,48 @@
 
     /// Returns the open occurrences of a series.
     pub fn occurrences(&self, series: &JobId) -> Vec<JobId> {
+        let open = self.open_occurrences(series);
+        open.map(|(job, _)| job.clone()).collect()
+    }
+
+    fn open_occurrences(&self, series: &JobId) -> impl Iterator<Item = (&JobId, &CachedJob)> {
         let (id, _) = series.parts();
-        let is_open = |cached: &CachedJob| cached.state.status == Status::Open;
-        let of_series = self
-            .jobs
-            .iter()
-            .filter(|(job, cached)| job.parts().0 == id && *job != series && is_open(cached));
-        of_series.map(|(job, _)| job.clone()).collect()
+        // Occurrence 0 has the id of which all others, and that of the series, are extensions.
+        let extensions = self.jobs.range(series.occurrence(0)..);
+        let extensions = extensions.take_while(move |(job, _)| job.0.starts_with(id));
+        extensions.filter(move |(job, cached)| {
+            job.parts().0 == id && !job.is_series() && cached.state.status == Status::Open
+        })
+    }
+
+    /// Returns whether this entry owns a job, as far as the store has confirmed.
+    pub fn is_own(&self, job: &JobId) -> bool {
+        let state = self.state(job);
+        state.is_some_and(|state| state.owner == self.options.owner)
+    }
+
+    /// Returns whether a job belongs to a series that was cancelled, so that nothing of it may start or go on,
+    /// whatever its own state says.
+    pub fn is_series_cancelled(&self, job: &JobId) -> bool {
+        let series = self.state(&job.series());
+        series.is_some_and(|series| series.status == Status::Cancelled)
+    }
+
+    /// Returns whether a cancelled series has occurrences whose own states are still open. Its state is kept as
+    /// long, since it is what keeps them from running.
+    pub(super) fn holds_back_occurrences(&self, job: &JobId) -> bool {
+        job.is_series()
+            && self.is_series_cancelled(job)
+            && self.open_occurrences(job).next().is_some()
+    }
+
+    /// Adds a state to the cache, and reports a series that was cancelled.
+    pub(super) fn cache_job(&mut self, job: JobId, cached: CachedJob, out: &mut Vec<Event>) {
+        let is_cancelled = job.is_series() && cached.state.status == Status::Cancelled;
+        if is_cancelled && !self.is_series_cancelled(&job) {
+            out.push(Event::SeriesCancelled(job.clone()));
+        }
+        self.jobs.insert(job, cached);
     }
 
     /// Returns this entry as it appears as an owner in the states of jobs.
--- a/crates/fulmarpond-dispatch/src/ledger/takeover.rs
+++ b/crates/fulmarpond-dispatch/src/ledger/takeover.rs
@@ -24,7 +24,10 @@
             if let Some(ended) = cached.ended {
                 let is_own = owner.name == self.options.owner.name;
                 let is_orphaned = !self.entries.contains(&owner.name);
-                if now.millis_since(ended) > self.options.retention_ms && (is_own || is_orphaned) {
+                if now.millis_since(ended) > self.options.retention_ms
+                    && (is_own || is_orphaned)
+                    && !self.holds_back_occurrences(job)
+                {
                     removals.push(job.clone());
                 }
                 continue;
--- a/crates/fulmarpond-dispatch/tests/support/history.rs
+++ b/crates/fulmarpond-dispatch/tests/support/history.rs
@@ -103,7 +103,8 @@
             let text = format!("{task} started at {at_ms} ms after {failures} failed runs");
             self.violations.push(text);
         }
-        if let Some(at) = self.cancel_acked_at.get(&task.job)
+        // The occurrences of a series are cancelled with it.
+        if let Some(at) = self.cancel_acked_at.get(&task.job.occurrence(0))
             && at_ms > (at + CANCEL_GRACE_MS).max(self.disturbed_until_ms)
         {
             let text = format!("{task} started at {at_ms} ms; its job was cancelled at {at} ms");
@@ -148,7 +149,7 @@
         {
             live.remove(position);
         }
-        if let Some(at) = self.cancel_acked_at.get(&task.job)
+        if let Some(at) = self.cancel_acked_at.get(&task.job.occurrence(0))
             && at_ms > (at + CANCEL_GRACE_MS).max(self.disturbed_until_ms) + MAX_STOP_MS
         {
             let text = format!("{task} ran until {at_ms} ms; its job was cancelled at {at} ms");
--- a/crates/fulmarpond-dispatch/tests/support/store_calls.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store_calls.rs
@@ -408,10 +408,20 @@
                         "{id} is long-running, but ended without a cancellation"
                     ));
                 }
-                Some(Status::Cancelled) if self.history.running_count(id, tasks) > 0 => {
-                    violations.push(format!(
-                        "{id} still has running tasks after its cancellation"
-                    ));
+                Some(Status::Cancelled) => {
+                    for occurrence in self.occurrences(id) {
+                        let state = self.store.state(&occurrence);
+                        if state.is_some_and(|state| state.status == Status::Open) {
+                            violations.push(format!(
+                                "{occurrence} is still open after the cancellation of its job"
+                            ));
+                        }
+                        if self.history.running_count(&occurrence, tasks) > 0 {
+                            violations.push(format!(
+                                "{occurrence} still has running tasks after its cancellation"
+                            ));
+                        }
+                    }
                 }
                 Some(Status::Completed) if !self.occurrences(id).all(is_completed) => {
                     violations.push(format!(
