--- a/crates/fulmarpond-dispatch/tests/late_ends.rs
+++ b/crates/fulmarpond-dispatch/tests/late_ends.rs
@@ -60,7 +60,7 @@
     revision: u64,
     /// The last state that was written.
     written: Option<JobState>,
-    /// The number of orders sent over each link.
+    /// The link of each order that was sent, oldest first.
     orders: Vec<LinkNo>,
     /// The last run that each of these orders names.
     named_runs: Vec<u32>,
