feat(dispatch): tell of attempts that were started beside an earlier one, and why a held request was let go

Change: a warning and a counter (overlapping) when an entry finds that its running attempt was started beside an earlier one of another entry, with the job, that entry and both ages. A line at the entry that ends its attempt for a later one. The evidence, and how long it waited, when a held request goes on (was DEBUG). A lost link between entries tells how long nothing was heard and how many attempts were listed.

--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -121,6 +121,8 @@
     pub crashing_jobs: u64,
     /// Requests that waited for the end of an earlier attempt of their job.
     pub held: u64,
+    /// Attempts that were found to have been started beside an earlier one of another entry.
+    pub overlapping: u64,
 }
 
 impl Counters {
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
-use tracing::{debug, info};
+use tracing::info;
 
 use super::agent_selection::{fits_shared_capacity, fits_when_empty};
 use super::entry::{Entry, ROUTINE, retry_after_s};
@@ -94,7 +94,7 @@
             return;
         }
         if let Some((answer, _)) = self.final_answers.get(&id) {
-            debug!(job = %id, "duplicate of an answered request");
+            info!(job = %id, "duplicate of an answered request");
             out.push(Action::Answer {
                 request,
                 answer: *answer,
@@ -210,6 +210,7 @@
             last_start: now,
             has_started: false,
             is_withdrawn: false,
+            is_beside_earlier: false,
             broken_gangs: BTreeSet::new(),
             avoided_agents: Vec::new(),
         }
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -5,6 +5,7 @@
 
 use super::Action;
 use super::entry::Entry;
+use super::held_requests::EndEvidence;
 use super::job::TaskState;
 use crate::{
     AgentFrame, Checkpoint, EndpointSpeed, EndpointStatus, EntryFrame, Incarnation, JobId, LinkNo,
@@ -209,7 +210,7 @@
                     self.handle_task_end(link, &end, now, out);
                 }
                 self.finish_endings(now, out);
-                self.release_held(now, out);
+                self.release_held(EndEvidence::Reported, now, out);
                 self.place_waiting_jobs(now, out);
             }
             AgentFrame::UnacknowledgedEnds(ends) => {
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 use super::admission::GIVE_UP_MARGIN_MS;
 use super::entry::{Entry, retry_after_s};
-use super::held_requests::HeldRequest;
+use super::held_requests::{EndEvidence, HeldRequest};
 use super::job::Job;
 use super::{Action, Answer, RequestNo};
 use crate::{EntryFrame, JobId, LinkNo, ListedAttempt, PeerFrame, Refusal};
@@ -87,12 +87,12 @@
                     self.send_to_peer(link, list, out);
                 }
                 self.peers.record_list(link);
-                self.release_held(now, out);
+                self.release_held(EndEvidence::NotListed, now, out);
             }
             PeerFrame::Yield(job) => self.yield_attempt(link, job, now, out),
             PeerFrame::Yielded(job) => {
                 self.attempts.remove_listed(link, &job);
-                self.release_held(now, out);
+                self.release_held(EndEvidence::Yielded, now, out);
             }
         }
     }
@@ -105,7 +105,12 @@
             return was_dialed;
         };
         let lease_times = self.options.lease_times;
-        warn!(entry = peer.name, "link to entry lost");
+        warn!(
+            entry = peer.name,
+            heard_ms = now.millis_since(peer.heard),
+            attempts = self.attempts.listed(link),
+            "link to entry lost"
+        );
         self.attempts
             .lose_entry(link, now.after_millis(lease_times.orphan_ms()));
         true
@@ -127,7 +132,7 @@
             self.send_lists(false, now, out);
         }
         self.finish_endings(now, out);
-        self.release_held(now, out);
+        self.release_held(EndEvidence::Expired, now, out);
         self.expire_held(now, out);
     }
 
@@ -190,16 +195,38 @@
     }
 
     /// Requests the end of the attempt of another entry if this entry has a later one.
-    fn claim_from(&self, link: LinkNo, listed: &ListedAttempt, now: Time, out: &mut Vec<Action>) {
-        let job = self.jobs.get(&listed.job);
+    fn claim_from(
+        &mut self,
+        link: LinkNo,
+        listed: &ListedAttempt,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let job = self.jobs.get_mut(&listed.job);
         let running = job.filter(|job| job.state.is_none());
         let held = self.held.get(&listed.job);
-        let own = running
-            .map(|job| job.sent_after)
-            .or_else(|| held.map(|held| held.sent_after));
-        if own.is_some_and(|sent_after| now.millis_since(sent_after) < u64::from(listed.age_ms)) {
-            self.send_to_peer(link, PeerFrame::Yield(listed.job.clone()), out);
+        let own = running.as_ref().map(|job| job.sent_after);
+        let own = own.or_else(|| held.map(|held| held.sent_after));
+        let Some(age_ms) = own.map(|sent_after| now.millis_since(sent_after)) else {
+            return;
+        };
+        if age_ms >= u64::from(listed.age_ms) {
+            return;
+        }
+        if let Some(job) = running
+            && !job.is_beside_earlier
+        {
+            job.is_beside_earlier = true;
+            self.counters.overlapping += 1;
+            warn!(
+                job = %job.id,
+                age_ms,
+                entry = self.peers.name(link),
+                earlier_age_ms = listed.age_ms,
+                "attempt was started beside an earlier one"
+            );
         }
+        self.send_to_peer(link, PeerFrame::Yield(listed.job.clone()), out);
     }
 
     /// Ends the attempt of a job that its caller has sent again to another entry.
@@ -208,6 +235,7 @@
             self.answer_held(&held.requests, Refusal::Superseded, out);
         }
         if self.jobs.get(&id).is_some_and(|job| job.state.is_none()) {
+            info!(job = %id, entry = self.peers.name(link), "attempt ends, another entry has a later one");
             let reason = Refusal::Superseded;
             self.finish(&id, Answer::MayHaveRun { reason }, now, out);
         }
@@ -247,13 +275,14 @@
             submission: job.submission.clone(),
             sent_after: job.sent_after,
             deadline: job.deadline,
+            since: now,
             is_repeated,
         };
         self.held.insert(job.id.clone(), held);
     }
 
     /// Admits the held submissions whose earlier attempts are over.
-    pub(super) fn release_held(&mut self, now: Time, out: &mut Vec<Action>) {
+    pub(super) fn release_held(&mut self, evidence: EndEvidence, now: Time, out: &mut Vec<Action>) {
         if self.held.is_empty() || !self.peers.is_settled(now) {
             return;
         }
@@ -264,7 +293,13 @@
             let Some(mut held) = self.held.remove(&id) else {
                 continue;
             };
-            debug!(job = %id, "earlier attempt is over");
+            info!(
+                job = %id,
+                ?evidence,
+                held_ms = now.millis_since(held.since),
+                is_repeated = held.is_repeated,
+                "earlier attempt is over"
+            );
             held.submission.timeout_ms = held.deadline.remaining_millis(now) + GIVE_UP_MARGIN_MS;
             let mut job = self.new_job(&id, &held.route, held.submission, now);
             job.requests = held.requests;
--- a/crates/fulmarpond-dispatch/src/entry/attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempts.rs
@@ -117,6 +117,11 @@
         links.copied().collect()
     }
 
+    /// Returns the number of attempts that another entry has listed.
+    pub(super) fn listed(&self, link: LinkNo) -> usize {
+        self.lists.get(&link).map_or(0, Vec::len)
+    }
+
     /// Replaces the list of another entry.
     pub(super) fn set_list(&mut self, link: LinkNo, list: &[ListedAttempt]) {
         self.take_list(link);
--- a/crates/fulmarpond-dispatch/src/entry/held_requests.rs
+++ b/crates/fulmarpond-dispatch/src/entry/held_requests.rs
@@ -4,12 +4,26 @@
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
+use fulmarpond_derive::value;
 
 use super::RequestNo;
 use super::submission::Submission;
 use crate::JobId;
 use crate::configuration::Route;
 
+/// What shows that no run of an earlier attempt is left.
+#[value]
+pub(super) enum EndEvidence {
+    /// Its entry lists it no longer.
+    NotListed,
+    /// Its entry has said so.
+    Yielded,
+    /// The agents have reported the ends of its runs.
+    Reported,
+    /// Its leases have expired, or the lists of the other entries were awaited for long enough.
+    Expired,
+}
+
 /// A submission that waits for the end of an earlier attempt, or until the attempts of the other
 /// entries are known.
 #[derive(Debug)]
@@ -21,6 +35,8 @@
     pub(super) sent_after: Time,
     /// When its caller is about to leave.
     pub(super) deadline: Time,
+    /// Since when it waits.
+    pub(super) since: Time,
     /// Whether an earlier attempt was known when it came.
     pub(super) is_repeated: bool,
 }
--- a/crates/fulmarpond-dispatch/src/entry/peers.rs
+++ b/crates/fulmarpond-dispatch/src/entry/peers.rs
@@ -208,6 +208,12 @@
         self.established.get(&link)
     }
 
+    /// Returns the host name of the entry of a link, or an empty string if it is not known.
+    pub(super) fn name(&self, link: LinkNo) -> &str {
+        let peer = self.established.get(&link);
+        peer.map_or("", |peer| peer.name.as_str())
+    }
+
     /// Returns the established links.
     pub(super) fn links(&self) -> impl Iterator<Item = LinkNo> {
         self.established.keys().copied()
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -204,6 +204,7 @@
             ("crashed_runs", counters.crashed_runs),
             ("crashing_jobs", counters.crashing_jobs),
             ("held", counters.held),
+            ("overlapping", counters.overlapping),
             ("links_lost", counters.links_lost),
             ("evacuations", counters.evacuations),
         ] {
