fix(dispatch): an attempt goes on only while all entries that can start another one know of it

Cause: entries exchange lists of attempts, but an entry went on with an attempt whether its lists arrived or not. Two live entries without a link to each other, beside a connection that broke on the caller's side only, each ran the job. Class: a lease that its holder never checks.

Change: agents tell their entries which entries they are linked to; lists are numbered and confirmed. New and resumed processes await the lists of entries that agents name. Hello tells the incarnation; entries that are not announced are dialed at the address that agents know.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -350,7 +350,7 @@
         match frame {
             EntryFrame::Hello { name, version } => {
                 info!(entry = name, version, "link to entry established");
-                peer.entry = name;
+                self.links.set_name(link, name);
             }
             EntryFrame::Configuration(update) => {
                 self.apply_configuration_update(link, update, now, out);
--- a/crates/fulmarpond-dispatch/src/agent/checks.rs
+++ b/crates/fulmarpond-dispatch/src/agent/checks.rs
@@ -67,6 +67,7 @@
         self.next_check = now.after_millis(Self::CHECK_INTERVAL_MS);
         self.health.decay(now);
         self.retire_links(now, out);
+        self.report_entries(out);
         self.request_configuration(now, out);
         self.check_endpoint(now, out);
         let tasks: Vec<TaskKey> = self.runs.keys().cloned().collect();
@@ -87,6 +88,17 @@
         self.send_reports(out);
     }
 
+    /// Tells the linked entries of each other, if they have changed.
+    fn report_entries(&mut self, out: &mut Vec<Action>) {
+        let Some(entries) = self.links.take_changed_entries() else {
+            return;
+        };
+        for &link in self.links.established.keys() {
+            let frame = AgentFrame::Entries(entries.clone());
+            out.push(Action::Send { link, frame });
+        }
+    }
+
     pub(super) fn check_endpoint(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(endpoint) = &mut self.endpoint else {
             return;
--- a/crates/fulmarpond-dispatch/src/agent/links.rs
+++ b/crates/fulmarpond-dispatch/src/agent/links.rs
@@ -5,8 +5,8 @@
 
 use fulmarpond_core::Time;
 
-use crate::LinkNo;
 use crate::rendezvous::weight;
+use crate::{LinkNo, LinkedEntry};
 
 /// The backoff before an entry is first dialed again, in milliseconds.
 const MIN_REDIAL_BACKOFF_MS: u64 = 50;
@@ -72,6 +72,8 @@
     name: String,
     targets: BTreeMap<Rank, Target>,
     pub(super) established: BTreeMap<LinkNo, Link>,
+    /// Whether the named entries have changed since they were last reported.
+    is_changed: bool,
 }
 
 impl Links {
@@ -80,9 +82,33 @@
             name,
             targets: BTreeMap::new(),
             established: BTreeMap::new(),
+            is_changed: false,
         }
     }
 
+    /// Sets the host name of the entry of a link.
+    pub(super) fn set_name(&mut self, link: LinkNo, name: String) {
+        if let Some(link) = self.established.get_mut(&link) {
+            link.entry = name;
+            self.is_changed = true;
+        }
+    }
+
+    /// Returns the entries whose links are established, if they have changed since the last call.
+    pub(super) fn take_changed_entries(&mut self) -> Option<Vec<LinkedEntry>> {
+        if !std::mem::take(&mut self.is_changed) {
+            return None;
+        }
+        let linked = self.targets.iter().filter_map(|(rank, target)| {
+            let link = self.established.get(&target.link?)?;
+            (!link.entry.is_empty()).then(|| LinkedEntry {
+                name: link.entry.clone(),
+                addr: rank.addr,
+            })
+        });
+        Some(linked.collect())
+    }
+
     fn rank(&self, addr: SocketAddr) -> Rank {
         let weight = weight(&addr.to_string(), &self.name);
         Rank { weight, addr }
@@ -163,7 +189,9 @@
                 target.forget_at = target.forget_at.max(now.after_millis(ADDRESS_TTL_MS));
             }
         }
-        self.established.remove(&number)
+        let removed = self.established.remove(&number);
+        self.is_changed |= removed.is_some();
+        removed
     }
 
     /// Marks surplus links, such as those to seeds that are not preferred. Returns the links that
--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -37,11 +37,13 @@
     Superseded,
     /// The jobs that the entry holds take as much memory as they may.
     NoMemory,
+    /// Another entry may not know of the attempt, and could start the job as well.
+    Unshared,
 }
 
 impl Refusal {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::Invalid,
@@ -58,6 +60,7 @@
         Self::Outdated,
         Self::Superseded,
         Self::NoMemory,
+        Self::Unshared,
     ];
 
     /// Returns the name of the reason in logs and metrics.
@@ -79,6 +82,7 @@
             Self::Outdated => "outdated",
             Self::Superseded => "superseded",
             Self::NoMemory => "no_memory",
+            Self::Unshared => "unshared",
         }
     }
 }
@@ -121,7 +125,7 @@
     pub crashing_jobs: u64,
     /// Requests that waited for the end of an earlier attempt of their job.
     pub held: u64,
-    /// Attempts that were found to have been started beside an earlier one of another entry.
+    /// Attempts beside which another entry had started a later one of the same job.
     pub overlapping: u64,
 }
 
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -210,7 +210,6 @@
             last_start: now,
             has_started: false,
             is_withdrawn: false,
-            is_beside_earlier: false,
             broken_gangs: BTreeSet::new(),
             avoided_agents: Vec::new(),
         }
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -19,7 +19,7 @@
     /// Makes a new process wait for the attempts of the other entries, as earlier attempts of the
     /// first jobs that it gets may be in progress there.
     pub fn await_entries(&mut self, now: Time) {
-        self.peers.await_listing(now);
+        self.peers.await_listing(self.settle_latest(now), now);
     }
 
     /// Records the number of the link that is being opened to another entry.
@@ -36,12 +36,19 @@
     /// Handles a link that this entry has opened to another one.
     pub fn peer_link_up(&mut self, link: LinkNo, now: Time, out: &mut Vec<Action>) {
         self.peers.add_link(link, now);
-        let name = self.options.name.clone();
-        self.send_to_peer(link, PeerFrame::Hello { name }, out);
+        self.send_peer_hello(link, out);
         let list = self.attempt_list(true, now);
         self.send_to_peer(link, list, out);
     }
 
+    fn send_peer_hello(&self, link: LinkNo, out: &mut Vec<Action>) {
+        let hello = PeerFrame::Hello {
+            name: self.options.name.clone(),
+            incarnation: self.options.incarnation,
+        };
+        self.send_to_peer(link, hello, out);
+    }
+
     /// Handles a frame on a link that this entry has opened.
     pub fn handle_entry_frame(
         &mut self,
@@ -63,10 +70,16 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        if let PeerFrame::Hello { name } = &frame {
-            info!(entry = name, "link to entry established");
-            self.peers.add_link(link, now);
-            self.peers.set_name(link, name.clone());
+        if let PeerFrame::Hello { name, incarnation } = &frame {
+            info!(entry = name, incarnation, "link to entry established");
+            if !self.peers.has_dialed(link) {
+                self.peers.add_link(link, now);
+                self.send_peer_hello(link, out);
+            }
+            self.peers.identify(link, name.clone(), *incarnation);
+            if let Some(peer) = self.peers.get(link) {
+                self.confirmations.meet(peer, now);
+            }
         }
         if !self.peers.record_frame(link, now) {
             return;
@@ -76,8 +89,15 @@
             PeerFrame::Attempts {
                 attempts,
                 wants_reply,
+                number,
             } => {
                 self.attempts.set_list(link, &attempts);
+                if let Some(peer) = self.peers.get(link) {
+                    self.attempts.regain_entry(&peer.name, peer.incarnation);
+                }
+                if !attempts.is_empty() {
+                    self.send_to_peer(link, PeerFrame::Known(number), out);
+                }
                 for attempt in &attempts {
                     self.mark_repeated(&attempt.job);
                     self.claim_from(link, attempt, now, out);
@@ -89,7 +109,14 @@
                 self.peers.record_list(link);
                 self.release_held(EndEvidence::NotListed, now, out);
             }
-            PeerFrame::Yield(job) => self.yield_attempt(link, job, now, out),
+            PeerFrame::Known(number) => {
+                if let Some(peer) = self.peers.get(link) {
+                    self.confirmations.confirm(peer, number, now);
+                }
+            }
+            PeerFrame::Yield { job, has_started } => {
+                self.yield_attempt(link, job, has_started, now, out);
+            }
             PeerFrame::Yielded(job) => {
                 self.attempts.remove_listed(link, &job);
                 self.release_held(EndEvidence::Yielded, now, out);
@@ -111,13 +138,13 @@
             attempts = self.attempts.listed(link),
             "link to entry lost"
         );
-        self.attempts
-            .lose_entry(link, now.after_millis(lease_times.orphan_ms()));
+        self.attempts.lose_entry(link, &peer, lease_times, now);
         true
     }
 
     /// Opens links to other entries, closes silent ones, and sends the attempts of this entry.
     pub(super) fn tick_peers(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.update_presence(now);
         for addr in self.peers.take_due_dials(now) {
             out.push(Action::Dial { addr });
         }
@@ -131,6 +158,7 @@
             self.peers.next_list = now.after_millis(interval_ms);
             self.send_lists(false, now, out);
         }
+        self.end_unshared(now, out);
         self.finish_endings(now, out);
         self.release_held(EndEvidence::Expired, now, out);
         self.expire_held(now, out);
@@ -139,11 +167,11 @@
     /// Awaits the attempts of the other entries anew after a pause of this process, during which
     /// its own may have been superseded.
     pub(super) fn request_lists(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.peers.unsettle(now);
+        self.peers.unsettle(self.settle_latest(now), now);
         self.send_lists(true, now, out);
     }
 
-    fn send_lists(&self, wants_reply: bool, now: Time, out: &mut Vec<Action>) {
+    fn send_lists(&mut self, wants_reply: bool, now: Time, out: &mut Vec<Action>) {
         if self.peers.len() == 0 {
             return;
         }
@@ -165,7 +193,8 @@
 
     /// Returns the list of the attempts whose callers may soon send them again. One that is held is
     /// listed too, since it may start at any time.
-    fn attempt_list(&self, wants_reply: bool, now: Time) -> PeerFrame {
+    fn attempt_list(&mut self, wants_reply: bool, now: Time) -> PeerFrame {
+        let number = self.confirmations.next_number(now);
         let list_age_ms = self.options.lease_times.list_age_ms();
         let in_progress = self
             .jobs
@@ -181,6 +210,7 @@
         PeerFrame::Attempts {
             attempts: attempts.collect(),
             wants_reply,
+            number,
         }
     }
 
@@ -195,47 +225,43 @@
     }
 
     /// Requests the end of the attempt of another entry if this entry has a later one.
-    fn claim_from(
-        &mut self,
-        link: LinkNo,
-        listed: &ListedAttempt,
-        now: Time,
-        out: &mut Vec<Action>,
-    ) {
-        let job = self.jobs.get_mut(&listed.job);
+    fn claim_from(&self, link: LinkNo, listed: &ListedAttempt, now: Time, out: &mut Vec<Action>) {
+        let job = self.jobs.get(&listed.job);
         let running = job.filter(|job| job.state.is_none());
         let held = self.held.get(&listed.job);
-        let own = running.as_ref().map(|job| job.sent_after);
-        let own = own.or_else(|| held.map(|held| held.sent_after));
-        let Some(age_ms) = own.map(|sent_after| now.millis_since(sent_after)) else {
-            return;
-        };
-        if age_ms >= u64::from(listed.age_ms) {
-            return;
-        }
-        if let Some(job) = running
-            && !job.is_beside_earlier
-        {
-            job.is_beside_earlier = true;
-            self.counters.overlapping += 1;
-            warn!(
-                job = %job.id,
-                age_ms,
-                entry = self.peers.name(link),
-                earlier_age_ms = listed.age_ms,
-                "attempt was started beside an earlier one"
-            );
+        let own = running
+            .map(|job| job.sent_after)
+            .or_else(|| held.map(|held| held.sent_after));
+        if own.is_some_and(|sent_after| now.millis_since(sent_after) < u64::from(listed.age_ms)) {
+            let request = PeerFrame::Yield {
+                job: listed.job.clone(),
+                has_started: running.is_some(),
+            };
+            self.send_to_peer(link, request, out);
         }
-        self.send_to_peer(link, PeerFrame::Yield(listed.job.clone()), out);
     }
 
     /// Ends the attempt of a job that its caller has sent again to another entry.
-    fn yield_attempt(&mut self, link: LinkNo, id: JobId, now: Time, out: &mut Vec<Action>) {
+    fn yield_attempt(
+        &mut self,
+        link: LinkNo,
+        id: JobId,
+        has_started: bool,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
         if let Some(held) = self.held.remove(&id) {
             self.answer_held(&held.requests, Refusal::Superseded, out);
         }
-        if self.jobs.get(&id).is_some_and(|job| job.state.is_none()) {
-            info!(job = %id, entry = self.peers.name(link), "attempt ends, another entry has a later one");
+        if let Some(job) = self.jobs.get(&id).filter(|job| job.state.is_none()) {
+            let age_ms = now.millis_since(job.sent_after);
+            let entry = self.peers.name(link);
+            if has_started {
+                self.counters.overlapping += 1;
+                warn!(job = %id, age_ms, entry, "attempts ran at two entries, the earlier one ends");
+            } else {
+                info!(job = %id, age_ms, entry, "attempt ends, another entry has a later one");
+            }
             let reason = Refusal::Superseded;
             self.finish(&id, Answer::MayHaveRun { reason }, now, out);
         }
@@ -267,7 +293,11 @@
         info!(job = %job.id, is_repeated, "request waits for the end of an earlier attempt");
         self.counters.held += 1;
         for link in self.attempts.owners(&job.id) {
-            self.send_to_peer(link, PeerFrame::Yield(job.id.clone()), out);
+            let request = PeerFrame::Yield {
+                job: job.id.clone(),
+                has_started: false,
+            };
+            self.send_to_peer(link, request, out);
         }
         let held = HeldRequest {
             requests: job.requests.clone(),
--- a/crates/fulmarpond-dispatch/src/entry/attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempts.rs
@@ -4,12 +4,13 @@
 //! attempt may not have noticed: only the side of the caller may have broken. So entries tell each
 //! other about their attempts, and the later one starts only when no run of the earlier one is left.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use fulmarpond_core::Time;
 
 use super::job::{Job, TaskState};
-use crate::{JobId, LinkNo, ListedAttempt, TaskKey};
+use super::peers::Peer;
+use crate::{JobId, LeaseTimes, LinkNo, ListedAttempt, TaskKey};
 
 /// An attempt of this entry that has been stopped and may have runs left.
 #[derive(Debug)]
@@ -30,6 +31,17 @@
     }
 }
 
+/// The attempts that a lost entry has listed last.
+#[derive(Debug)]
+struct LostList {
+    incarnation: Option<u64>,
+    jobs: HashSet<JobId>,
+    /// When their runs are over, as far as the entry can be reached no more.
+    over_by: Time,
+    /// When they are over even if the entry is alive.
+    latest: Time,
+}
+
 /// Attempts that have to be over before another one of the same job may start.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
@@ -38,8 +50,8 @@
     elsewhere: HashMap<JobId, BTreeSet<LinkNo>>,
     /// The jobs that each entry has listed.
     lists: BTreeMap<LinkNo, Vec<JobId>>,
-    /// When the attempts of entries whose link is lost are over.
-    lost: HashMap<JobId, Time>,
+    /// The lists of entries whose link is lost, by host name.
+    lost: BTreeMap<String, LostList>,
     /// The entries that wait for the end of an attempt of this one.
     yield_requests: HashMap<JobId, Vec<LinkNo>>,
 }
@@ -90,7 +102,7 @@
 
     /// Removes the stopped attempts that are over; returns their jobs.
     pub(super) fn take_over(&mut self, now: Time) -> Vec<JobId> {
-        self.lost.retain(|_, over_by| now < *over_by);
+        self.lost.retain(|_, list| now < list.over_by);
         let over = self.ending.iter().filter(|(_, ending)| ending.is_over(now));
         let over: Vec<JobId> = over.map(|(job, _)| job.clone()).collect();
         for job in &over {
@@ -108,7 +120,10 @@
     pub(super) fn has_earlier(&self, job: &JobId, now: Time) -> bool {
         self.ending.contains_key(job)
             || self.elsewhere.contains_key(job)
-            || self.lost.get(job).is_some_and(|over_by| now < *over_by)
+            || self
+                .lost
+                .values()
+                .any(|list| now < list.over_by && list.jobs.contains(job))
     }
 
     /// Returns the links to the entries that have an attempt of a job.
@@ -140,17 +155,48 @@
         jobs
     }
 
-    /// Removes the list of an entry that is lost; its runs are over at the given time.
-    pub(super) fn lose_entry(&mut self, link: LinkNo, runs_end: Time) {
-        for job in self.take_list(link) {
-            let over_by = self.lost.entry(job).or_insert(runs_end);
-            *over_by = (*over_by).max(runs_end);
-        }
+    /// Removes the list of an entry that is lost, and holds its attempts until their runs are over.
+    pub(super) fn lose_entry(
+        &mut self,
+        link: LinkNo,
+        peer: &Peer,
+        lease_times: LeaseTimes,
+        now: Time,
+    ) {
+        let jobs = self.take_list(link);
+        let list = self.lost.entry(peer.name.clone()).or_insert(LostList {
+            incarnation: peer.incarnation,
+            jobs: HashSet::new(),
+            over_by: now,
+            latest: now,
+        });
+        list.incarnation = peer.incarnation;
+        list.jobs.extend(jobs);
+        list.over_by = now.after_millis(lease_times.known_ms());
+        list.latest = now.after_millis(lease_times.unreachable_ms());
         for waiting in self.yield_requests.values_mut() {
             waiting.retain(|&other| other != link);
         }
     }
 
+    /// Forgets what a lost entry has listed, as the same process has sent its list again.
+    pub(super) fn regain_entry(&mut self, name: &str, incarnation: Option<u64>) {
+        let is_same = |list: &LostList| incarnation.is_some() && list.incarnation == incarnation;
+        if self.lost.get(name).is_some_and(is_same) {
+            self.lost.remove(name);
+        }
+    }
+
+    /// Holds the attempts of lost entries that are alive and can't be reached until `until`, but not
+    /// for longer than they may go on.
+    pub(super) fn extend_lost(&mut self, is_unreachable: impl Fn(&str) -> bool, until: Time) {
+        for (name, list) in &mut self.lost {
+            if is_unreachable(name) {
+                list.over_by = list.over_by.max(until.min(list.latest));
+            }
+        }
+    }
+
     /// Removes an attempt that another entry has ended; returns whether it was listed.
     pub(super) fn remove_listed(&mut self, link: LinkNo, job: &JobId) -> bool {
         let Some(owners) = self.elsewhere.get_mut(job) else {
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -9,6 +9,7 @@
 use super::advice::Advice;
 use super::attempts::Attempts;
 use super::configuration_exchange::ConfigurationExchange;
+use super::confirmations::Confirmations;
 use super::crash_log::CrashLog;
 use super::durable_jobs::DurableJobs;
 use super::endpoint_speeds::{EndpointSpeeds, KnownSpeed};
@@ -20,6 +21,7 @@
 use super::peers::Peers;
 use super::quarantine::Quarantine;
 use super::series::OwnedSeries;
+use super::sightings::Sightings;
 use super::waiting_jobs::WaitingJobs;
 use super::workload::Workload;
 use super::{Action, Answer, RequestNo};
@@ -52,7 +54,7 @@
 const ANSWER_RETENTION_MS: u64 = 10_000;
 
 /// The interval between two checks of all jobs, in milliseconds.
-const CHECK_INTERVAL_MS: u64 = 20;
+pub(super) const CHECK_INTERVAL_MS: u64 = 20;
 
 /// A check that is delayed by more than this shows that the process was paused, in milliseconds.
 const PAUSE_THRESHOLD_MS: u64 = 400;
@@ -105,6 +107,8 @@
     pub(super) entries: Vec<SocketAddr>,
     pub(super) peers: Peers,
     pub(super) attempts: Attempts,
+    pub(super) sightings: Sightings,
+    pub(super) confirmations: Confirmations,
     pub(super) held: HeldRequests,
     pub(super) next_check: Time,
     /// The earliest time of the next attempt to place waiting tasks.
@@ -158,6 +162,8 @@
             entries: Vec::new(),
             peers,
             attempts: Attempts::default(),
+            sightings: Sightings::default(),
+            confirmations: Confirmations::default(),
             held: HeldRequests::default(),
             next_check: now,
             next_placement: now,
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -137,8 +137,6 @@
     pub(super) has_started: bool,
     /// Whether its tasks were withdrawn because it missed its latency objective.
     pub(super) is_withdrawn: bool,
-    /// Whether another entry was found to have had an earlier attempt when this one was started.
-    pub(super) is_beside_earlier: bool,
     /// Gang steps that have lost a member and whose other members are being stopped.
     pub(super) broken_gangs: BTreeSet<u16>,
     /// Agents at which its tasks ended without success.
--- a/crates/fulmarpond-dispatch/src/entry/peers.rs
+++ b/crates/fulmarpond-dispatch/src/entry/peers.rs
@@ -29,11 +29,13 @@
     pub(super) heard: Time,
     /// Whether this entry has opened the link.
     pub(super) is_dialed: bool,
+    /// The incarnation of its process, once it is known.
+    pub(super) incarnation: Option<u64>,
     /// Whether its list of attempts has arrived.
     has_list: bool,
 }
 
-/// An announced entry to which this one opens a link.
+/// A known entry to which this one opens a link.
 #[derive(Debug)]
 struct Target {
     addr: SocketAddr,
@@ -48,14 +50,18 @@
     name: String,
     targets: BTreeMap<String, Target>,
     /// The other entries that are announced.
-    announced: BTreeSet<String>,
+    announced: BTreeMap<String, SocketAddr>,
+    /// The other entries that agents name.
+    linked: BTreeMap<String, SocketAddr>,
     established: BTreeMap<LinkNo, Peer>,
     /// The entries whose list of attempts is awaited.
     awaited: BTreeSet<String>,
     /// Whether this is a new process that does not know the announced entries yet.
     awaits_listing: bool,
-    /// When the awaited lists are no longer waited for.
+    /// When the awaited lists are no longer waited for, unless agents name their entries.
     settle_by: Time,
+    /// When no list is waited for any longer.
+    settle_latest: Time,
     /// When the next list is sent.
     pub(super) next_list: Time,
 }
@@ -65,60 +71,111 @@
         Self {
             name,
             targets: BTreeMap::new(),
-            announced: BTreeSet::new(),
+            announced: BTreeMap::new(),
+            linked: BTreeMap::new(),
             established: BTreeMap::new(),
             awaited: BTreeSet::new(),
             awaits_listing: false,
             settle_by: now,
+            settle_latest: now,
             next_list: now,
         }
     }
 
-    /// Awaits the list of announced entries, and then those of their attempts.
-    pub(super) const fn await_listing(&mut self, now: Time) {
+    /// Awaits the list of announced entries, and then those of their attempts; until `latest` where
+    /// agents name an entry that can't be reached.
+    pub(super) const fn await_listing(&mut self, latest: Time, now: Time) {
         self.awaits_listing = true;
         self.settle_by = now.after_millis(LISTING_TIMEOUT_MS);
+        self.settle_latest = latest;
     }
 
     /// Sets the announced entries. A new process awaits the lists of all of them.
     pub(super) fn set_announced(&mut self, entries: &[AnnouncedEntry], now: Time) {
-        let others = entries.iter().filter(|entry| entry.name != self.name);
-        let others: BTreeMap<&str, SocketAddr> = others
-            .map(|entry| (entry.name.as_str(), entry.addr))
-            .collect();
-        self.targets
-            .retain(|name, target| target.link.is_some() || others.contains_key(name.as_str()));
-        for (&name, &addr) in &others {
-            if name <= self.name.as_str() {
+        let entries = entries.iter().map(|entry| (&entry.name, entry.addr));
+        self.announced = self.without_own(entries);
+        self.update_targets(now);
+        if self.awaits_listing {
+            self.awaits_listing = false;
+            self.settle_by = now.after_millis(SETTLE_MS);
+            self.await_lists(self.announced.keys().cloned().collect());
+        }
+    }
+
+    /// Sets the entries that agents name, which need not be announced.
+    pub(super) fn set_linked(&mut self, entries: &BTreeMap<String, SocketAddr>, now: Time) {
+        let entries = entries.iter().map(|(name, &addr)| (name, addr));
+        self.linked = self.without_own(entries);
+        self.update_targets(now);
+        if !self.is_settled(now) {
+            self.await_lists(self.linked.keys().cloned().collect());
+        }
+    }
+
+    fn without_own<'a>(
+        &self,
+        entries: impl Iterator<Item = (&'a String, SocketAddr)>,
+    ) -> BTreeMap<String, SocketAddr> {
+        let others = entries.filter(|(name, _)| **name != self.name);
+        others.map(|(name, addr)| (name.clone(), addr)).collect()
+    }
+
+    /// Awaits the lists of those of some entries that have sent none.
+    fn await_lists(&mut self, names: BTreeSet<String>) {
+        self.awaited.extend(names);
+        for peer in self.established.values().filter(|peer| peer.has_list) {
+            self.awaited.remove(&peer.name);
+        }
+    }
+
+    /// Opens links to the known entries whose names come later. An announced address counts more than
+    /// that at which an agent has reached the entry.
+    fn update_targets(&mut self, now: Time) {
+        let (announced, linked) = (&self.announced, &self.linked);
+        self.targets.retain(|name, target| {
+            target.link.is_some() || announced.contains_key(name) || linked.contains_key(name)
+        });
+        for (name, &addr) in linked.iter().chain(announced) {
+            if *name <= self.name {
                 continue;
             }
-            let target = self.targets.entry(name.to_owned()).or_insert(Target {
+            let target = self.targets.entry(name.clone()).or_insert(Target {
                 addr,
                 link: None,
                 dial_at: now,
             });
             target.addr = addr;
         }
-        self.announced = others.keys().map(|&name| name.to_owned()).collect();
-        if self.awaits_listing {
-            self.awaits_listing = false;
-            self.settle_by = now.after_millis(SETTLE_MS);
-            self.awaited = self.announced.clone();
-            for peer in self.established.values().filter(|peer| peer.has_list) {
-                self.awaited.remove(&peer.name);
-            }
-        }
     }
 
     /// Returns whether the lists of all other entries are known, as far as they can be.
     pub(super) fn is_settled(&self, now: Time) -> bool {
-        (!self.awaits_listing && self.awaited.is_empty()) || now >= self.settle_by
+        let is_complete = !self.awaits_listing && self.awaited.is_empty();
+        let awaits_live = || {
+            self.awaited
+                .iter()
+                .any(|name| self.linked.contains_key(name))
+        };
+        is_complete || now >= self.settle_latest || (now >= self.settle_by && !awaits_live())
     }
 
     /// Awaits the lists of all other entries anew, as those that are known may be outdated.
-    pub(super) fn unsettle(&mut self, now: Time) {
+    pub(super) fn unsettle(&mut self, latest: Time, now: Time) {
         self.settle_by = now.after_millis(SETTLE_MS);
-        self.awaited = self.announced.clone();
+        self.settle_latest = latest;
+        let known = self.announced.keys().chain(self.linked.keys());
+        self.awaited = known.cloned().collect();
+    }
+
+    /// Returns whether an entry is announced.
+    pub(super) fn is_announced(&self, name: &str) -> bool {
+        self.announced.contains_key(name)
+    }
+
+    /// Returns whether the attempts of an entry are known over an established link.
+    pub(super) fn has_list_of(&self, name: &str) -> bool {
+        let mut peers = self.established.values();
+        peers.any(|peer| peer.name == name && peer.has_list)
     }
 
     /// Returns the addresses to dial now.
@@ -154,15 +211,17 @@
             name: dialed.map_or_else(String::new, |(name, _)| name.clone()),
             heard: now,
             is_dialed: dialed.is_some(),
+            incarnation: None,
             has_list: false,
         };
         self.established.insert(link, peer);
     }
 
-    /// Sets the name of the entry that has opened a link.
-    pub(super) fn set_name(&mut self, link: LinkNo, name: String) {
+    /// Sets the name and the incarnation of the entry of a link.
+    pub(super) fn identify(&mut self, link: LinkNo, name: String, incarnation: u64) {
         if let Some(peer) = self.established.get_mut(&link) {
             peer.name = name;
+            peer.incarnation = Some(incarnation);
         }
     }
 
@@ -181,19 +240,18 @@
     }
 
     /// Removes a link; returns it if it was established. An entry that can't be reached is no longer
-    /// awaited.
+    /// awaited, unless agents name it.
     pub(super) fn remove_link(&mut self, link: LinkNo, now: Time) -> Option<Peer> {
         let peer = self.established.remove(&link);
         let targets = self.targets.iter_mut();
         for (name, target) in targets.filter(|(_, target)| target.link == Some(link)) {
             target.link = None;
             target.dial_at = target.dial_at.max(now.after_millis(REDIAL_DELAY_MS));
-            if peer.is_none() {
+            if peer.is_none() && !self.linked.contains_key(name) {
                 self.awaited.remove(name);
             }
         }
-        self.targets
-            .retain(|name, target| target.link.is_some() || self.announced.contains(name));
+        self.update_targets(now);
         peer
     }
 
--- a/crates/fulmarpond-dispatch/src/frame.rs
+++ b/crates/fulmarpond-dispatch/src/frame.rs
@@ -106,6 +106,19 @@
     RequestConfiguration(u64),
     /// A frame from another entry, which opens its links at the same address.
     Peer(PeerFrame),
+    /// The entries that the agent is linked to, and which can thus place tasks there; sent when they
+    /// change.
+    Entries(Vec<LinkedEntry>),
+}
+
+/// An entry that an agent is linked to.
+#[message]
+#[derive(Eq)]
+pub struct LinkedEntry {
+    /// The host name.
+    pub name: String,
+    /// The address for links.
+    pub addr: SocketAddr,
 }
 
 /// A crash of an endpoint: an end that it has not announced, with the runs that were lost.
--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -133,6 +133,25 @@
         self.resend_ms * 3 / 20
     }
 
+    /// Returns the age by which an attempt ends unless all other entries know of it, in milliseconds:
+    /// its runs are over before its caller may send it again.
+    pub const fn unshared_ms(&self) -> u64 {
+        self.resend_ms
+            .saturating_sub(self.stop_ms + 2 * Self::MARGIN_MS)
+    }
+
+    /// Returns how long after a list was sent the other entries that got it hold its attempts at least,
+    /// in milliseconds: a lost entry's attempts are held for the time of its leases.
+    pub const fn known_ms(&self) -> u64 {
+        self.orphan_ms()
+    }
+
+    /// Returns how long the attempts of a lost entry are held if it is alive and can't be reached, in
+    /// milliseconds: it ends them when they are no longer known, and its agents may lose it meanwhile.
+    pub const fn unreachable_ms(&self) -> u64 {
+        self.known_ms() + self.link_ms + self.stop_ms + Self::MARGIN_MS
+    }
+
     /// Returns the age up to which a request that waited unread is accepted: the other entries
     /// learn of its attempt before its caller may send it again, and an order that a pause holds up
     /// is refused by then.
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -37,7 +37,8 @@
 pub use counters::{Counters, Refusal};
 pub use frame::{
     AgentFrame, Backlog, Checkpoint, EndpointCrash, EndpointSpeed, EndpointStatus, EntryFrame,
-    FrameError, InvalidBacklog, LostRun, Order, Outcome, TaskEnd, TaskRun, Working, decode, encode,
+    FrameError, InvalidBacklog, LinkedEntry, LostRun, Order, Outcome, TaskEnd, TaskRun, Working,
+    decode, encode,
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use lease_times::{InvalidLeaseTimes, LeaseTimes};
--- a/crates/fulmarpond-dispatch/src/peer_frame.rs
+++ b/crates/fulmarpond-dispatch/src/peer_frame.rs
@@ -8,10 +8,12 @@
 #[message]
 #[derive(Eq)]
 pub enum PeerFrame {
-    /// The first frame of the entry that opened the link.
+    /// The first frame of each side.
     Hello {
         /// Its host name.
         name: String,
+        /// Differs from that of any earlier process on its host.
+        incarnation: u64,
     },
     /// All attempts of the sender that another entry has to know; replaces the previous list.
     Attempts {
@@ -19,9 +21,18 @@
         attempts: Vec<ListedAttempt>,
         /// Whether the receiver is to send its own list at once.
         wants_reply: bool,
+        /// The number of the list, which rises with each one.
+        number: u32,
     },
+    /// The sender holds the attempts of the receiver's list of this number, if it is not empty.
+    Known(u32),
     /// Requests the end of the receiver's attempt, since its caller has sent the job again.
-    Yield(JobId),
+    Yield {
+        /// The job.
+        job: JobId,
+        /// Whether the sender has started its attempt, rather than holding it.
+        has_started: bool,
+    },
     /// The sender has no attempt of the job, and none of its runs is left.
     Yielded(JobId),
 }
