--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -45,7 +45,7 @@
             .after_millis(self.options.lease_times.orphan_ms());
         let runs_end = runs_end.max(now);
         self.attempts.lose_agent(link, runs_end);
-        self.sightings.lose_agent(link, now);
+        self.membership.lose_agent(link, now);
         // An entry that still reaches the agent may record the ends of its tasks in the store.
         let durable_runs_end = runs_end.after_millis(MERGE_WAIT_MS);
         let long_runs_end = view
@@ -226,7 +226,7 @@
                     view.cold_until = now.after_millis(u64::from(remaining_ms));
                 }
             }
-            AgentFrame::Entries(entries) => self.sightings.set(link, entries),
+            AgentFrame::Entries(entries) => self.membership.set(link, entries),
             AgentFrame::Peer(frame) => self.handle_peer_frame(link, frame, now, out),
             AgentFrame::Crashed(crash) => self.handle_crash(link, &crash, now, out),
             AgentFrame::Speed(speed) => {
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -144,7 +144,7 @@
 
     /// Opens links to other entries, closes silent ones, and sends the attempts of this entry.
     pub(super) fn tick_peers(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.update_presence(now);
+        self.update_members(now);
         for addr in self.peers.take_due_dials(now) {
             out.push(Action::Dial { addr });
         }
@@ -274,7 +274,7 @@
 
     /// Removes the stopped attempts whose runs are over, and tells the entries that wait for that.
     pub(super) fn finish_endings(&mut self, now: Time, out: &mut Vec<Action>) {
-        for job in self.attempts.take_over(now) {
+        for job in self.attempts.remove_ended(now) {
             for link in self.attempts.take_yield_requests(&job) {
                 self.send_to_peer(link, PeerFrame::Yielded(job.clone()), out);
             }
--- a/crates/fulmarpond-dispatch/src/entry/attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempts.rs
@@ -101,7 +101,7 @@
     }
 
     /// Removes the stopped attempts that are over; returns their jobs.
-    pub(super) fn take_over(&mut self, now: Time) -> Vec<JobId> {
+    pub(super) fn remove_ended(&mut self, now: Time) -> Vec<JobId> {
         self.lost.retain(|_, list| now < list.over_by);
         let over = self.ending.iter().filter(|(_, ending)| ending.is_over(now));
         let over: Vec<JobId> = over.map(|(job, _)| job.clone()).collect();
--- a/crates/fulmarpond-dispatch/src/entry/confirmations.rs
+++ b/crates/fulmarpond-dispatch/src/entry/confirmations.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 struct Confirmation {
     /// Since when the entry, as the process that it is, may start tasks.
-    present_since: Time,
+    member_since: Time,
     /// The incarnation of its process, once it is known.
     incarnation: Option<u64>,
     /// When the newest list was sent that it has confirmed.
@@ -28,7 +28,7 @@
 impl Confirmation {
     const fn new(now: Time) -> Self {
         Self {
-            present_since: now,
+            member_since: now,
             incarnation: None,
             list_sent: None,
         }
@@ -40,7 +40,7 @@
 pub(super) struct Confirmations {
     last_number: u32,
     sent: VecDeque<(u32, Time)>,
-    present: BTreeMap<String, Confirmation>,
+    members: BTreeMap<String, Confirmation>,
 }
 
 impl Confirmations {
@@ -56,11 +56,11 @@
     }
 
     /// Replaces the entries that may start tasks.
-    pub(super) fn set_present(&mut self, names: &BTreeSet<&str>, now: Time) {
-        self.present.retain(|name, _| names.contains(name.as_str()));
+    pub(super) fn set_members(&mut self, names: &BTreeSet<&str>, now: Time) {
+        self.members.retain(|name, _| names.contains(name.as_str()));
         for name in names {
-            if !self.present.contains_key(*name) {
-                self.present
+            if !self.members.contains_key(*name) {
+                self.members
                     .insert((*name).to_owned(), Confirmation::new(now));
             }
         }
@@ -68,7 +68,7 @@
 
     /// Records the process that an entry is: a new one knows nothing yet.
     pub(super) fn meet(&mut self, peer: &Peer, now: Time) {
-        let Some(confirmation) = self.present.get_mut(&peer.name) else {
+        let Some(confirmation) = self.members.get_mut(&peer.name) else {
             return;
         };
         if confirmation.list_sent.is_some() && confirmation.incarnation != peer.incarnation {
@@ -81,7 +81,7 @@
     pub(super) fn confirm(&mut self, peer: &Peer, number: u32, now: Time) {
         self.meet(peer, now);
         let sent = self.sent.iter().find(|(known, _)| *known == number);
-        if let (Some(confirmation), Some(&(_, at))) = (self.present.get_mut(&peer.name), sent) {
+        if let (Some(confirmation), Some(&(_, at))) = (self.members.get_mut(&peer.name), sent) {
             confirmation.list_sent = confirmation.list_sent.max(Some(at));
         }
     }
@@ -98,10 +98,10 @@
             return None;
         }
         let listed_from = sent_after.after_millis(lease_times.list_age_ms());
-        let mut present = self.present.iter();
-        let unaware = present.find(|(_, confirmation)| match confirmation.list_sent {
+        let mut members = self.members.iter();
+        let unaware = members.find(|(_, confirmation)| match confirmation.list_sent {
             Some(at) => at < listed_from || now >= at.after_millis(lease_times.known_ms()),
-            None => now.millis_since(confirmation.present_since) >= NEW_ENTRY_GRACE_MS,
+            None => now.millis_since(confirmation.member_since) >= NEW_ENTRY_GRACE_MS,
         });
         unaware.map(|(name, _)| name.as_str())
     }
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -18,10 +18,10 @@
 use super::held_requests::HeldRequests;
 use super::job::{Job, TaskState};
 use super::job_memory::JobMemory;
+use super::membership::Membership;
 use super::peers::Peers;
 use super::quarantine::Quarantine;
 use super::series::OwnedSeries;
-use super::sightings::Sightings;
 use super::waiting_jobs::WaitingJobs;
 use super::workload::Workload;
 use super::{Action, Answer, RequestNo};
@@ -107,7 +107,7 @@
     pub(super) entries: Vec<SocketAddr>,
     pub(super) peers: Peers,
     pub(super) attempts: Attempts,
-    pub(super) sightings: Sightings,
+    pub(super) membership: Membership,
     pub(super) confirmations: Confirmations,
     pub(super) held: HeldRequests,
     pub(super) next_check: Time,
@@ -162,7 +162,7 @@
             entries: Vec::new(),
             peers,
             attempts: Attempts::default(),
-            sightings: Sightings::default(),
+            membership: Membership::default(),
             confirmations: Confirmations::default(),
             held: HeldRequests::default(),
             next_check: now,
--- a/crates/fulmarpond-dispatch/src/entry/sightings.rs
+++ b/crates/fulmarpond-dispatch/src/entry/membership.rs
@@ -1,7 +1,7 @@
-//! The other entries that agents are linked to.
+//! The entries that can place tasks, as agents tell.
 //!
 //! An entry without a link to an agent runs nothing. So those that agents name are the ones that may
-//! start another attempt of a job, whatever the store tells of them.
+//! start another attempt of a job, whether the store announces them or not.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -25,9 +25,9 @@
     entries: BTreeSet<String>,
 }
 
-/// The entries that agents have named.
+/// The entries that agents are linked to, or were before they were lost.
 #[derive(Debug, Default)]
-pub(super) struct Sightings {
+pub(super) struct Membership {
     by_agent: BTreeMap<LinkNo, Vec<LinkedEntry>>,
     lost: Vec<LostReport>,
     /// The entries that linked agents name, with their addresses.
@@ -37,7 +37,7 @@
     is_changed: bool,
 }
 
-impl Sightings {
+impl Membership {
     /// Replaces the entries that an agent is linked to.
     pub(super) fn set(&mut self, agent: LinkNo, entries: Vec<LinkedEntry>) {
         self.by_agent.insert(agent, entries);
--- a/crates/fulmarpond-dispatch/src/entry/shared_attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/shared_attempts.rs
@@ -22,20 +22,20 @@
 
     /// Brings up to date which entries may start tasks, and holds the attempts of those that can't be
     /// reached.
-    pub(super) fn update_presence(&mut self, now: Time) {
-        if self.sightings.update(now) {
-            self.peers.set_linked(self.sightings.linked(), now);
+    pub(super) fn update_members(&mut self, now: Time) {
+        if self.membership.update(now) {
+            self.peers.set_linked(self.membership.linked(), now);
         }
-        let linked = self.sightings.linked().keys().map(String::as_str);
-        let cut_off = self.sightings.cut_off();
+        let linked = self.membership.linked().keys().map(String::as_str);
+        let cut_off = self.membership.cut_off();
         let cut_off = cut_off.filter(|name| self.peers.is_announced(name));
         let others = linked
             .chain(cut_off)
             .filter(|name| *name != self.options.name);
-        let present: BTreeSet<&str> = others.collect();
-        self.confirmations.set_present(&present, now);
+        let members: BTreeSet<&str> = others.collect();
+        self.confirmations.set_members(&members, now);
         let until = now.after_millis(2 * CHECK_INTERVAL_MS);
-        let is_unreachable = |name: &str| present.contains(name) && !self.peers.has_list_of(name);
+        let is_unreachable = |name: &str| members.contains(name) && !self.peers.has_list_of(name);
         self.attempts.extend_lost(is_unreachable, until);
     }
 
