--- a/crates/fulmarpond-dispatch/tests/links.rs
+++ b/crates/fulmarpond-dispatch/tests/links.rs
@@ -5,7 +5,7 @@
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::agent::{Action, Agent, AgentOptions};
-use fulmarpond_dispatch::{EntryFrame, LeaseTimes, LinkNo};
+use fulmarpond_dispatch::{AgentFrame, EntryFrame, LeaseTimes, LinkNo, LinkedEntry};
 
 /// The maximum number of links of an agent while all linked entries answer.
 const MAX_LINKS: usize = 16;
@@ -173,3 +173,52 @@
     agent.tick(now, &mut Vec::new());
     assert!(agent.next_wake() > now);
 }
+
+/// Returns the entries that an agent names in the frames of its next checks, by link.
+fn named_entries(agent: &mut Agent, now: Time) -> Vec<(LinkNo, Vec<LinkedEntry>)> {
+    let mut out = Vec::new();
+    agent.tick(now, &mut out);
+    let named = out.into_iter().filter_map(|action| match action {
+        Action::Send {
+            link,
+            frame: AgentFrame::Entries(entries),
+        } => Some((link, entries)),
+        _ => None,
+    });
+    named.collect()
+}
+
+/// Guards against an entry that takes another one for dead which can place tasks, or for alive which
+/// has lost its agents: agents tell their entries of each other when a link opens or is lost.
+#[test]
+fn agent_names_the_entries_that_it_is_linked_to() {
+    let addrs = entry_addrs(2);
+    let mut agent = agent(1, addrs.clone());
+    let mut out = Vec::new();
+    agent.tick(START, &mut out);
+    let links = [LinkNo(1), LinkNo(2)];
+    let linked = |number: usize| LinkedEntry {
+        name: format!("entry-{number}"),
+        addr: addrs[number],
+    };
+    for (number, &link) in links.iter().enumerate() {
+        agent.dialed(addrs[number], link);
+        agent.link_up(link, START, &mut out);
+        let hello = EntryFrame::Hello {
+            name: format!("entry-{number}"),
+            version: 0,
+        };
+        agent.handle_frame(link, hello, START, &mut out);
+    }
+    let later = |millis| START.after_millis(millis);
+    let mut named = named_entries(&mut agent, later(50));
+    for (_, entries) in &mut named {
+        entries.sort_by(|one, other| one.name.cmp(&other.name));
+    }
+    let both = vec![linked(0), linked(1)];
+    assert_eq!(named, [(links[0], both.clone()), (links[1], both)]);
+    assert_eq!(named_entries(&mut agent, later(100)), [], "nothing changed");
+    agent.link_down(links[0], later(110), &mut out);
+    let named = named_entries(&mut agent, later(150));
+    assert_eq!(named, [(links[1], vec![linked(1)])]);
+}
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -10,8 +10,8 @@
     Action, Answer, Arrival, Entry, EntryOptions, RequestNo, Step, Submission,
 };
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo, Outcome,
-    Refusal, Resources, TaskEnd, TaskKey,
+    AgentFrame, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo, LinkedEntry,
+    Outcome, Refusal, Resources, TaskEnd, TaskKey,
 };
 
 /// The link of each entry to its agent.
@@ -120,6 +120,18 @@
         }
     }
 
+    /// Tells an entry which entries its agent is linked to.
+    fn name_entries(&mut self, number: usize, names: &[&str]) {
+        let entries = names.iter().map(|&name| LinkedEntry {
+            name: name.to_owned(),
+            addr: ([10, 0, 0, 9], 7_000).into(),
+        });
+        let frame = AgentFrame::Entries(entries.collect());
+        self.with(number, |entry, now, out| {
+            entry.handle_frame(AGENT, frame, now, out);
+        });
+    }
+
     fn submit(&mut self, number: usize, request: u64, max_age: u64) {
         let arrival = Arrival {
             request: RequestNo(request),
@@ -422,3 +434,81 @@
     assert_eq!(pair.entries[1].counters.overlapping, 0);
     assert_eq!(pair.reported_stops(0), 1, "the earlier one ends");
 }
+
+struct UnsharedCase {
+    name: &'static str,
+    /// The entries that the agent is linked to.
+    linked: &'static [&'static str],
+    /// When the link to the other entry is lost for good, in milliseconds after the submission.
+    lost_ms: Option<u64>,
+    /// When the attempt ends, in milliseconds after the submission, if it does within 4 s.
+    end_ms: Option<std::ops::Range<u64>>,
+}
+
+/// Guards against an attempt that goes on while an entry which can start the job as well may not know of
+/// it, and against one that ends for an entry which can't.
+#[test]
+fn attempt_ends_before_an_entry_could_start_another_one() {
+    let cases = [
+        UnsharedCase {
+            name: "linked",
+            linked: &["entry-0", "entry-1"],
+            lost_ms: None,
+            end_ms: None,
+        },
+        UnsharedCase {
+            name: "without agents",
+            linked: &["entry-0"],
+            lost_ms: Some(0),
+            end_ms: None,
+        },
+        UnsharedCase {
+            name: "never reached",
+            linked: &["entry-0", "entry-1"],
+            lost_ms: Some(0),
+            end_ms: Some(1_130..1_170),
+        },
+        UnsharedCase {
+            name: "lost later",
+            linked: &["entry-0", "entry-1"],
+            lost_ms: Some(1_500),
+            end_ms: Some(2_600..2_840),
+        },
+        UnsharedCase {
+            name: "not announced",
+            linked: &["entry-0", "entry-2"],
+            lost_ms: None,
+            end_ms: Some(1_130..1_170),
+        },
+    ];
+    for case in cases {
+        let mut pair = Pair::new();
+        pair.name_entries(0, case.linked);
+        // An entry that has just appeared is given some time.
+        pair.run_ms(700);
+        pair.submit(0, 1, 0);
+        let mut ended_ms = None;
+        for millis in (0..4_000).step_by(10) {
+            if case.lost_ms == Some(millis) {
+                pair.is_linked = false;
+                pair.with(0, |entry, now, out| entry.link_down(PEER, now, out));
+            }
+            pair.run_ms(10);
+            if ended_ms.is_none() && !pair.answers[0].is_empty() {
+                ended_ms = Some(millis + 10);
+            }
+        }
+        let is_expected = match (&case.end_ms, ended_ms) {
+            (Some(range), Some(at)) => range.contains(&at),
+            (expected, ended) => expected.is_none() && ended.is_none(),
+        };
+        assert!(is_expected, "{}: ended at {ended_ms:?}", case.name);
+        if ended_ms.is_some() {
+            let reason = Refusal::Unshared;
+            assert_eq!(
+                pair.answers[0],
+                [(RequestNo(1), Answer::MayHaveRun { reason })]
+            );
+        }
+    }
+}
