test(dispatch): a request that the network holds back looks fresh, known red

No entry can see the delay. Not fixed: a claim before each first start would cost each job a round trip and two messages for each other entry (section 'Ways weighed').

--- a/crates/fulmarpond-dispatch/tests/lost_entries.rs
+++ b/crates/fulmarpond-dispatch/tests/lost_entries.rs
@@ -196,6 +196,22 @@
     }
 }
 
+/// Guards against two attempts that look equally fresh: the network holds a request back until its caller
+/// has left and sent the job again to another entry.
+#[test]
+fn runs_do_not_overlap_if_the_network_holds_a_request_back() {
+    for delay_ms in [300, 900, 1_500, 2_100] {
+        let mut sim = started_simulation(1, 3, 6);
+        let delay = AttemptFault::DelayRequests(0, delay_ms);
+        sim.fault_at(0, Fault::Attempt(delay));
+        let job = submit_by_turns(&mut sim, 100, 0, 1);
+        sim.break_connection_at(200_000, &job, Sides::Caller);
+        with_trace_log(|| sim.run_ms(SETTLE_MS));
+        let found = &sim.history.violations;
+        assert!(found.is_empty(), "{delay_ms} ms: {found:?}");
+    }
+}
+
 /// A fault of a random schedule.
 #[derive(Debug, Clone)]
 enum Trouble {
--- a/crates/fulmarpond-dispatch/tests/support/accept_queue.rs
+++ b/crates/fulmarpond-dispatch/tests/support/accept_queue.rs
@@ -22,6 +22,8 @@
     since: Time,
     until: Time,
     departure: Departure,
+    /// Whether the entry knows since when requests may have waited.
+    is_noticed: bool,
 }
 
 /// The requests that entries have not read yet.
@@ -45,12 +47,22 @@
             since: self.now,
             until,
             departure,
+            is_noticed: true,
         });
         if hold.until < self.now {
             hold.since = self.now;
         }
         hold.until = hold.until.max(until);
         hold.departure = departure;
+        hold.is_noticed = true;
+    }
+
+    /// Holds back requests to an entry in the network during this time, which it can't notice.
+    pub(super) fn delay_requests(&mut self, entry: usize, millis: u64) {
+        self.hold_requests(entry, millis, Departure::Unseen);
+        if let Some(hold) = self.accept_queues.holds.get_mut(&entry) {
+            hold.is_noticed = false;
+        }
     }
 
     /// Puts a request into the accept queue if its entry does not read requests now.
@@ -102,6 +114,8 @@
         }
         let since = self.accept_queues.waiting.remove(&request);
         self.accept_queues.read_late += u32::from(!self.pending_requests.contains_key(&request));
+        let hold = self.accept_queues.holds.get(&entry);
+        let since = since.filter(|_| hold.is_none_or(|hold| hold.is_noticed));
         let earliest_sent = since.unwrap_or(self.now);
         self.read_request(entry, number, id, earliest_sent);
         let hold = self.accept_queues.holds.get(&entry);
--- a/crates/fulmarpond-dispatch/tests/support/attempts.rs
+++ b/crates/fulmarpond-dispatch/tests/support/attempts.rs
@@ -20,6 +20,8 @@
     BreakCallers(usize, u32),
     /// An entry lives, but reads no requests during this time.
     HoldRequests(usize, u64, Departure),
+    /// The network holds back requests to an entry during this time.
+    DelayRequests(usize, u64),
     /// An entry handles no events during this time; requests wait in its accept queue.
     PauseEntry(usize, u64, Departure),
 }
@@ -29,7 +31,9 @@
     pub(super) const fn duration_ms(self) -> u64 {
         match self {
             Self::BreakCallers(..) => 0,
-            Self::HoldRequests(_, millis, _) | Self::PauseEntry(_, millis, _) => millis,
+            Self::DelayRequests(_, millis)
+            | Self::HoldRequests(_, millis, _)
+            | Self::PauseEntry(_, millis, _) => millis,
         }
     }
 }
@@ -72,6 +76,7 @@
     pub(super) fn begin_attempt_fault(&mut self, fault: AttemptFault) {
         match fault {
             AttemptFault::BreakCallers(entry, percent) => self.break_callers(entry, percent),
+            AttemptFault::DelayRequests(entry, millis) => self.delay_requests(entry, millis),
             AttemptFault::HoldRequests(entry, millis, departure) => {
                 self.hold_requests(entry, millis, departure);
             }
