fix(dispatch): a durable run of a lost owner is over before its task is placed again, also if its stop fails

Cause: the lease of an endpoint is extended for all its runs. A run that nobody wants any more and whose stop is not confirmed is bounded by a time beyond which the lease is not extended, but durable runs were exempt, as epochs keep their results apart. Epochs do not end the run: its owner places the task again 2.3 s after it lost the agent, while the run lives on.

Change: durable runs of a lost link, or of a released job, get the same bound as others, 1,240 ms after the agent last heard of the owner. Not those that a live owner stops: it places the task again only when it has heard of the end. An end that comes to light later is still held and reported.

--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -180,8 +180,13 @@
             tasks.iter().map(key).collect()
         };
         for task in listed {
-            if self.runs.get(&task).is_some_and(|run| run.link == link) {
-                self.end_run(&task, after_stop, now, out);
+            let Some(run) = self.runs.get(&task).filter(|run| run.link == link) else {
+                continue;
+            };
+            // A durable task that is stopped by its owner is not placed again unless that hears of the end.
+            let is_bounded = !run.is_durable;
+            self.end_run(&task, after_stop, now, out);
+            if is_bounded {
                 self.bound_unwanted_run(&task, heard);
             }
         }
--- a/crates/fulmarpond-dispatch/src/agent/orphaned_runs.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orphaned_runs.rs
@@ -55,6 +55,12 @@
         let mut tasks = self.owned_tasks(link);
         tasks.retain(|task| task.job == *job);
         self.end_or_mark_orphaned(&tasks, now, out);
+        if let Some(peer) = self.links.established.get(&link) {
+            let heard = self.last_heard(peer);
+            for task in &tasks {
+                self.bound_unwanted_run(task, heard);
+            }
+        }
         self.start_queued_tasks(now, out);
         self.send_reports(out);
     }
--- a/crates/fulmarpond-dispatch/src/agent/run_lease.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run_lease.rs
@@ -3,8 +3,9 @@
 //! The lease is one for all runs. A run that its entry no longer wants is stopped, but its stop may
 //! get no reply, or be refused by an unhealthy endpoint. The lease must not keep such a run alive
 //! beyond the time at which the caller of its job may send the job again, so it is extended only up
-//! to that time until the run is over. Durable jobs are kept apart by epochs instead, and
-//! long-running tasks by the time for their adoption.
+//! to that time until the run is over. So it is for the runs of durable jobs whose owner is lost or
+//! has released them: they are placed again later than that. Long-running tasks are kept apart by the
+//! time for their adoption.
 
 use fulmarpond_core::Time;
 use tracing::warn;
@@ -50,7 +51,7 @@
             return;
         };
         let is_stopping = matches!(run.phase, Phase::Stopping { .. });
-        if !is_stopping || run.is_durable || run.is_long_running || run.over_by <= over_by {
+        if !is_stopping || run.is_long_running || run.over_by <= over_by {
             return;
         }
         self.unwanted_runs.remove(&(run.over_by, task.clone()));
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -78,55 +78,72 @@
     },
 ];
 
+/// Plays a case, and returns what was found if the unwanted run was not over in time.
+fn play(case: &Case, is_durable: bool) -> Result<(), String> {
+    let mut host = Host::new();
+    host.order(KEPT_LINK, KEPT_JOB);
+    if case.is_start_unanswered {
+        host.run_ms(LOSS_MS - 60);
+        host.stops = case.stops;
+        host.hides_starts = true;
+    }
+    let unwanted = Order {
+        is_durable,
+        ..order(UNWANTED_JOB)
+    };
+    host.send_order(LOST_LINK, unwanted);
+    host.answer_calls();
+    host.hides_starts = false;
+    host.run_ms(50);
+    host.run_ms(LOSS_MS + 50 - host.elapsed.min(LOSS_MS + 50));
+    assert!(host.is_running(UNWANTED_JOB), "{}", case.name);
+    host.stops = case.stops;
+    let heard = host.lose(case.loss);
+    while host.is_running(UNWANTED_JOB) && host.elapsed < heard + 2 * RESEND_MS {
+        let was_reported = host
+            .reports
+            .iter()
+            .any(|(_, job, _)| *job == key(UNWANTED_JOB).job);
+        assert!(
+            !was_reported,
+            "{}: end reported before the run has ended",
+            case.name
+        );
+        host.run_ms(1);
+    }
+    if host.elapsed >= heard + RESEND_MS {
+        let age_ms = host.elapsed - heard;
+        return Err(format!("{}: over after {age_ms} ms or never", case.name));
+    }
+    // The lease is extended again, and tasks are taken.
+    host.run_ms(300);
+    host.order(KEPT_LINK, LATER_JOB);
+    host.run_ms(3_000);
+    assert!(host.is_ready, "{}", case.name);
+    assert!(host.is_running(LATER_JOB), "{}", case.name);
+    let reports = host.reports.iter();
+    let ends = reports.filter(|(_, job, _)| *job == key(UNWANTED_JOB).job);
+    let expected = usize::from(case.loss == Loss::StopWithReport);
+    assert_eq!(ends.count(), expected, "{}", case.name);
+    Ok(())
+}
+
 /// Guards against two runs of one task at a time: the lease that was extended for the runs of other
 /// entries kept a run alive whose stop was not confirmed, and its caller sent the job again.
 #[test]
 fn unwanted_run_is_over_before_its_job_is_sent_again() {
-    let mut failures = Vec::new();
-    for case in CASES {
-        let mut host = Host::new();
-        host.order(KEPT_LINK, KEPT_JOB);
-        if case.is_start_unanswered {
-            host.run_ms(LOSS_MS - 60);
-            host.stops = case.stops;
-            host.hides_starts = true;
-        }
-        host.order(LOST_LINK, UNWANTED_JOB);
-        host.answer_calls();
-        host.hides_starts = false;
-        host.run_ms(50);
-        host.run_ms(LOSS_MS + 50 - host.elapsed.min(LOSS_MS + 50));
-        assert!(host.is_running(UNWANTED_JOB), "{}", case.name);
-        host.stops = case.stops;
-        let heard = host.lose(case.loss);
-        while host.is_running(UNWANTED_JOB) && host.elapsed < heard + 2 * RESEND_MS {
-            let was_reported = host
-                .reports
-                .iter()
-                .any(|(_, job, _)| *job == key(UNWANTED_JOB).job);
-            assert!(
-                !was_reported,
-                "{}: end reported before the run has ended",
-                case.name
-            );
-            host.run_ms(1);
-        }
-        if host.elapsed >= heard + RESEND_MS {
-            let age_ms = host.elapsed - heard;
-            failures.push(format!("{}: over after {age_ms} ms or never", case.name));
-            continue;
-        }
-        // The lease is extended again, and tasks are taken.
-        host.run_ms(300);
-        host.order(KEPT_LINK, LATER_JOB);
-        host.run_ms(3_000);
-        assert!(host.is_ready, "{}", case.name);
-        assert!(host.is_running(LATER_JOB), "{}", case.name);
-        let reports = host.reports.iter();
-        let ends = reports.filter(|(_, job, _)| *job == key(UNWANTED_JOB).job);
-        let expected = usize::from(case.loss == Loss::StopWithReport);
-        assert_eq!(ends.count(), expected, "{}", case.name);
-    }
+    let plays = CASES.iter().map(|case| play(case, false));
+    let failures: Vec<String> = plays.filter_map(Result::err).collect();
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Guards against two runs of a durable task at a time: the run of a lost owner lived on with a stop that
+/// was not confirmed, and the owner or the next one placed the task again.
+#[test]
+fn durable_run_of_a_lost_owner_is_over_before_its_task_is_placed_again() {
+    let lost = |case: &&Case| matches!(case.loss, Loss::Reset | Loss::Silent);
+    let plays = CASES.iter().filter(lost).map(|case| play(case, true));
+    let failures: Vec<String> = plays.filter_map(Result::err).collect();
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
--- a/crates/fulmarpondd/tests/overlap_rig/callers.rs
+++ b/crates/fulmarpondd/tests/overlap_rig/callers.rs
@@ -79,7 +79,7 @@
         let seed = self.case.seed;
         let mut rng = Pcg64Mcg::seed_from_u64(seed << 32 | number);
         let job = format!("{:04x}{number:012x}", seed & 0xffff);
-        let body = random_body(&mut rng);
+        let body = random_body(!self.has(Fault::Kept), &mut rng);
         for attempt in 1..=MAX_ATTEMPTS {
             let status = self.attempt(&job, attempt, &body, &mut rng);
             if !matches!(status, None | Some(502 | 504)) || Instant::now() > self.ends_at {
@@ -157,13 +157,13 @@
     }
 }
 
-/// Returns the body of a best-effort job with tasks of random number and duration.
-fn random_body(rng: &mut Pcg64Mcg) -> String {
+/// Returns the body of a job with tasks of random number and duration.
+fn random_body(is_best_effort: bool, rng: &mut Pcg64Mcg) -> String {
     let task_ms = TASK_TIMES_MS[rng.random_range(0..TASK_TIMES_MS.len())];
     let count = 1 << rng.random_range(0..3);
     let estimated_ms = if rng.random() { task_ms } else { 60 };
     format!(
-        r#"{{"Spec":"ms={task_ms} cpu=2000","Steps":[{{"Count":{count},"Cpu":2000,"MemMb":64,"EstimatedMs":{estimated_ms}}}],"BestEffort":true}}"#
+        r#"{{"Spec":"ms={task_ms} cpu=2000","Steps":[{{"Count":{count},"Cpu":2000,"MemMb":64,"EstimatedMs":{estimated_ms}}}],"BestEffort":{is_best_effort}}}"#
     )
 }
 
--- a/crates/fulmarpondd/tests/overlap_rig/case.rs
+++ b/crates/fulmarpondd/tests/overlap_rig/case.rs
@@ -5,6 +5,8 @@
 pub(crate) enum Fault {
     /// The connection of a caller breaks on the caller's side only.
     BrokenAtCaller,
+    /// Jobs are durable: their callers get an answer once they are stored.
+    Kept,
     /// Processes are paused.
     Paused,
     /// An entry is cut off and killed, and some agents are paused shortly before they would notice, so
--- a/crates/fulmarpondd/tests/overlap_rig/faults.rs
+++ b/crates/fulmarpondd/tests/overlap_rig/faults.rs
@@ -133,7 +133,7 @@
             return;
         }
         match self.choose(self.case.faults) {
-            Fault::BrokenAtCaller => {}
+            Fault::BrokenAtCaller | Fault::Kept => {}
             Fault::Paused => self.pause(0..self.fleet.processes.len()),
             Fault::ReadLate => self.pause(0..self.fleet.shape.entries),
             Fault::Chained => self.lose_entry_and_agents(),
--- a/crates/fulmarpondd/tests/overlapping_runs.rs
+++ b/crates/fulmarpondd/tests/overlapping_runs.rs
@@ -274,3 +274,25 @@
         seconds: 10,
     }]);
 }
+
+/// Guards against two runs of a durable task at the same time: the owner of its job has lost the agent,
+/// whose endpoint does not carry out the stop.
+#[test]
+fn durable_runs_whose_stop_fails_do_not_overlap() {
+    play(&[
+        Case {
+            name: "kept, stops, links",
+            shape: Shape::LIGHT,
+            faults: &[Fault::Kept, Fault::Stops, Fault::Stops, Fault::Links],
+            seed: 61,
+            seconds: 30,
+        },
+        Case {
+            name: "kept, stops, ended",
+            shape: Shape::LIGHT,
+            faults: &[Fault::Kept, Fault::Stops, Fault::Stops, Fault::Ended],
+            seed: 52,
+            seconds: 12,
+        },
+    ]);
+}
