--- a/crates/fulmarpond-dispatch/tests/backlog.rs
+++ b/crates/fulmarpond-dispatch/tests/backlog.rs
@@ -1,13 +1,14 @@
 //! The backlog by class in the status of an agent, and the wait that an entry expects from it.
 
+mod entry_setup;
+
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::{Configuration, Route};
-use fulmarpond_dispatch::entry::{Action, Entry, EntryOptions, RequestNo, Step, Submission};
+use fulmarpond_dispatch::entry::{Action, Entry, RequestNo};
 use fulmarpond_dispatch::{
-    AgentFrame, Backlog, Class, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo,
-    Resources, decode, encode,
+    Backlog, Class, EndpointStatus, EntryFrame, JobId, LinkNo, Resources, decode, encode,
 };
 
 const NOW: Time = Time::from_millis(10_000);
@@ -15,94 +16,38 @@
 
 fn route(priority: u8) -> Route {
     Route {
-        name: "r".to_owned(),
-        host: "desk".to_owned(),
-        prefix: "/jobs/".to_owned(),
-        service: "service".to_owned(),
         priority,
-        attempts: 3,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
+        ..entry_setup::route()
     }
 }
 
 /// Returns an entry with one agent whose endpoint is full.
 fn entry(backlog: Backlog) -> Entry {
-    let options = EntryOptions {
-        name: "entry-1".to_owned(),
-        zone: "Saga".to_owned(),
-        lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
-        remote_factor: 1.0,
-        incarnation: 1,
-        writes_per_second: 400,
-        retention_ms: 120_000,
-        advises: false,
-    };
+    let options = entry_setup::options();
     let mut entry = Entry::new(options, NOW);
     entry.configure(
         Configuration::new(1, vec![route(0)], None),
         NOW,
         &mut Vec::new(),
     );
-    let hello = AgentFrame::Hello {
-        name: "agent-1".to_owned(),
-        zone: "Saga".to_owned(),
-        version: 1,
+    let capacity = Resources {
+        cpu: CORES * 1_000,
+        memory: 1_000,
+        accelerators: 0,
     };
-    let endpoint = AgentFrame::Endpoint {
-        id: EndpointId("i-1".to_owned()),
-        born: 0,
-        service: "service".to_owned(),
-        capacity: Resources {
-            cpu: CORES * 1_000,
-            memory: 1_000,
-            accelerators: 0,
-        },
-        labels: Vec::new(),
-    };
-    let status = AgentFrame::Status {
-        sent: 0,
-        orders: 0,
-        load: EndpointStatus {
-            ready: true,
-            slowness: 100,
-            backlog,
-            ..EndpointStatus::default()
-        },
+    let load = EndpointStatus {
+        ready: true,
+        slowness: 100,
+        backlog,
+        ..EndpointStatus::default()
     };
-    for frame in [hello, endpoint, status] {
-        entry.handle_frame(LinkNo(1), frame, NOW, &mut Vec::new());
-    }
+    entry_setup::link_agent(&mut entry, LinkNo(1), capacity, load, NOW);
     entry
 }
 
 /// Submits a job of one task with a slack of 100 ms; returns whether it is accepted.
 fn accepts(entry: &mut Entry, priority: u8) -> bool {
-    let step = Step {
-        count: 1,
-        needs: Resources {
-            cpu: 1_000,
-            memory: 1,
-            accelerators: 0,
-        },
-        estimate: 100,
-        after: Vec::new(),
-        label: None,
-        affinity: None,
-        spread: None,
-        gang: false,
-        colocated: false,
-        long_running: false,
-        may_miss: None,
-    };
-    let submission = Submission {
-        spec: String::new(),
-        steps: vec![step],
-        timeout_ms: 1_500,
-        is_durable: false,
-        repeat: None,
-    };
+    let submission = entry_setup::submission(entry_setup::step());
     let mut out = Vec::new();
     let (request, id) = (RequestNo(1), JobId("1".to_owned()));
     let route = Rc::new(route(priority));
--- a/crates/fulmarpond-dispatch/tests/cancelled_series.rs
+++ b/crates/fulmarpond-dispatch/tests/cancelled_series.rs
@@ -1,16 +1,18 @@
 //! Cancellations of series at a single entry (docs/design/cancelled-series.md): which records they read and
 //! write, and what becomes of occurrences whose own records are still open.
 
+mod entry_setup;
+
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::{Configuration, Route};
 use fulmarpond_dispatch::directory::{Activity, CommitRow, JobItem, StoreCall, StoreReply};
 use fulmarpond_dispatch::entry::{
-    Action, Answer, Entry, EntryOptions, Repeat, RequestNo, Step, Submission,
+    Action, Answer, Entry, EntryOptions, Repeat, RequestNo, Submission,
 };
 use fulmarpond_dispatch::ledger::{JobSpec, JobState, Owner, Status, StepProgress};
-use fulmarpond_dispatch::{JobId, LeaseTimes, Refusal, Resources, decode, encode};
+use fulmarpond_dispatch::{JobId, Refusal, decode, encode};
 
 const START: Time = Time::from_millis(10_000);
 
@@ -23,15 +25,8 @@
 
 fn route() -> Route {
     Route {
-        name: "r".to_owned(),
-        host: "desk".to_owned(),
-        prefix: "/jobs/".to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
         attempts: 2,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
+        ..entry_setup::route()
     }
 }
 
@@ -42,23 +37,7 @@
 fn submission(repeat: Option<Repeat>) -> Submission {
     Submission {
         spec: String::new(),
-        steps: vec![Step {
-            count: 1,
-            needs: Resources {
-                cpu: 1_000,
-                memory: 1,
-                accelerators: 0,
-            },
-            estimate: 100,
-            after: Vec::new(),
-            label: None,
-            affinity: None,
-            spread: None,
-            gang: false,
-            colocated: false,
-            long_running: false,
-            may_miss: None,
-        }],
+        steps: vec![entry_setup::step()],
         timeout_ms: 1_500,
         is_durable: true,
         repeat,
@@ -100,14 +79,8 @@
     /// Returns an entry whose first list has these items.
     fn new(items: Vec<JobItem>) -> Self {
         let options = EntryOptions {
-            name: "entry-1".to_owned(),
-            zone: "Saga".to_owned(),
-            lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
-            remote_factor: 1.0,
-            incarnation: 1,
-            writes_per_second: 400,
             retention_ms: 1_000,
-            advises: false,
+            ..entry_setup::options()
         };
         let mut canceller = Self {
             entry: Entry::new(options, START),
--- a/crates/fulmarpond-dispatch/tests/endpoint_speeds.rs
+++ b/crates/fulmarpond-dispatch/tests/endpoint_speeds.rs
@@ -1,9 +1,11 @@
 //! What an entry concludes from the speeds that agents report.
 
+mod entry_setup;
+
 use fulmarpond_core::Time;
-use fulmarpond_dispatch::entry::{Entry, EntryOptions};
+use fulmarpond_dispatch::entry::Entry;
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointSpeed, EndpointStatus, LeaseTimes, LinkNo, Resources,
+    AgentFrame, EndpointId, EndpointSpeed, EndpointStatus, LinkNo, Resources,
 };
 
 const NOW: Time = Time::from_millis(10_000);
@@ -15,16 +17,7 @@
 const SLOW: Report = (&["slow"], 1_700, 512);
 
 fn entry() -> Entry {
-    let options = EntryOptions {
-        name: "entry-1".to_owned(),
-        zone: "Saga".to_owned(),
-        lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
-        remote_factor: 1.0,
-        incarnation: 1,
-        writes_per_second: 400,
-        retention_ms: 120_000,
-        advises: false,
-    };
+    let options = entry_setup::options();
     Entry::new(options, NOW)
 }
 
--- a/crates/fulmarpond-dispatch/tests/entry.rs
+++ b/crates/fulmarpond-dispatch/tests/entry.rs
@@ -1,26 +1,19 @@
 //! A single entry: the frames that it sends to its agents, its configuration and its routing.
 
+mod entry_setup;
+
 use std::net::SocketAddr;
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::{Configuration, ConfigurationUpdate, Route};
 use fulmarpond_dispatch::directory::AnnouncedEntry;
-use fulmarpond_dispatch::entry::{Action, Entry, EntryOptions};
-use fulmarpond_dispatch::{AgentFrame, EntryFrame, LeaseTimes, LinkNo};
+use fulmarpond_dispatch::entry::{Action, Entry};
+use fulmarpond_dispatch::{AgentFrame, EntryFrame, LinkNo};
 
 const NOW: Time = Time::from_millis(10_000);
 
 fn entry() -> Entry {
-    let options = EntryOptions {
-        name: "entry-1".to_owned(),
-        zone: "Saga".to_owned(),
-        lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
-        remote_factor: 1.0,
-        incarnation: 1,
-        writes_per_second: 400,
-        retention_ms: 120_000,
-        advises: false,
-    };
+    let options = entry_setup::options();
     Entry::new(options, NOW)
 }
 
@@ -42,15 +35,8 @@
 
 fn configuration(version: u64, prefix: &str) -> Configuration {
     let route = Route {
-        name: "r".to_owned(),
-        host: "desk".to_owned(),
         prefix: prefix.to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
-        attempts: 3,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
+        ..entry_setup::route()
     };
     Configuration::new(version, vec![route], None)
 }
@@ -162,12 +148,7 @@
         name: name.to_owned(),
         host: host.to_owned(),
         prefix: prefix.to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
-        attempts: 3,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
+        ..entry_setup::route()
     };
     let routes = vec![
         route("short", "desk", "/a/"),
--- a/crates/fulmarpond-dispatch/tests/failure_counts.rs
+++ b/crates/fulmarpond-dispatch/tests/failure_counts.rs
@@ -1,18 +1,20 @@
 //! What a single entry takes for a failure of a job (docs/design/ways-to-failed.md): ends of runs, stored
 //! states and its memory of answers.
 
+mod entry_setup;
+
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::{Configuration, Route};
 use fulmarpond_dispatch::directory::{Activity, CommitRow, JobItem, StoreCall, StoreReply};
 use fulmarpond_dispatch::entry::{
-    Action, Answer, Entry, EntryOptions, JobStatus, Repeat, RequestNo, Step, Submission,
+    Action, Answer, Entry, JobStatus, Repeat, RequestNo, Step, Submission,
 };
 use fulmarpond_dispatch::ledger::{JobState, Status};
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointCrash, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo,
-    LostRun, Outcome, Resources, TaskEnd, TaskKey, decode, encode,
+    AgentFrame, EndpointCrash, EndpointId, EndpointStatus, EntryFrame, JobId, LinkNo, LostRun,
+    Outcome, Resources, TaskEnd, TaskKey, decode, encode,
 };
 
 const START: Time = Time::from_millis(10_000);
@@ -29,15 +31,8 @@
 
 fn route() -> Route {
     Route {
-        name: "r".to_owned(),
-        host: "desk".to_owned(),
-        prefix: "/jobs/".to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
         attempts: 2,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
+        ..entry_setup::route()
     }
 }
 
@@ -46,16 +41,7 @@
 }
 
 fn entry() -> Entry {
-    let options = EntryOptions {
-        name: "entry-1".to_owned(),
-        zone: "Saga".to_owned(),
-        lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
-        remote_factor: 1.0,
-        incarnation: 1,
-        writes_per_second: 400,
-        retention_ms: 120_000,
-        advises: false,
-    };
+    let options = entry_setup::options();
     let mut entry = Entry::new(options, START);
     let configuration = Configuration::new(1, vec![route()], None);
     entry.configure(configuration, START, &mut Vec::new());
@@ -65,20 +51,8 @@
 fn step(count: u16, gang: bool) -> Step {
     Step {
         count,
-        needs: Resources {
-            cpu: 1_000,
-            memory: 1,
-            accelerators: 0,
-        },
-        estimate: 100,
-        after: Vec::new(),
-        label: None,
-        affinity: None,
-        spread: None,
         gang,
-        colocated: false,
-        long_running: false,
-        may_miss: None,
+        ..entry_setup::step()
     }
 }
 
--- a/crates/fulmarpond-dispatch/tests/late_ends.rs
+++ b/crates/fulmarpond-dispatch/tests/late_ends.rs
@@ -1,16 +1,18 @@
 //! Ends of runs that an entry hears of late, and what it concludes from them about the present run of
 //! the task (docs/design/when-a-run-is-over.md, section 6).
 
+mod entry_setup;
+
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::{Configuration, Route};
 use fulmarpond_dispatch::directory::{StoreCall, StoreReply};
-use fulmarpond_dispatch::entry::{Action, Entry, EntryOptions, RequestNo, Step, Submission};
+use fulmarpond_dispatch::entry::{Action, Entry, RequestNo, Step, Submission};
 use fulmarpond_dispatch::ledger::{JobState, Status};
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo, Outcome,
-    Resources, TaskEnd, TaskKey, TaskRun, decode,
+    AgentFrame, EndpointId, EndpointStatus, EntryFrame, JobId, LinkNo, Outcome, Resources, TaskEnd,
+    TaskKey, TaskRun, decode,
 };
 
 const START: Time = Time::from_millis(10_000);
@@ -34,15 +36,8 @@
 
 fn route() -> Route {
     Route {
-        name: "r".to_owned(),
-        host: "desk".to_owned(),
-        prefix: "/jobs/".to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
         attempts: 2,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
+        ..entry_setup::route()
     }
 }
 
@@ -72,16 +67,7 @@
 
 impl Owner {
     fn new() -> Self {
-        let options = EntryOptions {
-            name: "entry-1".to_owned(),
-            zone: "Saga".to_owned(),
-            lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
-            remote_factor: 1.0,
-            incarnation: 1,
-            writes_per_second: 400,
-            retention_ms: 120_000,
-            advises: false,
-        };
+        let options = entry_setup::options();
         let mut owner = Self {
             entry: Entry::new(options, START),
             revision: 1,
@@ -218,21 +204,8 @@
 
     fn submit(&mut self) {
         let step = Step {
-            count: 1,
-            needs: Resources {
-                cpu: 1_000,
-                memory: 1,
-                accelerators: 0,
-            },
             estimate: 1_500,
-            after: Vec::new(),
-            label: None,
-            affinity: None,
-            spread: None,
-            gang: false,
-            colocated: false,
-            long_running: false,
-            may_miss: None,
+            ..entry_setup::step()
         };
         let submission = Submission {
             spec: String::new(),
--- a/crates/fulmarpond-dispatch/tests/mutated_frames.rs
+++ b/crates/fulmarpond-dispatch/tests/mutated_frames.rs
@@ -1,5 +1,7 @@
 //! Frames and records with mutated bytes, at their decoders and at the processes that get them.
 
+mod entry_setup;
+
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
@@ -34,12 +36,7 @@
         name: "route".to_owned(),
         host: "host".to_owned(),
         prefix: prefix.to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
-        attempts: 3,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
+        ..entry_setup::route()
     }
 }
 
@@ -197,13 +194,8 @@
 fn new_entry() -> Entry {
     let options = EntryOptions {
         name: "entry".to_owned(),
-        zone: "Saga".to_owned(),
-        lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
         remote_factor: 1.5,
-        incarnation: 1,
-        writes_per_second: 400,
-        retention_ms: 120_000,
-        advises: false,
+        ..entry_setup::options()
     };
     Entry::new(options, NOW)
 }
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -1,5 +1,7 @@
 //! Attempts of one job at several entries: the later one starts when no run of the earlier is left.
 
+mod entry_setup;
+
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -170,13 +172,8 @@
 fn entry(name: &str, now: Time) -> Entry {
     let options = EntryOptions {
         name: name.to_owned(),
-        zone: "Saga".to_owned(),
         lease_times: LeaseTimes::new(RESEND_MS, 1_000, 50).expect("valid lease times"),
-        remote_factor: 1.0,
-        incarnation: 1,
-        writes_per_second: 400,
-        retention_ms: 120_000,
-        advises: false,
+        ..entry_setup::options()
     };
     Entry::new(options, now)
 }
@@ -222,38 +219,20 @@
 }
 
 fn route() -> Route {
-    Route {
-        name: "r".to_owned(),
-        host: "desk".to_owned(),
-        prefix: "/jobs/".to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
-        attempts: 3,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
-    }
+    entry_setup::route()
 }
 
 fn submission() -> Submission {
     Submission {
         spec: String::new(),
         steps: vec![Step {
-            count: 1,
             needs: Resources {
                 cpu: 1_000,
                 memory: 64,
                 accelerators: 0,
             },
             estimate: 2_000,
-            after: Vec::new(),
-            label: None,
-            affinity: None,
-            spread: None,
-            gang: false,
-            colocated: false,
-            long_running: false,
-            may_miss: None,
+            ..entry_setup::step()
         }],
         timeout_ms: 8_000,
         is_durable: false,
--- a/crates/fulmarpond-dispatch/tests/reasons.rs
+++ b/crates/fulmarpond-dispatch/tests/reasons.rs
@@ -1,17 +1,16 @@
 //! The log line that explains each refusal and failure to the operator.
 
+mod entry_setup;
+
 use std::io;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::{Configuration, Route};
-use fulmarpond_dispatch::entry::{
-    Action, Answer, Entry, EntryOptions, RequestNo, Step, Submission,
-};
+use fulmarpond_dispatch::entry::{Action, Answer, Entry, RequestNo, Step, Submission};
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointStatus, JobId, LeaseTimes, LinkNo, Outcome, Refusal, Resources,
-    TaskEnd, TaskKey,
+    AgentFrame, EndpointStatus, JobId, LinkNo, Outcome, Refusal, Resources, TaskEnd, TaskKey,
 };
 
 const NOW: Time = Time::from_millis(10_000);
@@ -34,26 +33,10 @@
 }
 
 fn entry() -> Entry {
-    let options = EntryOptions {
-        name: "entry-1".to_owned(),
-        zone: "Saga".to_owned(),
-        lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
-        remote_factor: 1.0,
-        incarnation: 1,
-        writes_per_second: 400,
-        retention_ms: 120_000,
-        advises: false,
-    };
+    let options = entry_setup::options();
     let route = Route {
-        name: "r".to_owned(),
-        host: "desk".to_owned(),
-        prefix: "/jobs/".to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
         attempts: 1,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
+        ..entry_setup::route()
     };
     let mut entry = Entry::new(options, NOW);
     entry.configure(
@@ -67,23 +50,11 @@
 /// Connects an agent with an endpoint of 8 cores, which is fully occupied for `next_end_ms` unless
 /// that is 0.
 fn connect_agent(entry: &mut Entry, next_end_ms: u32) {
-    let hello = AgentFrame::Hello {
-        name: "agent-1".to_owned(),
-        zone: "Saga".to_owned(),
-        version: 1,
-    };
     let capacity = Resources {
         cpu: 8_000,
         memory: 1_000,
         accelerators: 0,
     };
-    let endpoint = AgentFrame::Endpoint {
-        id: EndpointId("i-1".to_owned()),
-        born: 0,
-        service: "service".to_owned(),
-        capacity,
-        labels: Vec::new(),
-    };
     let is_full = next_end_ms > 0;
     let load = EndpointStatus {
         ready: true,
@@ -96,33 +67,17 @@
         slowness: 100,
         ..EndpointStatus::default()
     };
-    let status = AgentFrame::Status {
-        sent: 0,
-        orders: 0,
-        load,
-    };
-    for frame in [hello, endpoint, status] {
-        entry.handle_frame(LINK, frame, NOW, &mut Vec::new());
-    }
+    entry_setup::link_agent(entry, LINK, capacity, load, NOW);
 }
 
 fn submit(entry: &mut Entry, cpu: u32, out: &mut Vec<Action>) {
     let step = Step {
-        count: 1,
         needs: Resources {
             cpu,
             memory: 1,
             accelerators: 0,
         },
-        estimate: 100,
-        after: Vec::new(),
-        label: None,
-        affinity: None,
-        spread: None,
-        gang: false,
-        colocated: false,
-        long_running: false,
-        may_miss: None,
+        ..entry_setup::step()
     };
     let submission = Submission {
         spec: String::new(),
--- a/crates/fulmarpond-dispatch/tests/submissions.rs
+++ b/crates/fulmarpond-dispatch/tests/submissions.rs
@@ -1,17 +1,17 @@
 //! Submissions to a single entry: duplicates of a request, what it learns from the first run, and
 //! the choice between two endpoints.
 
+mod entry_setup;
+
 use std::rc::Rc;
 
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::{Configuration, Route};
 use fulmarpond_dispatch::directory::{Activity, Lane, StoreReply};
-use fulmarpond_dispatch::entry::{
-    Action, Answer, Entry, EntryOptions, RequestNo, Step, Submission,
-};
+use fulmarpond_dispatch::entry::{Action, Answer, Entry, RequestNo, Submission};
 use fulmarpond_dispatch::{
-    AgentFrame, EndpointId, EndpointSpeed, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo,
-    Order, Outcome, Resources, TaskEnd, TaskKey,
+    AgentFrame, EndpointSpeed, EndpointStatus, EntryFrame, JobId, LinkNo, Order, Outcome,
+    Resources, TaskEnd, TaskKey,
 };
 
 const NOW: Time = Time::from_millis(10_000);
@@ -25,16 +25,7 @@
 
 /// Returns an entry without agents.
 fn bare_entry() -> Entry {
-    let options = EntryOptions {
-        name: "entry-1".to_owned(),
-        zone: "Saga".to_owned(),
-        lease_times: LeaseTimes::new(1_300, 1_000, 50).expect("valid lease times"),
-        remote_factor: 1.0,
-        incarnation: 1,
-        writes_per_second: 400,
-        retention_ms: 120_000,
-        advises: false,
-    };
+    let options = entry_setup::options();
     let mut entry = Entry::new(options, NOW);
     entry.configure(
         Configuration::new(1, vec![route()], None),
@@ -61,40 +52,11 @@
 }
 
 fn add_agent(entry: &mut Entry, link: LinkNo, load: EndpointStatus) {
-    let hello = AgentFrame::Hello {
-        name: format!("agent-{}", link.0),
-        zone: "Saga".to_owned(),
-        version: 1,
-    };
-    let endpoint = AgentFrame::Endpoint {
-        id: EndpointId(format!("i-{}", link.0)),
-        born: 0,
-        service: "service".to_owned(),
-        capacity: CAPACITY,
-        labels: Vec::new(),
-    };
-    let status = AgentFrame::Status {
-        sent: 0,
-        orders: 0,
-        load,
-    };
-    for frame in [hello, endpoint, status] {
-        entry.handle_frame(link, frame, NOW, &mut Vec::new());
-    }
+    entry_setup::link_agent(entry, link, CAPACITY, load, NOW);
 }
 
 fn route() -> Route {
-    Route {
-        name: "r".to_owned(),
-        host: "desk".to_owned(),
-        prefix: "/jobs/".to_owned(),
-        service: "service".to_owned(),
-        priority: 0,
-        attempts: 3,
-        stretch: 1.6,
-        target_ms: 60,
-        advice: None,
-    }
+    entry_setup::route()
 }
 
 fn job_id(number: u32) -> JobId {
@@ -102,23 +64,7 @@
 }
 
 fn submit(entry: &mut Entry, request: u64, job: u32, is_durable: bool, out: &mut Vec<Action>) {
-    let step = Step {
-        count: 1,
-        needs: Resources {
-            cpu: 1_000,
-            memory: 1,
-            accelerators: 0,
-        },
-        estimate: 100,
-        after: Vec::new(),
-        label: None,
-        affinity: None,
-        spread: None,
-        gang: false,
-        colocated: false,
-        long_running: false,
-        may_miss: None,
-    };
+    let step = entry_setup::step();
     let submission = Submission {
         spec: String::new(),
         steps: vec![step],
