fix(dispatch): an entry that was paused awaits new lists, whatever agents tell meanwhile

Cause: after a pause an entry awaits the lists of all others anew. When an agent then told of its entries, those that had sent a list before the pause were taken off again, so a job could start on the strength of old lists.

Change: the lists from before the pause no longer count as known.

Evidence: paused_entry_awaits_new_lists_although_its_agent_names_entries_again was red (1 start instead of 0), green now.

--- a/crates/fulmarpond-dispatch/src/entry/peers.rs
+++ b/crates/fulmarpond-dispatch/src/entry/peers.rs
@@ -165,6 +165,9 @@
         self.settle_latest = latest;
         let known = self.announced.keys().chain(self.linked.keys());
         self.awaited = known.cloned().collect();
+        for peer in self.established.values_mut() {
+            peer.has_list = false;
+        }
     }
 
     /// Returns whether an entry is announced.
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -491,3 +491,29 @@
         }
     }
 }
+
+/// Guards against a job that starts after a pause of its entry on the strength of lists from before the
+/// pause: what an agent tells of entries does not make them new.
+#[test]
+fn paused_entry_awaits_new_lists_although_its_agent_names_entries_again() {
+    let mut pair = Pair::new();
+    pair.name_entries(1, &["entry-0", "entry-1"]);
+    pair.run_ms(100);
+    pair.submit(0, 1, 0);
+    // Its links stay open in its pause; the frames of the other entry are late.
+    pair.is_linked = false;
+    pair.now = pair.now.after_millis(600);
+    pair.with(1, |entry, now, out| {
+        entry.handle_frame(AGENT, status(), now, out);
+        entry.tick(now, out);
+    });
+    pair.name_entries(1, &["entry-0", "entry-1"]);
+    pair.run_ms(20);
+    pair.submit(1, 2, 0);
+    assert_eq!(pair.starts(1), 0, "the other attempts are not known yet");
+    pair.is_linked = true;
+    pair.run_ms(200);
+    assert_eq!(pair.starts(1), 0, "the earlier attempt is not over yet");
+    pair.end_run(0, Outcome::Aborted);
+    assert_eq!(pair.starts(1), 1);
+}
