fix(dispatch): a stopped run that the endpoint lists no more is over when its stop has taken its time

Cause: a run that was told to stop counted as over as soon as a list lacked it. An endpoint may take a run off its list when it is told to stop, and end it up to StopMs later; the protocol says only that a stop takes at most StopMs and that the end is listed. The agent reported the run as over at once, its entry let the next attempt start.

Evidence: stopped_run_that_is_not_listed_is_over_when_its_stop_has_taken_its_time failed before ('reported while it runs').

Change: a missing run is over only by a list that was asked for when the longest stop has passed, or by its listed end. A run whose start got no reply and that is to start again at the same endpoint is not waited for, since nothing shows that it has begun.

Waiting for the longest stop in that case too, or leaving out the list at once, makes quarantined_jobs_end_once_other_routes_need_less miss its time (two jobs still in progress, deterministic): tried and not kept.

run_numbers_are_not_used_again_after_a_restart let no time pass until the stopped run was reported; now the longest stop passes, and what it checks (the next run has another number) is the same.

--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -257,7 +257,7 @@
             }
             (Purpose::CheckStopped(task, run), EndpointReply::Held { running, ended, .. }) => {
                 self.handle_ends(&ended, earliest_end, now, out);
-                self.handle_stopped_check(&task, run, &running, now);
+                self.handle_stopped_check(&task, run, &running, sent, now);
             }
             (Purpose::Verify, EndpointReply::Held { ended, .. }) => {
                 self.handle_ends(&ended, earliest_end, now, out);
--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -286,6 +286,7 @@
             after_stop,
             resend_at,
             check_at: Time::MAX,
+            ends_by: Time::MAX,
         };
         let number = run.number;
         self.send_stop(task, number, now, out);
--- a/crates/fulmarpond-dispatch/src/agent/run.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run.rs
@@ -148,6 +148,19 @@
     pub(super) const fn is_suspected(&self) -> bool {
         self.watch_ms > 0 || self.is_quarantined
     }
+
+    /// Returns whether it is being stopped only to be started again here, as nothing shows that it has
+    /// begun.
+    pub(super) fn restarts_unstarted(&self) -> bool {
+        let is_restart = matches!(
+            self.phase,
+            Phase::Stopping {
+                after_stop: AfterStop::Restart,
+                ..
+            }
+        );
+        is_restart && !self.is_listed && self.reach != Reach::Confirmed
+    }
 }
 
 /// Whether the last start of a task has reached the endpoint.
@@ -183,6 +196,8 @@
         resend_at: Time,
         /// When to check again whether the run has ended; `Time::MAX` until the stop is confirmed.
         check_at: Time,
+        /// By when the endpoint has ended the run; `Time::MAX` until the stop is confirmed.
+        ends_by: Time,
     },
 }
 
--- a/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
+++ b/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
@@ -6,7 +6,7 @@
 use super::agent::{Agent, Purpose, StartCheck};
 use super::endpoint::Endpoint;
 use super::endpoint_calls::HOLD_TIMEOUT_MS;
-use super::run::{AfterStop, Phase, Progress, Reach};
+use super::run::{AfterStop, Phase, Progress, Reach, Run};
 use super::{Action, EndpointCall, EndpointReply, RunEntry, StartRefusal};
 use crate::{Outcome, TaskKey};
 
@@ -16,12 +16,13 @@
 
 impl Agent {
     pub(super) fn start_confirmed(&mut self, task: &TaskKey, run: u32, since: Time) {
-        if !self.is_starting(task, run) {
+        let is_sent = |known: &&mut Run| known.number == run && known.phase.uses_capacity();
+        let Some(known) = self.runs.get_mut(task).filter(is_sent) else {
             return;
-        }
-        if let Some(known) = self.runs.get_mut(task) {
+        };
+        known.reach = Reach::Confirmed;
+        if known.phase == Phase::Starting {
             known.phase = Phase::Running { since };
-            known.reach = Reach::Confirmed;
             known.progress = Progress::new(since);
             self.status_changed = true;
         }
@@ -175,6 +176,7 @@
         let Phase::Stopping {
             resend_at,
             check_at,
+            ends_by,
             ..
         } = &mut known.phase
         else {
@@ -184,10 +186,9 @@
             return;
         }
         *resend_at = Time::MAX;
-        // By then the endpoint has listed the end.
-        *check_at = now.after_millis(stop_ms);
+        *ends_by = now.after_millis(stop_ms);
+        *check_at = *ends_by;
         self.next_check = self.next_check.min(*check_at);
-        // A run that never started has no end to wait for, and is already missing from the list.
         self.check_stopped(task, run, now, out);
     }
 
@@ -221,13 +222,15 @@
         self.call_endpoint(purpose, call, HOLD_TIMEOUT_MS, now, out);
     }
 
-    /// Finishes a stopped run if the endpoint no longer lists it as running. If the list of ends is
-    /// cut off, the run may have been done before the stop, so its end is awaited.
+    /// Finishes a stopped run that a list, requested at `sent`, does not show as running. Until its stop
+    /// has taken its longest time, the endpoint may list neither the run nor its end. If the list of
+    /// ends is cut off, the run may have been done before the stop, so its end is awaited.
     pub(super) fn handle_stopped_check(
         &mut self,
         task: &TaskKey,
         run: u32,
         running: &[RunEntry],
+        sent: Time,
         now: Time,
     ) {
         if self.hides_ends() {
@@ -242,7 +245,13 @@
         if is_running || known.number != run {
             return;
         }
-        if let Phase::Stopping { after_stop, .. } = known.phase {
+        if let Phase::Stopping {
+            after_stop,
+            ends_by,
+            ..
+        } = known.phase
+            && (sent >= ends_by || known.restarts_unstarted())
+        {
             debug!(%task, run, "stopped run has ended");
             self.last_run_numbers.insert(task.clone(), (run, now));
             self.finish_stopped_run(task, after_stop);
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -166,6 +166,33 @@
     }
 }
 
+/// Guards against two runs of one task at a time: a stopped run that the endpoint listed no more was
+/// reported as over while its stop still took its time, and the next attempt of the job began.
+#[test]
+fn stopped_run_that_is_not_listed_is_over_when_its_stop_has_taken_its_time() {
+    for is_start_unanswered in [false, true] {
+        let mut host = Host::new();
+        host.order(KEPT_LINK, KEPT_JOB);
+        host.run_ms(500);
+        host.hides_starts = is_start_unanswered;
+        host.order(LOST_LINK, UNWANTED_JOB);
+        host.answer_calls();
+        host.stops = StopReply::Unlisted;
+        host.lose(Loss::StopWithReport);
+        while host.is_running(UNWANTED_JOB) {
+            assert_eq!(
+                host.reports,
+                [],
+                "reported while it runs, {is_start_unanswered}"
+            );
+            host.run_ms(1);
+        }
+        host.run_ms(100);
+        let aborted = (LOST_LINK, key(UNWANTED_JOB).job, Outcome::Aborted);
+        assert_eq!(host.reports, [aborted], "{is_start_unanswered}");
+    }
+}
+
 /// What becomes of a run while an order for its task from another entry waits.
 struct KnownTask {
     name: &'static str,
