fix(dispatch): stop a run whose start got an unexpected status before it is reported

An agent took each status but 200, 409, 421, 429 and 503 for "not carried out" and reported the task as `Unavailable` at once, so the entry placed it elsewhere. The protocol says so of 400, 429 and 503 only; with another status the start may have been carried out, and its run went on until the next list showed it as unknown.

A run that is being stopped already is no longer reported on such a reply either.

The case `Invalid` of `start_with_an_odd_reply_is_no_failed_run` stands unchanged; a case for the new reply is added there.

--- a/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_call.rs
@@ -153,8 +153,11 @@
     Unhealthy,
     /// Another incarnation of the endpoint replied at this address.
     OtherIncarnation,
-    /// The endpoint did not understand the call, or replied with an unexpected status.
+    /// The endpoint did not understand the call, and did not carry it out.
     Invalid,
+    /// The endpoint, or something before it, replied with an unexpected status. The call may have been
+    /// carried out.
+    Unexpected,
 }
 
 /// Why a call to an endpoint has no reply.
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_calls.rs
@@ -7,6 +7,7 @@
     Agent, PendingCall, Purpose, RESEND_DELAY_MS, START_STOP_TIMEOUT_MS, StartCheck,
 };
 use super::crashes::Notice;
+use super::run::AfterStop;
 use super::{Action, CallFailure, CallNo, EndEntry, EndpointCall, EndpointReply};
 use crate::{Outcome, Resources};
 
@@ -243,13 +244,19 @@
             }
             (Purpose::Start(task, run), reply) => {
                 if reply != EndpointReply::Unhealthy {
-                    warn!(%task, ?reply, "unexpected reply to a start");
+                    warn!(job = %task.job, %task, run, ?reply, "unexpected reply to a start");
                 }
                 if let Some(endpoint) = &mut self.endpoint {
                     endpoint.record_unhealthy(now);
                 }
                 self.health.record_failure();
-                self.finish_unstarted(&task, run, Outcome::Unavailable);
+                if reply != EndpointReply::Unexpected {
+                    self.finish_unstarted(&task, run, Outcome::Unavailable);
+                } else if self.is_starting(&task, run) {
+                    // The run may have started, and the entry places the task elsewhere.
+                    let after_stop = AfterStop::Report(Outcome::Unavailable);
+                    self.end_run(&task, after_stop, now, out);
+                }
                 self.return_queued_tasks(now);
             }
             (Purpose::Stop(task, run), EndpointReply::Done { .. }) => {
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
@@ -81,6 +81,8 @@
     pub(crate) reported_runs: Vec<u32>,
     /// Whether the endpoint carries out starts, but does not answer them.
     pub(crate) hides_starts: bool,
+    /// What the endpoint answers to starts that it carries out, if not that they are done.
+    pub(crate) start_reply: Option<EndpointReply>,
     sends_heartbeats: bool,
     /// Whether the endpoint has ended, so that connections are refused.
     pub(crate) has_ended: bool,
@@ -110,6 +112,7 @@
             reports: Vec::new(),
             reported_runs: Vec::new(),
             hides_starts: false,
+            start_reply: None,
             sends_heartbeats: true,
             has_ended: false,
             is_ready: false,
@@ -284,7 +287,8 @@
                 if self.hides_starts {
                     return Err(CallFailure::NoReply);
                 }
-                Ok(EndpointReply::Done { clock })
+                let done = EndpointReply::Done { clock };
+                Ok(self.start_reply.clone().unwrap_or(done))
             }
             EndpointCall::Stop { task, run, .. } => match self.stops {
                 StopReply::Done => {
--- a/crates/fulmarpond-dispatch/tests/ways_to_failed.rs
+++ b/crates/fulmarpond-dispatch/tests/ways_to_failed.rs
@@ -336,8 +336,8 @@
     outcome: Option<Outcome>,
 }
 
-/// Guards against a job that is shown as failed though no run of it has: an endpoint that answers a start
-/// with a status that the agent does not know has not run anything.
+/// Guards against a job that is shown as failed though no run of it has: an endpoint that refuses a start,
+/// or answers with a status that the agent does not know, has not failed to run the task.
 #[test]
 fn start_with_an_odd_reply_is_no_failed_run() {
     let cases = [
@@ -367,6 +367,11 @@
             reply: EndpointReply::Invalid,
             outcome: Some(Outcome::Unavailable),
         },
+        OddReply {
+            name: "a status that does not tell whether it has started",
+            reply: EndpointReply::Unexpected,
+            outcome: None,
+        },
     ];
     for case in cases {
         let mut host = Host::new();
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -264,6 +264,7 @@
             Ok(EndpointReply::Unhealthy) => "unhealthy",
             Ok(EndpointReply::OtherIncarnation) => "other_incarnation",
             Ok(EndpointReply::Invalid) => "invalid",
+            Ok(EndpointReply::Unexpected) => "unexpected",
             Err(_) => "unanswered",
         };
         self.runtime
