fix(dispatch): bound the stop of a run whose task another entry has ordered

An agent that gets an order for a task that it runs for another entry stops the run, and refuses the order when it has ended. From then on the run counted as one of the new entry. If the stop was not confirmed (no reply, 503, or carried out late), neither the loss of the earlier entry nor the stop that this one sends bounded the run: its lease was extended as long as any run at the endpoint was wanted, while the earlier entry placed the task again 1,299 ms after it had lost the link, or its caller sent the job again after 1,300 ms.

Now the run must be over by the time that counts from what the agent has last heard of the earlier entry, as after the loss of its link.

--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -91,7 +91,8 @@
 
     /// Refuses the order of a task that is known here, for another entry or an earlier attempt. The
     /// entry places the task elsewhere once it hears of the refusal, so it does so only when the known
-    /// run has ended.
+    /// run has ended. Its earlier entry is told nothing, so it may place the task again as after the loss
+    /// of its link: the run must be over by then.
     fn refuse_known_task(
         &mut self,
         link: LinkNo,
@@ -103,13 +104,17 @@
             return;
         };
         info!(job = %task.job, %task, run = run.number, phase = run.phase.as_str(), "task refused, it is known");
-        run.link = link;
+        let earlier = std::mem::replace(&mut run.link, link);
         run.orphaned_until = None;
         if let Phase::Stopping { after_stop, .. } = &mut run.phase {
             *after_stop = AfterStop::Refuse;
         } else {
             self.end_run(task, AfterStop::Refuse, now, out);
         }
+        if let Some(peer) = self.links.established.get(&earlier) {
+            let heard = self.last_heard(peer);
+            self.bound_unwanted_run(task, heard);
+        }
     }
 
     /// Returns the tasks of an order that are still queued, where tasks must not wait: the other
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -1,6 +1,7 @@
 //! Runs that their entry no longer wants, at an endpoint that does not confirm their stops.
 
 mod host;
+mod known_tasks;
 mod starts;
 
 use fulmarpond_dispatch::{LinkNo, Order, Outcome};
