fix(dispatch): end unwanted runs before an entry places their tasks again

What callers saw: nothing, with the settings of all deployments (resend 1,300, leases of 1,000 at most). The agent bounds a run whose stop is not confirmed by the resend of its caller only. The entry that has lost the agent places the task again when its leases have expired, which comes earlier than the resend where this is long or leases are short.

The bound stays 1,240 ms for a resend of 1,300 and leases of 1,000.

--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -112,9 +112,16 @@
     }
 
     /// Returns the time after an agent last heard from an entry by which a run that the entry no
-    /// longer wants must be over: its caller may have been lost since, and sends the job again.
-    pub(crate) const fn unwanted_ms(&self) -> u64 {
-        self.resend_ms.saturating_sub(Self::MARGIN_MS)
+    /// longer wants must be over: its caller may have been lost since, and sends the job again, or the
+    /// entry, which has lost the agent, places the task again.
+    pub const fn unwanted_ms(&self) -> u64 {
+        let before_resend = self.resend_ms.saturating_sub(Self::MARGIN_MS);
+        let before_retry = self.orphan_ms() - Self::MARGIN_MS / 2;
+        if before_resend < before_retry {
+            before_resend
+        } else {
+            before_retry
+        }
     }
 
     /// How long an orphaned long-running task waits for the next owner of its job, in milliseconds.
--- a/crates/fulmarpond-dispatch/tests/lease_times.rs
+++ b/crates/fulmarpond-dispatch/tests/lease_times.rs
@@ -69,6 +69,29 @@
     }
 }
 
+/// Guards against two runs of one task at a time: an entry places a lost task again when the leases of its
+/// agent have expired, while a run whose stop was not confirmed might last until the caller's resend.
+#[test]
+fn unwanted_runs_are_over_before_lost_tasks_are_placed_again() {
+    for resend_ms in [700, 1_300, 2_000, 3_000, 10_000] {
+        for hold_max_ms in [300, 1_000, 3_000] {
+            let lease_times = LeaseTimes::new(resend_ms, hold_max_ms, 50);
+            let lease_times = lease_times.expect("valid lease times");
+            let unwanted_ms = lease_times.unwanted_ms();
+            let names = format!("resend after {resend_ms} ms, leases of {hold_max_ms} ms at most");
+            assert!(unwanted_ms < resend_ms, "{names}");
+            assert!(
+                unwanted_ms < lease_times.orphan_ms(),
+                "{names}: over after {unwanted_ms} ms, placed again after {} ms",
+                lease_times.orphan_ms()
+            );
+            // The last lease that the agent has extended before it has lost the entry.
+            let last_ms = lease_times.link_ms + lease_times.lease_expiry_ms();
+            assert!(unwanted_ms >= last_ms, "{names}: lasts {last_ms} ms");
+        }
+    }
+}
+
 /// Guards against an unnoticed overlap of attempts: leases of the minimum length expire in time only from
 /// a certain resend time on.
 #[test]
