fix(dispatch): wait for late reports of a stopped attempt

What callers saw: nothing was traced to this. An entry took a stopped attempt for over 1,299 ms after its stop, when the leases of its runs have expired, whether its agents had reported their ends or not. An agent whose endpoint does not confirm a stop reports it 1,240 to 1,290 ms after it was last heard from, and the link may take some time. If the caller had sent the job again to the same entry, and the task was at the same agent again, the late report was taken for the end of the present run: the entry placed the task once more while the run went on.

Now the attempt waits until the report has come or the link that owes it must be closed (1,882 ms). That is longer only where a stop was not confirmed and the report is late as well.

Before, `late_report_of_an_earlier_attempt_does_not_end_the_next_run` failed: "report after 1310 ms", 3 starts instead of 2.

--- a/crates/fulmarpond-dispatch/src/entry/attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempts.rs
@@ -21,7 +21,8 @@
     runs: BTreeSet<(LinkNo, u16, u16)>,
     /// When the runs at lost agents are over.
     lost_until: Time,
-    /// When it is over in any case, as agents let the lease of a run expire whose stop fails.
+    /// When it is over in any case: agents let the lease of a run expire whose stop fails, and no report of
+    /// its end can come any more.
     over_by: Time,
 }
 
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -324,7 +324,7 @@
         let job = self.remove_job(id)?;
         let is_attempt = job.state.is_none();
         if is_attempt {
-            let over_by = now.after_millis(self.options.lease_times.orphan_ms());
+            let over_by = now.after_millis(self.options.lease_times.report_ms());
             self.attempts.begin_ending(&job, over_by, now);
         }
         for link in job.links() {
--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -153,6 +153,13 @@
         self.orphan_ms()
     }
 
+    /// Returns the time after a stop by which the entry has the reports of all ends, or has lost the links
+    /// of the agents that owe one, in milliseconds. A report that came later would be taken for that of a
+    /// later run.
+    pub(crate) const fn report_ms(&self) -> u64 {
+        self.orphan_ms() + self.link_ms + Self::MARGIN_MS
+    }
+
     /// Returns how long the attempts of a lost entry are held if it is alive and can't be reached, in
     /// milliseconds: it ends them when they are no longer known, and its agents may lose it meanwhile.
     pub const fn unreachable_ms(&self) -> u64 {
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -305,6 +305,52 @@
     assert_eq!(pair.starts(0), 2);
 }
 
+/// Guards against two runs at a time when the report of the first attempt comes late: the entry had sent
+/// the task to the same agent again, took the report for the end of that run, and placed the task once more.
+#[test]
+fn late_report_of_an_earlier_attempt_does_not_end_the_next_run() {
+    // The agent waits for the end of a lease, and its report for the link. By the last time the link has
+    // delivered it or is closed.
+    for report_ms in [1_290, 1_310, 1_500, 1_800] {
+        let mut pair = Pair::new();
+        pair.submit(0, 1, 0);
+        pair.run_ms(100);
+        pair.with(0, |entry, now, out| {
+            entry.handle_caller_disconnect(RequestNo(1), now, out);
+        });
+        let mut next = Some(RESEND_MS);
+        for elapsed in (0..report_ms).step_by(10) {
+            if next.is_some_and(|at| elapsed >= at) {
+                pair.submit(0, 2, 0);
+                next = None;
+            }
+            pair.run_ms(10);
+        }
+        pair.end_run(0, Outcome::Aborted);
+        if next.is_some() {
+            pair.run_ms(10);
+            pair.submit(0, 2, 0);
+        }
+        pair.run_ms(50);
+        assert_eq!(pair.starts(0), 2, "report after {report_ms} ms");
+    }
+}
+
+/// Guards against a job that never runs since the report of its first attempt never comes.
+#[test]
+fn attempt_at_the_same_entry_starts_without_a_report_in_the_end() {
+    let mut pair = Pair::new();
+    pair.submit(0, 1, 0);
+    pair.run_ms(100);
+    pair.with(0, |entry, now, out| {
+        entry.handle_caller_disconnect(RequestNo(1), now, out);
+    });
+    pair.run_ms(RESEND_MS);
+    pair.submit(0, 2, 0);
+    pair.run_ms(650);
+    assert_eq!(pair.starts(0), 2);
+}
+
 /// Guards against two runs at a time when the entry of the first attempt is lost: its runs go on
 /// until their leases have expired. Guards as well against a second attempt that waits longer.
 #[test]
