test(dispatch): lost links and stops that something else overtakes

- An entry that comes back over a new link before a stop is confirmed hears of the refusal of the same task when the run has ended, in time for the resend.
- An entry that has lost the link of a run sends the task again when the leases have expired and no earlier, also if the agent is back and reports an end over the new link, or if the caller leaves and sends the job again at once.

--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -1,5 +1,6 @@
 //! Runs that their entry no longer wants, at an endpoint that does not confirm their stops.
 
+mod ends;
 mod host;
 mod known_tasks;
 mod starts;
