fix(dispatch): list long-running runs that are being stopped as orphaned

What callers saw: nothing was traced to this. An agent that has lost an entry lists the long-running runs that wait for an owner. The entry takes a task that is not listed for one whose run is over, and starts it again at once. A run that was being stopped when the link was lost (it is moved, or its step is stopped) was not listed, though it goes on until its stop is confirmed.

Now it is listed until its end is known, and the entry that adopts it gets the report of its end.

Before, `long_run_that_is_being_stopped_is_listed_as_orphaned_until_it_has_ended` failed: "Stop, adopted false, left: [], right: [TaskKey ...]".

--- a/crates/fulmarpond-dispatch/src/agent/orphaned_runs.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orphaned_runs.rs
@@ -31,14 +31,18 @@
     }
 
     /// Marks a long-running task at the endpoint as orphaned; returns whether it was one.
+    ///
+    /// One that is being stopped is orphaned too: entries start again what is not listed.
     fn mark_orphaned(&mut self, task: &TaskKey, now: Time) -> bool {
         let Some(run) = self.runs.get_mut(task) else {
             return false;
         };
-        let is_at_endpoint = matches!(run.phase, Phase::Starting | Phase::Running { .. });
-        if !run.is_long_running || !is_at_endpoint {
+        if !run.is_long_running || run.phase == Phase::Queued {
             return false;
         }
+        if let Phase::Stopping { after_stop, .. } = &mut run.phase {
+            *after_stop = AfterStop::Discard;
+        }
         info!(%task, run = run.number, wait_ms = LeaseTimes::ADOPTION_MS, "run waits for an owner");
         run.orphaned_until = Some(now.after_millis(LeaseTimes::ADOPTION_MS));
         true
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
@@ -83,6 +83,8 @@
     pub(crate) hides_starts: bool,
     /// What the endpoint answers to starts that it carries out, if not that they are done.
     pub(crate) start_reply: Option<EndpointReply>,
+    /// The tasks in the last list of orphaned runs.
+    pub(crate) orphaned: Vec<TaskKey>,
     sends_heartbeats: bool,
     /// Whether the endpoint has ended, so that connections are refused.
     pub(crate) has_ended: bool,
@@ -113,6 +115,7 @@
             reported_runs: Vec::new(),
             hides_starts: false,
             start_reply: None,
+            orphaned: Vec::new(),
             sends_heartbeats: true,
             has_ended: false,
             is_ready: false,
@@ -144,6 +147,10 @@
                     frame: AgentFrame::Status { load, .. },
                     ..
                 } => self.is_ready = load.ready,
+                Action::Send {
+                    frame: AgentFrame::Orphaned(tasks),
+                    ..
+                } => self.orphaned = tasks,
                 Action::Send {
                     link,
                     frame: AgentFrame::Ended(ends),
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -3,6 +3,7 @@
 mod ends;
 mod host;
 mod known_tasks;
+mod long_running;
 mod starts;
 
 use fulmarpond_dispatch::{LinkNo, Order, Outcome};
