--- a/crates/fulmarpond-dispatch/tests/lost_links.rs
+++ b/crates/fulmarpond-dispatch/tests/lost_links.rs
@@ -115,7 +115,7 @@
                 };
                 self.act(|entry, now, out| entry.handle_frame(link, status, now, out));
             }
-            self.act(|entry, now, out| entry.tick(now, out));
+            self.act(Entry::tick);
         }
     }
 
