fix(dispatch): bound the stop of an orphaned long-running run

What callers saw: nothing was traced to this. A long-running run whose entry is lost waits 3 s for an owner, and is stopped then. The entry starts its task again 4,299 ms after the last status of the agent. If the stop was not confirmed (no reply, 503, or carried out late), the run lived on as long as any other run at the endpoint was wanted. An agent that noticed the loss late counted the 3 s from then.

Now the run must be over 746 ms after the time for its adoption (a lease and a stop), and that time counts from what was last heard of the entry.

Before, `orphaned_run_is_over_before_its_task_is_started_again` failed in all twelve cases: "Late, Reset, paused for 0 ms: runs after 4299 ms" and so on.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -323,8 +323,8 @@
             runs = tasks.len(),
             "link to entry lost"
         );
-        self.end_or_mark_orphaned(&tasks, now, out);
         let heard = self.last_heard(&closed);
+        self.end_or_mark_orphaned(&tasks, heard, now, out);
         for task in &tasks {
             self.bound_unwanted_run(task, heard);
         }
--- a/crates/fulmarpond-dispatch/src/agent/orphaned_runs.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orphaned_runs.rs
@@ -13,16 +13,20 @@
 const REPORT_INTERVAL_MS: u64 = 250;
 
 impl Agent {
-    /// Ends the tasks of an entry that was lost or has released them. Long-running tasks at the
-    /// endpoint become orphaned instead.
+    /// Ends the tasks of an entry that was lost or has released them, and was last heard from at `heard`.
+    /// Long-running tasks at the endpoint become orphaned instead.
     pub(super) fn end_or_mark_orphaned(
         &mut self,
         tasks: &[TaskKey],
+        heard: Time,
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        // The loss may be noticed late, and the entry counts from the last status that it has got.
+        let lost_at = now.min(heard.after_millis(self.options.lease_times.link_ms));
+        let until = lost_at.after_millis(LeaseTimes::ADOPTION_MS);
         for task in tasks {
-            if self.mark_orphaned(task, now) {
+            if self.mark_orphaned(task, until) {
                 self.next_orphan_report = now;
             } else {
                 self.end_run(task, AfterStop::Discard, now, out);
@@ -33,7 +37,7 @@
     /// Marks a long-running task at the endpoint as orphaned; returns whether it was one.
     ///
     /// One that is being stopped is orphaned too: entries start again what is not listed.
-    fn mark_orphaned(&mut self, task: &TaskKey, now: Time) -> bool {
+    fn mark_orphaned(&mut self, task: &TaskKey, until: Time) -> bool {
         let Some(run) = self.runs.get_mut(task) else {
             return false;
         };
@@ -44,7 +48,7 @@
             *after_stop = AfterStop::Discard;
         }
         info!(%task, run = run.number, wait_ms = LeaseTimes::ADOPTION_MS, "run waits for an owner");
-        run.orphaned_until = Some(now.after_millis(LeaseTimes::ADOPTION_MS));
+        run.orphaned_until = Some(until);
         true
     }
 
@@ -56,14 +60,15 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        let Some(peer) = self.links.established.get(&link) else {
+            return;
+        };
+        let heard = self.last_heard(peer);
         let mut tasks = self.owned_tasks(link);
         tasks.retain(|task| task.job == *job);
-        self.end_or_mark_orphaned(&tasks, now, out);
-        if let Some(peer) = self.links.established.get(&link) {
-            let heard = self.last_heard(peer);
-            for task in &tasks {
-                self.bound_unwanted_run(task, heard);
-            }
+        self.end_or_mark_orphaned(&tasks, heard, now, out);
+        for task in &tasks {
+            self.bound_unwanted_run(task, heard);
         }
         self.start_queued_tasks(now, out);
         self.send_reports(out);
@@ -118,11 +123,11 @@
         let expired = self.runs.iter().filter(|(_, run)| is_expired(run));
         let expired: Vec<TaskKey> = expired.map(|(task, _)| task.clone()).collect();
         for task in expired {
-            if matches!(self.runs[&task].phase, Phase::Stopping { .. }) {
-                continue;
+            if !matches!(self.runs[&task].phase, Phase::Stopping { .. }) {
+                warn!(%task, "no entry has claimed a run, stopping it");
+                self.end_run(&task, AfterStop::Discard, now, out);
             }
-            warn!(%task, "no entry has claimed a run, stopping it");
-            self.end_run(&task, AfterStop::Discard, now, out);
+            self.bound_orphaned_run(&task);
         }
         let has_orphaned = self.runs.values().any(|run| run.orphaned_until.is_some());
         if has_orphaned && now >= self.next_orphan_report {
--- a/crates/fulmarpond-dispatch/src/agent/run_lease.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run_lease.rs
@@ -4,8 +4,8 @@
 //! get no reply, or be refused by an unhealthy endpoint. The lease must not keep such a run alive
 //! beyond the time at which the caller of its job may send the job again, so it is extended only up
 //! to that time until the run is over. So it is for the runs of durable jobs whose owner is lost or
-//! has released them: they are placed again later than that. Long-running tasks are kept apart by the
-//! time for their adoption.
+//! has released them: they are placed again later than that. Long-running tasks wait for their adoption
+//! first, and must be over before the entry that has lost them starts them again.
 
 use fulmarpond_core::Time;
 use tracing::warn;
@@ -46,12 +46,28 @@
     /// Bounds a run that is being stopped because its entry, which was last heard from at `heard`,
     /// is lost or no longer wants it.
     pub(super) fn bound_unwanted_run(&mut self, task: &TaskKey, heard: Time) {
-        let over_by = heard.after_millis(self.options.lease_times.unwanted_ms());
+        if self.runs.get(task).is_some_and(|run| !run.is_long_running) {
+            let over_by = heard.after_millis(self.options.lease_times.unwanted_ms());
+            self.bound_stopping_run(task, over_by);
+        }
+    }
+
+    /// Bounds an orphaned run that is being stopped since no entry has adopted it in time.
+    pub(super) fn bound_orphaned_run(&mut self, task: &TaskKey) {
+        let lease_times = self.options.lease_times;
+        let stop_ms = lease_times.lease_expiry_ms() + lease_times.stop_ms;
+        if let Some(until) = self.runs.get(task).and_then(|run| run.orphaned_until) {
+            self.bound_stopping_run(task, until.after_millis(stop_ms));
+        }
+    }
+
+    /// Sets the time by which a run that is being stopped must be over, unless it has an earlier one.
+    fn bound_stopping_run(&mut self, task: &TaskKey, over_by: Time) {
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
         let is_stopping = matches!(run.phase, Phase::Stopping { .. });
-        if !is_stopping || run.is_long_running || run.over_by <= over_by {
+        if !is_stopping || run.over_by <= over_by {
             return;
         }
         self.unwanted_runs.remove(&(run.over_by, task.clone()));
