--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/ends.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/ends.rs
@@ -1,5 +1,6 @@
 //! What is reported of a run that is being stopped when something else happens to its task.
 
+use fulmarpond_dispatch::agent::Agent;
 use fulmarpond_dispatch::evacuation::Evacuations;
 use fulmarpond_dispatch::{EntryFrame, LinkNo, Outcome};
 
@@ -67,8 +68,8 @@
                 host.lose(Loss::Reset);
             }
             Self::OrderByOther => host.order(KEPT_LINK, UNWANTED_JOB),
-            Self::Shutdown => host.act(|agent, now, out| agent.stop(now, out)),
-            Self::ShutdownOfRuns => host.act(|agent, now, out| agent.stop_runs(now, out)),
+            Self::Shutdown => host.act(Agent::stop),
+            Self::ShutdownOfRuns => host.act(Agent::stop_runs),
             Self::Drain => host.act(|agent, now, out| {
                 agent.handle_frame(KEPT_LINK, EntryFrame::Drain, now, out);
             }),
