--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -112,9 +112,16 @@
     }
 
     /// Returns the time after an agent last heard from an entry by which a run that the entry no
-    /// longer wants must be over: its caller may have been lost since, and sends the job again.
-    pub(crate) const fn unwanted_ms(&self) -> u64 {
-        self.resend_ms.saturating_sub(Self::MARGIN_MS)
+    /// longer wants must be over: its caller may have been lost since, and sends the job again, or the
+    /// entry, which has lost the agent, places the task again.
+    pub const fn unwanted_ms(&self) -> u64 {
+        let before_resend = self.resend_ms.saturating_sub(Self::MARGIN_MS);
+        let before_retry = self.orphan_ms() - Self::MARGIN_MS / 2;
+        if before_resend < before_retry {
+            before_resend
+        } else {
+            before_retry
+        }
     }
 
     /// How long an orphaned long-running task waits for the next owner of its job, in milliseconds.
@@ -146,6 +153,13 @@
         self.orphan_ms()
     }
 
+    /// Returns the time after a stop by which the entry has the reports of all ends, or has lost the links
+    /// of the agents that owe one, in milliseconds. A report that came later would be taken for that of a
+    /// later run.
+    pub(crate) const fn report_ms(&self) -> u64 {
+        self.orphan_ms() + self.link_ms + Self::MARGIN_MS
+    }
+
     /// Returns how long the attempts of a lost entry are held if it is alive and can't be reached, in
     /// milliseconds: it ends them when they are no longer known, and its agents may lose it meanwhile.
     pub const fn unreachable_ms(&self) -> u64 {
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/host.rs
@@ -88,6 +88,10 @@
     pub(crate) reported_runs: Vec<u32>,
     /// Whether the endpoint carries out starts, but does not answer them.
     pub(crate) hides_starts: bool,
+    /// What the endpoint answers to starts that it carries out, if not that they are done.
+    pub(crate) start_reply: Option<EndpointReply>,
+    /// The tasks in the last list of orphaned runs.
+    pub(crate) orphaned: Vec<TaskKey>,
     sends_heartbeats: bool,
     /// Whether the endpoint has ended, so that connections are refused.
     pub(crate) has_ended: bool,
@@ -117,6 +121,8 @@
             reports: Vec::new(),
             reported_runs: Vec::new(),
             hides_starts: false,
+            start_reply: None,
+            orphaned: Vec::new(),
             sends_heartbeats: true,
             has_ended: false,
             is_ready: false,
@@ -148,6 +154,10 @@
                     frame: AgentFrame::Status { load, .. },
                     ..
                 } => self.is_ready = load.ready,
+                Action::Send {
+                    frame: AgentFrame::Orphaned(tasks),
+                    ..
+                } => self.orphaned = tasks,
                 Action::Send {
                     link,
                     frame: AgentFrame::Ended(ends),
@@ -299,7 +309,8 @@
                 if self.hides_starts {
                     return Err(CallFailure::NoReply);
                 }
-                Ok(EndpointReply::Done { clock })
+                let done = EndpointReply::Done { clock };
+                Ok(self.start_reply.clone().unwrap_or(done))
             }
             EndpointCall::Stop { task, run, .. } => match self.stops {
                 StopReply::Done => {
--- a/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
+++ b/crates/fulmarpond-dispatch/tests/unwanted_runs/main.rs
@@ -1,6 +1,10 @@
 //! Runs that their entry no longer wants, at an endpoint that does not confirm their stops.
 
+mod ends;
 mod host;
+mod known_tasks;
+mod long_running;
+mod starts;
 
 use fulmarpond_dispatch::{LinkNo, Order, Outcome};
 
