fix(dispatch): two attempts that began within the time of a message end up as one

Cause: an entry ends the attempt of another one if its own is younger than the listed age. A list grows old while it is under way, so of two attempts that began within the time of a message each looks like the older one to its own entry (and two of equal age do without any delay). Neither was ended: both went on for good.

If both lists cross, both attempts may end, and the caller sends the job again.

--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -225,6 +225,10 @@
     }
 
     /// Requests the end of the attempt of another entry if this entry has a later one.
+    ///
+    /// While a list is under way its attempts grow older, so of two that began within the time of a message
+    /// each looks like the earlier one to its own entry. Of such attempts that of the entry whose name comes
+    /// first goes on.
     fn claim_from(&self, link: LinkNo, listed: &ListedAttempt, now: Time, out: &mut Vec<Action>) {
         let job = self.jobs.get(&listed.job);
         let running = job.filter(|job| job.state.is_none());
@@ -232,7 +236,18 @@
         let own = running
             .map(|job| job.sent_after)
             .or_else(|| held.map(|held| held.sent_after));
-        if own.is_some_and(|sent_after| now.millis_since(sent_after) < u64::from(listed.age_ms)) {
+        let is_first = *self.options.name < *self.peers.name(link);
+        let tie_ms = if is_first {
+            self.options.lease_times.tie_ms()
+        } else {
+            0
+        };
+        let is_later = |sent_after: Time| {
+            let age_ms = now.millis_since(sent_after);
+            let listed_ms = u64::from(listed.age_ms);
+            age_ms < listed_ms + tie_ms
+        };
+        if own.is_some_and(is_later) {
             let request = PeerFrame::Yield {
                 job: listed.job.clone(),
                 has_started: running.is_some(),
--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -133,6 +133,12 @@
         self.resend_ms * 3 / 20
     }
 
+    /// Returns by how much the ages of two attempts may differ if a list tells one of them and a message
+    /// takes long: the order in which they began can't be told from the ages, in milliseconds.
+    pub const fn tie_ms(&self) -> u64 {
+        Self::MARGIN_MS
+    }
+
     /// Returns the age by which an attempt ends unless all other entries know of it, in milliseconds:
     /// its runs are over before its caller may send it again.
     pub const fn unshared_ms(&self) -> u64 {
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -36,6 +36,10 @@
     now: Time,
     entries: [Entry; 2],
     is_linked: bool,
+    /// How long frames between the entries are under way, in milliseconds.
+    delay_ms: u64,
+    /// The frames that are under way: when they arrive, who has sent them, and what.
+    under_way: VecDeque<(Time, usize, Action)>,
     orders: [Vec<EntryFrame>; 2],
     answers: [Vec<(RequestNo, Answer)>; 2],
 }
@@ -47,6 +51,8 @@
             now,
             entries: [entry("entry-0", now), entry("entry-1", now)],
             is_linked: true,
+            delay_ms: 0,
+            under_way: VecDeque::new(),
             orders: [Vec::new(), Vec::new()],
             answers: [Vec::new(), Vec::new()],
         };
@@ -70,14 +76,36 @@
     fn with(&mut self, number: usize, act: impl FnOnce(&mut Entry, Time, &mut Vec<Action>)) {
         let mut out = Vec::new();
         act(&mut self.entries[number], self.now, &mut out);
-        let mut queue: VecDeque<(usize, Action)> =
-            out.into_iter().map(|action| (number, action)).collect();
+        self.carry_out_all(out.into_iter().map(|action| (number, action)).collect());
+    }
+
+    fn carry_out_all(&mut self, mut queue: VecDeque<(usize, Action)>) {
         while let Some((from, action)) = queue.pop_front() {
+            let is_frame = matches!(
+                action,
+                Action::SendToEntry { .. } | Action::Send { link: PEER, .. }
+            );
+            if is_frame && self.delay_ms > 0 {
+                let arrival = self.now.after_millis(self.delay_ms);
+                self.under_way.push_back((arrival, from, action));
+                continue;
+            }
             let more = self.carry_out(from, action);
             queue.extend(more);
         }
     }
 
+    /// Hands over the frames between the entries that have arrived.
+    fn deliver_due(&mut self) {
+        while let Some((arrival, ..)) = self.under_way.front()
+            && *arrival <= self.now
+            && let Some((_, from, action)) = self.under_way.pop_front()
+        {
+            let more = self.carry_out(from, action);
+            self.carry_out_all(more.into());
+        }
+    }
+
     fn carry_out(&mut self, from: usize, action: Action) -> Vec<(usize, Action)> {
         let other = 1 - from;
         let now = self.now;
@@ -113,6 +141,7 @@
     fn run_ms(&mut self, millis: u64) {
         for _ in 0..millis / 10 {
             self.now = self.now.after_millis(10);
+            self.deliver_due();
             for number in 0..2 {
                 self.with(number, |entry, now, out| {
                     entry.handle_frame(AGENT, status(), now, out);
@@ -517,3 +546,71 @@
     pair.end_run(0, Outcome::Aborted);
     assert_eq!(pair.starts(1), 1);
 }
+
+struct CloseCase {
+    name: &'static str,
+    /// How long frames between the entries are under way, in milliseconds.
+    delay_ms: u64,
+    /// When the second entry reads its attempt, in milliseconds after the first one.
+    apart_ms: u64,
+    first: usize,
+}
+
+/// Guards against two attempts that go on for good, since each entry finds its own the older one: a list
+/// is under way for longer than the attempts are apart. Both may end if their lists cross.
+#[test]
+fn attempts_within_the_time_of_a_message_end_up_as_one() {
+    let cases = [
+        CloseCase {
+            name: "at one moment",
+            delay_ms: 10,
+            apart_ms: 0,
+            first: 0,
+        },
+        CloseCase {
+            name: "no delay",
+            delay_ms: 0,
+            apart_ms: 0,
+            first: 0,
+        },
+        CloseCase {
+            name: "first entry before the second",
+            delay_ms: 20,
+            apart_ms: 10,
+            first: 0,
+        },
+        CloseCase {
+            name: "second entry before the first",
+            delay_ms: 20,
+            apart_ms: 10,
+            first: 1,
+        },
+        CloseCase {
+            name: "further apart than a message takes",
+            delay_ms: 10,
+            apart_ms: 50,
+            first: 0,
+        },
+        CloseCase {
+            name: "the same, the other way round",
+            delay_ms: 10,
+            apart_ms: 50,
+            first: 1,
+        },
+    ];
+    let mut failed = Vec::new();
+    for case in cases {
+        let mut pair = Pair::new();
+        pair.delay_ms = case.delay_ms;
+        pair.submit(case.first, 1, 0);
+        pair.run_ms(case.apart_ms);
+        pair.submit(1 - case.first, 2, 0);
+        pair.run_ms(1_000);
+        let stops = [pair.reported_stops(0), pair.reported_stops(1)];
+        let answers = [pair.answers[0].len(), pair.answers[1].len()];
+        if stops == [0, 0] || answers != stops {
+            failed.push(format!("{}: stops {stops:?}, answers {answers:?}", case.name));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
