fix(dispatch): a new entry awaits the entries that its first agent names

Cause: agents name the entries that they are linked to up to 50 ms after a link opens. A new process whose store announces no other entry (it is down, or the announcement has lapsed) was settled before that: in between it started jobs of which another entry had an attempt, and no list was awaited afterwards.

Change: a new process is not settled before its first agent has named its entries, for 120 ms at most (an agent of an earlier version names none), and then awaits their lists as it does those of announced ones.

--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -135,6 +135,7 @@
                 info!(agent = name, zone, "link to agent established");
                 let is_evacuated = self.evacuations.contains(&zone);
                 self.fleet.add_agent(link, name, zone, version, now);
+                self.peers.await_naming(self.settle_latest(now), now);
                 if let Some(view) = self.fleet.views.get_mut(&link) {
                     view.is_evacuated = is_evacuated;
                 }
--- a/crates/fulmarpond-dispatch/src/entry/peers.rs
+++ b/crates/fulmarpond-dispatch/src/entry/peers.rs
@@ -20,6 +20,21 @@
 /// How long a new process waits for the list of announced entries, in milliseconds.
 const LISTING_TIMEOUT_MS: u64 = 700;
 
+/// How long a new process waits for its first agent to name the entries that it is linked to, in
+/// milliseconds. Agents look for changes of them every 50 ms.
+const NAMING_TIMEOUT_MS: u64 = 120;
+
+/// Whether the agents of a new process have named the other entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Naming {
+    /// It has had no agent, so it can start nothing.
+    NoAgent,
+    /// Its first agent has been linked and is to name them by this time.
+    Awaited(Time),
+    /// They are known, or the process is not a new one.
+    Known,
+}
+
 /// A link to another entry.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -58,6 +73,7 @@
     awaited: BTreeSet<String>,
     /// Whether this is a new process that does not know the announced entries yet.
     awaits_listing: bool,
+    naming: Naming,
     /// When the awaited lists are no longer waited for, unless agents name their entries.
     settle_by: Time,
     /// When no list is waited for any longer.
@@ -76,6 +92,7 @@
             established: BTreeMap::new(),
             awaited: BTreeSet::new(),
             awaits_listing: false,
+            naming: Naming::Known,
             settle_by: now,
             settle_latest: now,
             next_list: now,
@@ -86,6 +103,7 @@
     /// agents name an entry that can't be reached.
     pub(super) const fn await_listing(&mut self, latest: Time, now: Time) {
         self.awaits_listing = true;
+        self.naming = Naming::NoAgent;
         self.settle_by = now.after_millis(LISTING_TIMEOUT_MS);
         self.settle_latest = latest;
     }
@@ -102,6 +120,15 @@
         }
     }
 
+    /// Makes a new process that has got its first agent wait until that has named the other entries, and
+    /// then for their lists, until `latest` at most.
+    pub(super) fn await_naming(&mut self, latest: Time, now: Time) {
+        if self.naming == Naming::NoAgent {
+            self.naming = Naming::Awaited(now.after_millis(NAMING_TIMEOUT_MS));
+            self.settle_latest = self.settle_latest.max(latest);
+        }
+    }
+
     /// Sets the entries that agents name, which need not be announced.
     pub(super) fn set_linked(&mut self, entries: &BTreeMap<String, SocketAddr>, now: Time) {
         let entries = entries.iter().map(|(name, &addr)| (name, addr));
@@ -110,6 +137,7 @@
         if !self.is_settled(now) {
             self.await_lists(self.linked.keys().cloned().collect());
         }
+        self.naming = Naming::Known;
     }
 
     fn without_own<'a>(
@@ -150,6 +178,11 @@
 
     /// Returns whether the lists of all other entries are known, as far as they can be.
     pub(super) fn is_settled(&self, now: Time) -> bool {
+        if let Naming::Awaited(until) = self.naming
+            && now < until
+        {
+            return false;
+        }
         let is_complete = !self.awaits_listing && self.awaited.is_empty();
         let awaits_live = || {
             self.awaited
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -614,3 +614,57 @@
     }
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Guards against a new process that starts a job before its first agent has named the other entries,
+/// which the store does not announce: one of them has an earlier attempt.
+#[test]
+fn new_entry_starts_nothing_before_its_agent_has_named_the_others() {
+    let mut pair = Pair::new();
+    pair.submit(0, 1, 0);
+    pair.run_ms(RESEND_MS);
+    pair.is_linked = false;
+    pair.with(0, |entry, now, out| entry.link_down(PEER, now, out));
+    let now = pair.now;
+    pair.entries[1] = entry("entry-1", now);
+    pair.with(1, |entry, now, out| {
+        entry.await_entries(now);
+        entry.configure(Configuration::new(1, vec![route()], None), now, out);
+        entry.set_entries(&announced()[1..], now, out);
+        link_agent(entry, now, out);
+    });
+    pair.submit(1, 2, 0);
+    pair.run_ms(20);
+    assert_eq!(pair.starts(1), 0, "no agent has named the other entries");
+    pair.name_entries(1, &["entry-0", "entry-1"]);
+    pair.is_linked = true;
+    pair.run_ms(100);
+    assert_eq!(pair.starts(1), 0, "the earlier attempt is not over");
+    pair.end_run(0, Outcome::Aborted);
+    assert_eq!(pair.starts(1), 1);
+}
+
+/// Guards against a new process that waits for long although its agent names no other entry, or does not
+/// tell of entries at all.
+#[test]
+fn new_entry_that_is_alone_starts_at_once() {
+    for (names, limit_ms) in [(&["entry-1"][..], 100), (&[], 800)] {
+        let mut pair = Pair::new();
+        pair.is_linked = false;
+        pair.with(0, |entry, now, out| entry.link_down(PEER, now, out));
+        let now = pair.now;
+        pair.entries[1] = entry("entry-1", now);
+        pair.with(1, |entry, now, out| {
+            entry.await_entries(now);
+            entry.configure(Configuration::new(1, vec![route()], None), now, out);
+            entry.set_entries(&announced()[1..], now, out);
+            link_agent(entry, now, out);
+        });
+        pair.submit(1, 2, 0);
+        pair.run_ms(50);
+        if !names.is_empty() {
+            pair.name_entries(1, names);
+        }
+        pair.run_ms(limit_ms - 50);
+        assert_eq!(pair.starts(1), 1, "{names:?}");
+    }
+}
