--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -609,7 +609,10 @@
         let stops = [pair.reported_stops(0), pair.reported_stops(1)];
         let answers = [pair.answers[0].len(), pair.answers[1].len()];
         if stops == [0, 0] || answers != stops {
-            failed.push(format!("{}: stops {stops:?}, answers {answers:?}", case.name));
+            failed.push(format!(
+                "{}: stops {stops:?}, answers {answers:?}",
+                case.name
+            ));
         }
     }
     assert!(failed.is_empty(), "{failed:#?}");
