fix(dispatch): tasks of a request that may have been held back start after the end of its connection would have come

That this is the cause is suspected, not shown: the record does not tell.

Cause: what holds a byte stream back (a cut, a retransmission whose timer has grown, a front) delivers a request, and a round trip later the end of its connection. The request looks fresh to its entry (request_that_the_network_held_back_comes_before_the_end_of_its_connection, real reactor), which starts the tasks beside those of the next attempt and stops them some milliseconds later.

Change: the reactor tells when the client was last heard of: at the previous response on its connection. A request whose caller has not been heard of for 1,130 ms (unshared_ms), or never, is held for 30 ms (half the margin), a sixteenth of the slack of its job at most; if the connection ends meanwhile, nothing is started.

The simulation plays requests as coming on connections in use, except those that its network delays.

--- a/crates/fulmarpond-dispatch/src/entry/action.rs
+++ b/crates/fulmarpond-dispatch/src/entry/action.rs
@@ -20,6 +20,9 @@
     /// How long ago the request may have been sent, in milliseconds. It is unknown how long it waited
     /// before it was read.
     pub max_age: u64,
+    /// For how long the network may have held the request back, in milliseconds: its caller has not been
+    /// heard of since.
+    pub held_back: u64,
 }
 
 impl From<RequestNo> for Arrival {
@@ -27,6 +30,7 @@
         Self {
             request,
             max_age: 0,
+            held_back: 0,
         }
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use super::agent_selection::{fits_shared_capacity, fits_when_empty};
+use super::departures::departure_wait_ms;
 use super::entry::{Entry, ROUTINE, retry_after_s};
 use super::gangs::gang_fits;
 use super::job::Job;
@@ -84,7 +85,11 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
-        let Arrival { request, max_age } = arrival.into();
+        let Arrival {
+            request,
+            max_age,
+            held_back,
+        } = arrival.into();
         if route.advice.is_some() && !self.options.advises {
             self.refuse(request, Refusal::Unsupported, out);
             return;
@@ -133,10 +138,17 @@
         let mut job = self.new_job(&id, route, submission, now);
         job.requests.push(request);
         job.sent_after = now.before_millis(max_age);
-        if self.is_only_attempt(&id, now) {
+        let wait_ms = departure_wait_ms(&job, held_back, self.options.lease_times);
+        let is_only_attempt = self.is_only_attempt(&id, now);
+        if is_only_attempt && wait_ms == 0 {
             self.admit(job, now, out);
+            return;
+        }
+        let departure_until = now.after_millis(wait_ms);
+        if is_only_attempt {
+            self.await_departure(&job, departure_until, now);
         } else {
-            self.hold(&job, now, out);
+            self.hold(&job, departure_until, now, out);
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -303,7 +303,13 @@
     }
 
     /// Holds a submission until no earlier attempt may have runs left.
-    pub(super) fn hold(&mut self, job: &Job, now: Time, out: &mut Vec<Action>) {
+    pub(super) fn hold(
+        &mut self,
+        job: &Job,
+        departure_until: Time,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
         let is_repeated = self.attempts.has_earlier(&job.id, now);
         info!(job = %job.id, is_repeated, "request waits for the end of an earlier attempt");
         self.counters.held += 1;
@@ -315,13 +321,8 @@
             self.send_to_peer(link, request, out);
         }
         let held = HeldRequest {
-            requests: job.requests.clone(),
-            route: job.route.clone(),
-            submission: job.submission.clone(),
-            sent_after: job.sent_after,
-            deadline: job.deadline,
-            since: now,
             is_repeated,
+            ..HeldRequest::new(job, departure_until, now)
         };
         self.held.insert(job.id.clone(), held);
     }
@@ -332,21 +333,28 @@
             return;
         }
         let jobs = self.held.jobs();
-        let free = jobs.filter(|(job, _)| !self.attempts.has_earlier(job, now));
+        let free = jobs.filter(|(job, held)| {
+            now >= held.departure_until && !self.attempts.has_earlier(job, now)
+        });
         let free: Vec<JobId> = free.map(|(job, _)| job.clone()).collect();
         for id in free {
             let Some(mut held) = self.held.remove(&id) else {
                 continue;
             };
-            info!(
-                job = %id,
-                ?evidence,
-                held_ms = now.millis_since(held.since),
-                is_repeated = held.is_repeated,
-                "earlier attempt is over"
-            );
-            held.submission.timeout_ms = held.deadline.remaining_millis(now) + GIVE_UP_MARGIN_MS;
-            let mut job = self.new_job(&id, &held.route, held.submission, now);
+            let is_clear = held.is_clear && !held.is_repeated;
+            let arrived = if is_clear { held.since } else { now };
+            if !is_clear {
+                info!(
+                    job = %id,
+                    ?evidence,
+                    held_ms = now.millis_since(held.since),
+                    is_repeated = held.is_repeated,
+                    "earlier attempt is over"
+                );
+            }
+            held.submission.timeout_ms =
+                held.deadline.remaining_millis(arrived) + GIVE_UP_MARGIN_MS;
+            let mut job = self.new_job(&id, &held.route, held.submission, arrived);
             job.requests = held.requests;
             job.sent_after = held.sent_after;
             job.has_started = held.is_repeated;
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -11,6 +11,7 @@
 use super::configuration_exchange::ConfigurationExchange;
 use super::confirmations::Confirmations;
 use super::crash_log::CrashLog;
+use super::departures::Departures;
 use super::durable_jobs::DurableJobs;
 use super::endpoint_speeds::{EndpointSpeeds, KnownSpeed};
 use super::estimates::Estimates;
@@ -110,6 +111,7 @@
     pub(super) membership: Membership,
     pub(super) confirmations: Confirmations,
     pub(super) held: HeldRequests,
+    pub(super) departures: Departures,
     pub(super) next_check: Time,
     /// The earliest time of the next attempt to place waiting tasks.
     pub(super) next_placement: Time,
@@ -165,6 +167,7 @@
             membership: Membership::default(),
             confirmations: Confirmations::default(),
             held: HeldRequests::default(),
+            departures: Departures::default(),
             next_check: now,
             next_placement: now,
             ledger,
@@ -187,7 +190,8 @@
 
     /// Returns the latest time for the next call of [`tick`](Self::tick).
     pub fn next_wake(&self) -> Time {
-        self.next_check.min(self.ledger.next_wake())
+        let next = self.next_check.min(self.ledger.next_wake());
+        next.min(self.departures.next_wake())
     }
 
     /// Returns whether there is a configuration and an endpoint that takes tasks.
@@ -281,7 +285,9 @@
         out: &mut Vec<Action>,
     ) {
         self.durable.drop_request(request);
-        self.held.drop_request(request);
+        if let Some(job) = self.held.drop_request(request) {
+            info!(%job, "caller left, job not started");
+        }
         if let Some(id) = self.requests.remove(&request) {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.requests.retain(|&waiting| waiting != request);
@@ -441,6 +447,7 @@
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.tick_ledger(now, out);
         self.request_advice(now, out);
+        self.start_undeparted(now, out);
         if now < self.next_check {
             return;
         }
--- a/crates/fulmarpond-dispatch/src/entry/held_requests.rs
+++ b/crates/fulmarpond-dispatch/src/entry/held_requests.rs
@@ -7,6 +7,7 @@
 use fulmarpond_derive::value;
 
 use super::RequestNo;
+use super::job::Job;
 use super::submission::Submission;
 use crate::JobId;
 use crate::configuration::Route;
@@ -20,6 +21,8 @@
     Yielded,
     /// The agents have reported the ends of its runs.
     Reported,
+    /// There was none, and its caller has not left.
+    CallerStays,
     /// Its leases have expired, or the lists of the other entries were awaited for long enough.
     Expired,
 }
@@ -39,6 +42,27 @@
     pub(super) since: Time,
     /// Whether an earlier attempt was known when it came.
     pub(super) is_repeated: bool,
+    /// Until when its caller may turn out to have left.
+    pub(super) departure_until: Time,
+    /// Whether only its caller's departure is waited for.
+    pub(super) is_clear: bool,
+}
+
+impl HeldRequest {
+    /// Creates the wait of a job that is not known to have an earlier attempt.
+    pub(super) fn new(job: &Job, departure_until: Time, now: Time) -> Self {
+        Self {
+            requests: job.requests.clone(),
+            route: Rc::clone(&job.route),
+            submission: job.submission.clone(),
+            sent_after: job.sent_after,
+            deadline: job.deadline,
+            since: now,
+            is_repeated: false,
+            departure_until,
+            is_clear: false,
+        }
+    }
 }
 
 /// The requests that wait, by job.
@@ -64,12 +88,15 @@
         self.by_job.remove(job)
     }
 
-    /// Removes a request whose caller has left, and the submission with its last request.
-    pub(super) fn drop_request(&mut self, request: RequestNo) {
-        self.by_job.retain(|_, held| {
-            held.requests.retain(|&waiting| waiting != request);
-            !held.requests.is_empty()
-        });
+    /// Removes a request whose caller has left, and the submission with its last request. Returns the job
+    /// of a submission that was removed.
+    pub(super) fn drop_request(&mut self, request: RequestNo) -> Option<JobId> {
+        let mut held = self.by_job.iter_mut();
+        let (job, held) = held.find(|(_, held)| held.requests.contains(&request))?;
+        held.requests.retain(|&waiting| waiting != request);
+        let job = held.requests.is_empty().then(|| job.clone())?;
+        self.by_job.remove(&job);
+        Some(job)
     }
 
     /// Returns the jobs whose caller is about to leave.
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod crash_ages;
 mod crash_log;
 mod crashes;
+mod departures;
 mod drains;
 mod durable_ends;
 mod durable_jobs;
--- a/crates/fulmarpond-dispatch/src/lease_times.rs
+++ b/crates/fulmarpond-dispatch/src/lease_times.rs
@@ -139,6 +139,12 @@
         Self::MARGIN_MS
     }
 
+    /// Returns how long the end of a connection may arrive after a request that the network has held back,
+    /// in milliseconds.
+    pub const fn departure_ms(&self) -> u64 {
+        Self::MARGIN_MS / 2
+    }
+
     /// Returns the age by which an attempt ends unless all other entries know of it, in milliseconds:
     /// its runs are over before its caller may send it again.
     pub const fn unshared_ms(&self) -> u64 {
--- a/crates/fulmarpond-dispatch/tests/lost_entries.rs
+++ b/crates/fulmarpond-dispatch/tests/lost_entries.rs
@@ -6,7 +6,7 @@
 use fulmarpond_dispatch::JobId;
 use proptest::prelude::*;
 use support::{
-    AttemptFault, Demand, Fault, Options, PeerFault, Sides, Simulation, StoreFault,
+    AttemptFault, Demand, Departure, Fault, Options, PeerFault, Sides, Simulation, StoreFault,
     proptest_config, with_trace_log,
 };
 
@@ -200,7 +200,7 @@
 /// has left and sent the job again to another entry.
 #[test]
 fn runs_do_not_overlap_if_the_network_holds_a_request_back() {
-    for delay_ms in [300, 900, 1_500, 2_100] {
+    for delay_ms in [300, 900, 1_500, 1_600, 1_700, 1_800, 2_100] {
         let mut sim = started_simulation(1, 3, 6);
         let delay = AttemptFault::DelayRequests(0, delay_ms);
         sim.fault_at(0, Fault::Attempt(delay));
@@ -212,6 +212,30 @@
     }
 }
 
+/// Guards against tasks that start and are stopped at once, beside those of the next attempt: the network
+/// holds a request and the end of its connection back, and delivers one a round trip after the other.
+#[test]
+fn runs_do_not_overlap_if_the_network_holds_a_connection_back() {
+    let mut found = Vec::new();
+    for delay_ms in [300, 900, 1_400, 1_500, 1_510, 1_600, 1_800] {
+        for round_trip_ms in [0, 1, 5] {
+            let mut sim = started_simulation(1, 3, 6);
+            let departure = Departure::SeenAfter(round_trip_ms);
+            let delay = AttemptFault::DelayConnections(0, delay_ms, departure);
+            sim.fault_at(0, Fault::Attempt(delay));
+            let job = submit_by_turns(&mut sim, 100, 0, 1);
+            sim.break_connection_at(200_000, &job, Sides::Both);
+            with_trace_log(|| sim.run_ms(SETTLE_MS));
+            assert!(sim.history.start_count(&job) >= 2, "{delay_ms} ms");
+            if !sim.history.violations.is_empty() {
+                let violations = &sim.history.violations;
+                found.push(format!("{delay_ms} ms, {round_trip_ms} ms: {violations:?}"));
+            }
+        }
+    }
+    assert!(found.is_empty(), "{found:#?}");
+}
+
 /// A fault of a random schedule.
 #[derive(Debug, Clone)]
 enum Trouble {
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -167,6 +167,7 @@
         let arrival = Arrival {
             request: RequestNo(request),
             max_age,
+            held_back: 0,
         };
         self.with(number, |entry, now, out| {
             entry.submit(arrival, job(), &Rc::new(route()), submission(), now, out);
--- a/crates/fulmarpond-dispatch/tests/support/accept_queue.rs
+++ b/crates/fulmarpond-dispatch/tests/support/accept_queue.rs
@@ -58,8 +58,8 @@
     }
 
     /// Holds back requests to an entry in the network during this time, which it can't notice.
-    pub(super) fn delay_requests(&mut self, entry: usize, millis: u64) {
-        self.hold_requests(entry, millis, Departure::Unseen);
+    pub(super) fn delay_requests(&mut self, entry: usize, millis: u64, departure: Departure) {
+        self.hold_requests(entry, millis, departure);
         if let Some(hold) = self.accept_queues.holds.get_mut(&entry) {
             hold.is_noticed = false;
         }
@@ -117,7 +117,7 @@
         let hold = self.accept_queues.holds.get(&entry);
         let since = since.filter(|_| hold.is_none_or(|hold| hold.is_noticed));
         let earliest_sent = since.unwrap_or(self.now);
-        self.read_request(entry, number, id, earliest_sent);
+        self.read_request(entry, number, id, earliest_sent, u64::MAX);
         let hold = self.accept_queues.holds.get(&entry);
         let departure = hold.map_or(Departure::Unseen, |hold| hold.departure);
         if self.accept_queues.abandoned.remove(&request)
--- a/crates/fulmarpond-dispatch/tests/support/attempts.rs
+++ b/crates/fulmarpond-dispatch/tests/support/attempts.rs
@@ -22,6 +22,8 @@
     HoldRequests(usize, u64, Departure),
     /// The network holds back requests to an entry during this time.
     DelayRequests(usize, u64),
+    /// The network holds back requests to an entry during this time, and then the ends of their connections.
+    DelayConnections(usize, u64, Departure),
     /// An entry handles no events during this time; requests wait in its accept queue.
     PauseEntry(usize, u64, Departure),
 }
@@ -32,6 +34,7 @@
         match self {
             Self::BreakCallers(..) => 0,
             Self::DelayRequests(_, millis)
+            | Self::DelayConnections(_, millis, _)
             | Self::HoldRequests(_, millis, _)
             | Self::PauseEntry(_, millis, _) => millis,
         }
@@ -76,7 +79,12 @@
     pub(super) fn begin_attempt_fault(&mut self, fault: AttemptFault) {
         match fault {
             AttemptFault::BreakCallers(entry, percent) => self.break_callers(entry, percent),
-            AttemptFault::DelayRequests(entry, millis) => self.delay_requests(entry, millis),
+            AttemptFault::DelayRequests(entry, millis) => {
+                self.delay_requests(entry, millis, Departure::Unseen);
+            }
+            AttemptFault::DelayConnections(entry, millis, departure) => {
+                self.delay_requests(entry, millis, departure);
+            }
             AttemptFault::HoldRequests(entry, millis, departure) => {
                 self.hold_requests(entry, millis, departure);
             }
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -137,17 +137,19 @@
             self.pending_requests.remove(&(entry, generation, request));
             return;
         }
-        self.read_request(entry, request, id, self.now);
+        // Its connection has just carried another request.
+        self.read_request(entry, request, id, self.now, 0);
     }
 
     /// Hands a request to an entry, with the earliest time at which it may have been sent, as far as
-    /// the entry knows.
+    /// the entry knows, and for how long the network may have held it back, in milliseconds.
     pub(super) fn read_request(
         &mut self,
         entry: usize,
         request: RequestNo,
         id: &JobId,
         earliest_sent: Time,
+        held_back: u64,
     ) {
         let job = &self.jobs[id];
         let (demand, first_sent_unix_ms) = (job.demand, job.first_sent_unix_ms);
@@ -182,7 +184,11 @@
             repeat: demand.repeat(first_sent_unix_ms),
         };
         let max_age = self.now.millis_since(earliest_sent);
-        let arrival = Arrival { request, max_age };
+        let arrival = Arrival {
+            request,
+            max_age,
+            held_back,
+        };
         let id = id.clone();
         let path = format!("/{}/{id}", demand.route);
         self.with_entry(entry, |core, now, out| {
--- a/crates/fulmarpond-reactor/src/event.rs
+++ b/crates/fulmarpond-reactor/src/event.rs
@@ -34,6 +34,10 @@
         /// The stamp before which the client can't have left, see
         /// [`Reactor::set_stamp`](crate::Reactor::set_stamp).
         since: u64,
+        /// The stamp at which the client was last certain to be there before it sent the request: that of
+        /// the previous response on its connection. The network may have held a first request back for
+        /// any time.
+        heard: Option<u64>,
     },
     /// The connection of a request was closed or failed before the response was sent.
     Abandoned {
--- a/crates/fulmarpond-reactor/src/reactor/server.rs
+++ b/crates/fulmarpond-reactor/src/reactor/server.rs
@@ -51,6 +51,7 @@
         conn.keep_alive &= !self.is_draining;
         response.write_to(conn.channel.output_mut(), conn.keep_alive);
         conn.pending_request = None;
+        conn.responded = conn.channel.input.is_empty().then_some(self.stamp);
         conn.is_closing |= !conn.keep_alive;
         conn.since = Instant::now();
         conn.deadline = conn.since + self.limits.idle_timeout;
@@ -69,6 +70,7 @@
             keep_alive: true,
             incomplete: None,
             input_since: self.quiet_stamp,
+            responded: None,
             deadline: Instant::now() + self.limits.header_timeout,
             is_closing: false,
             held: 0,
@@ -172,12 +174,14 @@
                 conn.pending_request = Some(id);
                 let listener = conn.listener;
                 let since = conn.input_since;
+                let heard = conn.responded.take();
                 self.requests.insert(id, key);
                 self.events.push(Event::Request {
                     listener,
                     id,
                     request,
                     since,
+                    heard,
                 });
             }
             Ok(Parsed::Incomplete(known)) if conn.incomplete.is_none() => {
--- a/crates/fulmarpond-reactor/src/server.rs
+++ b/crates/fulmarpond-reactor/src/server.rs
@@ -18,6 +18,8 @@
     pub(crate) incomplete: Option<Incomplete>,
     /// The stamp before which the caller of the next request can't have left.
     pub(crate) input_since: u64,
+    /// The stamp of the last response, unless the next request had begun to arrive by then.
+    pub(crate) responded: Option<u64>,
     /// When the connection is closed if no complete request has arrived.
     pub(crate) deadline: Instant,
     /// Whether the connection is closed once its output has been sent.
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -9,7 +9,7 @@
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::configuration::CallerLimits;
 use fulmarpond_dispatch::directory::{self, Activity, Directory, StoreCall};
-use fulmarpond_dispatch::entry::{Action, Entry, EntryOptions, RequestNo};
+use fulmarpond_dispatch::entry::{Action, Arrival, Entry, EntryOptions, RequestNo};
 use fulmarpond_dispatch::maintenance::MaintenanceOptions;
 use fulmarpond_dispatch::{AgentFrame, EntryFrame, FrameError, LinkNo, decode};
 use fulmarpond_platform::store::EntryIdentity;
@@ -247,9 +247,17 @@
                 id,
                 request,
                 since,
+                heard,
             } => {
-                let since = Time::from_micros(since);
-                self.handle_request(listener, id, &request, since, now);
+                let max_age = now.millis_since(Time::from_micros(since));
+                let held_back =
+                    heard.map_or(u64::MAX, |heard| now.millis_since(Time::from_micros(heard)));
+                let arrival = Arrival {
+                    request: RequestNo(id.0),
+                    max_age,
+                    held_back,
+                };
+                self.handle_request(listener, arrival, &request, now);
             }
             Event::Abandoned { id } => {
                 self.entry
--- a/crates/fulmarpondd/src/leased/entry_requests.rs
+++ b/crates/fulmarpondd/src/leased/entry_requests.rs
@@ -3,7 +3,7 @@
 use fulmarpond_core::Time;
 use fulmarpond_dispatch::Refusal;
 use fulmarpond_dispatch::configuration::Configuration;
-use fulmarpond_dispatch::entry::{Arrival, RequestNo};
+use fulmarpond_dispatch::entry::Arrival;
 use fulmarpond_platform::caller::{self, CallerRequest};
 use fulmarpond_reactor::http::{Request, Response};
 use fulmarpond_reactor::{ListenerId, RequestId};
@@ -15,13 +15,13 @@
     pub(super) fn handle_request(
         &mut self,
         listener: ListenerId,
-        id: RequestId,
+        arrival: Arrival,
         request: &Request,
-        since: Time,
         now: Time,
     ) {
+        let id = RequestId(arrival.request.0);
         if listener == self.caller_listener {
-            self.handle_caller_request(id, request, since, now);
+            self.handle_caller_request(arrival, request, now);
         } else if listener == self.readiness_listener {
             let response = self.readiness_response(request);
             self.reactor.respond(id, &response);
@@ -77,8 +77,9 @@
         }
     }
 
-    fn handle_caller_request(&mut self, id: RequestId, request: &Request, since: Time, now: Time) {
-        let number = RequestNo(id.0);
+    fn handle_caller_request(&mut self, arrival: Arrival, request: &Request, now: Time) {
+        let number = arrival.request;
+        let id = RequestId(number.0);
         let Some(configuration) = self.entry.configuration() else {
             self.entry
                 .refuse(number, Refusal::NoConfiguration, &mut self.actions);
@@ -94,10 +95,6 @@
         match CallerRequest::parse(request.method, rest) {
             CallerRequest::Submit(job) => match caller::decode_submission(request) {
                 Ok(submission) => {
-                    let arrival = Arrival {
-                        request: number,
-                        max_age: now.millis_since(since),
-                    };
                     self.entry
                         .submit(arrival, job, &route, submission, now, &mut self.actions);
                 }
