--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -12,8 +12,11 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 
+use crate::BUILD;
+
 type Label = [(&'static str, &'static str); 1];
 
 /// The agent and the kind of an endpoint. Both are bounded by the machines of the deployment.
@@ -61,6 +64,8 @@
             call_seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 14)),
             registry: Registry::default(),
         };
+        let build = vec![("version", env!("CARGO_PKG_VERSION")), ("build", BUILD)];
+        registry.register("build", "What the process is built from", Info::new(build));
         registry.register(
             "refusals",
             "Requests that were refused or given up, by reason",
--- a/crates/fulmarpondd/src/leased/mod.rs
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -26,6 +26,7 @@
 use thiserror::Error;
 use tracing::{info, warn};
 
+use crate::BUILD;
 use agent_process::AgentProcess;
 use entry_process::EntryProcess;
 
@@ -51,6 +52,7 @@
         name = settings.name,
         zone = settings.zone,
         version = env!("CARGO_PKG_VERSION"),
+        build = BUILD,
         "start"
     );
     match &settings.role {
--- a/crates/fulmarpondd/src/lib.rs
+++ b/crates/fulmarpondd/src/lib.rs
@@ -7,6 +7,7 @@
 //! tasks.
 
 mod auth;
+mod build;
 mod callers;
 mod clock;
 mod daemon;
@@ -20,6 +21,7 @@
 mod slots;
 mod store;
 
+pub use build::{BUILD, VERSION};
 pub use daemon::Daemon;
 pub use error::Error;
 pub use logs::init_logs;
--- a/crates/fulmarpondd/src/main.rs
+++ b/crates/fulmarpondd/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::Parser;
 use fulmarpond_settings::{DaemonSettings, Document, LeasedSettings};
-use fulmarpondd::{Daemon, init_logs, leased};
+use fulmarpondd::{Daemon, VERSION, init_logs, leased};
 use miette::{IntoDiagnostic, Result, WrapErr};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -13,7 +13,7 @@
 
 /// Runs one role of the fulmarpond dispatcher.
 #[derive(Debug, Parser)]
-#[command(version, about)]
+#[command(version = VERSION, about)]
 struct Options {
     /// The settings file.
     #[arg(long, value_name = "FILE", env = "FULMARPOND_SETTINGS")]
