feat(daemon): floods of log lines don't crowd out the fate of attempts

Lines on attempts shared seven eighths of the limit with refusals, which come in floods beside an overload, and a batch filled in a few milliseconds took no line at all.

Lines on the fate of attempts have a class of their own (target 'attempt'): a quarter of the limit, and room in each batch, that no other line takes and that they do not exceed; the rest is shared as before, so refusals may use five eighths of the limit in place of seven, warnings three quarters. New lines tell at the entry that an attempt is stopped with runs, why, and what shows that they are over; at the agent for which entry runs are stopped and how each was seen to be over. Dropped lines are counted by class, and told once a second at most.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -327,6 +327,7 @@
         let heard = self.last_heard(&closed);
         for task in &tasks {
             self.bound_unwanted_run(task, heard);
+            self.log_stopped(task, &closed.entry);
         }
         self.pending_ends.remove(&link);
         self.pending_starts.remove(&link);
--- a/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
+++ b/crates/fulmarpond-dispatch/src/agent/endpoint_lists.rs
@@ -96,6 +96,7 @@
             }
             match (run.phase, outcome) {
                 (Phase::Stopping { after_stop, .. }, Outcome::Aborted) => {
+                    self.log_stopped_end(&task, "end_listed");
                     self.finish_stopped_run(&task, after_stop);
                     continue;
                 }
@@ -106,6 +107,7 @@
                     },
                     _,
                 ) => {
+                    self.log_stopped_end(&task, "end_listed");
                     self.finish_stopped_run(&task, after_stop);
                     continue;
                 }
--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -384,6 +384,9 @@
         let Some(run) = self.runs.get(task) else {
             return;
         };
+        if matches!(run.phase, Phase::Stopping { .. }) {
+            self.log_stopped_end(task, "endpoint_lost");
+        }
         match run.phase {
             Phase::Stopping {
                 after_stop: after_stop @ (AfterStop::Discard | AfterStop::Refuse),
--- a/crates/fulmarpond-dispatch/src/agent/orders.rs
+++ b/crates/fulmarpond-dispatch/src/agent/orders.rs
@@ -9,7 +9,7 @@
 use super::agent::Agent;
 use super::run::{AfterStop, Phase, Progress, Reach, Run};
 use crate::epoch::run_before_first;
-use crate::{Class, JobId, LinkNo, Order, Outcome, Resources, TaskKey};
+use crate::{ATTEMPT_TARGET, Class, JobId, LinkNo, Order, Outcome, Resources, TaskKey};
 
 impl Agent {
     /// Queues the tasks of an order, or refuses them, and starts those that fit.
@@ -168,6 +168,7 @@
             return;
         };
         let heard = self.last_heard(peer);
+        let mut stopped = 0;
         let listed: Vec<TaskKey> = if tasks.is_empty() {
             let job_tasks = self.owned_tasks(link).into_iter();
             job_tasks.filter(|task| task.job == *job).collect()
@@ -185,11 +186,17 @@
             };
             // A durable task that is stopped by its owner is not placed again unless that hears of the end.
             let is_bounded = !run.is_durable;
+            stopped += usize::from(is_bounded && run.phase.uses_capacity());
             self.end_run(&task, after_stop, now, out);
             if is_bounded {
                 self.bound_unwanted_run(&task, heard);
             }
         }
+        if stopped > 0 {
+            let peer = self.links.established.get(&link);
+            let entry = peer.map_or("", |peer| peer.entry.as_str());
+            info!(target: ATTEMPT_TARGET, %job, entry, runs = stopped, "entry stops runs");
+        }
         self.start_queued_tasks(now, out);
         self.send_reports(out);
     }
--- a/crates/fulmarpond-dispatch/src/agent/run_lease.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run_lease.rs
@@ -13,7 +13,7 @@
 use super::agent::Agent;
 use super::links::Link;
 use super::run::Phase;
-use crate::{LeaseTimes, TaskKey};
+use crate::{ATTEMPT_TARGET, LeaseTimes, TaskKey};
 
 impl Agent {
     /// Extends the lease of the endpoint from now on; returns its end on the endpoint's clock.
@@ -66,7 +66,7 @@
             let Some(run) = self.runs.get(&task) else {
                 continue;
             };
-            warn!(job = %task.job, %task, run = run.number, "stop is not confirmed, run has ended with its lease");
+            warn!(target: ATTEMPT_TARGET, job = %task.job, %task, run = run.number, "stop is not confirmed, run has ended with its lease");
             self.last_run_numbers
                 .insert(task.clone(), (run.number, now));
             if let Phase::Stopping { after_stop, .. } = run.phase {
--- a/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
+++ b/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
@@ -243,7 +243,7 @@
             return;
         }
         if let Phase::Stopping { after_stop, .. } = known.phase {
-            debug!(%task, run, "stopped run has ended");
+            self.log_stopped_end(task, "not_listed");
             self.last_run_numbers.insert(task.clone(), (run, now));
             self.finish_stopped_run(task, after_stop);
         }
--- a/crates/fulmarpond-dispatch/src/agent/task_ends.rs
+++ b/crates/fulmarpond-dispatch/src/agent/task_ends.rs
@@ -1,11 +1,12 @@
 //! Ends of tasks: of queued ones, of runs that are stopped, and of those that are over.
 
 use fulmarpond_core::Time;
+use tracing::info;
 
 use super::agent::{Agent, Purpose, START_STOP_TIMEOUT_MS};
 use super::run::{AfterStop, Phase};
 use super::{Action, EndpointCall};
-use crate::{Outcome, TaskKey};
+use crate::{ATTEMPT_TARGET, Outcome, TaskKey};
 
 impl Agent {
     /// Ends a task: removes it if it is queued, and otherwise stops its run.
@@ -57,6 +58,22 @@
         self.call_endpoint(purpose, call, START_STOP_TIMEOUT_MS, now, out);
     }
 
+    /// Logs that the run of a task is stopped, since its entry is lost.
+    pub(super) fn log_stopped(&self, task: &TaskKey, entry: &str) {
+        if let Some(run) = self.runs.get(task)
+            && matches!(run.phase, Phase::Stopping { .. })
+        {
+            info!(target: ATTEMPT_TARGET, job = %task.job, %task, run = run.number, entry, "run is stopped, its entry is lost");
+        }
+    }
+
+    /// Logs how the end of a stopped run was seen.
+    pub(super) fn log_stopped_end(&self, task: &TaskKey, evidence: &'static str) {
+        if let Some(run) = self.runs.get(task) {
+            info!(target: ATTEMPT_TARGET, job = %task.job, %task, run = run.number, evidence, "stopped run is over");
+        }
+    }
+
     /// Removes a task, and reports its end if there is an outcome.
     pub(super) fn finish_run(&mut self, task: &TaskKey, outcome: Option<Outcome>, elapsed: u64) {
         let Some(run) = self.runs.remove(task) else {
--- a/crates/fulmarpond-dispatch/src/entry/action.rs
+++ b/crates/fulmarpond-dispatch/src/entry/action.rs
@@ -58,6 +58,20 @@
     },
 }
 
+impl Answer {
+    /// Returns the name of the answer, or the reason of a refusal, in log lines.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Cancelled => "cancelled",
+            Self::Unknown => "unknown",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::NotRun { reason, .. } | Self::MayHaveRun { reason } => reason.as_str(),
+        }
+    }
+}
+
 /// An action of an entry.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -10,7 +10,7 @@
 use super::held_requests::{EndEvidence, HeldRequest};
 use super::job::Job;
 use super::{Action, Answer, RequestNo};
-use crate::{EntryFrame, JobId, LinkNo, ListedAttempt, PeerFrame, Refusal};
+use crate::{ATTEMPT_TARGET, EntryFrame, JobId, LinkNo, ListedAttempt, PeerFrame, Refusal};
 
 /// The number of lists in a row that may be missing before a link to an entry counts as silent.
 const MAX_MISSING_LISTS: u64 = 3;
@@ -258,9 +258,9 @@
             let entry = self.peers.name(link);
             if has_started {
                 self.counters.overlapping += 1;
-                warn!(job = %id, age_ms, entry, "attempts ran at two entries, the earlier one ends");
+                warn!(target: ATTEMPT_TARGET, job = %id, age_ms, entry, "attempts ran at two entries, the earlier one ends");
             } else {
-                info!(job = %id, age_ms, entry, "attempt ends, another entry has a later one");
+                info!(target: ATTEMPT_TARGET, job = %id, age_ms, entry, "attempt ends, another entry has a later one");
             }
             let reason = Refusal::Superseded;
             self.finish(&id, Answer::MayHaveRun { reason }, now, out);
@@ -274,7 +274,14 @@
 
     /// Removes the stopped attempts whose runs are over, and tells the entries that wait for that.
     pub(super) fn finish_endings(&mut self, now: Time, out: &mut Vec<Action>) {
-        for job in self.attempts.remove_ended(now) {
+        for (job, ended) in self.attempts.remove_ended(now) {
+            info!(
+                target: ATTEMPT_TARGET,
+                %job,
+                evidence = ended.evidence.as_str(),
+                stopped_ms = now.millis_since(ended.since),
+                "stopped attempt is over"
+            );
             for link in self.attempts.take_yield_requests(&job) {
                 self.send_to_peer(link, PeerFrame::Yielded(job.clone()), out);
             }
@@ -290,7 +297,7 @@
     /// Holds a submission until no earlier attempt may have runs left.
     pub(super) fn hold(&mut self, job: &Job, now: Time, out: &mut Vec<Action>) {
         let is_repeated = self.attempts.has_earlier(&job.id, now);
-        info!(job = %job.id, is_repeated, "request waits for the end of an earlier attempt");
+        info!(target: ATTEMPT_TARGET, job = %job.id, is_repeated, "request waits for the end of an earlier attempt");
         self.counters.held += 1;
         for link in self.attempts.owners(&job.id) {
             let request = PeerFrame::Yield {
@@ -324,6 +331,7 @@
                 continue;
             };
             info!(
+                target: ATTEMPT_TARGET,
                 job = %id,
                 ?evidence,
                 held_ms = now.millis_since(held.since),
@@ -344,7 +352,7 @@
             let Some(held) = self.held.remove(&id) else {
                 continue;
             };
-            info!(job = %id, "earlier attempt is not over in time");
+            info!(target: ATTEMPT_TARGET, job = %id, "earlier attempt is not over in time");
             self.answer_held(&held.requests, Refusal::DeadlinePassed, out);
         }
     }
@@ -379,7 +387,7 @@
         out: &mut Vec<Action>,
     ) {
         let reason = Refusal::Outdated;
-        info!(job = %id, age_ms, retry_s = retry_after_s(reason), "request waited too long unread");
+        info!(target: ATTEMPT_TARGET, job = %id, age_ms, retry_s = retry_after_s(reason), "request waited too long unread");
         self.answer_held(&[request], reason, out);
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempts.rs
@@ -17,6 +17,8 @@
 struct Ending {
     /// When its caller may have sent it.
     sent_after: Time,
+    /// When it was stopped.
+    since: Time,
     /// The runs whose end is not reported yet, by agent, step and index.
     runs: BTreeSet<(LinkNo, u16, u16)>,
     /// When the runs at lost agents are over.
@@ -26,11 +28,51 @@
 }
 
 impl Ending {
-    fn is_over(&self, now: Time) -> bool {
-        now >= self.over_by || (self.runs.is_empty() && now >= self.lost_until)
+    /// Returns what shows that no run is left, if that is so.
+    fn evidence(&self, now: Time) -> Option<RunsOver> {
+        if self.runs.is_empty() && now >= self.lost_until {
+            let has_lost = self.lost_until > self.since;
+            return Some(if has_lost {
+                RunsOver::AgentLost
+            } else {
+                RunsOver::Reported
+            });
+        }
+        (now >= self.over_by).then_some(RunsOver::Expired)
     }
 }
 
+/// What shows that no run of a stopped attempt is left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunsOver {
+    /// The agents have reported the ends of all runs.
+    Reported,
+    /// An agent was lost, and the lease of its runs has expired; the others have reported theirs.
+    AgentLost,
+    /// Not all ends were reported, and agents let the lease expire of a run whose stop fails.
+    Expired,
+}
+
+impl RunsOver {
+    /// Returns the name in log lines.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Reported => "reported",
+            Self::AgentLost => "agent_lost",
+            Self::Expired => "expired",
+        }
+    }
+}
+
+/// A stopped attempt without runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct EndedAttempt {
+    /// When it was stopped.
+    pub(super) since: Time,
+    /// What shows that no run is left.
+    pub(super) evidence: RunsOver,
+}
+
 /// The attempts that a lost entry has listed last.
 #[derive(Debug)]
 struct LostList {
@@ -57,29 +99,37 @@
 }
 
 impl Attempts {
-    /// Records a stopped job whose agents have been told to stop its runs.
-    pub(super) fn begin_ending(&mut self, job: &Job, over_by: Time, now: Time) {
+    /// Records a stopped job whose agents have been told to stop its runs; returns the number of runs
+    /// that may be left.
+    pub(super) fn begin_ending(&mut self, job: &Job, over_by: Time, now: Time) -> usize {
         let mut ending = Ending {
             sent_after: job.sent_after,
+            since: now,
             runs: BTreeSet::new(),
             lost_until: now,
             over_by,
         };
+        let mut lost = 0;
         for task in &job.tasks {
             match task.state {
                 TaskState::Sent(link) => {
                     ending.runs.insert((link, task.step, task.index));
                 }
-                TaskState::Lost(until) => ending.lost_until = ending.lost_until.max(until),
+                TaskState::Lost(until) => {
+                    ending.lost_until = ending.lost_until.max(until);
+                    lost += usize::from(until > now);
+                }
                 TaskState::Waiting
                 | TaskState::Confirming
                 | TaskState::RestartDelayed(_)
                 | TaskState::Done => {}
             }
         }
-        if !ending.is_over(now) {
+        let runs = ending.runs.len() + lost;
+        if ending.evidence(now).is_none() {
             self.ending.insert(job.id.clone(), ending);
         }
+        runs
     }
 
     /// Records the reported end of a run of a stopped job.
@@ -100,12 +150,18 @@
         }
     }
 
-    /// Removes the stopped attempts that are over; returns their jobs.
-    pub(super) fn remove_ended(&mut self, now: Time) -> Vec<JobId> {
+    /// Removes the stopped attempts that are over; returns them.
+    pub(super) fn remove_ended(&mut self, now: Time) -> Vec<(JobId, EndedAttempt)> {
         self.lost.retain(|_, list| now < list.over_by);
-        let over = self.ending.iter().filter(|(_, ending)| ending.is_over(now));
-        let over: Vec<JobId> = over.map(|(job, _)| job.clone()).collect();
-        for job in &over {
+        let over = self.ending.iter().filter_map(|(job, ending)| {
+            let ended = EndedAttempt {
+                since: ending.since,
+                evidence: ending.evidence(now)?,
+            };
+            Some((job.clone(), ended))
+        });
+        let over: Vec<(JobId, EndedAttempt)> = over.collect();
+        for (job, _) in &over {
             self.ending.remove(job);
         }
         over
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -29,11 +29,14 @@
 use crate::directory::AnnouncedEntry;
 use crate::evacuation::Evacuations;
 use crate::ledger::{Ledger, LedgerOptions, Owner};
-use crate::{Counters, EntryFrame, JobId, LeaseTimes, Refusal};
+use crate::{ATTEMPT_TARGET, Counters, EntryFrame, JobId, LeaseTimes, Refusal};
 
 /// The log target of lines about requests that succeed.
 pub(super) const ROUTINE: &str = "routine";
 
+/// The cause in log lines about jobs whose callers have left.
+const CALLER_LEFT: &str = "caller_left";
+
 /// The retry delay that refused callers are told, in seconds.
 pub(super) const RETRY_AFTER_S: u32 = 1;
 
@@ -291,7 +294,7 @@
                 }
             }
             self.counters.abandoned += 1;
-            if let Some(job) = self.stop_job(&id, now, out) {
+            if let Some(job) = self.stop_job(&id, CALLER_LEFT, now, out) {
                 info!(job = %id, age_ms = now.millis_since(job.arrived), "caller left, job stopped");
             }
         }
@@ -320,12 +323,17 @@
 
     /// Removes a job and stops its tasks. Another attempt of a job that is not durable waits until
     /// the agents have reported that they are over.
-    pub(super) fn stop_job(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> Option<Job> {
+    pub(super) fn stop_job(
+        &mut self,
+        id: &JobId,
+        cause: &'static str,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) -> Option<Job> {
         let job = self.remove_job(id)?;
         let is_attempt = job.state.is_none();
         if is_attempt {
-            let over_by = now.after_millis(self.options.lease_times.orphan_ms());
-            self.attempts.begin_ending(&job, over_by, now);
+            self.begin_ending(&job, cause, now);
         }
         for link in job.links() {
             out.push(Action::Send {
@@ -340,10 +348,20 @@
         Some(job)
     }
 
+    /// Lists a stopped attempt until its runs are over.
+    fn begin_ending(&mut self, job: &Job, cause: &'static str, now: Time) {
+        let over_by = now.after_millis(self.options.lease_times.orphan_ms());
+        let runs = self.attempts.begin_ending(job, over_by, now);
+        if runs > 0 {
+            let age_ms = now.millis_since(job.sent_after);
+            info!(target: ATTEMPT_TARGET, job = %job.id, cause, age_ms, runs, "attempt is stopped with runs under way");
+        }
+    }
+
     /// Ends a job: stops its remaining tasks, logs and counts the outcome, and answers its caller
     /// or records the end in the store.
     pub(super) fn finish(&mut self, id: &JobId, answer: Answer, now: Time, out: &mut Vec<Action>) {
-        let Some(job) = self.stop_job(id, now, out) else {
+        let Some(job) = self.stop_job(id, answer.as_str(), now, out) else {
             return;
         };
         let age = now.millis_since(job.arrived);
--- a/crates/fulmarpond-dispatch/src/entry/ledger_events.rs
+++ b/crates/fulmarpond-dispatch/src/entry/ledger_events.rs
@@ -261,7 +261,7 @@
         }
         if has_ended {
             info!(job = %id, "job has ended, stopping its runs");
-            self.stop_job(id, now, out);
+            self.stop_job(id, "ended_elsewhere", now, out);
         } else {
             info!(job = %id, "job has another owner");
             self.release_job(id, out);
--- a/crates/fulmarpond-dispatch/src/entry/shared_attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/shared_attempts.rs
@@ -12,7 +12,7 @@
 
 use super::Action;
 use super::entry::{CHECK_INTERVAL_MS, Entry};
-use crate::{JobId, Refusal};
+use crate::{ATTEMPT_TARGET, JobId, Refusal};
 
 impl Entry {
     /// Returns when a new or resumed process no longer awaits the lists of entries that are alive.
@@ -48,7 +48,7 @@
                 .confirmations
                 .unaware(job.sent_after, lease_times, now)?;
             let age_ms = now.millis_since(job.sent_after);
-            info!(job = %job.id, age_ms, entry, "attempt ends, another entry may not know of it");
+            info!(target: ATTEMPT_TARGET, job = %job.id, age_ms, entry, "attempt ends, another entry may not know of it");
             Some(job.id.clone())
         });
         let unshared: Vec<JobId> = unshared.collect();
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -45,3 +45,7 @@
 pub use peer_frame::{ListedAttempt, PeerFrame};
 pub use registration::{EndpointState, Incarnation, Registration, RegistrationError};
 pub use resources::Resources;
+
+/// The log target of lines that tell the fate of attempts and of their runs. A quarter of the limit of
+/// log lines is reserved for them.
+pub const ATTEMPT_TARGET: &str = "attempt";
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -218,10 +218,13 @@
                 ("entries", self.agent.links() as u64),
                 ("evacuated_zones", self.agent.evacuated_zones() as u64),
                 ("evacuated", u64::from(self.agent.is_evacuated())),
-                ("log_lines_dropped", self.runtime.dropped_lines()),
+                ("log_lines_dropped", self.runtime.dropped_lines().total()),
             ];
             self.runtime.metrics.set_class_room(self.agent.class_room());
             self.runtime.metrics.set_closed(self.reactor.closed());
+            self.runtime
+                .metrics
+                .set_dropped_lines(self.runtime.dropped_lines());
             let response = self.runtime.metrics.render(&self.agent.counters, &levels);
             self.reactor.respond(id, &response);
             return;
--- a/crates/fulmarpondd/src/leased/entry_requests.rs
+++ b/crates/fulmarpondd/src/leased/entry_requests.rs
@@ -53,11 +53,14 @@
             ("oldest_view_ms", self.entry.oldest_status_age_ms(now)),
             ("kept_jobs", self.entry.ledger_counts().0 as u64),
             ("waiting_changes", self.entry.ledger_counts().1 as u64),
-            ("log_lines_dropped", self.runtime.dropped_lines()),
+            ("log_lines_dropped", self.runtime.dropped_lines().total()),
         ];
         let speeds = self.entry.endpoint_speeds();
         self.runtime.metrics.set_endpoint_speeds(speeds);
         self.runtime.metrics.set_closed(self.reactor.closed());
+        self.runtime
+            .metrics
+            .set_dropped_lines(self.runtime.dropped_lines());
         self.runtime.metrics.render(&self.entry.counters, &levels)
     }
 
--- a/crates/fulmarpondd/src/leased/log.rs
+++ b/crates/fulmarpondd/src/leased/log.rs
@@ -8,17 +8,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use fulmarpond_dispatch::ATTEMPT_TARGET;
 use fulmarpond_settings::LogLevel;
-use tracing::{Level, Metadata};
+use tracing::{Metadata, info};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
+use super::line_limit::{LineClass, LineCounts, LineLimit};
+
 /// The maximum number of batches in the queue of the writer thread.
 const MAX_QUEUED_BATCHES: usize = 16;
 
-/// The size from which a batch takes no more lines, in bytes.
-const MAX_BATCH_BYTES: usize = 64 * 1024;
-
 /// The largest write to a pipe that is atomic, in bytes.
 ///
 /// Longer writes of processes that share a pipe may be interleaved, and some log collectors
@@ -31,49 +31,21 @@
 /// The stack size of the writer thread, in bytes.
 const WRITER_STACK_BYTES: usize = 64 * 1024;
 
-/// The target of lines about successful requests, which are dropped first.
-const ROUTINE_TARGET: &str = "routine";
-
-/// The priority of a line, which determines its share of the line limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Priority {
-    /// A successful request. Such lines may use half of the limit.
-    Routine,
-    /// A refusal, a failure or a change. Such lines may use seven eighths of the limit.
-    Decision,
-    /// A warning or an error. Such lines may use the whole limit.
-    Severe,
-}
-
-impl Priority {
-    const fn share_of(self, limit: u32) -> u32 {
-        match self {
-            Self::Routine => limit / 2,
-            Self::Decision => limit - limit / 8,
-            Self::Severe => limit,
-        }
-    }
-}
-
-impl From<&Metadata<'_>> for Priority {
-    fn from(metadata: &Metadata<'_>) -> Self {
-        if *metadata.level() <= Level::WARN {
-            Self::Severe
-        } else if metadata.target() == ROUTINE_TARGET {
-            Self::Routine
-        } else {
-            Self::Decision
-        }
-    }
-}
+/// The shortest time between two lines about dropped lines.
+const DROP_NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
 struct LogBuffer {
     batch: Vec<u8>,
-    window_start: Instant,
-    lines_in_window: u32,
-    dropped_lines: u64,
-    lines_per_second: u32,
+    /// The lines of the batch.
+    batch_lines: LineCounts,
+    limit: LineLimit,
+    /// The lines that were dropped since the start of the process.
+    dropped: LineCounts,
+    /// The dropped lines that have been logged.
+    noticed: LineCounts,
+    /// When dropped lines may be logged again.
+    next_notice: Instant,
 }
 
 /// A handle to the collected lines of a process and to the queue of the writer thread.
@@ -86,12 +58,14 @@
 /// Starts the writer thread, installs the global subscriber and returns the log.
 pub(super) fn init(level: LogLevel, lines_per_second: u32) -> io::Result<Log> {
     let (sender, receiver) = sync_channel(MAX_QUEUED_BATCHES);
+    let now = Instant::now();
     let buffer = LogBuffer {
         batch: Vec::new(),
-        window_start: Instant::now(),
-        lines_in_window: 0,
-        dropped_lines: 0,
-        lines_per_second,
+        batch_lines: LineCounts::default(),
+        limit: LineLimit::new(lines_per_second, now),
+        dropped: LineCounts::default(),
+        noticed: LineCounts::default(),
+        next_notice: now,
     };
     let log = Log {
         buffer: Arc::new(Mutex::new(buffer)),
@@ -147,25 +121,40 @@
 
     /// Passes the collected lines to the writer thread without blocking.
     pub(super) fn flush(&self) {
+        self.notice_dropped();
         let mut buffer = self.lock();
         if buffer.batch.is_empty() {
             return;
         }
         let batch = std::mem::take(&mut buffer.batch);
-        let lines = batch.iter().filter(|&&byte| byte == b'\n').count() as u64;
+        let lines = std::mem::take(&mut buffer.batch_lines);
         if let Err(TrySendError::Full(_)) = self.sender.try_send(batch) {
-            buffer.dropped_lines += lines;
+            buffer.dropped.add_all(lines);
+        }
+    }
+
+    /// Logs how many lines were dropped, if there are new ones.
+    fn notice_dropped(&self) {
+        let now = Instant::now();
+        let mut buffer = self.lock();
+        let dropped = buffer.dropped;
+        if dropped == buffer.noticed || now < buffer.next_notice {
+            return;
         }
+        buffer.noticed = dropped;
+        buffer.next_notice = now + DROP_NOTICE_INTERVAL;
+        drop(buffer);
+        info!(target: ATTEMPT_TARGET, dropped = %dropped, "log lines dropped since the start");
     }
 
-    /// Returns the number of lines dropped since the start of the process.
-    pub(super) fn dropped_lines(&self) -> u64 {
-        self.lock().dropped_lines
+    /// Returns the lines dropped since the start of the process.
+    pub(super) fn dropped(&self) -> LineCounts {
+        self.lock().dropped
     }
 
     /// Sets the maximum number of lines per second.
     pub(super) fn set_limit(&self, lines_per_second: u32) {
-        self.lock().lines_per_second = lines_per_second;
+        self.lock().limit.set(lines_per_second);
     }
 
     /// Returns the time between two flushes.
@@ -183,16 +172,14 @@
 
 impl LogBuffer {
     /// Counts a line and returns whether it may be written.
-    fn admit(&mut self, priority: Priority) -> bool {
-        let now = Instant::now();
-        if now.duration_since(self.window_start) >= Duration::from_secs(1) {
-            self.window_start = now;
-            self.lines_in_window = 0;
-        }
-        let is_within_limit = self.lines_in_window < priority.share_of(self.lines_per_second);
-        let is_admitted = is_within_limit && self.batch.len() < MAX_BATCH_BYTES;
-        self.lines_in_window += u32::from(is_admitted);
-        self.dropped_lines += u64::from(!is_admitted);
+    fn admit(&mut self, class: LineClass) -> bool {
+        let is_admitted = self.limit.admit(class, self.batch.len(), Instant::now());
+        let counts = if is_admitted {
+            &mut self.batch_lines
+        } else {
+            &mut self.dropped
+        };
+        counts.add(class);
         is_admitted
     }
 }
@@ -219,13 +206,13 @@
 
     fn make_writer(&'a self) -> Self::Writer {
         let mut buffer = self.lock();
-        let is_admitted = buffer.admit(Priority::Severe);
+        let is_admitted = buffer.admit(LineClass::Severe);
         LineWriter(is_admitted.then_some(buffer))
     }
 
     fn make_writer_for(&'a self, metadata: &Metadata<'_>) -> Self::Writer {
         let mut buffer = self.lock();
-        let is_admitted = buffer.admit(Priority::from(metadata));
+        let is_admitted = buffer.admit(LineClass::from(metadata));
         LineWriter(is_admitted.then_some(buffer))
     }
 }
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 
+use super::line_limit::{LineClass, LineCounts};
 use crate::BUILD;
 
 type Label = [(&'static str, &'static str); 1];
@@ -34,6 +35,7 @@
     endpoint_run_permille: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
     endpoint_speed_samples: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
     closed_connections: Family<Label, Counter>,
+    dropped_log_lines: Family<Label, Counter>,
     calls: Family<[(&'static str, &'static str); 3], Counter>,
     /// Time from the arrival of a job to its answer, in seconds.
     pub(super) job_seconds: Histogram,
@@ -57,6 +59,7 @@
             endpoint_run_permille: Family::default(),
             endpoint_speed_samples: Family::default(),
             closed_connections: Family::default(),
+            dropped_log_lines: Family::default(),
             calls: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(0.01, 1.6, 16)),
             wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -108,6 +111,11 @@
             "Connections of clients that were closed for the limits of the process, by reason",
             metrics.closed_connections.clone(),
         );
+        registry.register(
+            "dropped_log_lines",
+            "Log lines over the limit of lines, by class",
+            metrics.dropped_log_lines.clone(),
+        );
         registry.register(
             "wait_seconds",
             "Time from the arrival of a job to the start of its last task",
@@ -154,6 +162,15 @@
         }
     }
 
+    /// Sets how many log lines were dropped.
+    pub(super) fn set_dropped_lines(&self, dropped: LineCounts) {
+        for class in LineClass::ALL {
+            let labels = [("class", class.as_str())];
+            let counter = self.dropped_log_lines.get_or_create_owned(&labels);
+            counter.inner().store(dropped.get(class), Ordering::Relaxed);
+        }
+    }
+
     /// Sets the room that each class uses, waits for and lends at the endpoint.
     pub(super) fn set_class_room(&self, rooms: [ClassRoom; Class::COUNT]) {
         for (class, room) in Class::ALL.into_iter().zip(rooms) {
--- a/crates/fulmarpondd/src/leased/mod.rs
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -11,6 +11,7 @@
 mod entry_process;
 mod entry_requests;
 mod host_maintenance;
+mod line_limit;
 mod log;
 mod machine_limits;
 mod metrics;
@@ -29,6 +30,7 @@
 use crate::BUILD;
 use agent_process::AgentProcess;
 use entry_process::EntryProcess;
+pub use line_limit::{LineClass, LineCounts, LineLimit};
 
 /// An error that ends a process in leased mode.
 #[derive(Debug, Error)]
--- a/crates/fulmarpondd/src/leased/runtime.rs
+++ b/crates/fulmarpondd/src/leased/runtime.rs
@@ -8,6 +8,7 @@
 use fulmarpond_settings::LeasedSettings;
 
 use super::clock::BootClock;
+use super::line_limit::LineCounts;
 use super::log::Log;
 use super::metrics::Metrics;
 use super::reload::{SettingsFile, log_reload};
@@ -68,9 +69,9 @@
         Some(new)
     }
 
-    /// Returns the number of dropped log lines.
-    pub(super) fn dropped_lines(&self) -> u64 {
-        self.log.dropped_lines()
+    /// Returns the number of dropped log lines, by class.
+    pub(super) fn dropped_lines(&self) -> LineCounts {
+        self.log.dropped()
     }
 
     /// Passes the collected log lines to the writer thread if the flush interval has elapsed.
