feat(daemon): a few warnings name the build and the last stopped attempts

Users' records hold a few lines of each log, warnings first, so they told neither which build ran nor why the first runs of a job were stopped.

A process writes 'report of attempts' as a warning 1 s after something new, every 10 s at most, and once more when it stops: build, uptime, dropped lines by class, and the last 8 attempts that were stopped with runs or met another one, with cause, age, other entry and what shows that no run is left (at agents: the last 8 unwanted runs and how each was seen to be over). Without such attempts there is no line.

--- a/crates/fulmarpond-dispatch/src/agent/agent.rs
+++ b/crates/fulmarpond-dispatch/src/agent/agent.rs
@@ -12,6 +12,7 @@
 use super::health::Health;
 use super::links::Links;
 use super::preemption::Preemption;
+use super::recent_stops::RecentStops;
 use super::run::{AfterStop, Phase, Run};
 use super::run_memory::RunMemory;
 use super::shares::Shares;
@@ -122,6 +123,7 @@
     pub(super) runs: BTreeMap<TaskKey, Run>,
     /// The runs that must be over by a certain time, by that time.
     pub(super) unwanted_runs: BTreeSet<(Time, TaskKey)>,
+    pub(super) recent_stops: RecentStops,
     pub(super) run_memory: RunMemory,
     /// The queued tasks, and the shares of the endpoint by class.
     pub(super) shares: Shares,
@@ -170,6 +172,7 @@
             crashes: Crashes::default(),
             runs: BTreeMap::new(),
             unwanted_runs: BTreeSet::new(),
+            recent_stops: RecentStops::default(),
             run_memory: RunMemory::default(),
             shares: Shares::default(),
             turns: Turns::default(),
@@ -237,6 +240,11 @@
         (queued, self.runs.len() - queued)
     }
 
+    /// Returns the last runs that were stopped since their entry was lost or no longer wanted them.
+    pub const fn recent_stops(&self) -> &RecentStops {
+        &self.recent_stops
+    }
+
     /// Returns the number of established links to entries.
     pub fn links(&self) -> usize {
         self.links.established.len()
--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -384,10 +384,11 @@
         let Some(run) = self.runs.get(task) else {
             return;
         };
-        if matches!(run.phase, Phase::Stopping { .. }) {
+        let phase = run.phase;
+        if matches!(phase, Phase::Stopping { .. }) {
             self.log_stopped_end(task, "endpoint_lost");
         }
-        match run.phase {
+        match phase {
             Phase::Stopping {
                 after_stop: after_stop @ (AfterStop::Discard | AfterStop::Refuse),
                 ..
--- a/crates/fulmarpond-dispatch/src/agent/mod.rs
+++ b/crates/fulmarpond-dispatch/src/agent/mod.rs
@@ -21,6 +21,7 @@
 mod preemption;
 mod queue;
 mod queued_starts;
+mod recent_stops;
 mod reply_ages;
 mod reply_times;
 mod reports;
@@ -41,3 +42,4 @@
 pub use endpoint_call::{
     CallFailure, EndEntry, EndReason, EndpointCall, EndpointReply, RunEntry, StartRefusal,
 };
+pub use recent_stops::RecentStops;
--- a/crates/fulmarpond-dispatch/src/agent/run_lease.rs
+++ b/crates/fulmarpond-dispatch/src/agent/run_lease.rs
@@ -67,6 +67,7 @@
                 continue;
             };
             warn!(target: ATTEMPT_TARGET, job = %task.job, %task, run = run.number, "stop is not confirmed, run has ended with its lease");
+            self.recent_stops.record(&task, run.number, "lease_expired");
             self.last_run_numbers
                 .insert(task.clone(), (run.number, now));
             if let Phase::Stopping { after_stop, .. } = run.phase {
--- a/crates/fulmarpond-dispatch/src/agent/task_ends.rs
+++ b/crates/fulmarpond-dispatch/src/agent/task_ends.rs
@@ -67,10 +67,15 @@
         }
     }
 
-    /// Logs how the end of a stopped run was seen.
-    pub(super) fn log_stopped_end(&self, task: &TaskKey, evidence: &'static str) {
-        if let Some(run) = self.runs.get(task) {
-            info!(target: ATTEMPT_TARGET, job = %task.job, %task, run = run.number, evidence, "stopped run is over");
+    /// Logs and records how the end of a stopped run was seen.
+    pub(super) fn log_stopped_end(&mut self, task: &TaskKey, evidence: &'static str) {
+        let Some(run) = self.runs.get(task) else {
+            return;
+        };
+        info!(target: ATTEMPT_TARGET, job = %task.job, %task, run = run.number, evidence, "stopped run is over");
+        let is_unwanted = run.over_by != Time::MAX;
+        if is_unwanted {
+            self.recent_stops.record(task, run.number, evidence);
         }
     }
 
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -255,7 +255,7 @@
         }
         if let Some(job) = self.jobs.get(&id).filter(|job| job.state.is_none()) {
             let age_ms = now.millis_since(job.sent_after);
-            let entry = self.peers.name(link);
+            let entry = self.peers.name(link).to_owned();
             if has_started {
                 self.counters.overlapping += 1;
                 warn!(target: ATTEMPT_TARGET, job = %id, age_ms, entry, "attempts ran at two entries, the earlier one ends");
@@ -264,6 +264,8 @@
             }
             let reason = Refusal::Superseded;
             self.finish(&id, Answer::MayHaveRun { reason }, now, out);
+            let cause = reason.as_str();
+            self.recent.record_meeting(&id, cause, age_ms, entry);
         }
         if self.attempts.is_ending(&id) {
             self.attempts.add_yield_request(id, link);
@@ -282,6 +284,9 @@
                 stopped_ms = now.millis_since(ended.since),
                 "stopped attempt is over"
             );
+            let stopped_ms = now.millis_since(ended.since);
+            self.recent
+                .record_over(&job, ended.evidence.as_str(), stopped_ms);
             for link in self.attempts.take_yield_requests(&job) {
                 self.send_to_peer(link, PeerFrame::Yielded(job.clone()), out);
             }
@@ -299,7 +304,14 @@
         let is_repeated = self.attempts.has_earlier(&job.id, now);
         info!(target: ATTEMPT_TARGET, job = %job.id, is_repeated, "request waits for the end of an earlier attempt");
         self.counters.held += 1;
-        for link in self.attempts.owners(&job.id) {
+        let owners = self.attempts.owners(&job.id);
+        if is_repeated {
+            let names: Vec<&str> = owners.iter().map(|&link| self.peers.name(link)).collect();
+            let age_ms = now.millis_since(job.sent_after);
+            self.recent
+                .record_meeting(&job.id, "held", age_ms, names.join(","));
+        }
+        for link in owners {
             let request = PeerFrame::Yield {
                 job: job.id.clone(),
                 has_started: false,
@@ -338,6 +350,8 @@
                 is_repeated = held.is_repeated,
                 "earlier attempt is over"
             );
+            let held_ms = now.millis_since(held.since);
+            self.recent.record_over(&id, evidence.as_str(), held_ms);
             held.submission.timeout_ms = held.deadline.remaining_millis(now) + GIVE_UP_MARGIN_MS;
             let mut job = self.new_job(&id, &held.route, held.submission, now);
             job.requests = held.requests;
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -21,6 +21,7 @@
 use super::membership::Membership;
 use super::peers::Peers;
 use super::quarantine::Quarantine;
+use super::recent_attempts::RecentAttempts;
 use super::series::OwnedSeries;
 use super::waiting_jobs::WaitingJobs;
 use super::workload::Workload;
@@ -110,6 +111,7 @@
     pub(super) entries: Vec<SocketAddr>,
     pub(super) peers: Peers,
     pub(super) attempts: Attempts,
+    pub(super) recent: RecentAttempts,
     pub(super) membership: Membership,
     pub(super) confirmations: Confirmations,
     pub(super) held: HeldRequests,
@@ -165,6 +167,7 @@
             entries: Vec::new(),
             peers,
             attempts: Attempts::default(),
+            recent: RecentAttempts::default(),
             membership: Membership::default(),
             confirmations: Confirmations::default(),
             held: HeldRequests::default(),
@@ -232,6 +235,11 @@
         views.filter(|view| view.takes_tasks()).count()
     }
 
+    /// Returns the last attempts that met another one or were stopped with runs.
+    pub const fn recent_attempts(&self) -> &RecentAttempts {
+        &self.recent
+    }
+
     /// Returns the speeds of all endpoints whose service has measured ones.
     pub fn endpoint_speeds(&self) -> Vec<KnownSpeed> {
         self.speeds.known(&self.fleet)
@@ -354,6 +362,7 @@
         let runs = self.attempts.begin_ending(job, over_by, now);
         if runs > 0 {
             let age_ms = now.millis_since(job.sent_after);
+            self.recent.record_stop(&job.id, cause, age_ms, runs);
             info!(target: ATTEMPT_TARGET, job = %job.id, cause, age_ms, runs, "attempt is stopped with runs under way");
         }
     }
--- a/crates/fulmarpond-dispatch/src/entry/held_requests.rs
+++ b/crates/fulmarpond-dispatch/src/entry/held_requests.rs
@@ -24,6 +24,18 @@
     Expired,
 }
 
+impl EndEvidence {
+    /// Returns the name in reports.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotListed => "not_listed",
+            Self::Yielded => "yielded",
+            Self::Reported => "reported",
+            Self::Expired => "expired",
+        }
+    }
+}
+
 /// A submission that waits for the end of an earlier attempt, or until the attempts of the other
 /// entries are known.
 #[derive(Debug)]
--- a/crates/fulmarpond-dispatch/src/entry/shared_attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/shared_attempts.rs
@@ -49,11 +49,14 @@
                 .unaware(job.sent_after, lease_times, now)?;
             let age_ms = now.millis_since(job.sent_after);
             info!(target: ATTEMPT_TARGET, job = %job.id, age_ms, entry, "attempt ends, another entry may not know of it");
-            Some(job.id.clone())
+            Some((job.id.clone(), age_ms, entry.to_owned()))
         });
-        let unshared: Vec<JobId> = unshared.collect();
-        for id in unshared {
-            self.give_up(&id, Refusal::Unshared, now, out);
+        let unshared: Vec<(JobId, u64, String)> = unshared.collect();
+        for (id, age_ms, entry) in unshared {
+            let reason = Refusal::Unshared;
+            self.give_up(&id, reason, now, out);
+            self.recent
+                .record_meeting(&id, reason.as_str(), age_ms, entry);
         }
     }
 }
--- a/crates/fulmarpondd/src/leased/agent_process.rs
+++ b/crates/fulmarpondd/src/leased/agent_process.rs
@@ -120,11 +120,13 @@
             if self.is_finished(now) {
                 break;
             }
-            self.runtime.flush_log();
+            let recent = self.agent.recent_stops();
+            self.runtime.flush_log(recent, recent.changes());
         }
         self.reactor.flush_output();
         info!("stop");
-        self.runtime.finish_log();
+        let recent = self.agent.recent_stops();
+        self.runtime.finish_log(recent, recent.changes());
         Ok(())
     }
 
--- a/crates/fulmarpondd/src/leased/entry_process.rs
+++ b/crates/fulmarpondd/src/leased/entry_process.rs
@@ -146,11 +146,13 @@
             if self.is_finished(now) {
                 break;
             }
-            self.runtime.flush_log();
+            let recent = self.entry.recent_attempts();
+            self.runtime.flush_log(recent, recent.changes());
         }
         self.withdraw();
         info!("stop");
-        self.runtime.finish_log();
+        let recent = self.entry.recent_attempts();
+        self.runtime.finish_log(recent, recent.changes());
         Ok(())
     }
 
--- a/crates/fulmarpondd/src/leased/mod.rs
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -16,6 +16,7 @@
 mod machine_limits;
 mod metrics;
 mod reload;
+mod report;
 mod runtime;
 mod signals;
 
--- a/crates/fulmarpondd/src/leased/runtime.rs
+++ b/crates/fulmarpondd/src/leased/runtime.rs
@@ -1,5 +1,6 @@
 //! The parts of the event loop that entries and agents share.
 
+use std::fmt::Display;
 use std::io;
 use std::path::Path;
 use std::time::Instant;
@@ -12,6 +13,7 @@
 use super::log::Log;
 use super::metrics::Metrics;
 use super::reload::{SettingsFile, log_reload};
+use super::report::Report;
 use super::signals::Signals;
 
 /// The signals, settings file, metrics and log of a process.
@@ -22,6 +24,7 @@
     settings: LeasedSettings,
     pub(super) metrics: Metrics,
     log: Log,
+    report: Report,
     next_flush: Instant,
     /// The time at which the process was asked to stop.
     pub(super) stop_requested_at: Option<Time>,
@@ -40,6 +43,7 @@
             settings: settings.clone(),
             metrics: Metrics::new(),
             log,
+            report: Report::new(Instant::now()),
             next_flush: Instant::now(),
             stop_requested_at: None,
         })
@@ -74,17 +78,22 @@
         self.log.dropped()
     }
 
-    /// Passes the collected log lines to the writer thread if the flush interval has elapsed.
-    pub(super) fn flush_log(&mut self) {
+    /// Passes the collected log lines to the writer thread if the flush interval has elapsed, with a
+    /// report of what is recent if it is due.
+    pub(super) fn flush_log(&mut self, recent: &impl Display, changes: u64) {
         let now = Instant::now();
         if now >= self.next_flush {
             self.next_flush = now + Log::flush_interval();
+            let dropped = self.log.dropped();
+            self.report.update(recent, changes, dropped, now);
             self.log.flush();
         }
     }
 
-    /// Flushes the log before the process exits.
-    pub(super) fn finish_log(&self) {
+    /// Writes the last report and flushes the log before the process exits.
+    pub(super) fn finish_log(&mut self, recent: &impl Display, changes: u64) {
+        let dropped = self.log.dropped();
+        self.report.finish(recent, changes, dropped, Instant::now());
         self.log.finish();
     }
 }
