feat(dispatch): entries notice runs of two attempts at one time

An entry that has stopped an attempt with runs, and whose agents have reported the ends of them all, tells the others in its next list between which times it had runs. One that had runs of the job at that time logs a warning with both entries, ages and the overlap, and counts it (overlapping_runs). An attempt that had waited for the word of the earlier one's entry is left out, as a list that is read late would look like an overlap. 24 bytes at most for each such attempt, once; a byte for each other list.

The field is the last of the frame. Earlier processes ignore it: postcard passes over bytes that follow. serde(default) isn't enough to read their lists, as postcard reports the end of the input (trial: lists_are_read_by_both_versions failed with DeserializeUnexpectedEnd), so the field is read as empty then.

Tests: peers.rs, two entries, five cases, a late list and a pause, and peer_frames.rs, 12 and 3 passed in debug. Not noticed: two attempts that both complete, as in the 1,500 ms case of runs_do_not_overlap_if_the_network_holds_a_request_back, which stays red.

--- a/crates/fulmarpond-dispatch/src/counters.rs
+++ b/crates/fulmarpond-dispatch/src/counters.rs
@@ -127,6 +127,8 @@
     pub held: u64,
     /// Attempts beside which another entry had started a later one of the same job.
     pub overlapping: u64,
+    /// Attempts that had runs while a stopped one of another entry had some.
+    pub overlapping_runs: u64,
 }
 
 impl Counters {
--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -93,11 +93,11 @@
             self.submit_durable(request, id, route, submission, now, out);
             return;
         }
-        if let Some((answer, _)) = self.final_answers.get(&id) {
+        if let Some(answered) = self.final_answers.get(&id) {
             info!(job = %id, "duplicate of an answered request");
             out.push(Action::Answer {
                 request,
-                answer: *answer,
+                answer: answered.answer,
                 age: 0,
                 wait: 0,
             });
@@ -208,6 +208,8 @@
             deadline,
             planned_wait: 0,
             last_start: now,
+            first_sent: None,
+            is_successor: false,
             has_started: false,
             is_withdrawn: false,
             broken_gangs: BTreeSet::new(),
--- a/crates/fulmarpond-dispatch/src/entry/agents.rs
+++ b/crates/fulmarpond-dispatch/src/entry/agents.rs
@@ -69,6 +69,7 @@
                 }
             }
             if any_lost {
+                job.first_sent = None;
                 job.has_started |= job.state.is_none();
                 affected.push(id.clone());
             }
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -10,7 +10,9 @@
 use super::held_requests::{EndEvidence, HeldRequest};
 use super::job::Job;
 use super::{Action, Answer, RequestNo};
-use crate::{ATTEMPT_TARGET, EntryFrame, JobId, LinkNo, ListedAttempt, PeerFrame, Refusal};
+use crate::{
+    ATTEMPT_TARGET, EntryFrame, JobId, LinkNo, ListedAttempt, ListedEnd, PeerFrame, Refusal,
+};
 
 /// The number of lists in a row that may be missing before a link to an entry counts as silent.
 const MAX_MISSING_LISTS: u64 = 3;
@@ -37,7 +39,7 @@
     pub fn peer_link_up(&mut self, link: LinkNo, now: Time, out: &mut Vec<Action>) {
         self.peers.add_link(link, now);
         self.send_peer_hello(link, out);
-        let list = self.attempt_list(true, now);
+        let list = self.attempt_list(true, Vec::new(), now);
         self.send_to_peer(link, list, out);
     }
 
@@ -90,7 +92,9 @@
                 attempts,
                 wants_reply,
                 number,
+                ended,
             } => {
+                self.compare_ends(link, &ended, now);
                 self.attempts.set_list(link, &attempts);
                 if let Some(peer) = self.peers.get(link) {
                     self.attempts.regain_entry(&peer.name, peer.incarnation);
@@ -103,7 +107,7 @@
                     self.claim_from(link, attempt, now, out);
                 }
                 if wants_reply {
-                    let list = self.attempt_list(false, now);
+                    let list = self.attempt_list(false, Vec::new(), now);
                     self.send_to_peer(link, list, out);
                 }
                 self.peers.record_list(link);
@@ -175,7 +179,8 @@
         if self.peers.len() == 0 {
             return;
         }
-        let list = self.attempt_list(wants_reply, now);
+        let ended = self.overlaps.take_untold(now);
+        let list = self.attempt_list(wants_reply, ended, now);
         for link in self.peers.links() {
             self.send_to_peer(link, list.clone(), out);
         }
@@ -193,7 +198,7 @@
 
     /// Returns the list of the attempts whose callers may soon send them again. One that is held is
     /// listed too, since it may start at any time.
-    fn attempt_list(&mut self, wants_reply: bool, now: Time) -> PeerFrame {
+    fn attempt_list(&mut self, wants_reply: bool, ended: Vec<ListedEnd>, now: Time) -> PeerFrame {
         let number = self.confirmations.next_number(now);
         let list_age_ms = self.options.lease_times.list_age_ms();
         let in_progress = self
@@ -211,6 +216,7 @@
             attempts: attempts.collect(),
             wants_reply,
             number,
+            ended,
         }
     }
 
@@ -277,6 +283,7 @@
     /// Removes the stopped attempts whose runs are over, and tells the entries that wait for that.
     pub(super) fn finish_endings(&mut self, now: Time, out: &mut Vec<Action>) {
         for (job, ended) in self.attempts.remove_ended(now) {
+            self.record_run_time(&job, &ended);
             info!(
                 target: ATTEMPT_TARGET,
                 %job,
@@ -357,6 +364,7 @@
             job.requests = held.requests;
             job.sent_after = held.sent_after;
             job.has_started = held.is_repeated;
+            job.is_successor = evidence != EndEvidence::Expired;
             self.admit(job, now, out);
         }
     }
--- a/crates/fulmarpond-dispatch/src/entry/attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempts.rs
@@ -9,6 +9,7 @@
 use fulmarpond_core::Time;
 
 use super::job::{Job, TaskState};
+use super::overlaps::RunTime;
 use super::peers::Peer;
 use crate::{JobId, LeaseTimes, LinkNo, ListedAttempt, TaskKey};
 
@@ -19,6 +20,8 @@
     sent_after: Time,
     /// When it was stopped.
     since: Time,
+    /// Since when it had runs.
+    run_time: Option<RunTime>,
     /// The runs whose end is not reported yet, by agent, step and index.
     runs: BTreeSet<(LinkNo, u16, u16)>,
     /// When the runs at lost agents are over.
@@ -28,6 +31,11 @@
 }
 
 impl Ending {
+    /// Returns when it had runs, if the last one ends now.
+    fn run_time_until(&self, now: Time) -> Option<RunTime> {
+        self.run_time.map(|time| RunTime { over: now, ..time })
+    }
+
     /// Returns what shows that no run is left, if that is so.
     fn evidence(&self, now: Time) -> Option<RunsOver> {
         if self.runs.is_empty() && now >= self.lost_until {
@@ -71,6 +79,8 @@
     pub(super) since: Time,
     /// What shows that no run is left.
     pub(super) evidence: RunsOver,
+    /// When it had runs.
+    pub(super) run_time: Option<RunTime>,
 }
 
 /// The attempts that a lost entry has listed last.
@@ -105,6 +115,7 @@
         let mut ending = Ending {
             sent_after: job.sent_after,
             since: now,
+            run_time: RunTime::of_job(job, now),
             runs: BTreeSet::new(),
             lost_until: now,
             over_by,
@@ -157,6 +168,7 @@
             let ended = EndedAttempt {
                 since: ending.since,
                 evidence: ending.evidence(now)?,
+                run_time: ending.run_time_until(now),
             };
             Some((job.clone(), ended))
         });
@@ -278,6 +290,13 @@
         self.yield_requests.remove(job).unwrap_or_default()
     }
 
+    /// Returns since when a stopped attempt has runs, unless an agent of them is lost.
+    pub(super) fn ending_run_time(&self, job: &JobId, now: Time) -> Option<RunTime> {
+        let ending = self.ending.get(job)?;
+        let has_lost = ending.lost_until > ending.since;
+        ending.run_time_until(now).filter(|_| !has_lost)
+    }
+
     /// Returns the stopped attempts, with the time after which their callers sent them.
     pub(super) fn ending(&self) -> impl Iterator<Item = (&JobId, Time)> {
         self.ending
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -19,6 +19,7 @@
 use super::job::{Job, TaskState};
 use super::job_memory::JobMemory;
 use super::membership::Membership;
+use super::overlaps::{Overlaps, RunTime};
 use super::peers::Peers;
 use super::quarantine::Quarantine;
 use super::recent_attempts::RecentAttempts;
@@ -87,6 +88,16 @@
     pub advises: bool,
 }
 
+/// The answer to a job that is not durable, retained for duplicates of its request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FinalAnswer {
+    pub(super) answer: Answer,
+    /// When it was given.
+    at: Time,
+    /// When its tasks ran.
+    pub(super) run_time: Option<RunTime>,
+}
+
 /// Accepts jobs from callers and places their tasks on agents.
 ///
 /// It performs no I/O: calls go in with a time, and actions come out.
@@ -100,7 +111,7 @@
     pub(super) unplaced: WaitingJobs,
     /// Jobs with lost runs or delayed restarts, by the time at which their tasks are requeued.
     pub(super) lost_runs: BTreeSet<(Time, JobId)>,
-    pub(super) final_answers: HashMap<JobId, (Answer, Time)>,
+    pub(super) final_answers: HashMap<JobId, FinalAnswer>,
     pub(super) evacuations: Evacuations,
     pub(super) estimates: Estimates,
     pub(super) speeds: EndpointSpeeds,
@@ -112,6 +123,7 @@
     pub(super) peers: Peers,
     pub(super) attempts: Attempts,
     pub(super) recent: RecentAttempts,
+    pub(super) overlaps: Overlaps,
     pub(super) membership: Membership,
     pub(super) confirmations: Confirmations,
     pub(super) held: HeldRequests,
@@ -168,6 +180,7 @@
             peers,
             attempts: Attempts::default(),
             recent: RecentAttempts::default(),
+            overlaps: Overlaps::default(),
             membership: Membership::default(),
             confirmations: Confirmations::default(),
             held: HeldRequests::default(),
@@ -421,7 +434,13 @@
             return;
         }
         if matches!(answer, Answer::Completed | Answer::Failed) {
-            self.final_answers.insert(id.clone(), (answer, now));
+            let run_time = RunTime::of_job(&job, self.seen_at(now));
+            let final_answer = FinalAnswer {
+                answer,
+                at: now,
+                run_time,
+            };
+            self.final_answers.insert(id.clone(), final_answer);
         }
         for request in job.requests {
             out.push(Action::Answer {
@@ -493,7 +512,7 @@
         self.expire_jobs(now, out);
         self.count_job_memory();
         self.final_answers
-            .retain(|_, (_, at)| now.millis_since(*at) < ANSWER_RETENTION_MS);
+            .retain(|_, answered| now.millis_since(answered.at) < ANSWER_RETENTION_MS);
     }
 
     /// Gives up jobs whose deadline has passed, and jobs that have not run and can no longer start
--- a/crates/fulmarpond-dispatch/src/entry/job.rs
+++ b/crates/fulmarpond-dispatch/src/entry/job.rs
@@ -133,6 +133,10 @@
     pub(super) planned_wait: u64,
     /// The latest reported start of a task.
     pub(super) last_start: Time,
+    /// When its first task was sent to an agent, after the last loss of runs: when those end is unknown.
+    pub(super) first_sent: Option<Time>,
+    /// Whether the other entries have said that all earlier attempts were over before this one began.
+    pub(super) is_successor: bool,
     /// Whether some task may have started.
     pub(super) has_started: bool,
     /// Whether its tasks were withdrawn because it missed its latency objective.
--- a/crates/fulmarpond-dispatch/src/entry/mod.rs
+++ b/crates/fulmarpond-dispatch/src/entry/mod.rs
@@ -30,6 +30,7 @@
 mod ledger_events;
 mod long_running;
 mod membership;
+mod overlaps;
 mod peers;
 mod quarantine;
 mod queueing;
--- a/crates/fulmarpond-dispatch/src/entry/task_placement.rs
+++ b/crates/fulmarpond-dispatch/src/entry/task_placement.rs
@@ -259,6 +259,7 @@
             self.store_gang_epoch(id, job, step);
         }
         for (position, link) in plan.choices {
+            job.first_sent.get_or_insert(now);
             let task = &mut job.tasks[position];
             task.send_to(link);
             task.working = false;
--- a/crates/fulmarpond-dispatch/src/lib.rs
+++ b/crates/fulmarpond-dispatch/src/lib.rs
@@ -42,7 +42,7 @@
 };
 pub use id::{EndpointId, JobId, LinkNo, TaskKey};
 pub use lease_times::{InvalidLeaseTimes, LeaseTimes};
-pub use peer_frame::{ListedAttempt, PeerFrame};
+pub use peer_frame::{ListedAttempt, ListedEnd, PeerFrame};
 pub use registration::{EndpointState, Incarnation, Registration, RegistrationError};
 pub use resources::Resources;
 
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -13,7 +13,7 @@
 };
 use fulmarpond_dispatch::{
     AgentFrame, EndpointId, EndpointStatus, EntryFrame, JobId, LeaseTimes, LinkNo, LinkedEntry,
-    Outcome, Refusal, Resources, TaskEnd, TaskKey,
+    ListedEnd, Outcome, PeerFrame, Refusal, Resources, TaskEnd, TaskKey,
 };
 
 /// The link of each entry to its agent.
@@ -517,3 +517,154 @@
     pair.end_run(0, Outcome::Aborted);
     assert_eq!(pair.starts(1), 1);
 }
+
+/// What happens to an attempt at entry 0 and to one at entry 1, in milliseconds after the first one
+/// was sent.
+struct OverlapCase {
+    name: &'static str,
+    /// When the caller of the first attempt leaves, if it does.
+    leaves: Option<u64>,
+    /// When the second attempt is sent.
+    sent_again: u64,
+    /// When the second attempt completes, if it does.
+    completes: Option<u64>,
+    /// When the end of the run of the first attempt is reported.
+    first_ends: u64,
+    is_overlap: bool,
+}
+
+/// Guards against runs of two attempts at one time that no entry notices, and against alarms where the
+/// second attempt has waited for the end of the first one, or came after it.
+#[test]
+fn entries_notice_runs_of_two_attempts_at_one_time() {
+    let cases = [
+        OverlapCase {
+            name: "both run, the earlier one ends once the lists have met",
+            leaves: None,
+            sent_again: 100,
+            completes: None,
+            first_ends: 900,
+            is_overlap: true,
+        },
+        OverlapCase {
+            name: "the caller of the first one leaves after the second one has started",
+            leaves: Some(150),
+            sent_again: 100,
+            completes: None,
+            first_ends: 200,
+            is_overlap: true,
+        },
+        OverlapCase {
+            name: "the second one completes before the first one ends",
+            leaves: Some(150),
+            sent_again: 100,
+            completes: Some(160),
+            first_ends: 200,
+            is_overlap: true,
+        },
+        OverlapCase {
+            name: "the first one ends before the second one comes",
+            leaves: Some(50),
+            sent_again: 100,
+            completes: None,
+            first_ends: 80,
+            is_overlap: false,
+        },
+        OverlapCase {
+            name: "the second one waits for the end of the first one",
+            leaves: None,
+            sent_again: RESEND_MS,
+            completes: None,
+            first_ends: 1_400,
+            is_overlap: false,
+        },
+    ];
+    for case in cases {
+        let mut pair = Pair::new();
+        pair.submit(0, 1, 0);
+        for elapsed_ms in (0..2_000).step_by(10) {
+            if Some(elapsed_ms) == case.leaves {
+                pair.with(0, |entry, now, out| {
+                    entry.handle_caller_disconnect(RequestNo(1), now, out);
+                });
+            }
+            if elapsed_ms == case.sent_again {
+                pair.submit(1, 2, 0);
+            }
+            if Some(elapsed_ms) == case.completes {
+                pair.end_run(1, Outcome::Done);
+            }
+            if elapsed_ms == case.first_ends {
+                pair.end_run(0, Outcome::Aborted);
+            }
+            pair.run_ms(10);
+        }
+        assert_eq!(pair.starts(1), 1, "{}", case.name);
+        let overlaps = pair.entries[1].counters.overlapping_runs;
+        assert_eq!(overlaps, u64::from(case.is_overlap), "{}", case.name);
+        let told = pair.entries[1].recent_attempts().to_string();
+        let is_told = told.contains("runs_overlapped") && told.contains("entry=entry-0");
+        assert_eq!(is_told, case.is_overlap, "{}: {told}", case.name);
+        let others = pair.entries[0].counters.overlapping_runs;
+        assert_eq!(others, 0, "{}", case.name);
+    }
+}
+
+/// Guards against an alarm of an entry that reads a list late, so that the end of the earlier attempt
+/// seems to come after the start of its own, which has waited for it.
+#[test]
+fn late_list_is_no_overlap_if_the_attempt_has_waited() {
+    let mut pair = Pair::new();
+    pair.submit(0, 1, 0);
+    pair.run_ms(RESEND_MS);
+    pair.submit(1, 2, 0);
+    pair.end_run(0, Outcome::Aborted);
+    assert_eq!(pair.starts(1), 1);
+    pair.run_ms(300);
+    let end = ListedEnd {
+        job: job(),
+        age_ms: 1_600,
+        started_ms: 1_600,
+        over_ms: 0,
+    };
+    let list = PeerFrame::Attempts {
+        attempts: Vec::new(),
+        wants_reply: false,
+        number: 1_000,
+        ended: vec![end],
+    };
+    pair.with(1, |entry, now, out| {
+        entry.handle_frame(PEER, AgentFrame::Peer(list), now, out);
+    });
+    assert_eq!(pair.entries[1].counters.overlapping_runs, 0);
+}
+
+/// Guards against an alarm of an entry that was paused: its agent has lost it and stopped the run, and
+/// another entry has started the job and stopped it as well.
+#[test]
+fn paused_entry_sees_no_overlap_with_later_runs() {
+    let mut pair = Pair::new();
+    pair.submit(1, 1, 0);
+    pair.run_ms(100);
+    // Nothing is handled during the pause.
+    pair.now = pair.now.after_millis(3_000);
+    let end = ListedEnd {
+        job: job(),
+        age_ms: 1_200,
+        started_ms: 1_200,
+        over_ms: 100,
+    };
+    let list = PeerFrame::Attempts {
+        attempts: Vec::new(),
+        wants_reply: false,
+        number: 1_000,
+        ended: vec![end],
+    };
+    pair.with(1, |entry, now, out| {
+        entry.handle_frame(PEER, AgentFrame::Peer(list.clone()), now, out);
+        entry.link_down(AGENT, now, out);
+        entry.tick(now, out);
+        entry.handle_frame(PEER, AgentFrame::Peer(list), now, out);
+    });
+    assert_eq!(pair.entries[1].counters.overlapping_runs, 0);
+}
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -227,6 +227,7 @@
             ("crashing_jobs", counters.crashing_jobs),
             ("held", counters.held),
             ("overlapping", counters.overlapping),
+            ("overlapping_runs", counters.overlapping_runs),
             ("links_lost", counters.links_lost),
             ("evacuations", counters.evacuations),
         ] {
