--- a/crates/fulmarpond-dispatch/src/agent/incarnation.rs
+++ b/crates/fulmarpond-dispatch/src/agent/incarnation.rs
@@ -385,7 +385,11 @@
         let Some(run) = self.runs.get(task) else {
             return;
         };
-        match run.phase {
+        let phase = run.phase;
+        if matches!(phase, Phase::Stopping { .. }) {
+            self.log_stopped_end(task, "endpoint_lost");
+        }
+        match phase {
             Phase::Stopping {
                 after_stop: after_stop @ (AfterStop::Discard | AfterStop::Refuse),
                 ..
--- a/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
+++ b/crates/fulmarpond-dispatch/src/agent/starts_and_stops.rs
@@ -252,7 +252,7 @@
         } = known.phase
             && (sent >= ends_by || known.restarts_unstarted())
         {
-            debug!(%task, run, "stopped run has ended");
+            self.log_stopped_end(task, "not_listed");
             self.last_run_numbers.insert(task.clone(), (run, now));
             self.finish_stopped_run(task, after_stop);
         }
--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -10,7 +10,9 @@
 use super::held_requests::{EndEvidence, HeldRequest};
 use super::job::Job;
 use super::{Action, Answer, RequestNo};
-use crate::{EntryFrame, JobId, LinkNo, ListedAttempt, PeerFrame, Refusal};
+use crate::{
+    ATTEMPT_TARGET, EntryFrame, JobId, LinkNo, ListedAttempt, ListedEnd, PeerFrame, Refusal,
+};
 
 /// The number of lists in a row that may be missing before a link to an entry counts as silent.
 const MAX_MISSING_LISTS: u64 = 3;
@@ -37,7 +39,7 @@
     pub fn peer_link_up(&mut self, link: LinkNo, now: Time, out: &mut Vec<Action>) {
         self.peers.add_link(link, now);
         self.send_peer_hello(link, out);
-        let list = self.attempt_list(true, now);
+        let list = self.attempt_list(true, Vec::new(), now);
         self.send_to_peer(link, list, out);
     }
 
@@ -90,7 +92,9 @@
                 attempts,
                 wants_reply,
                 number,
+                ended,
             } => {
+                self.compare_ends(link, &ended, now);
                 self.attempts.set_list(link, &attempts);
                 if let Some(peer) = self.peers.get(link) {
                     self.attempts.regain_entry(&peer.name, peer.incarnation);
@@ -103,7 +107,7 @@
                     self.claim_from(link, attempt, now, out);
                 }
                 if wants_reply {
-                    let list = self.attempt_list(false, now);
+                    let list = self.attempt_list(false, Vec::new(), now);
                     self.send_to_peer(link, list, out);
                 }
                 self.peers.record_list(link);
@@ -175,7 +179,8 @@
         if self.peers.len() == 0 {
             return;
         }
-        let list = self.attempt_list(wants_reply, now);
+        let ended = self.overlaps.take_untold(now);
+        let list = self.attempt_list(wants_reply, ended, now);
         for link in self.peers.links() {
             self.send_to_peer(link, list.clone(), out);
         }
@@ -193,7 +198,7 @@
 
     /// Returns the list of the attempts whose callers may soon send them again. One that is held is
     /// listed too, since it may start at any time.
-    fn attempt_list(&mut self, wants_reply: bool, now: Time) -> PeerFrame {
+    fn attempt_list(&mut self, wants_reply: bool, ended: Vec<ListedEnd>, now: Time) -> PeerFrame {
         let number = self.confirmations.next_number(now);
         let list_age_ms = self.options.lease_times.list_age_ms();
         let in_progress = self
@@ -211,6 +216,7 @@
             attempts: attempts.collect(),
             wants_reply,
             number,
+            ended,
         }
     }
 
@@ -270,15 +276,17 @@
         }
         if let Some(job) = self.jobs.get(&id).filter(|job| job.state.is_none()) {
             let age_ms = now.millis_since(job.sent_after);
-            let entry = self.peers.name(link);
+            let entry = self.peers.name(link).to_owned();
             if has_started {
                 self.counters.overlapping += 1;
-                warn!(job = %id, age_ms, entry, "attempts ran at two entries, the earlier one ends");
+                warn!(target: ATTEMPT_TARGET, job = %id, age_ms, entry, "attempts ran at two entries, the earlier one ends");
             } else {
-                info!(job = %id, age_ms, entry, "attempt ends, another entry has a later one");
+                info!(target: ATTEMPT_TARGET, job = %id, age_ms, entry, "attempt ends, another entry has a later one");
             }
             let reason = Refusal::Superseded;
             self.finish(&id, Answer::MayHaveRun { reason }, now, out);
+            let cause = reason.as_str();
+            self.recent.record_meeting(&id, cause, age_ms, entry);
         }
         if self.attempts.is_ending(&id) {
             self.attempts.add_yield_request(id, link);
@@ -289,7 +297,18 @@
 
     /// Removes the stopped attempts whose runs are over, and tells the entries that wait for that.
     pub(super) fn finish_endings(&mut self, now: Time, out: &mut Vec<Action>) {
-        for job in self.attempts.remove_ended(now) {
+        for (job, ended) in self.attempts.remove_ended(now) {
+            self.record_run_time(&job, &ended);
+            info!(
+                target: ATTEMPT_TARGET,
+                %job,
+                evidence = ended.evidence.as_str(),
+                stopped_ms = now.millis_since(ended.since),
+                "stopped attempt is over"
+            );
+            let stopped_ms = now.millis_since(ended.since);
+            self.recent
+                .record_over(&job, ended.evidence.as_str(), stopped_ms);
             for link in self.attempts.take_yield_requests(&job) {
                 self.send_to_peer(link, PeerFrame::Yielded(job.clone()), out);
             }
@@ -311,9 +330,16 @@
         out: &mut Vec<Action>,
     ) {
         let is_repeated = self.attempts.has_earlier(&job.id, now);
-        info!(job = %job.id, is_repeated, "request waits for the end of an earlier attempt");
+        info!(target: ATTEMPT_TARGET, job = %job.id, is_repeated, "request waits for the end of an earlier attempt");
         self.counters.held += 1;
-        for link in self.attempts.owners(&job.id) {
+        let owners = self.attempts.owners(&job.id);
+        if is_repeated {
+            let names: Vec<&str> = owners.iter().map(|&link| self.peers.name(link)).collect();
+            let age_ms = now.millis_since(job.sent_after);
+            self.recent
+                .record_meeting(&job.id, "held", age_ms, names.join(","));
+        }
+        for link in owners {
             let request = PeerFrame::Yield {
                 job: job.id.clone(),
                 has_started: false,
@@ -344,13 +370,16 @@
             let is_clear = held.is_clear && !held.is_repeated;
             let arrived = if is_clear { held.since } else { now };
             if !is_clear {
+                let held_ms = now.millis_since(held.since);
                 info!(
+                    target: ATTEMPT_TARGET,
                     job = %id,
                     ?evidence,
-                    held_ms = now.millis_since(held.since),
+                    held_ms,
                     is_repeated = held.is_repeated,
                     "earlier attempt is over"
                 );
+                self.recent.record_over(&id, evidence.as_str(), held_ms);
             }
             held.submission.timeout_ms =
                 held.deadline.remaining_millis(arrived) + GIVE_UP_MARGIN_MS;
@@ -358,6 +387,7 @@
             job.requests = held.requests;
             job.sent_after = held.sent_after;
             job.has_started = held.is_repeated;
+            job.is_successor = evidence != EndEvidence::Expired;
             self.admit(job, now, out);
         }
     }
@@ -367,7 +397,7 @@
             let Some(held) = self.held.remove(&id) else {
                 continue;
             };
-            info!(job = %id, "earlier attempt is not over in time");
+            info!(target: ATTEMPT_TARGET, job = %id, "earlier attempt is not over in time");
             self.answer_held(&held.requests, Refusal::DeadlinePassed, out);
         }
     }
@@ -402,7 +432,7 @@
         out: &mut Vec<Action>,
     ) {
         let reason = Refusal::Outdated;
-        info!(job = %id, age_ms, retry_s = retry_after_s(reason), "request waited too long unread");
+        info!(target: ATTEMPT_TARGET, job = %id, age_ms, retry_s = retry_after_s(reason), "request waited too long unread");
         self.answer_held(&[request], reason, out);
     }
 }
--- a/crates/fulmarpond-dispatch/src/entry/entry.rs
+++ b/crates/fulmarpond-dispatch/src/entry/entry.rs
@@ -20,8 +20,10 @@
 use super::job::{Job, TaskState};
 use super::job_memory::JobMemory;
 use super::membership::Membership;
+use super::overlaps::{Overlaps, RunTime};
 use super::peers::Peers;
 use super::quarantine::Quarantine;
+use super::recent_attempts::RecentAttempts;
 use super::series::OwnedSeries;
 use super::waiting_jobs::WaitingJobs;
 use super::workload::Workload;
@@ -30,11 +32,14 @@
 use crate::directory::AnnouncedEntry;
 use crate::evacuation::Evacuations;
 use crate::ledger::{Ledger, LedgerOptions, Owner};
-use crate::{Counters, EntryFrame, JobId, LeaseTimes, Refusal};
+use crate::{ATTEMPT_TARGET, Counters, EntryFrame, JobId, LeaseTimes, Refusal};
 
 /// The log target of lines about requests that succeed.
 pub(super) const ROUTINE: &str = "routine";
 
+/// The cause in log lines about jobs whose callers have left.
+const CALLER_LEFT: &str = "caller_left";
+
 /// The retry delay that refused callers are told, in seconds.
 pub(super) const RETRY_AFTER_S: u32 = 1;
 
@@ -84,6 +89,16 @@
     pub advises: bool,
 }
 
+/// The answer to a job that is not durable, retained for duplicates of its request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FinalAnswer {
+    pub(super) answer: Answer,
+    /// When it was given.
+    at: Time,
+    /// When its tasks ran.
+    pub(super) run_time: Option<RunTime>,
+}
+
 /// Accepts jobs from callers and places their tasks on agents.
 ///
 /// It performs no I/O: calls go in with a time, and actions come out.
@@ -97,7 +112,7 @@
     pub(super) unplaced: WaitingJobs,
     /// Jobs with lost runs or delayed restarts, by the time at which their tasks are requeued.
     pub(super) lost_runs: BTreeSet<(Time, JobId)>,
-    pub(super) final_answers: HashMap<JobId, (Answer, Time)>,
+    pub(super) final_answers: HashMap<JobId, FinalAnswer>,
     pub(super) evacuations: Evacuations,
     pub(super) estimates: Estimates,
     pub(super) speeds: EndpointSpeeds,
@@ -108,6 +123,8 @@
     pub(super) entries: Vec<SocketAddr>,
     pub(super) peers: Peers,
     pub(super) attempts: Attempts,
+    pub(super) recent: RecentAttempts,
+    pub(super) overlaps: Overlaps,
     pub(super) membership: Membership,
     pub(super) confirmations: Confirmations,
     pub(super) held: HeldRequests,
@@ -164,6 +181,8 @@
             entries: Vec::new(),
             peers,
             attempts: Attempts::default(),
+            recent: RecentAttempts::default(),
+            overlaps: Overlaps::default(),
             membership: Membership::default(),
             confirmations: Confirmations::default(),
             held: HeldRequests::default(),
@@ -233,6 +252,11 @@
         views.filter(|view| view.takes_tasks()).count()
     }
 
+    /// Returns the last attempts that met another one or were stopped with runs.
+    pub const fn recent_attempts(&self) -> &RecentAttempts {
+        &self.recent
+    }
+
     /// Returns the speeds of all endpoints whose service has measured ones.
     pub fn endpoint_speeds(&self) -> Vec<KnownSpeed> {
         self.speeds.known(&self.fleet)
@@ -297,7 +321,7 @@
                 }
             }
             self.counters.abandoned += 1;
-            if let Some(job) = self.stop_job(&id, now, out) {
+            if let Some(job) = self.stop_job(&id, CALLER_LEFT, now, out) {
                 info!(job = %id, age_ms = now.millis_since(job.arrived), "caller left, job stopped");
             }
         }
@@ -326,12 +350,17 @@
 
     /// Removes a job and stops its tasks. Another attempt of a job that is not durable waits until
     /// the agents have reported that they are over.
-    pub(super) fn stop_job(&mut self, id: &JobId, now: Time, out: &mut Vec<Action>) -> Option<Job> {
+    pub(super) fn stop_job(
+        &mut self,
+        id: &JobId,
+        cause: &'static str,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) -> Option<Job> {
         let job = self.remove_job(id)?;
         let is_attempt = job.state.is_none();
         if is_attempt {
-            let over_by = now.after_millis(self.options.lease_times.report_ms());
-            self.attempts.begin_ending(&job, over_by, now);
+            self.begin_ending(&job, cause, now);
         }
         for link in job.links() {
             out.push(Action::Send {
@@ -346,10 +375,21 @@
         Some(job)
     }
 
+    /// Lists a stopped attempt until its runs are over.
+    fn begin_ending(&mut self, job: &Job, cause: &'static str, now: Time) {
+        let over_by = now.after_millis(self.options.lease_times.report_ms());
+        let runs = self.attempts.begin_ending(job, over_by, now);
+        if runs > 0 {
+            let age_ms = now.millis_since(job.sent_after);
+            self.recent.record_stop(&job.id, cause, age_ms, runs);
+            info!(target: ATTEMPT_TARGET, job = %job.id, cause, age_ms, runs, "attempt is stopped with runs under way");
+        }
+    }
+
     /// Ends a job: stops its remaining tasks, logs and counts the outcome, and answers its caller
     /// or records the end in the store.
     pub(super) fn finish(&mut self, id: &JobId, answer: Answer, now: Time, out: &mut Vec<Action>) {
-        let Some(job) = self.stop_job(id, now, out) else {
+        let Some(job) = self.stop_job(id, answer.as_str(), now, out) else {
             return;
         };
         let age = now.millis_since(job.arrived);
@@ -400,7 +440,13 @@
             return;
         }
         if matches!(answer, Answer::Completed | Answer::Failed) {
-            self.final_answers.insert(id.clone(), (answer, now));
+            let run_time = RunTime::of_job(&job, self.seen_at(now));
+            let final_answer = FinalAnswer {
+                answer,
+                at: now,
+                run_time,
+            };
+            self.final_answers.insert(id.clone(), final_answer);
         }
         for request in job.requests {
             out.push(Action::Answer {
@@ -473,7 +519,7 @@
         self.expire_jobs(now, out);
         self.count_job_memory();
         self.final_answers
-            .retain(|_, (_, at)| now.millis_since(*at) < ANSWER_RETENTION_MS);
+            .retain(|_, answered| now.millis_since(answered.at) < ANSWER_RETENTION_MS);
     }
 
     /// Gives up jobs whose deadline has passed, and jobs that have not run and can no longer start
--- a/crates/fulmarpond-dispatch/src/entry/shared_attempts.rs
+++ b/crates/fulmarpond-dispatch/src/entry/shared_attempts.rs
@@ -12,7 +12,7 @@
 
 use super::Action;
 use super::entry::{CHECK_INTERVAL_MS, Entry};
-use crate::{JobId, Refusal};
+use crate::{ATTEMPT_TARGET, JobId, Refusal};
 
 impl Entry {
     /// Returns when a new or resumed process no longer awaits the lists of entries that are alive.
@@ -48,12 +48,15 @@
                 .confirmations
                 .unaware(job.sent_after, lease_times, now)?;
             let age_ms = now.millis_since(job.sent_after);
-            info!(job = %job.id, age_ms, entry, "attempt ends, another entry may not know of it");
-            Some(job.id.clone())
+            info!(target: ATTEMPT_TARGET, job = %job.id, age_ms, entry, "attempt ends, another entry may not know of it");
+            Some((job.id.clone(), age_ms, entry.to_owned()))
         });
-        let unshared: Vec<JobId> = unshared.collect();
-        for id in unshared {
-            self.give_up(&id, Refusal::Unshared, now, out);
+        let unshared: Vec<(JobId, u64, String)> = unshared.collect();
+        for (id, age_ms, entry) in unshared {
+            let reason = Refusal::Unshared;
+            self.give_up(&id, reason, now, out);
+            self.recent
+                .record_meeting(&id, reason.as_str(), age_ms, entry);
         }
     }
 }
--- a/crates/fulmarpondd/src/leased/metrics.rs
+++ b/crates/fulmarpondd/src/leased/metrics.rs
@@ -12,8 +12,12 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 
+use super::line_limit::{LineClass, LineCounts};
+use crate::BUILD;
+
 type Label = [(&'static str, &'static str); 1];
 
 /// The agent and the kind of an endpoint. Both are bounded by the machines of the deployment.
@@ -31,6 +35,7 @@
     endpoint_run_permille: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
     endpoint_speed_samples: Family<EndpointLabels, Gauge<i64, AtomicI64>>,
     closed_connections: Family<Label, Counter>,
+    dropped_log_lines: Family<Label, Counter>,
     calls: Family<[(&'static str, &'static str); 3], Counter>,
     /// Time from the arrival of a job to its answer, in seconds.
     pub(super) job_seconds: Histogram,
@@ -54,6 +59,7 @@
             endpoint_run_permille: Family::default(),
             endpoint_speed_samples: Family::default(),
             closed_connections: Family::default(),
+            dropped_log_lines: Family::default(),
             calls: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(0.01, 1.6, 16)),
             wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -61,6 +67,8 @@
             call_seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 14)),
             registry: Registry::default(),
         };
+        let build = vec![("version", env!("CARGO_PKG_VERSION")), ("build", BUILD)];
+        registry.register("build", "What the process is built from", Info::new(build));
         registry.register(
             "refusals",
             "Requests that were refused or given up, by reason",
@@ -103,6 +111,11 @@
             "Connections of clients that were closed for the limits of the process, by reason",
             metrics.closed_connections.clone(),
         );
+        registry.register(
+            "dropped_log_lines",
+            "Log lines over the limit of lines, by class",
+            metrics.dropped_log_lines.clone(),
+        );
         registry.register(
             "wait_seconds",
             "Time from the arrival of a job to the start of its last task",
@@ -149,6 +162,15 @@
         }
     }
 
+    /// Sets how many log lines were dropped.
+    pub(super) fn set_dropped_lines(&self, dropped: LineCounts) {
+        for class in LineClass::ALL {
+            let labels = [("class", class.as_str())];
+            let counter = self.dropped_log_lines.get_or_create_owned(&labels);
+            counter.inner().store(dropped.get(class), Ordering::Relaxed);
+        }
+    }
+
     /// Sets the room that each class uses, waits for and lends at the endpoint.
     pub(super) fn set_class_room(&self, rooms: [ClassRoom; Class::COUNT]) {
         for (class, room) in Class::ALL.into_iter().zip(rooms) {
@@ -205,6 +227,7 @@
             ("crashing_jobs", counters.crashing_jobs),
             ("held", counters.held),
             ("overlapping", counters.overlapping),
+            ("overlapping_runs", counters.overlapping_runs),
             ("links_lost", counters.links_lost),
             ("evacuations", counters.evacuations),
         ] {
--- a/crates/fulmarpondd/src/leased/mod.rs
+++ b/crates/fulmarpondd/src/leased/mod.rs
@@ -11,10 +11,12 @@
 mod entry_process;
 mod entry_requests;
 mod host_maintenance;
+mod line_limit;
 mod log;
 mod machine_limits;
 mod metrics;
 mod reload;
+mod report;
 mod runtime;
 mod signals;
 
@@ -26,8 +28,10 @@
 use thiserror::Error;
 use tracing::{info, warn};
 
+use crate::BUILD;
 use agent_process::AgentProcess;
 use entry_process::EntryProcess;
+pub use line_limit::{LineClass, LineCounts, LineLimit};
 
 /// An error that ends a process in leased mode.
 #[derive(Debug, Error)]
@@ -51,6 +55,7 @@
         name = settings.name,
         zone = settings.zone,
         version = env!("CARGO_PKG_VERSION"),
+        build = BUILD,
         "start"
     );
     match &settings.role {
