--- a/crates/fulmarpond-dispatch/tests/support/accept_queue.rs
+++ b/crates/fulmarpond-dispatch/tests/support/accept_queue.rs
@@ -58,8 +58,8 @@
     }
 
     /// Holds back requests to an entry in the network during this time, which it can't notice.
-    pub(super) fn delay_requests(&mut self, entry: usize, millis: u64) {
-        self.hold_requests(entry, millis, Departure::Unseen);
+    pub(super) fn delay_requests(&mut self, entry: usize, millis: u64, departure: Departure) {
+        self.hold_requests(entry, millis, departure);
         if let Some(hold) = self.accept_queues.holds.get_mut(&entry) {
             hold.is_noticed = false;
         }
--- a/crates/fulmarpond-dispatch/tests/support/attempts.rs
+++ b/crates/fulmarpond-dispatch/tests/support/attempts.rs
@@ -18,10 +18,15 @@
     /// The connections of this percentage of the waiting callers of an entry break on the callers'
     /// side only.
     BreakCallers(usize, u32),
+    /// This percentage of the waiting callers of an entry leave, which the entry sees.
+    LeaveEarly(usize, u32),
     /// An entry lives, but reads no requests during this time.
     HoldRequests(usize, u64, Departure),
     /// The network holds back requests to an entry during this time.
     DelayRequests(usize, u64),
+    /// Like `DelayRequests`, and the end of the connection of a caller that has left arrives so long after
+    /// its request.
+    DelayToEnd(usize, u64, u64),
     /// An entry handles no events during this time; requests wait in its accept queue.
     PauseEntry(usize, u64, Departure),
 }
@@ -30,8 +35,9 @@
     /// Returns the duration of the fault, in milliseconds.
     pub(super) const fn duration_ms(self) -> u64 {
         match self {
-            Self::BreakCallers(..) => 0,
+            Self::BreakCallers(..) | Self::LeaveEarly(..) => 0,
             Self::DelayRequests(_, millis)
+            | Self::DelayToEnd(_, millis, _)
             | Self::HoldRequests(_, millis, _)
             | Self::PauseEntry(_, millis, _) => millis,
         }
@@ -75,8 +81,18 @@
 
     pub(super) fn begin_attempt_fault(&mut self, fault: AttemptFault) {
         match fault {
-            AttemptFault::BreakCallers(entry, percent) => self.break_callers(entry, percent),
-            AttemptFault::DelayRequests(entry, millis) => self.delay_requests(entry, millis),
+            AttemptFault::BreakCallers(entry, percent) => {
+                self.break_callers(entry, percent, Sides::Caller);
+            }
+            AttemptFault::LeaveEarly(entry, percent) => {
+                self.break_callers(entry, percent, Sides::Both);
+            }
+            AttemptFault::DelayRequests(entry, millis) => {
+                self.delay_requests(entry, millis, Departure::Unseen);
+            }
+            AttemptFault::DelayToEnd(entry, millis, end_ms) => {
+                self.delay_requests(entry, millis, Departure::SeenAfter(end_ms));
+            }
             AttemptFault::HoldRequests(entry, millis, departure) => {
                 self.hold_requests(entry, millis, departure);
             }
@@ -90,7 +106,7 @@
         }
     }
 
-    fn break_callers(&mut self, entry: usize, percent: u32) {
+    fn break_callers(&mut self, entry: usize, percent: u32, sides: Sides) {
         let waiting = self.jobs.iter().filter(|(_, job)| {
             let pending = job.pending.as_ref();
             pending.is_some_and(|&(holder, ..)| holder == entry)
@@ -99,7 +115,7 @@
         waiting.sort();
         for id in waiting {
             if self.rng.random_range(0..100) < percent {
-                self.break_connection(&id, Sides::Caller);
+                self.break_connection(&id, sides);
             }
         }
     }
--- a/crates/fulmarpond-dispatch/tests/support/callers.rs
+++ b/crates/fulmarpond-dispatch/tests/support/callers.rs
@@ -101,9 +101,13 @@
             .filter(|&entry| {
                 let core = self.entries[entry].core.as_ref();
                 core.is_some_and(|core| core.configuration().is_some())
+                    && !self.is_out_of_balance(entry)
             })
             .collect();
-        let is_due = self.jobs.get(id).is_some_and(|job| job.attempt < attempt);
+        let is_due = self.jobs.get(id).is_some_and(|job| {
+            let most = job.demand.max_attempts;
+            job.attempt < attempt && (most == 0 || attempt <= most)
+        });
         if running.is_empty() || !is_due {
             return;
         }
@@ -127,8 +131,8 @@
         self.pending_requests
             .insert((entry, generation, request), (id.clone(), attempt));
         self.history.record_attempt(id);
-        let timeout_ms = self.options.timeout_ms;
-        self.schedule_in_ms(timeout_ms, Event::AttemptTimesOut(id.clone(), attempt));
+        let patience_ms = self.patience_ms(id);
+        self.schedule_in_ms(patience_ms, Event::AttemptTimesOut(id.clone(), attempt));
         if self.queue_request((entry, generation, request), id) {
             return;
         }
@@ -177,7 +181,7 @@
         let submission = Submission {
             spec: "spec".to_owned(),
             steps: [step].into_iter().chain(second).collect(),
-            timeout_ms: self.options.timeout_ms,
+            timeout_ms: self.patience_ms(id),
             is_durable: self.options.is_durable && !demand.best_effort,
             repeat: demand.repeat(first_sent_unix_ms),
         };
@@ -185,6 +189,12 @@
         let arrival = Arrival { request, max_age };
         let id = id.clone();
         let path = format!("/{}/{id}", demand.route);
+        if self.stops.hides_routes(entry, self.now) {
+            self.with_entry(entry, |core, now, out| {
+                core.refuse_unrouted(request, "host", &id.0, now, out);
+            });
+            return;
+        }
         self.with_entry(entry, |core, now, out| {
             let configuration = core.configuration().expect("the entry has a configuration");
             let (route, _) = configuration
@@ -195,6 +205,12 @@
         });
     }
 
+    /// Returns how long the caller of a job waits for an answer, in milliseconds.
+    fn patience_ms(&self, id: &JobId) -> u64 {
+        let patience_ms = self.jobs[id].demand.patience_ms;
+        patience_ms.unwrap_or(self.options.timeout_ms)
+    }
+
     /// Abandons an attempt whose caller timed out, and schedules the next one.
     pub(super) fn attempt_times_out(&mut self, id: &JobId, attempt: u32) {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/crates/fulmarpond-dispatch/tests/support/demand.rs
+++ b/crates/fulmarpond-dispatch/tests/support/demand.rs
@@ -36,6 +36,10 @@
     /// Number of occurrences of a repeated job, delay of the first one after the first attempt to
     /// submit the job, and interval between them; both in milliseconds.
     pub repetition: Option<(u16, u64, u64)>,
+    /// Time that the caller waits for an answer, if it differs from that of the others, in milliseconds.
+    pub patience_ms: Option<u64>,
+    /// Number of attempts after which the caller gives up; 0 for never.
+    pub max_attempts: u32,
 }
 
 impl Demand {
@@ -56,6 +60,8 @@
         crash_after_ms: None,
         failing_runs: 0,
         repetition: None,
+        patience_ms: None,
+        max_attempts: 0,
     };
 
     /// Returns the repetition of the job, given the Unix time of the first attempt to submit
--- a/crates/fulmarpond-dispatch/tests/support/endpoint.rs
+++ b/crates/fulmarpond-dispatch/tests/support/endpoint.rs
@@ -30,6 +30,13 @@
     /// The connection of this percentage of the calls is reset; half of these calls are applied
     /// nevertheless.
     Reset(u32),
+    /// This percentage of the calls is answered with 429 or 503 and not applied.
+    Refuses(u32),
+    /// This percentage of the calls is answered with an unexpected status; half of these are applied
+    /// nevertheless.
+    OddReplies(u32),
+    /// The process crashes after it has applied this percentage of the calls, before it replies.
+    CrashAfter(u32),
     /// Calls are neither applied nor answered.
     Silent,
     /// The process has crashed; connections are refused.
@@ -48,6 +55,8 @@
     pub long_running: bool,
     /// Whether the run fails at its end by the task's own fault.
     pub fails: bool,
+    /// Whether replies to holds list the run.
+    pub is_listed: bool,
 }
 
 /// Time from the start of a long-running task until it is working, in milliseconds.
@@ -290,7 +299,8 @@
 
     /// Returns the reply to a hold call: the running and the oldest unacknowledged ended runs.
     pub fn hold_reply(&self, now: Time) -> EndpointReply {
-        let running = self.runs.iter().map(|(task, run)| RunEntry {
+        let listed_runs = self.runs.iter().filter(|(_, run)| run.is_listed);
+        let running = listed_runs.map(|(task, run)| RunEntry {
             task: task.clone(),
             run: run.number,
             progress: Some(run.progress(now)),
@@ -358,6 +368,7 @@
                     saved_ms: plan.saved_ms,
                     long_running: plan.long_running,
                     fails: plan.fails,
+                    is_listed: true,
                 };
                 self.runs.insert(task.clone(), live);
                 (EndpointReply::Done { clock }, Effect::Started(task.clone()))
--- a/crates/fulmarpond-dispatch/tests/support/evacuations.rs
+++ b/crates/fulmarpond-dispatch/tests/support/evacuations.rs
@@ -72,7 +72,7 @@
         }
         if cold {
             let until = self.now.after_millis(COLD_MS);
-            for agent in (zone..self.endpoints.len()).step_by(2) {
+            for agent in (zone..self.endpoints.len()).step_by(self.options.zones) {
                 self.endpoints[agent].cold_until = until;
             }
         }
@@ -123,7 +123,7 @@
             }
             _ => {}
         }
-        let from = Self::announcement(0);
+        let from = self.announcement(0);
         match self.store.call(&from, &sent.call, self.now) {
             Some(reply) => self.answer_agent(sent, reply),
             None => {
@@ -157,7 +157,7 @@
         if matches!(self.store.fault, StoreFault::Down { .. }) {
             return;
         }
-        let from = Self::announcement(0);
+        let from = self.announcement(0);
         for sent in std::mem::take(&mut self.evacuations.pending_watches) {
             match self.store.call(&from, &sent.call, self.now) {
                 Some(reply) => self.answer_agent(sent, reply),
@@ -200,7 +200,7 @@
     /// Records a violation if a run starts in an evacuated zone after the bound, at an agent that
     /// has been able to reach the store for as long.
     pub(super) fn check_evacuated_start(&mut self, agent: usize, task: &TaskKey) {
-        let Some(&acked) = self.evacuations.acked_at.get(&(agent % 2)) else {
+        let Some(&acked) = self.evacuations.acked_at.get(&(agent % self.options.zones)) else {
             return;
         };
         self.evacuations.starts += 1;
--- a/crates/fulmarpond-dispatch/tests/support/faults.rs
+++ b/crates/fulmarpond-dispatch/tests/support/faults.rs
@@ -6,7 +6,7 @@
 use fulmarpond_dispatch::{JobId, LinkNo, TaskKey, decode};
 
 use super::endpoint::{Endpoint, EndpointFault};
-use super::simulation::{Event, Fault, Simulation, WriterFault};
+use super::simulation::{Event, Fault, LINK_DELAY_US, Simulation, WriterFault};
 
 /// Time after a fault until all processes are connected again, in milliseconds.
 const RECONNECT_MS: u64 = 3_000;
@@ -29,6 +29,9 @@
             | Self::PauseAgent(_, millis)
             | Self::ThrottleAgent(_, _, millis)
             | Self::BlockLinks(_, _, millis)
+            | Self::CloseLinks(_, _, millis)
+            | Self::HideRoutes(_, millis)
+            | Self::KillEntryFor(_, millis)
             | Self::Endpoint(_, _, millis)
             | Self::Store(_, millis)
             | Self::StoreUnreachable(_, millis, _)
@@ -40,6 +43,9 @@
             Self::Stall(stall) => stall.duration_ms(),
             Self::Peer(fault) => fault.duration_ms(),
             Self::RestartEntry(_) => GRACEFUL_STOP_MS,
+            Self::DrainEntry(_, grace_ms, millis) | Self::ReplaceEntry(_, millis, grace_ms) => {
+                grace_ms + millis
+            }
             Self::RestartAgent(_) => STOPPING_RUNS_MS,
             _ => 0,
         }
@@ -52,7 +58,28 @@
         self.history.disturbed_until_ms = self.history.disturbed_until_ms.max(over_ms);
         match fault {
             Fault::KillEntry(entry) => self.kill_entry(entry, true),
+            Fault::KillEntryFor(entry, millis) => {
+                if self.end_entry(entry, true) {
+                    self.schedule_in_ms(millis, Event::StartEntry(entry));
+                }
+            }
             Fault::PowerOffEntry(entry) => self.kill_entry(entry, false),
+            Fault::DrainEntry(entry, grace_ms, down_ms) => {
+                self.stop_entry(entry, grace_ms, Some(down_ms));
+            }
+            Fault::ReplaceEntry(entry, overlap_ms, grace_ms) => {
+                self.replace_entry(entry, overlap_ms, grace_ms);
+            }
+            Fault::HideRoutes(entry, millis) => {
+                let until = self.now.after_millis(millis);
+                self.stops.hide_routes(entry, until);
+            }
+            Fault::CloseLinks(agent, entry, millis) => {
+                self.excuse_entry(entry, millis);
+                self.blocked_links.insert((agent, entry));
+                self.cut_links(agent, entry);
+                self.schedule_in_ms(millis, Event::FaultEnds(fault));
+            }
             Fault::RestartEntry(entry) => {
                 self.with_entry(entry, |core, _, _| core.stop());
                 self.schedule_in_ms(
@@ -155,7 +182,7 @@
 
     pub(super) fn end_fault(&mut self, fault: Fault) {
         match fault {
-            Fault::BlockLinks(agent, entry, _) => {
+            Fault::BlockLinks(agent, entry, _) | Fault::CloseLinks(agent, entry, _) => {
                 self.blocked_links.remove(&(agent, entry));
             }
             Fault::Endpoint(agent, endpoint_fault, _) => {
@@ -222,9 +249,16 @@
     /// Ends an entry process and schedules its restart. Its links are closed, and its callers
     /// resend, only if `closes_links` is set; otherwise the links go silent.
     pub(super) fn kill_entry(&mut self, entry: usize, closes_links: bool) {
+        if self.end_entry(entry, closes_links) {
+            self.schedule_in_ms(800, Event::StartEntry(entry));
+        }
+    }
+
+    /// Ends an entry process; returns whether it was running.
+    pub(super) fn end_entry(&mut self, entry: usize, closes_links: bool) -> bool {
         let generation = self.entries[entry].generation;
         if self.entries[entry].core.take().is_none() {
-            return;
+            return false;
         }
         self.directories[entry] = None;
         self.maintenance[entry] = None;
@@ -258,7 +292,25 @@
             }
         }
         self.excuse_entry(entry, 800);
-        self.schedule_in_ms(800, Event::StartEntry(entry));
+        true
+    }
+
+    /// Closes the links between an agent and an entry, which both see.
+    fn cut_links(&mut self, agent: usize, entry: usize) {
+        for number in 0..self.links.len() {
+            let link = &self.links[number];
+            if link.agent != agent || link.entry != entry || !link.is_open {
+                continue;
+            }
+            let is_silent = link.is_silent;
+            let link = LinkNo(number as u64);
+            self.close_link(link, true);
+            if !is_silent {
+                let generation = self.agents[agent].generation;
+                let lost = Event::LinkDownAtAgent(agent, generation, link);
+                self.schedule_in_us(LINK_DELAY_US, lost);
+            }
+        }
     }
 
     pub(super) fn kill_agent(&mut self, agent: usize) {
--- a/crates/fulmarpond-dispatch/tests/support/mod.rs
+++ b/crates/fulmarpond-dispatch/tests/support/mod.rs
@@ -25,6 +25,7 @@
 mod runs;
 mod simulation;
 mod stalls;
+mod stops;
 mod store;
 mod store_calls;
 mod throttling;
--- a/crates/fulmarpond-dispatch/tests/support/options.rs
+++ b/crates/fulmarpond-dispatch/tests/support/options.rs
@@ -46,7 +46,11 @@
 pub struct Options {
     pub seed: u64,
     pub entries: usize,
+    /// Whether each entry has a second process, which may replace it under its name.
+    pub has_replacements: bool,
     pub agents: usize,
+    /// Number of zones; entries and agents take turns over them.
+    pub zones: usize,
     /// Processor capacity of each endpoint, in thousandths of a core.
     pub cpu: u32,
     /// Delay before a caller resends a job after a lost connection, in milliseconds.
@@ -69,6 +73,8 @@
     pub changes_configuration: bool,
     /// Whether endpoints say when they were started, and may restart under their id.
     pub has_born: bool,
+    /// Whether endpoints list a run no longer from the moment at which they are told to stop it.
+    pub unlists_stopped: bool,
     /// Number of connections that each agent keeps open to its endpoint between calls. Calls on them
     /// are reset after the endpoint has gone down, until the agent reads that they are closed.
     pub kept_connections: u32,
@@ -92,7 +98,9 @@
         Self {
             seed: 1,
             entries: 2,
+            has_replacements: false,
             agents: 4,
+            zones: 2,
             cpu: 8_000,
             resend_ms: 1_300,
             timeout_ms: 4_000,
@@ -103,6 +111,7 @@
             entry_size: None,
             changes_configuration: false,
             has_born: true,
+            unlists_stopped: false,
             kept_connections: 0,
             advice: None,
             advice_busy: 0,
--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -19,6 +19,9 @@
 /// Time until an endpoint that was crashed by a run is back, in milliseconds.
 pub const CRASH_MS: u64 = 3_200;
 
+/// Time until an endpoint that crashed after a call is back, in milliseconds.
+const CRASH_AFTER_CALL_MS: u64 = 600;
+
 /// Delay of a delayed call, in milliseconds.
 const DELAYED_CALL_MS: u64 = 2_000;
 
@@ -73,6 +76,9 @@
                 return;
             }
         }
+        if self.answers_with_error(agent, generation, number) {
+            return;
+        }
         let endpoint = &self.endpoints[agent];
         let is_reply_lost = match endpoint.fault {
             EndpointFault::LostReplies(percent) => self.rng.random_range(0..100) < percent,
@@ -112,11 +118,22 @@
             Effect::Started(task) => self.run_started(agent, &task, plan.ends_at),
             Effect::Stopped(task) => {
                 self.check_availability(agent, &task);
+                if self.options.unlists_stopped
+                    && let Some(run) = self.endpoints[agent].runs.get_mut(&task)
+                {
+                    run.is_listed = false;
+                }
                 let run = self.endpoints[agent].runs[&task].number;
                 let wait = self.rng.random_range(1..=MAX_STOP_MS);
                 self.schedule_in_ms(wait, Event::RunStopped(agent, incarnation, task, run));
             }
         }
+        if let EndpointFault::CrashAfter(percent) = self.endpoints[agent].fault
+            && self.rng.random_range(0..100) < percent
+        {
+            let crash = EndpointFault::Crashed;
+            self.begin_fault(Fault::Endpoint(agent, crash, CRASH_AFTER_CALL_MS));
+        }
         if self.endpoints[agent].fault == EndpointFault::Crashed {
             self.reset_call(agent, generation, number);
             return;
@@ -147,6 +164,22 @@
         );
     }
 
+    /// Answers a call with an error if its endpoint does so; returns whether the call is not applied.
+    fn answers_with_error(&mut self, agent: usize, generation: u32, number: CallNo) -> bool {
+        let (percent, reply) = match self.endpoints[agent].fault {
+            EndpointFault::Refuses(percent) => (percent, EndpointReply::Unhealthy),
+            EndpointFault::OddReplies(percent) => (percent, EndpointReply::Invalid),
+            _ => return false,
+        };
+        if self.rng.random_range(0..100) >= percent {
+            return false;
+        }
+        let is_odd = reply == EndpointReply::Invalid;
+        let answered = Event::EndpointCallAnswered(agent, generation, number, Ok(reply));
+        self.schedule_in_us(LOCAL_DELAY_US, answered);
+        !is_odd || self.rng.random_range(0..2) == 0
+    }
+
     /// Resets the connection of a call whose endpoint is down.
     pub(super) fn reset_call(&mut self, agent: usize, generation: u32, number: CallNo) {
         let reset = Err(CallFailure::Reset);
--- a/crates/fulmarpond-dispatch/tests/support/simulation.rs
+++ b/crates/fulmarpond-dispatch/tests/support/simulation.rs
@@ -34,6 +34,7 @@
 use super::options::Options;
 use super::peer_links::{PeerEvent, PeerFault, PeerLinks, Side};
 use super::stalls::{Stall, Stalls};
+use super::stops::{EntryStop, Stops};
 use super::store::{Store, StoreFault};
 use super::store_calls::{CallKey, InFlightCall, StoreOutcome};
 use super::throttling::{Throttle, ThrottledAgents};
@@ -60,8 +61,20 @@
 pub enum Fault {
     /// An entry crashes and restarts; its links close.
     KillEntry(usize),
+    /// Like `KillEntry`, with the time until the restart.
+    KillEntryFor(usize, u64),
     /// An entry stops gracefully and restarts.
     RestartEntry(usize),
+    /// An entry stops as its process does: it keeps callers and runs until they are done or the grace period
+    /// is over, withdraws its announcement, ends, and starts again after the second time.
+    DrainEntry(usize, u64, u64),
+    /// The second process of an entry starts under its name, and the first one begins to stop so much later,
+    /// with a grace period.
+    ReplaceEntry(usize, u64, u64),
+    /// An entry finds no route for any job during this time.
+    HideRoutes(usize, u64),
+    /// The links between an agent and an entry are closed, and new ones cannot be opened during this time.
+    CloseLinks(usize, usize, u64),
     /// An agent stops gracefully and restarts.
     RestartAgent(usize),
     /// A stopping agent stops the remaining runs at its endpoint.
@@ -176,6 +189,10 @@
     LateEntryEffects(usize, u32, Vec<entry::Action>),
     LateAgentEffects(usize, u32, Vec<agent::Action>),
     CancelIfAccepted(JobId, usize),
+    /// Whether an entry that was asked to stop can end is looked at.
+    CheckStop(EntryStop),
+    /// An entry that has stopped ends.
+    EndStop(EntryStop),
     FaultBegins(Fault),
     FaultEnds(Fault),
     StartEntry(usize),
@@ -290,6 +307,7 @@
     pub attempts: Attempts,
     pub accept_queues: AcceptQueues,
     pub stalls: Stalls,
+    pub(super) stops: Stops,
     pub(super) peer_links: PeerLinks,
     pub history: History,
 }
@@ -339,6 +357,7 @@
             attempts: Attempts::default(),
             accept_queues: AcceptQueues::default(),
             stalls: Stalls::default(),
+            stops: Stops::default(),
             peer_links: PeerLinks::default(),
             history: History::default(),
         };
@@ -349,6 +368,13 @@
             sim.entries.push(Process::new());
             sim.start_entry(entry);
         }
+        if options.has_replacements {
+            for _ in 0..options.entries {
+                sim.directories.push(None);
+                sim.maintenance.push(None);
+                sim.entries.push(Process::new());
+            }
+        }
         for number in 0..options.agents {
             let clock_rate = 1.0 - 0.02 * sim.rng.random::<f64>();
             let kind = sim.kind(number);
@@ -455,8 +481,8 @@
 
     pub(super) fn start_entry(&mut self, entry: usize) {
         let options = EntryOptions {
-            name: format!("entry-{entry}"),
-            zone: format!("zone-{}", entry % 2),
+            name: self.entry_name(entry),
+            zone: Self::zone_name(entry % self.options.entries % self.options.zones),
             lease_times: self.lease_times,
             remote_factor: 1.5,
             incarnation: self.now.as_micros(),
@@ -483,7 +509,7 @@
         let seeds = (0..self.options.entries).map(Self::entry_addr).collect();
         let options = AgentOptions {
             name: format!("agent-{agent}"),
-            zone: format!("zone-{}", agent % 2),
+            zone: Self::zone_name(agent % self.options.zones),
             seeds,
             lease_times: self.lease_times,
             heartbeat_interval_ms: HEARTBEAT_MS,
@@ -858,6 +884,8 @@
                 self.late_agent_effects(agent, generation, late);
             }
             Event::CancelIfAccepted(id, entry) => self.cancel_if_accepted(&id, entry),
+            Event::CheckStop(stop) => self.check_stop(stop),
+            Event::EndStop(stop) => self.end_stop(stop),
             Event::FaultBegins(fault) => self.begin_fault(fault),
             Event::FaultEnds(fault) => self.end_fault(fault),
             Event::StartEntry(entry) => self.start_entry(entry),
--- a/crates/fulmarpond-dispatch/tests/support/store_calls.rs
+++ b/crates/fulmarpond-dispatch/tests/support/store_calls.rs
@@ -45,9 +45,9 @@
 pub type StoreOutcome = Option<Result<StoreReply, u16>>;
 
 impl Simulation {
-    pub(super) fn announcement(entry: usize) -> AnnouncedEntry {
+    pub(super) fn announcement(&self, entry: usize) -> AnnouncedEntry {
         AnnouncedEntry {
-            name: format!("entry-{entry}"),
+            name: self.entry_name(entry),
             addr: Self::entry_addr(entry),
         }
     }
@@ -98,7 +98,8 @@
             return;
         }
         let now = self.now;
-        let reply = self.store.call(&Self::announcement(entry), &sent.call, now);
+        let from = self.announcement(entry);
+        let reply = self.store.call(&from, &sent.call, now);
         if matches!(reply, Some(StoreReply::Committed { .. })) {
             self.begin_writer_fault(entry, &sent.call);
         }
@@ -144,7 +145,7 @@
         }
         let now = self.now;
         for sent in std::mem::take(&mut self.pending_watches) {
-            let from = Self::announcement(sent.by.entry);
+            let from = self.announcement(sent.by.entry);
             match self.store.call(&from, &sent.call, now) {
                 Some(reply) => self.answer_from_store(&sent, Some(Ok(reply))),
                 None => self.pending_watches.push(sent),
@@ -284,7 +285,8 @@
             Fault::StoreUnreachable(entry, millis, revoke) => {
                 self.store_unreachable_from.insert(entry);
                 if revoke {
-                    self.store.revoke_entry_lease(&format!("entry-{entry}"));
+                    let name = self.entry_name(entry);
+                    self.store.revoke_entry_lease(&name);
                     self.answer_ready_watches();
                 }
                 self.schedule_in_ms(millis, Event::FaultEnds(fault));
