--- a/crates/fulmarpond-dispatch/tests/record_days.rs
+++ b/crates/fulmarpond-dispatch/tests/record_days.rs
@@ -321,6 +321,12 @@
     ]
 }
 
+/// A second process of an entry that starts under its name, beside the first one.
+fn any_replacement() -> impl Strategy<Value = Timed> {
+    (0..ENTRIES, 0..2_000_u64)
+        .prop_map(|(entry, overlap_ms)| vec![(0, Fault::ReplaceEntry(entry, overlap_ms, GRACE_MS))])
+}
+
 fn any_trouble() -> impl Strategy<Value = (u64, Timed)> {
     let trouble = prop_oneof![
         3 => any_attempt_trouble().boxed(),
@@ -360,6 +366,20 @@
         let sim = with_trace_log(|| play_day(options(seed), burst_ms, &troubles));
         prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
     }
+
+    /// Guards against the same beside entries that start while an earlier process of their name still has
+    /// callers and runs.
+    #[test]
+    fn runs_do_not_overlap_beside_replaced_entries(
+        seed in any::<u64>(),
+        burst_ms in 0..TRAFFIC_MS,
+        mut troubles in proptest::collection::vec(any_trouble(), 2..10),
+        replaced in proptest::collection::vec((0..TRAFFIC_MS, any_replacement()), 1..4),
+    ) {
+        troubles.extend(replaced);
+        let sim = with_trace_log(|| play_day(options(seed), burst_ms, &troubles));
+        prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
+    }
 }
 
 fn started_simulation(options: Options) -> Simulation {
@@ -385,6 +405,22 @@
     job
 }
 
+/// Guards against a process that takes its own earlier one, which still stops, for itself: the caller of the
+/// earlier process has left unseen, and sends its job to the new one.
+#[test]
+fn runs_do_not_overlap_if_an_entry_is_replaced_beside_itself() {
+    for overlap_ms in [0, 500, 1_500] {
+        let mut sim = started_simulation(options(1));
+        let job = submit_pair(&mut sim, 100, 0, 3);
+        sim.fault_at(300, Fault::ReplaceEntry(0, overlap_ms, 5_000));
+        sim.break_connection_at(400_000, &job, Sides::Caller);
+        with_trace_log(|| sim.run_ms(SETTLE_MS));
+        let found = &sim.history.violations;
+        assert!(found.is_empty(), "{overlap_ms} ms: {found:?}");
+        assert!(sim.history.start_count(&job) > u32::from(PAIR_JOB.tasks));
+    }
+}
+
 /// Guards against two processes of one name at a third entry, which gets the second attempt: the list of the
 /// new process must not replace that of the one that stops.
 #[test]
