--- a/crates/fulmarpond-dispatch/tests/record_days.rs
+++ b/crates/fulmarpond-dispatch/tests/record_days.rs
@@ -327,6 +327,15 @@
         .prop_map(|(entry, overlap_ms)| vec![(0, Fault::ReplaceEntry(entry, overlap_ms, GRACE_MS))])
 }
 
+/// Requests that wait where their entry does or doesn't see it, with the end of the connection right behind.
+fn any_held_requests() -> impl Strategy<Value = Timed> {
+    let held = (0..ENTRIES, 100..2_500_u64, 0..=10_u64);
+    held.prop_map(|(entry, ms, end_ms)| {
+        let fault = AttemptFault::DelayToEnd(entry, ms, end_ms);
+        vec![(0, Fault::Attempt(fault))]
+    })
+}
+
 fn any_trouble() -> impl Strategy<Value = (u64, Timed)> {
     let trouble = prop_oneof![
         3 => any_attempt_trouble().boxed(),
@@ -380,6 +389,19 @@
         let sim = with_trace_log(|| play_day(options(seed), burst_ms, &troubles));
         prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
     }
+
+    /// Guards against the same beside requests that the network holds back.
+    #[test]
+    fn runs_do_not_overlap_beside_held_back_requests(
+        seed in any::<u64>(),
+        burst_ms in 0..TRAFFIC_MS,
+        mut troubles in proptest::collection::vec(any_trouble(), 2..10),
+        held in proptest::collection::vec((0..TRAFFIC_MS, any_held_requests()), 1..4),
+    ) {
+        troubles.extend(held);
+        let sim = with_trace_log(|| play_day(options(seed), burst_ms, &troubles));
+        prop_assert!(sim.history.violations.is_empty(), "{:?}", sim.history.violations);
+    }
 }
 
 fn started_simulation(options: Options) -> Simulation {
@@ -458,3 +480,23 @@
         }
     }
 }
+
+/// Guards against two attempts that look equally fresh: the network holds a request back until its caller has
+/// left and sent the job to another entry, and the end of its connection arrives right behind it.
+#[test]
+fn runs_do_not_overlap_if_a_held_back_request_ends_at_once() {
+    for released_ms in [
+        1_100, 1_300, 1_450, 1_499, 1_500, 1_501, 1_550, 1_700, 1_900,
+    ] {
+        for end_ms in [0, 2, 5, 10] {
+            let mut sim = started_simulation(options(1));
+            let delay = AttemptFault::DelayToEnd(0, released_ms, end_ms);
+            sim.fault_at(0, Fault::Attempt(delay));
+            let job = submit_pair(&mut sim, 100, 0, 1);
+            sim.break_connection_at(200_000, &job, Sides::Both);
+            with_trace_log(|| sim.run_ms(SETTLE_MS));
+            let found = &sim.history.violations;
+            assert!(found.is_empty(), "{released_ms}, {end_ms} ms: {found:?}");
+        }
+    }
+}
