--- a/crates/fulmarpond-dispatch/tests/record_days.rs
+++ b/crates/fulmarpond-dispatch/tests/record_days.rs
@@ -500,3 +500,18 @@
         }
     }
 }
+
+/// Guards against a start that is taken for not carried out, since its reply has a status that the platform
+/// does not define for it, while the run has begun.
+#[test]
+fn runs_do_not_overlap_after_replies_with_an_undefined_status() {
+    let mut sim = started_simulation(options(1));
+    let odd = EndpointFault::OddReplies(30);
+    sim.fault_at(0, Fault::Endpoint(0, odd, 2_000));
+    for at in (100..2_000).step_by(100) {
+        sim.submit_at(at, LONG_JOB);
+    }
+    with_trace_log(|| sim.run_ms(SETTLE_MS));
+    let found = &sim.history.violations;
+    assert!(found.is_empty(), "{found:?}");
+}
