--- a/crates/fulmarpond-dispatch/tests/record_days.rs
+++ b/crates/fulmarpond-dispatch/tests/record_days.rs
@@ -515,3 +515,20 @@
     let found = &sim.history.violations;
     assert!(found.is_empty(), "{found:?}");
 }
+
+/// Guards against a run that is taken for over since its endpoint lists it no longer, though it has not
+/// listed its end: the next attempt at another entry starts while the run is still being stopped.
+#[test]
+fn runs_do_not_overlap_if_stopped_runs_are_not_listed() {
+    for seed in 1..=8 {
+        let mut sim = started_simulation(Options {
+            unlists_stopped: true,
+            ..options(seed)
+        });
+        let job = submit_pair(&mut sim, 100, 0, 1);
+        sim.break_connection_at(400_000, &job, Sides::Caller);
+        with_trace_log(|| sim.run_ms(SETTLE_MS));
+        let found = &sim.history.violations;
+        assert!(found.is_empty(), "seed {seed}: {found:?}");
+    }
+}
