feat(standins): executors that crash, leave and stop unlisted; keys revoked

The emulator could restart an executor under its id only. It can now crash one (its address refuses connections, then it is back under another id), make one drain, deregister and end, leave a run that is being stopped out of the list, and revoke keys of the store. A relay can close the connections of a named client and change its target.

A listener's number is not used again for another executor: connections outlast their listener, and were answered by the wrong executor with 421, which agents take for a crash.

--- a/crates/fulmarpond-standins/src/fleet/executor.rs
+++ b/crates/fulmarpond-standins/src/fleet/executor.rs
@@ -43,6 +43,8 @@
     started_at: Instant,
     finishes_at: Option<Instant>,
     outcome: &'static str,
+    /// Whether it was told to stop.
+    is_stopping: bool,
 }
 
 impl Run {
@@ -86,6 +88,14 @@
     pub(super) clock_percent: u32,
     /// How long a run goes on after its stop.
     pub(super) stop_time: Duration,
+    /// Whether runs that are being stopped are listed until they have ended.
+    pub(super) lists_stopping: bool,
+    /// The number of its life, which is a part of its id after the first one.
+    life: u32,
+    /// Until when it is down, after a crash or a planned end.
+    pub(super) down_until: Option<Instant>,
+    /// When it ends after its drain, and for how long it is down then.
+    planned_end: Option<(Instant, Duration)>,
     fencing_token: u64,
     lease_deadline_ms: i64,
     runs: BTreeMap<String, Run>,
@@ -112,6 +122,10 @@
             clock_origin: now,
             clock_percent: 100,
             stop_time: Duration::ZERO,
+            lists_stopping: true,
+            life: 1,
+            down_until: None,
+            planned_end: None,
             fencing_token: 0,
             lease_deadline_ms: 0,
             runs: BTreeMap::new(),
@@ -126,21 +140,71 @@
     /// Returns the executor after a restart under its id, which knows nothing of this life.
     pub(super) fn restarted(&mut self, now: Instant) -> Self {
         let late_heartbeat = self.heartbeat_body(now);
-        let running: Vec<String> = self.runs.keys().cloned().collect();
-        for task in running {
-            self.end_run(&task, "crashed", now);
-        }
+        self.end_all_runs("crashed", now);
         Self {
             id: self.id.clone(),
             born: unix_ms().max(self.born + 1),
             late_heartbeat: Some((now + LATE_HEARTBEAT_DELAY, late_heartbeat)),
             clock_percent: self.clock_percent,
             stop_time: self.stop_time,
+            lists_stopping: self.lists_stopping,
+            life: self.life,
+            new_ends: std::mem::take(&mut self.new_ends),
+            ..Self::new(self.options.clone(), 0, now)
+        }
+    }
+
+    /// Returns the next life of the executor, which has another id, knows nothing of this one and is
+    /// down until `up_at`. `outcome` is that of the runs that end with this life.
+    pub(super) fn succeeded(
+        &mut self,
+        outcome: &'static str,
+        up_at: Instant,
+        now: Instant,
+    ) -> Self {
+        self.end_all_runs(outcome, now);
+        let life = self.life + 1;
+        let id = self.id.split('-').take(2).collect::<Vec<&str>>().join("-");
+        Self {
+            id: format!("{id}-{life}"),
+            born: unix_ms().max(self.born + 1),
+            clock_percent: self.clock_percent,
+            stop_time: self.stop_time,
+            lists_stopping: self.lists_stopping,
+            life,
+            down_until: Some(up_at),
+            next_heartbeat: up_at,
             new_ends: std::mem::take(&mut self.new_ends),
             ..Self::new(self.options.clone(), 0, now)
         }
     }
 
+    /// Makes it report that it drains, end at `ends_at` and be down for some time then.
+    pub(super) fn leave(&mut self, ends_at: Instant, down_time: Duration) {
+        self.is_draining = true;
+        self.next_heartbeat = Instant::now();
+        self.planned_end = Some((ends_at, down_time));
+    }
+
+    /// Returns for how long it is down from now on, if its planned end has come.
+    pub(super) fn take_planned_end(&mut self, now: Instant) -> Option<Duration> {
+        let end = self.planned_end.take_if(|(ends_at, _)| now >= *ends_at);
+        end.map(|(_, down_time)| down_time)
+    }
+
+    /// Returns the body of a deregistration.
+    pub(super) fn deregistration_body(&self) -> Value {
+        json!({"born": self.born})
+    }
+
+    fn end_all_runs(&mut self, outcome: &'static str, now: Instant) {
+        self.end_due_runs(now);
+        let running: Vec<String> = self.runs.keys().cloned().collect();
+        for task in running {
+            self.end_run(&task, outcome, now);
+        }
+    }
+
     /// Returns the heartbeats that are due.
     pub(super) fn take_due_heartbeats(&mut self, interval: Duration, now: Instant) -> Vec<Value> {
         let mut due = Vec::new();
@@ -260,6 +324,7 @@
             started_at: now,
             finishes_at,
             outcome: task_spec.outcome,
+            is_stopping: false,
         };
         if self.runs.contains_key(&task) {
             self.end_run(&task, "replaced", now);
@@ -275,6 +340,7 @@
         *highest = (*highest).max(run);
         let stop_time = self.stop_time;
         if let Some(known) = self.runs.get_mut(task).filter(|known| known.number <= run) {
+            known.is_stopping = true;
             let stopped_at = now + stop_time;
             if known.finishes_at.is_none_or(|at| at > stopped_at) {
                 known.finishes_at = Some(stopped_at);
@@ -365,6 +431,7 @@
         let running: Vec<Value> = self
             .runs
             .iter()
+            .filter(|(_, run)| self.lists_stopping || !run.is_stopping)
             .map(|(task, run)| json!([task, run.number, "", run.progress(now), run.cpu]))
             .collect();
         ok(&json!({
--- a/crates/fulmarpond-standins/src/fleet/platform.rs
+++ b/crates/fulmarpond-standins/src/fleet/platform.rs
@@ -2,14 +2,15 @@
 
 use std::collections::{HashMap, HashSet};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use fulmarpond_reactor::http::{Method, Request, Response};
-use fulmarpond_reactor::{Call, Event, Limits, ListenerId, Reactor, RequestId};
+use fulmarpond_reactor::{Call, CallId, Event, Limits, ListenerId, Reactor, RequestId};
+use serde_json::Value;
 
 use super::call_fault::{CallEffect, CallFault, CallFaults};
 use super::executor::{Executor, ExecutorOptions};
@@ -19,6 +20,12 @@
 /// Maximum interval between checks for expired leases and finished runs.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Delay before an address that could not be opened is tried again.
+const LISTEN_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// An address at which nobody calls.
+const UNUSED_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// Time limit of a heartbeat call.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -59,6 +66,10 @@
     Disturb(usize, Vec<CallFault>),
     SetClock(usize, u32),
     SetStopTime(usize, Duration),
+    ListStopping(usize, bool),
+    Crash(usize, Duration),
+    Leave(usize, Duration, Duration),
+    Revoke(String),
     Translate(SocketAddr, SocketAddr),
     Stop,
 }
@@ -82,10 +93,12 @@
     pub fn start(options: EmulatorOptions) -> io::Result<Self> {
         let mut reactor = Reactor::new(Limits::default())?;
         let (listener, store) = reactor.listen_http(options.store)?;
-        let mut executors = HashMap::new();
+        let mut executors = Vec::new();
+        let mut listeners = HashMap::new();
         for (index, executor) in options.executors.into_iter().enumerate() {
             let (id, _) = reactor.listen_http(executor.listen)?;
-            executors.insert(id, (index, Executor::new(executor, index, Instant::now())));
+            listeners.insert(id, index);
+            executors.push(Executor::new(executor, index, Instant::now()));
         }
         let (commands, received) = channel();
         let ledger: Arc<Mutex<Vec<TaskStart>>> = Arc::default();
@@ -95,6 +108,7 @@
             listener,
             store: Store::new(),
             executors,
+            listeners,
             heartbeat: options.heartbeat,
             heartbeat_calls: HashMap::new(),
             commands: received,
@@ -189,6 +203,26 @@
         self.send_command(Command::SetStopTime(executor, time));
     }
 
+    /// Sets whether an executor lists runs that it was told to stop until they have ended.
+    pub fn set_lists_stopping(&self, executor: usize, lists: bool) {
+        self.send_command(Command::ListStopping(executor, lists));
+    }
+
+    /// Crashes an executor. It comes back at its address after `down_time`, under another id.
+    pub fn crash(&self, executor: usize, down_time: Duration) {
+        self.send_command(Command::Crash(executor, down_time));
+    }
+
+    /// Makes an executor drain, deregister and end after `drain_time`. It comes back as after a crash.
+    pub fn leave(&self, executor: usize, drain_time: Duration, down_time: Duration) {
+        self.send_command(Command::Leave(executor, drain_time, down_time));
+    }
+
+    /// Ends the leases of the store's items whose keys contain `part`, as the platform may.
+    pub fn revoke(&self, part: &str) {
+        self.send_command(Command::Revoke(part.to_owned()));
+    }
+
     /// Makes the store keep `to` wherever a process writes the address `from`, so that others reach
     /// the process through a relay.
     pub fn translate(&self, from: SocketAddr, to: SocketAddr) {
@@ -232,9 +266,11 @@
     reactor: Reactor,
     listener: ListenerId,
     store: Store,
-    executors: HashMap<ListenerId, (usize, Executor)>,
+    executors: Vec<Executor>,
+    /// The executors by their listeners, also by those that were closed: connections outlast them.
+    listeners: HashMap<ListenerId, usize>,
     heartbeat: Duration,
-    heartbeat_calls: HashMap<fulmarpond_reactor::CallId, ListenerId>,
+    heartbeat_calls: HashMap<CallId, usize>,
     commands: Receiver<Command>,
     ledger: Arc<Mutex<Vec<TaskStart>>>,
     runs: Arc<Mutex<RunRecords>>,
@@ -260,9 +296,10 @@
                 self.handle_event(event, now);
             }
             self.run_delayed_calls(now);
+            self.start_and_end_executors(now);
             self.send_heartbeats(now);
             let mut due = self.store.take_due_responses(now);
-            for (_, executor) in self.executors.values_mut() {
+            for executor in &mut self.executors {
                 due.extend(executor.take_due_responses(now));
             }
             self.record_ends();
@@ -291,9 +328,9 @@
 
     fn record_ends(&mut self) {
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        for (index, executor) in self.executors.values_mut() {
+        for (index, executor) in self.executors.iter_mut().enumerate() {
             for end in executor.take_new_ends() {
-                runs.end(*index, &end);
+                runs.end(index, &end);
             }
         }
     }
@@ -334,6 +371,17 @@
                 Command::SetStopTime(index, time) => {
                     self.with_executor(index, |executor| executor.stop_time = time);
                 }
+                Command::ListStopping(index, lists) => {
+                    self.with_executor(index, |executor| executor.lists_stopping = lists);
+                }
+                Command::Crash(index, down_time) => {
+                    self.end_executor(index, "crashed", down_time, Instant::now());
+                }
+                Command::Leave(index, drain_time, down_time) => {
+                    let ends_at = Instant::now() + drain_time;
+                    self.with_executor(index, |executor| executor.leave(ends_at, down_time));
+                }
+                Command::Revoke(part) => self.store.revoke_leases_of(&part),
                 Command::Translate(from, to) => self.store.translate(from, to),
                 Command::Stop => return false,
             }
@@ -342,12 +390,66 @@
     }
 
     fn with_executor(&mut self, index: usize, action: impl FnOnce(&mut Executor)) {
-        let mut executors = self.executors.values_mut();
-        if let Some((_, executor)) = executors.find(|(known, _)| *known == index) {
+        if let Some(executor) = self.executors.get_mut(index) {
             action(executor);
         }
     }
 
+    /// Ends executors whose planned end has come, and starts those that have been down.
+    fn start_and_end_executors(&mut self, now: Instant) {
+        for index in 0..self.executors.len() {
+            let executor = &mut self.executors[index];
+            if let Some(down_time) = executor.take_planned_end(now) {
+                self.send_deregistration(index, now);
+                self.end_executor(index, "left", down_time, now);
+            }
+            let executor = &mut self.executors[index];
+            if executor.down_until.take_if(|up_at| now >= *up_at).is_some() {
+                self.listen_again(index, now);
+            }
+        }
+    }
+
+    /// Opens the listener of an executor again. Connections outlast their listener and keep its number, so
+    /// a number that was that of another executor's listener is not used again.
+    fn listen_again(&mut self, index: usize, now: Instant) {
+        let addr = self.executors[index].options.listen;
+        while let Ok((listener, _)) = self.reactor.listen_http(addr) {
+            let known = self.listeners.get(&listener);
+            if known.is_none_or(|&known| known == index) {
+                self.listeners.insert(listener, index);
+                return;
+            }
+            self.reactor.stop_listening(listener);
+            // A listener that nobody knows takes the number.
+            if self.reactor.listen_http(UNUSED_ADDR).is_err() {
+                break;
+            }
+        }
+        self.executors[index].down_until = Some(now + LISTEN_RETRY_DELAY);
+    }
+
+    /// Ends the life of an executor, whose address refuses connections while it is down.
+    fn end_executor(
+        &mut self,
+        index: usize,
+        outcome: &'static str,
+        down_time: Duration,
+        now: Instant,
+    ) {
+        let Some(executor) = self.executors.get_mut(index) else {
+            return;
+        };
+        *executor = executor.succeeded(outcome, now + down_time, now);
+        let mut listeners = self.listeners.iter();
+        let listeners = listeners.by_ref().filter(|(_, known)| **known == index);
+        for (&listener, _) in listeners {
+            self.reactor.stop_listening(listener);
+        }
+        self.delayed_calls
+            .retain(|call| self.listeners.get(&call.listener) != Some(&index));
+    }
+
     fn handle_event(&mut self, event: Event, now: Instant) {
         match event {
             Event::Request {
@@ -358,8 +460,8 @@
             } => self.handle_request(listener, id, request, now),
             Event::Replied { call, outcome } => {
                 let executor = self.heartbeat_calls.remove(&call);
-                let executor = executor.and_then(|listener| self.executors.get_mut(&listener));
-                if let Some((_, executor)) = executor
+                let executor = executor.and_then(|index| self.executors.get_mut(index));
+                if let Some(executor) = executor
                     && !outcome.is_ok_and(|reply| reply.status == 200)
                 {
                     executor.next_heartbeat = now + HEARTBEAT_RETRY_DELAY;
@@ -382,9 +484,10 @@
             }
             return;
         }
-        let executor = self.executors.get(&listener);
-        let effect = executor
-            .and_then(|(index, _)| self.call_faults.next_effect(*index, request.path.as_str()));
+        let effect = self
+            .listeners
+            .get(&listener)
+            .and_then(|&index| self.call_faults.next_effect(index, request.path.as_str()));
         match effect {
             Some(CallEffect::Lost) => return,
             Some(CallEffect::Refused(status)) => {
@@ -415,17 +518,21 @@
         request: &Request,
         now: Instant,
     ) {
-        let Some((index, executor)) = self.executors.get_mut(&listener) else {
+        let Some(&index) = self.listeners.get(&listener) else {
             self.reactor.respond(id, &Response::empty(404));
             return;
         };
+        let executor = &mut self.executors[index];
+        if executor.down_until.is_some() {
+            return;
+        }
         let (response, started) = executor.handle(id, request, now);
         if let Some((task, run)) = started {
             let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-            runs.start(*index, &task, run, now);
+            runs.start(index, &task, run, now);
             let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
             ledger.push(TaskStart {
-                executor: *index,
+                executor: index,
                 task,
             });
         }
@@ -435,19 +542,40 @@
     }
 
     fn send_heartbeats(&mut self, now: Instant) {
-        for (&listener, (_, executor)) in &mut self.executors {
+        for index in 0..self.executors.len() {
+            let executor = &mut self.executors[index];
+            if executor.down_until.is_some() {
+                continue;
+            }
             for body in executor.take_due_heartbeats(self.heartbeat, now) {
-                let call = Call {
-                    method: Method::Post,
-                    path: format!("/v1/instances/{}/heartbeat", executor.id),
-                    headers: Vec::new(),
-                    body: body.to_string().into_bytes(),
-                    deadline: now + HEARTBEAT_TIMEOUT,
-                    last_deadline: now + HEARTBEAT_TIMEOUT,
-                };
-                let id = self.reactor.call(executor.options.control, 0, 1, &call);
-                self.heartbeat_calls.insert(id, listener);
+                let call = self.call_to_control(index, "heartbeat", &body, now);
+                self.heartbeat_calls.insert(call, index);
             }
         }
     }
+
+    /// Tells the agent of an executor that it leaves. The call is not repeated.
+    fn send_deregistration(&mut self, index: usize, now: Instant) {
+        let body = self.executors[index].deregistration_body();
+        self.call_to_control(index, "deregister", &body, now);
+    }
+
+    fn call_to_control(
+        &mut self,
+        index: usize,
+        action: &str,
+        body: &Value,
+        now: Instant,
+    ) -> CallId {
+        let executor = &self.executors[index];
+        let call = Call {
+            method: Method::Post,
+            path: format!("/v1/instances/{}/{action}", executor.id),
+            headers: Vec::new(),
+            body: body.to_string().into_bytes(),
+            deadline: now + HEARTBEAT_TIMEOUT,
+            last_deadline: now + HEARTBEAT_TIMEOUT,
+        };
+        self.reactor.call(executor.options.control, 0, 1, &call)
+    }
 }
--- a/crates/fulmarpond-standins/src/fleet/store.rs
+++ b/crates/fulmarpond-standins/src/fleet/store.rs
@@ -301,6 +301,15 @@
         Response::empty(404)
     }
 
+    /// Ends the leases of the items whose keys contain `part`.
+    pub(super) fn revoke_leases_of(&mut self, part: &str) {
+        let items = self.items.iter().filter(|(key, _)| key.contains(part));
+        let leases: Vec<u64> = items.map(|(_, item)| item.lease).collect();
+        for lease in leases.into_iter().filter(|&lease| lease != 0) {
+            self.revoke_lease(lease);
+        }
+    }
+
     fn revoke_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
         let attached = self.items.iter().filter(|(_, item)| item.lease == lease);
--- a/crates/fulmarpond-standins/src/relay.rs
+++ b/crates/fulmarpond-standins/src/relay.rs
@@ -70,7 +70,7 @@
         let listener = TcpListener::bind(listen)?;
         let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
-            target,
+            target: Mutex::new(target),
             state: Mutex::default(),
             changed: Condvar::new(),
         });
@@ -119,6 +119,27 @@
         self.shared.changed.notify_all();
     }
 
+    /// Closes the open connections whose client names itself, as [`hold_clients`](Self::hold_clients)
+    /// holds them. New connections work.
+    pub fn close_clients(&self, values: &[Vec<u8>]) {
+        for session in self.shared.lock().sessions.values() {
+            if session.is_named(values) {
+                session.close();
+            }
+        }
+        self.shared.changed.notify_all();
+    }
+
+    /// Forwards new connections to another target. Open ones stay.
+    pub fn set_target(&self, target: SocketAddr) {
+        let mut current = self
+            .shared
+            .target
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *current = target;
+    }
+
     /// Sets whether data in one direction of a connection are held back. What is held back is
     /// forwarded afterwards, as after the loss of packets.
     pub fn set_held(&self, session: SessionId, direction: Direction, is_held: bool) {
@@ -208,7 +229,7 @@
 
 #[derive(Debug)]
 struct Shared {
-    target: SocketAddr,
+    target: Mutex<SocketAddr>,
     state: Mutex<State>,
     /// Signals that a session was closed or removed.
     changed: Condvar,
@@ -226,9 +247,7 @@
 impl State {
     /// Returns whether the client of a connection is held. One that has sent nothing is not.
     fn holds(&self, session: &Session) -> bool {
-        let opening = session.opening.get().map_or(&[][..], Vec::as_slice);
-        let contains = |value: &Vec<u8>| opening.windows(value.len()).any(|part| part == value);
-        self.held_clients.iter().any(contains)
+        session.is_named(&self.held_clients)
     }
 }
 
@@ -254,7 +273,8 @@
 
     /// Connects to the target and forwards both directions until each has ended.
     fn forward_both(self: &Arc<Self>, client: TcpStream) -> io::Result<()> {
-        let target = TcpStream::connect_timeout(&self.target, CONNECT_TIMEOUT)?;
+        let target = *self.target.lock().unwrap_or_else(PoisonError::into_inner);
+        let target = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
         client.set_nodelay(true)?;
         target.set_nodelay(true)?;
         let session = Arc::new(Session {
@@ -376,6 +396,13 @@
         }
     }
 
+    /// Returns whether the first data from the client contain one of these values.
+    fn is_named(&self, values: &[Vec<u8>]) -> bool {
+        let opening = self.opening.get().map_or(&[][..], Vec::as_slice);
+        let contains = |value: &Vec<u8>| opening.windows(value.len()).any(|part| part == value);
+        values.iter().any(contains)
+    }
+
     fn close(&self) {
         self.is_closed.store(true, Ordering::SeqCst);
         let _ = self.client.shutdown(Shutdown::Both);
