--- a/crates/fulmarpond-standins/tests/fleet.rs
+++ b/crates/fulmarpond-standins/tests/fleet.rs
@@ -127,7 +127,7 @@
     for (executor, &addr) in addrs.iter().enumerate() {
         start_run(addr, &format!("i-{executor:08x}")).expect("a response");
     }
-    for (executor, down_ms) in [(0, 600), (1, 100)] {
+    for (executor, down_ms) in [(1, 100), (0, 600)] {
         emulator.crash(executor, Duration::from_millis(down_ms));
     }
     wait_until("both have crashed", || {
