--- a/crates/fulmarpond-dispatch/tests/support/runs.rs
+++ b/crates/fulmarpond-dispatch/tests/support/runs.rs
@@ -168,13 +168,13 @@
     fn answers_with_error(&mut self, agent: usize, generation: u32, number: CallNo) -> bool {
         let (percent, reply) = match self.endpoints[agent].fault {
             EndpointFault::Refuses(percent) => (percent, EndpointReply::Unhealthy),
-            EndpointFault::OddReplies(percent) => (percent, EndpointReply::Invalid),
+            EndpointFault::OddReplies(percent) => (percent, EndpointReply::Unexpected),
             _ => return false,
         };
         if self.rng.random_range(0..100) >= percent {
             return false;
         }
-        let is_odd = reply == EndpointReply::Invalid;
+        let is_odd = reply == EndpointReply::Unexpected;
         let answered = Event::EndpointCallAnswered(agent, generation, number, Ok(reply));
         self.schedule_in_us(LOCAL_DELAY_US, answered);
         !is_odd || self.rng.random_range(0..2) == 0
