fix(dispatch): a request that can't be served is refused at once, also where it may have been held back

What callers saw: nothing yet; found in reading the merged diff. A request that may have been held back waited 4 to 30 ms for the end of its connection before it was refused, though it was known that no endpoint can run it. It is now refused when it is read.

--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -140,7 +140,7 @@
         job.sent_after = now.before_millis(max_age);
         let wait_ms = departure_wait_ms(&job, held_back, self.options.lease_times);
         let is_only_attempt = self.is_only_attempt(&id, now);
-        if is_only_attempt && wait_ms == 0 {
+        if is_only_attempt && (wait_ms == 0 || self.check_servable(&job).is_err()) {
             self.admit(job, now, out);
             return;
         }
--- a/crates/fulmarpond-dispatch/tests/departures.rs
+++ b/crates/fulmarpond-dispatch/tests/departures.rs
@@ -29,17 +29,21 @@
 
 impl Desk {
     fn new() -> Self {
+        Self::with_room(ROOM)
+    }
+
+    fn with_room(room: Resources) -> Self {
         let now = Time::from_millis(10_000);
         let mut entry = Entry::new(entry_setup::options(), now);
         let configuration = Configuration::new(1, vec![entry_setup::route()], None);
         entry.configure(configuration, now, &mut Vec::new());
         let load = EndpointStatus {
             ready: true,
-            free: ROOM,
+            free: room,
             slowness: 100,
             ..EndpointStatus::default()
         };
-        entry_setup::link_agent(&mut entry, AGENT, ROOM, load, now);
+        entry_setup::link_agent(&mut entry, AGENT, room, load, now);
         Self {
             now,
             entry,
@@ -176,3 +180,19 @@
         assert_eq!(desk.entry.waiting_requests(), 0, "{}", case.name);
     }
 }
+
+/// Guards against a caller that waits for a refusal that is certain when its request is read.
+#[test]
+fn request_that_no_endpoint_fits_is_refused_at_once() {
+    let room = Resources {
+        cpu: 1,
+        ..Resources::default()
+    };
+    let mut desk = Desk::with_room(room);
+    desk.submit(u64::MAX, 1_000);
+    let answers = desk.answers();
+    assert!(
+        matches!(answers[..], [Answer::NotRun { .. }]),
+        "{answers:?}"
+    );
+}
