fix(reactor): a request that is read and abandoned in one poll is dropped

A request that was sent ahead is parsed when the previous response is flushed; if the end of the connection is read in the same poll, the entry handled the end first, found no such request, and then started the job of a caller that had left, which nothing stopped.

Change: the reactor drops the request in place of reporting its end.

--- a/crates/fulmarpond-reactor/src/reactor/mod.rs
+++ b/crates/fulmarpond-reactor/src/reactor/mod.rs
@@ -364,8 +364,7 @@
         match self.conns.get_mut(key) {
             Some(Conn::Server(conn)) => {
                 if let Some(id) = conn.pending_request.take() {
-                    self.requests.remove(&id);
-                    self.events.push(Event::Abandoned { id });
+                    self.abandon(id);
                 }
                 self.remove(key);
             }
--- a/crates/fulmarpond-reactor/src/reactor/pressure.rs
+++ b/crates/fulmarpond-reactor/src/reactor/pressure.rs
@@ -8,7 +8,6 @@
 use tracing::warn;
 
 use super::{Conn, Reactor};
-use crate::event::Event;
 
 /// When clients hold too many bytes, connections are closed until this share of the limit is left, so
 /// that not each further byte closes one.
@@ -141,8 +140,7 @@
         match self.conns.get_mut(key) {
             Some(Conn::Server(conn)) => {
                 if let Some(id) = conn.pending_request.take() {
-                    self.requests.remove(&id);
-                    self.events.push(Event::Abandoned { id });
+                    self.abandon(id);
                 }
                 self.remove(key);
             }
--- a/crates/fulmarpond-reactor/src/reactor/server.rs
+++ b/crates/fulmarpond-reactor/src/reactor/server.rs
@@ -124,8 +124,7 @@
                 }
                 let pending_request = conn.pending_request.take();
                 if let Some(id) = pending_request {
-                    self.requests.remove(&id);
-                    self.events.push(Event::Abandoned { id });
+                    self.abandon(id);
                 }
                 self.remove(key);
                 return;
@@ -138,6 +137,19 @@
         self.record_held(key);
     }
 
+    /// Reports that the client of a request has left, or drops the request if it is not handed over yet.
+    pub(super) fn abandon(&mut self, id: RequestId) {
+        self.requests.remove(&id);
+        let is_request =
+            |event: &Event| matches!(event, Event::Request { id: other, .. } if *other == id);
+        match self.events.iter().rposition(is_request) {
+            Some(position) => {
+                self.events.remove(position);
+            }
+            None => self.events.push(Event::Abandoned { id }),
+        }
+    }
+
     /// Parses the next request of a connection, unless the previous one has no response yet.
     pub(super) fn parse_next_request(&mut self, key: usize) {
         let Some(Conn::Server(conn)) = self.conns.get_mut(key) else {
--- a/crates/fulmarpond-reactor/tests/request_age.rs
+++ b/crates/fulmarpond-reactor/tests/request_age.rs
@@ -163,3 +163,25 @@
         assert!(server.reactor.respond(id, &Response::empty(200)));
     }
 }
+
+/// Guards against a request without a client that nobody stops: it was sent ahead, and is read and abandoned
+/// in one poll.
+#[test]
+fn request_that_is_abandoned_in_the_same_poll_is_dropped() {
+    let mut server = Server::new();
+    let mut stream = connect(server.addr);
+    stream.write_all(&REQUEST.repeat(2)).expect("a write");
+    let event = server.poll_event(1_000);
+    let Event::Request { id, .. } = event else {
+        panic!("{event:?}");
+    };
+    drop(stream);
+    thread::sleep(Duration::from_millis(50));
+    assert!(server.reactor.respond(id, &Response::empty(200)));
+    let mut events = Vec::new();
+    for _ in 0..5 {
+        let until = Instant::now() + Duration::from_millis(20);
+        server.reactor.poll(until, &mut events).expect("a poll");
+    }
+    assert!(events.is_empty(), "{events:?}");
+}
