fix(dispatch): a request that joins a waiting job is waited for too

A job that waits for the end of its caller's connection started when the first request's wait was over, though a second one had joined it that may have been held back as well and whose end was still to come.

--- a/crates/fulmarpond-dispatch/src/entry/admission.rs
+++ b/crates/fulmarpond-dispatch/src/entry/admission.rs
@@ -123,6 +123,11 @@
             held.is_repeated = true;
             let timeout_ms = submission.timeout_ms.saturating_sub(GIVE_UP_MARGIN_MS);
             held.deadline = held.deadline.max(now.after_millis(timeout_ms));
+            let lease_times = self.options.lease_times;
+            if held_back >= lease_times.unshared_ms() {
+                let until = now.after_millis(lease_times.departure_ms());
+                held.departure_until = held.departure_until.max(until);
+            }
             return;
         }
         if max_age > self.options.lease_times.max_request_age_ms() {
--- a/crates/fulmarpond-dispatch/tests/departures.rs
+++ b/crates/fulmarpond-dispatch/tests/departures.rs
@@ -52,8 +52,12 @@
     }
 
     fn submit(&mut self, held_back: u64, estimate: u32) {
+        self.submit_as(REQUEST, held_back, estimate);
+    }
+
+    fn submit_as(&mut self, request: RequestNo, held_back: u64, estimate: u32) {
         let arrival = Arrival {
-            request: REQUEST,
+            request,
             max_age: 0,
             held_back,
         };
@@ -196,3 +200,18 @@
         "{answers:?}"
     );
 }
+
+/// Guards against a request that joins a waiting job and whose caller has left as well: the end of its
+/// connection comes later than that of the first one.
+#[test]
+fn request_that_joins_a_waiting_job_is_waited_for_too() {
+    let mut desk = Desk::new();
+    desk.submit(u64::MAX, 1_000);
+    desk.run_ms(27);
+    desk.submit_as(RequestNo(2), u64::MAX, 1_000);
+    desk.leave();
+    desk.run_ms(29);
+    assert_eq!(desk.starts(), 0);
+    desk.run_ms(30);
+    assert_eq!(desk.starts(), 1);
+}
