fix(dispatch): overlaps of attempts that only waited for the end of a connection are noticed

What operators saw: no warning for two attempts at one time if the later one had waited 4 to 30 ms for the end of its caller's connection, as most suspicious ones do. Any wait counted as one for an earlier attempt that was over.

Change: only an attempt that was known to be repeated, and was let go by a report of its entry or of agents, counts as a successor. One case completes 20 ms later, since the attempt starts later.

--- a/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
+++ b/crates/fulmarpond-dispatch/src/entry/attempt_exchange.rs
@@ -387,7 +387,7 @@
             job.requests = held.requests;
             job.sent_after = held.sent_after;
             job.has_started = held.is_repeated;
-            job.is_successor = evidence != EndEvidence::Expired;
+            job.is_successor = held.is_repeated && evidence.is_told();
             self.admit(job, now, out);
         }
     }
--- a/crates/fulmarpond-dispatch/src/entry/held_requests.rs
+++ b/crates/fulmarpond-dispatch/src/entry/held_requests.rs
@@ -28,6 +28,11 @@
 }
 
 impl EndEvidence {
+    /// Returns whether the entry of the earlier attempt, or the agents, have told of its end.
+    pub(super) const fn is_told(self) -> bool {
+        matches!(self, Self::NotListed | Self::Yielded | Self::Reported)
+    }
+
     /// Returns the name in reports.
     pub(super) const fn as_str(self) -> &'static str {
         match self {
--- a/crates/fulmarpond-dispatch/tests/peers.rs
+++ b/crates/fulmarpond-dispatch/tests/peers.rs
@@ -38,6 +38,8 @@
     is_linked: bool,
     /// How long frames between the entries are under way, in milliseconds.
     delay_ms: u64,
+    /// For how long the network may have held requests back, in milliseconds.
+    held_back: u64,
     /// The frames that are under way: when they arrive, who has sent them, and what.
     under_way: VecDeque<(Time, usize, Action)>,
     orders: [Vec<EntryFrame>; 2],
@@ -52,6 +54,7 @@
             entries: [entry("entry-0", now), entry("entry-1", now)],
             is_linked: true,
             delay_ms: 0,
+            held_back: 0,
             under_way: VecDeque::new(),
             orders: [Vec::new(), Vec::new()],
             answers: [Vec::new(), Vec::new()],
@@ -167,7 +170,7 @@
         let arrival = Arrival {
             request: RequestNo(request),
             max_age,
-            held_back: 0,
+            held_back: self.held_back,
         };
         self.with(number, |entry, now, out| {
             entry.submit(arrival, job(), &Rc::new(route()), submission(), now, out);
@@ -735,7 +738,8 @@
 }
 
 /// Guards against runs of two attempts at one time that no entry notices, and against alarms where the
-/// second attempt has waited for the end of the first one, or came after it.
+/// second attempt has waited for the end of the first one, or came after it. Nor may an attempt that has
+/// waited for the end of its caller's connection only count as one that has waited for another attempt.
 #[test]
 fn entries_notice_runs_of_two_attempts_at_one_time() {
     let cases = [
@@ -759,7 +763,7 @@
             name: "the second one completes before the first one ends",
             leaves: Some(150),
             sent_again: 100,
-            completes: Some(160),
+            completes: Some(180),
             first_ends: 200,
             is_overlap: true,
         },
@@ -780,7 +784,8 @@
             is_overlap: false,
         },
     ];
-    for case in cases {
+    let waits = [0, u64::MAX];
+    for (case, held_back) in cases.iter().flat_map(|case| waits.map(|wait| (case, wait))) {
         let mut pair = Pair::new();
         pair.submit(0, 1, 0);
         for elapsed_ms in (0..2_000).step_by(10) {
@@ -790,6 +795,7 @@
                 });
             }
             if elapsed_ms == case.sent_again {
+                pair.held_back = held_back;
                 pair.submit(1, 2, 0);
             }
             if Some(elapsed_ms) == case.completes {
