test(dispatch): time passes for the stop of a run at a new incarnation

hold_of_a_new_incarnation_ends_all_runs_of_the_old_one answered lists at one moment until the stopped run was reported.

--- a/crates/fulmarpond-dispatch/tests/lists.rs
+++ b/crates/fulmarpond-dispatch/tests/lists.rs
@@ -379,6 +379,9 @@
     host.act(|agent, out| {
         agent.handle_reply(stop, Ok(EndpointReply::Done { clock: 0 }), now, out);
     });
+    // The stop has taken its longest time by then.
+    let now = now.after_millis(STOP_MS);
+    host.tick(now);
     while host.ends.len() < 2 {
         let hold = host.take_hold();
         host.reply(hold, now, &[], &[]);
